workspace: add packages, schema, module borders and design page

Cause: an empty repository; work on the parts needs fixed borders first. Ruled out: one package (the decisions must stay free of sockets and clocks), protobuf (its generated types need a second set of serde types for tarpc's JSON codec).

--- /dev/null
+++ b/cli/src/bin/ragwortctl.rs
@@ -0,0 +1,3 @@
+//! The `ragwortctl` program.
+
+fn main() {}
--- /dev/null
+++ b/cli/src/bin/ragwortgrade.rs
@@ -0,0 +1,3 @@
+//! The `ragwortgrade` program.
+
+fn main() {}
--- /dev/null
+++ b/lib/src/clock.rs
@@ -0,0 +1,34 @@
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use ragwortgrade_policy::Instant;
+
+/// The daemon's monotonic clock, started with the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: std::time::Instant,
+}
+
+impl Clock {
+    /// Starts a clock.
+    #[must_use]
+    pub fn start() -> Self {
+        Self {
+            start: std::time::Instant::now(),
+        }
+    }
+
+    /// Returns the time since the start, as the decisions take it.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        Instant::from_micros(self.start.elapsed().as_micros() as u64)
+    }
+
+    /// Returns the Unix time in milliseconds.
+    #[must_use]
+    pub fn unix_ms(&self) -> u64 {
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        since.as_millis() as u64
+    }
+}
--- /dev/null
+++ b/lib/src/endpoint/engine.rs
@@ -0,0 +1,91 @@
+use std::fmt::Debug;
+
+use ragwortgrade_schema::engine::{
+    CacheEvents, Completion, KvExport, KvHandle, KvImport, Load, Order, OrderAnswer, Token,
+};
+
+use super::Error;
+
+/// One attempt of a completion at an engine.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Identity of the attempt; the answer must bear it.
+    pub attempt: String,
+    /// Higher goes first.
+    pub priority: u8,
+    /// Hash of the prefix that may be cached.
+    pub prefix: Option<u64>,
+    /// Index of the first token wanted.
+    pub resume_from: u32,
+    /// What to complete.
+    pub completion: Completion,
+}
+
+/// A streamed answer; it ends with `None` only after the engine said that it is complete.
+pub trait TokenStream: Send {
+    /// Waits for the next token.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream breaks, or when a token bears another attempt or index.
+    fn next_token(&mut self) -> Result<Option<Token>, Error>;
+}
+
+/// A model engine's interface; `address` is its `ip:port`.
+pub trait Engine: Debug + Send + Sync {
+    /// Starts a completion.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the engine cannot be reached or refuses; [`Error::ran`] tells whether it ran.
+    fn complete(&self, address: &str, call: &Call) -> Result<Box<dyn TokenStream>, Error>;
+
+    /// Stops an attempt whose caller has gone away.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the engine cannot be reached.
+    fn cancel(&self, address: &str, attempt: &str) -> Result<(), Error>;
+
+    /// Reads the lagging load report.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the engine cannot be reached.
+    fn load(&self, address: &str) -> Result<Load, Error>;
+
+    /// Reads the engine's current state, before and after an order.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the engine cannot be reached.
+    fn state(&self, address: &str) -> Result<Load, Error>;
+
+    /// Reads the cache events after sequence `after`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the engine cannot be reached.
+    fn cache_events(&self, address: &str, after: u64) -> Result<CacheEvents, Error>;
+
+    /// Sends an order; the whole call takes at most 2 s.
+    ///
+    /// # Errors
+    ///
+    /// After [`Error::Broken`] the order may have been accepted.
+    fn order(&self, address: &str, order: &Order) -> Result<OrderAnswer, Error>;
+
+    /// Computes a prompt's KV cache and holds it for another engine.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the engine cannot be reached or refuses.
+    fn export(&self, address: &str, export: &KvExport) -> Result<KvHandle, Error>;
+
+    /// Fetches KV cache from another engine.
+    ///
+    /// # Errors
+    ///
+    /// Fails when either engine cannot be reached or refuses.
+    fn import(&self, address: &str, import: &KvImport) -> Result<(), Error>;
+}
--- /dev/null
+++ b/lib/src/endpoint/error.rs
@@ -0,0 +1,51 @@
+/// Whether a request ran, as far as the daemon can know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ran {
+    /// The request was certainly not run.
+    No,
+    /// The request may have run, wholly or in part.
+    Unknown,
+}
+
+/// Why a call of an endpoint failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The connection could not be opened; nothing was sent.
+    #[error("endpoint is unreachable: {reason}")]
+    Unreachable {
+        /// What the connection attempt reported.
+        reason: String,
+    },
+    /// The endpoint refused the call before running it.
+    #[error("endpoint refused the call with status {status}")]
+    Refused {
+        /// HTTP status of the answer.
+        status: u16,
+    },
+    /// The connection broke or timed out after the call was sent.
+    #[error("connection to the endpoint broke: {reason}")]
+    Broken {
+        /// What ended the call.
+        reason: String,
+    },
+    /// The answer bears the identity of another attempt.
+    #[error("answer belongs to another attempt")]
+    Crossed,
+    /// The answer does not follow the protocol.
+    #[error("answer of the endpoint is malformed: {reason}")]
+    Malformed {
+        /// What the parser reported.
+        reason: String,
+    },
+}
+
+impl Error {
+    /// Tells whether the call may have run.
+    #[must_use]
+    pub fn ran(&self) -> Ran {
+        match self {
+            Self::Unreachable { .. } | Self::Refused { .. } => Ran::No,
+            Self::Broken { .. } | Self::Crossed | Self::Malformed { .. } => Ran::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/endpoint/http_engine.rs
@@ -0,0 +1,178 @@
+use std::io::{BufRead as _, BufReader};
+use std::time::Duration;
+
+use ragwortgrade_schema::engine::{
+    CacheEvents, Cancel, KvExport, KvHandle, KvImport, Load, Order, OrderAnswer, Token,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use ureq::{Agent, BodyReader};
+
+use super::http::{ATTEMPT_HEADER, agent, check_attempt, classify, read_json};
+use super::{Call, Engine, Error, TokenStream};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Design section 5.1 counts on orders being under way for at most 2 s.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Prefill of the longest prompt behind a full queue.
+const EXPORT_TIMEOUT: Duration = Duration::from_mins(1);
+/// An engine that sends nothing for so long is taken to have failed.
+const TOKEN_TIMEOUT: Duration = Duration::from_secs(30);
+const DATA_PREFIX: &str = "data: ";
+const DONE: &str = "[DONE]";
+
+/// A model engine over HTTP.
+#[derive(Debug)]
+pub struct HttpEngine {
+    streams: Agent,
+    control: Agent,
+}
+
+impl HttpEngine {
+    /// Opens a client for any number of engines.
+    #[must_use]
+    pub fn open() -> Self {
+        let streams = Agent::config_builder()
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .timeout_recv_response(Some(EXPORT_TIMEOUT))
+            .http_status_as_error(false)
+            .build()
+            .into();
+        Self {
+            streams,
+            control: agent(CONNECT_TIMEOUT, Some(CONTROL_TIMEOUT)),
+        }
+    }
+
+    fn get<A: DeserializeOwned>(&self, address: &str, path: &str) -> Result<A, Error> {
+        read_json(self.control.get(format!("http://{address}{path}")).call())
+    }
+
+    fn post<A: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        timeout: Duration,
+        body: &impl Serialize,
+    ) -> Result<A, Error> {
+        let request = self.control.post(format!("http://{address}{path}"));
+        read_json(
+            request
+                .config()
+                .timeout_global(Some(timeout))
+                .build()
+                .send_json(body),
+        )
+    }
+}
+
+impl Engine for HttpEngine {
+    fn complete(&self, address: &str, call: &Call) -> Result<Box<dyn TokenStream>, Error> {
+        let mut request = self
+            .streams
+            .post(format!("http://{address}/v1/chat/completions"))
+            .header(ATTEMPT_HEADER, &call.attempt)
+            .header("X-Priority", call.priority.to_string())
+            .header("X-Resume-From", call.resume_from.to_string());
+        if let Some(prefix) = call.prefix {
+            request = request.header("X-Prefix-Hash", format!("{prefix:016x}"));
+        }
+        let answer = request
+            .send_json(&call.completion)
+            .map_err(|error| classify(&error))?;
+        if !answer.status().is_success() {
+            return Err(Error::Refused {
+                status: answer.status().as_u16(),
+            });
+        }
+        check_attempt(&answer, &call.attempt)?;
+        Ok(Box::new(HttpTokenStream {
+            attempt: call.attempt.clone(),
+            next_index: call.resume_from,
+            lines: BufReader::new(answer.into_body().into_reader()),
+            line: String::new(),
+        }))
+    }
+
+    fn cancel(&self, address: &str, attempt: &str) -> Result<(), Error> {
+        let cancel = Cancel {
+            attempt: attempt.to_owned(),
+        };
+        let _: serde_json::Value = self.post(address, "/cancel", CONTROL_TIMEOUT, &cancel)?;
+        Ok(())
+    }
+
+    fn load(&self, address: &str) -> Result<Load, Error> {
+        self.get(address, "/load")
+    }
+
+    fn state(&self, address: &str) -> Result<Load, Error> {
+        self.get(address, "/state")
+    }
+
+    fn cache_events(&self, address: &str, after: u64) -> Result<CacheEvents, Error> {
+        self.get(address, &format!("/cache-events?after={after}"))
+    }
+
+    fn order(&self, address: &str, order: &Order) -> Result<OrderAnswer, Error> {
+        self.post(address, "/orders", CONTROL_TIMEOUT, order)
+    }
+
+    fn export(&self, address: &str, export: &KvExport) -> Result<KvHandle, Error> {
+        let handle: KvHandle = self.post(address, "/kv/export", EXPORT_TIMEOUT, export)?;
+        if handle.attempt != export.attempt {
+            return Err(Error::Crossed);
+        }
+        Ok(handle)
+    }
+
+    fn import(&self, address: &str, import: &KvImport) -> Result<(), Error> {
+        let _: serde_json::Value = self.post(address, "/kv/import", TOKEN_TIMEOUT, import)?;
+        Ok(())
+    }
+}
+
+/// Reads server-sent events of an engine and checks the attempt and index of each token.
+struct HttpTokenStream {
+    attempt: String,
+    next_index: u32,
+    lines: BufReader<BodyReader<'static>>,
+    line: String,
+}
+
+impl TokenStream for HttpTokenStream {
+    fn next_token(&mut self) -> Result<Option<Token>, Error> {
+        loop {
+            self.line.clear();
+            let read = self
+                .lines
+                .read_line(&mut self.line)
+                .map_err(|error| Error::Broken {
+                    reason: error.to_string(),
+                })?;
+            if read == 0 {
+                return Err(Error::Broken {
+                    reason: "stream ended early".to_owned(),
+                });
+            }
+            let Some(data) = self.line.trim_end().strip_prefix(DATA_PREFIX) else {
+                continue;
+            };
+            if data == DONE {
+                return Ok(None);
+            }
+            let token: Token = serde_json::from_str(data).map_err(|error| Error::Malformed {
+                reason: error.to_string(),
+            })?;
+            if token.attempt != self.attempt {
+                return Err(Error::Crossed);
+            }
+            if token.index != self.next_index {
+                let reason = format!("token {} instead of {}", token.index, self.next_index);
+                return Err(Error::Malformed { reason });
+            }
+            self.next_index += 1;
+            return Ok(Some(token));
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/endpoint/http_plain.rs
@@ -0,0 +1,80 @@
+use std::time::Duration;
+
+use ragwortgrade_schema::engine::PlainLoad;
+use ureq::Agent;
+use ureq::http::Request;
+use ureq::http::header::CONTENT_TYPE;
+
+use super::http::{ATTEMPT_HEADER, agent, check_attempt, classify, read_json};
+use super::{Error, Plain, PlainAnswer, PlainCall};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+const ANSWER_BYTES_MAX: u64 = 16 << 20;
+
+/// A plain service over HTTP.
+#[derive(Debug)]
+pub struct HttpPlain {
+    calls: Agent,
+    control: Agent,
+}
+
+impl HttpPlain {
+    /// Opens a client for any number of endpoints.
+    #[must_use]
+    pub fn open() -> Self {
+        Self {
+            calls: agent(CONNECT_TIMEOUT, None),
+            control: agent(CONNECT_TIMEOUT, Some(LOAD_TIMEOUT)),
+        }
+    }
+}
+
+impl Plain for HttpPlain {
+    fn call(&self, address: &str, call: &PlainCall) -> Result<PlainAnswer, Error> {
+        let mut request = Request::builder()
+            .method(call.method.as_str())
+            .uri(format!("http://{address}{}", call.path))
+            .header(ATTEMPT_HEADER, &call.attempt)
+            .header("X-Request-Key", &call.request_key);
+        if let Some(content_type) = &call.content_type {
+            request = request.header(CONTENT_TYPE, content_type);
+        }
+        let request = request
+            .body(call.body.clone())
+            .map_err(|error| Error::Unreachable {
+                reason: error.to_string(),
+            })?;
+        let request = self
+            .calls
+            .configure_request(request)
+            .timeout_global(Some(call.timeout))
+            .allow_non_standard_methods(true)
+            .build();
+        let mut answer = self.calls.run(request).map_err(|error| classify(&error))?;
+        check_attempt(&answer, &call.attempt)?;
+        let content_type = answer
+            .headers()
+            .get(CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok())
+            .map(ToOwned::to_owned);
+        let status = answer.status().as_u16();
+        let body = answer
+            .body_mut()
+            .with_config()
+            .limit(ANSWER_BYTES_MAX)
+            .read_to_vec()
+            .map_err(|error| Error::Broken {
+                reason: error.to_string(),
+            })?;
+        Ok(PlainAnswer {
+            status,
+            content_type,
+            body,
+        })
+    }
+
+    fn load(&self, address: &str) -> Result<PlainLoad, Error> {
+        read_json(self.control.get(format!("http://{address}/load")).call())
+    }
+}
--- /dev/null
+++ b/lib/src/endpoint/plain.rs
@@ -0,0 +1,54 @@
+use std::fmt::Debug;
+use std::time::Duration;
+
+use ragwortgrade_schema::engine::PlainLoad;
+
+use super::Error;
+
+/// One attempt of a call at an endpoint of a plain service.
+#[derive(Clone, Debug)]
+pub struct PlainCall {
+    /// Identity of the attempt; the answer must bear it.
+    pub attempt: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path with its query, from `/`.
+    pub path: String,
+    /// Content type of the body.
+    pub content_type: Option<String>,
+    /// Identity of the request over all its attempts.
+    pub request_key: String,
+    /// Body, passed through.
+    pub body: Vec<u8>,
+    /// Time left for the whole call.
+    pub timeout: Duration,
+}
+
+/// A whole answer of a plain service.
+#[derive(Clone, Debug)]
+pub struct PlainAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type of the body.
+    pub content_type: Option<String>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// A plain service's interface; `address` is the endpoint's `ip:port`.
+pub trait Plain: Debug + Send + Sync {
+    /// Calls the service and waits for the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the endpoint cannot be reached or the connection breaks; [`Error::ran`] tells
+    /// whether the call may have run. Any HTTP status of the service is an answer, no error.
+    fn call(&self, address: &str, call: &PlainCall) -> Result<PlainAnswer, Error>;
+
+    /// Reads the endpoint's load report.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the endpoint cannot be reached.
+    fn load(&self, address: &str) -> Result<PlainLoad, Error>;
+}
--- /dev/null
+++ b/lib/src/node.rs
@@ -0,0 +1,65 @@
+use std::fmt;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwapOption;
+use ragwortgrade_policy::Router;
+use ragwortgrade_policy::event::Event;
+use ragwortgrade_schema::configuration::Configuration;
+use ragwortgrade_schema::settings::Settings;
+
+use crate::clock::Clock;
+use crate::endpoint::{Engine, Plain};
+use crate::membership::Directory;
+use crate::platform::KeyValue;
+
+/// What all parts of one daemon share.
+///
+/// The interfaces to the outside are trait objects, so that tests replace them by fakes.
+pub struct Node {
+    /// Checked settings.
+    pub settings: Settings,
+    /// New at each start of the process.
+    pub incarnation: u64,
+    /// The daemon's clock.
+    pub clock: Clock,
+    /// Known endpoints.
+    pub directory: Directory,
+    /// The configuration in force; `None` until one is known.
+    pub configuration: ArcSwapOption<Configuration>,
+    /// The platform's key-value service.
+    pub key_value: Arc<dyn KeyValue>,
+    /// Interface of engines.
+    pub engines: Arc<dyn Engine>,
+    /// Interface of plain services.
+    pub plains: Arc<dyn Plain>,
+    pub(crate) router: Mutex<Router>,
+    pub(crate) draining: AtomicBool,
+}
+
+impl fmt::Debug for Node {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Node")
+            .field("id", &self.settings.daemon.id)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Node {
+    /// Locks the router; decisions are short, so callers hold it only for one call.
+    pub fn router(&self) -> MutexGuard<'_, Router> {
+        self.router.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells the router what the daemon learned.
+    pub fn observe(&self, event: Event) {
+        let now = self.clock.now();
+        self.router().observe(event, now);
+    }
+
+    /// Tells whether the daemon is on its way to a planned stop.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be written.
--- /dev/null
+++ b/policy/benches/routing.rs
@@ -0,0 +1,3 @@
+//! Cost of one routing decision.
+
+fn main() {}
--- /dev/null
+++ b/policy/src/lib.rs
@@ -0,0 +1,24 @@
+//! The decisions of ragwortgrade: routing, placement, role changes, limits, retries, leases,
+//! claims and configuration order.
+//!
+//! Nothing here opens a socket, starts a thread or reads a clock. Events and the time go in,
+//! decisions come out, and random numbers come from a generator whose seed is passed in, so every
+//! decision can be repeated, measured and checked.
+
+/// What routing decides about a request.
+pub mod decision;
+/// What routing takes into account.
+pub mod event;
+/// What the planner takes into account.
+pub mod fleet;
+mod instant;
+/// Roles and placement of the engines of a data centre.
+pub mod planner;
+mod request;
+mod router;
+
+pub use fleet::Fleet;
+pub use instant::Instant;
+pub use planner::Planner;
+pub use request::Request;
+pub use router::Router;
--- /dev/null
+++ b/schema/src/lib.rs
@@ -0,0 +1,14 @@
+//! Messages, documents and settings of ragwortgrade.
+//!
+//! The modules are generated from the JSON Schema files in `schema/`; only the types that are
+//! sent most often ([`Digest`], [`Row`], [`Name`]) have their serialization written by hand.
+
+mod digest;
+mod generated;
+mod name;
+mod row;
+
+pub use digest::Digest;
+pub use generated::{configuration, engine, peer, platform, settings};
+pub use name::Name;
+pub use row::Row;
--- /dev/null
+++ b/schema/src/row.rs
@@ -0,0 +1,74 @@
+use crate::engine::Role;
+
+/// The load of one engine inside a [`crate::Digest`].
+///
+/// Twelve bytes on the wire: a digest is sent to two peers each second, so its size decides the
+/// control traffic of a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// First 32 bits of the hash of the engine's name.
+    pub engine: u32,
+    /// Age of the report at the digest's time, in units of 100 ms.
+    pub age: u16,
+    /// Role that the engine reported.
+    pub role: Role,
+    /// The engine is leaving.
+    pub draining: bool,
+    /// The engine is carrying out an order.
+    pub changing: bool,
+    /// Sequences in the running batch.
+    pub sequences: u16,
+    /// Prompt tokens that wait for prefill, in thousands, rounded up.
+    pub queued_prefill_thousands: u16,
+    /// KV cache memory in use, in pieces of 2,048 tokens.
+    pub kv_pieces: u8,
+}
+
+impl Row {
+    /// Bytes of one row on the wire.
+    pub const WIRE_BYTES: usize = 12;
+
+    const DRAINING: u8 = 0b0100;
+    const CHANGING: u8 = 0b1000;
+    const ROLE_MASK: u8 = 0b0011;
+
+    pub(crate) fn encode(&self, wire: &mut Vec<u8>) {
+        let mut flags = match self.role {
+            Role::Prefill => 0,
+            Role::Decode => 1,
+            Role::Mixed => 2,
+        };
+        if self.draining {
+            flags |= Self::DRAINING;
+        }
+        if self.changing {
+            flags |= Self::CHANGING;
+        }
+        wire.extend_from_slice(&self.engine.to_be_bytes());
+        wire.extend_from_slice(&self.age.to_be_bytes());
+        wire.push(flags);
+        wire.push(self.kv_pieces);
+        wire.extend_from_slice(&self.sequences.to_be_bytes());
+        wire.extend_from_slice(&self.queued_prefill_thousands.to_be_bytes());
+    }
+
+    pub(crate) fn decode(wire: &[u8; Self::WIRE_BYTES]) -> Option<Self> {
+        let [e0, e1, e2, e3, a0, a1, flags, kv_pieces, s0, s1, q0, q1] = *wire;
+        let role = match flags & Self::ROLE_MASK {
+            0 => Role::Prefill,
+            1 => Role::Decode,
+            2 => Role::Mixed,
+            _ => return None,
+        };
+        Some(Self {
+            engine: u32::from_be_bytes([e0, e1, e2, e3]),
+            age: u16::from_be_bytes([a0, a1]),
+            role,
+            draining: flags & Self::DRAINING != 0,
+            changing: flags & Self::CHANGING != 0,
+            sequences: u16::from_be_bytes([s0, s1]),
+            queued_prefill_thousands: u16::from_be_bytes([q0, q1]),
+            kv_pieces,
+        })
+    }
+}
