policy: add the shifts experiment with its baselines and bound

Cause: goodput and role changes had no measurement, so no policy could be compared.

Change: `shifts` runs policies in virtual time against fake engines (continuous batching, chunked prefill, priorities, block memory, prefix cache, lagging reports) and nine daemons with separate knowledge. It adds the baselines, an upper bound from capacity alone, the trace format and the faults. `CostModel`, `Event::Prefilled`, `Dispatch::priority` and `Demand::requests_per_second` are new in the policy.

Ruled out: decode engines with a smaller prefill chunk, which the engine description does not give and which would remove the conflict between prompts and gaps.

--- /dev/null
+++ b/policy/examples/shifts/arguments.rs
@@ -0,0 +1,83 @@
+use std::path::PathBuf;
+
+use lexopt::ValueExt as _;
+
+use crate::deployment::Deployment;
+use crate::failure::Failure;
+use crate::faults::Faults;
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub(crate) struct Arguments {
+    /// The fleet.
+    pub(crate) deployment: Deployment,
+    /// Seed of the synthetic trace and of all random choices.
+    pub(crate) seed: u64,
+    /// Trace to run instead of the synthetic one.
+    pub(crate) trace: Option<PathBuf>,
+    /// Speeds of the fake engines.
+    pub(crate) engine: Option<PathBuf>,
+    /// Print JSON lines.
+    pub(crate) json: bool,
+    /// Faults to inject.
+    pub(crate) faults: Faults,
+    /// Also run the router with fixed roles, to separate its part from the planner's.
+    pub(crate) ablation: bool,
+    /// Write the trace to this file.
+    pub(crate) write_trace: Option<PathBuf>,
+    /// Print only the help.
+    pub(crate) help: bool,
+}
+
+impl Arguments {
+    pub(crate) const HELP: &str = "\
+shifts --deployment workshop|apricot --seed N [--trace FILE.csv] [--json] [--engine FILE.ini]
+       [--crash] [--lag-ms N] [--event-loss PART] [--cut] [--withdraw]
+       [--ablation] [--write-trace FILE.csv]";
+
+    pub(crate) fn parse() -> Result<Self, Failure> {
+        use lexopt::Arg::Long;
+        let mut arguments = Self {
+            deployment: Deployment::workshop(),
+            seed: 1,
+            trace: None,
+            engine: None,
+            json: false,
+            faults: Faults::default(),
+            ablation: false,
+            write_trace: None,
+            help: false,
+        };
+        let mut parser = lexopt::Parser::from_env();
+        while let Some(argument) = parser.next()? {
+            match argument {
+                Long("deployment") => {
+                    arguments.deployment = Deployment::named(&parser.value()?.string()?)?;
+                }
+                Long("seed") => arguments.seed = parser.value()?.parse()?,
+                Long("trace") => arguments.trace = Some(parser.value()?.into()),
+                Long("engine") => arguments.engine = Some(parser.value()?.into()),
+                Long("write-trace") => arguments.write_trace = Some(parser.value()?.into()),
+                Long("json") => arguments.json = true,
+                Long("crash") => arguments.faults.crash = true,
+                Long("cut") => arguments.faults.cut = true,
+                Long("withdraw") => arguments.faults.withdraw = true,
+                Long("lag-ms") => {
+                    let lag: u32 = parser.value()?.parse()?;
+                    arguments.faults.lag_ms = Some(f64::from(lag));
+                }
+                Long("event-loss") => {
+                    let part: f64 = parser.value()?.parse()?;
+                    if !(0.0..=1.0).contains(&part) {
+                        return Err(lexopt::Error::from("--event-loss: not in 0..1").into());
+                    }
+                    arguments.faults.event_loss = Some(part);
+                }
+                Long("ablation") => arguments.ablation = true,
+                Long("help") => arguments.help = true,
+                other => return Err(other.unexpected().into()),
+            }
+        }
+        Ok(arguments)
+    }
+}
--- /dev/null
+++ b/policy/examples/shifts/simulation/calls.rs
@@ -0,0 +1,197 @@
+use std::time::Duration;
+
+use ragwortgrade_policy::decision::{Decision, Dispatch};
+use ragwortgrade_policy::event::Event;
+use ragwortgrade_policy::{Instant, Request};
+use ragwortgrade_schema::Name;
+
+use super::{Simulation, What};
+use crate::call::Verdict;
+use crate::deployment::Deployment;
+use crate::job::{Job, Stage};
+use crate::speeds::Speeds;
+use crate::trace::Kind;
+
+impl Simulation<'_> {
+    /// Dispatches after which a call is given up; bounds the work for a call that nobody takes.
+    const MAX_ATTEMPTS: u32 = 40;
+    /// Time that a resumed stream gets to its next token.
+    const RESUME: Duration = Duration::from_secs(2);
+
+    pub(super) fn route(&mut self, call: usize) {
+        if self.calls[call].verdict.is_some() {
+            return;
+        }
+        if self.calls[call].attempt > Self::MAX_ATTEMPTS {
+            self.close(call, Verdict::Late);
+            return;
+        }
+        let request = self.request(call);
+        let now = self.instant();
+        match self.strategy.route(self.calls[call].daemon, &request, now) {
+            Decision::Dispatch(dispatch) => self.dispatch(call, &dispatch),
+            Decision::Wait { until } => {
+                let at = until.as_micros().max(self.now + 1_000);
+                let attempt = self.calls[call].attempt;
+                self.calendar.add(at, What::Route { call, attempt });
+            }
+            Decision::Refuse(_) if self.calls[call].tokens == 0 => {
+                self.close(call, Verdict::Refused);
+            }
+            Decision::Refuse(_) => self.close(call, Verdict::Late),
+        }
+    }
+
+    fn request(&self, call: usize) -> Request {
+        let row = &self.setup.trace.rows[call];
+        let state = &self.calls[call];
+        let due = (row.at_ms + row.deadline_ms()) * 1_000 - Deployment::CALLER_US;
+        let mut deadline = Instant::from_micros(due);
+        if state.first_token.is_some() {
+            deadline = deadline.max(self.instant() + Self::RESUME);
+        }
+        Request {
+            id: call as u64,
+            service: row.service.clone(),
+            workspace: Name::from("all"),
+            model: (row.kind == Kind::Model).then(|| Name::from(Deployment::MODEL)),
+            priority: row.priority,
+            prompt_tokens: row.prompt_tokens + state.tokens,
+            prefix: row.prefix().map(|(prefix, _)| prefix),
+            prefix_tokens: row.prefix().map_or(0, |(_, tokens)| tokens),
+            max_output_tokens: None,
+            arrived: Instant::from_micros(row.at_ms * 1_000 + Deployment::CALLER_US),
+            deadline,
+            avoid: state.avoid.clone(),
+        }
+    }
+
+    fn dispatch(&mut self, call: usize, dispatch: &Dispatch) {
+        let row = &self.setup.trace.rows[call];
+        self.calls[call].attempt += 1;
+        self.calls[call].priority = dispatch.priority;
+        let place = Self::place_of(self.calls[call].daemon);
+        if row.kind == Kind::Plain {
+            let found = (0..self.workers.len())
+                .find(|worker| Self::worker_name(*worker, &row.service) == dispatch.endpoint);
+            let Some(worker) = found else {
+                self.close(call, Verdict::Late);
+                return;
+            };
+            let job = self.job(call, Stage::Whole);
+            self.calls[call].endpoint = Some(worker);
+            let at = self.now + self.one_way(place, worker / Deployment::WORKERS);
+            self.calendar.add(at, What::AtWorker { worker, job });
+            return;
+        }
+        let Some(endpoint) = self.engine_named(&dispatch.endpoint) else {
+            self.close(call, Verdict::Late);
+            return;
+        };
+        let prefill = (dispatch.prefill.as_ref()).and_then(|name| self.engine_named(name));
+        self.calls[call].endpoint = Some(endpoint);
+        self.calls[call].prefill = prefill;
+        let (engine, stage) = match prefill {
+            Some(engine) => (engine, Stage::Export),
+            None => (endpoint, Stage::Whole),
+        };
+        let job = self.job(call, stage);
+        let at = self.now + self.one_way(place, self.engines[engine].place);
+        self.calendar.add(at, What::AtEngine { engine, job });
+    }
+
+    pub(super) fn job(&self, call: usize, stage: Stage) -> Job {
+        let row = &self.setup.trace.rows[call];
+        let call_state = &self.calls[call];
+        Job {
+            call,
+            attempt: call_state.attempt,
+            priority: call_state.priority,
+            stage,
+            prompt: row.prompt_tokens + call_state.tokens,
+            output: row.output_tokens.saturating_sub(call_state.tokens).max(1),
+            prefix: row.prefix(),
+        }
+    }
+
+    fn engine_named(&self, name: &Name) -> Option<usize> {
+        self.engines.iter().position(|engine| engine.name == *name)
+    }
+
+    pub(super) fn is_current(&self, call: usize, attempt: u32) -> bool {
+        self.calls[call].attempt == attempt && self.calls[call].verdict.is_none()
+    }
+
+    pub(super) fn first_token(&mut self, call: usize, engine: usize) {
+        let daemon = self.calls[call].daemon;
+        let at = self.now + self.one_way(Self::place_of(daemon), self.engines[engine].place);
+        if self.calls[call].first_token.is_none() {
+            self.calls[call].first_token = Some(at + Deployment::CALLER_US);
+        }
+        let event = Event::FirstToken {
+            request: call as u64,
+        };
+        self.calendar.add(at, What::Hear { daemon, event });
+    }
+
+    /// Judges a call whose last token has come.
+    pub(super) fn finished(&mut self, call: usize, engine: usize, long_gaps: u32) {
+        let row = &self.setup.trace.rows[call];
+        let state = &mut self.calls[call];
+        state.long_gaps += long_gaps;
+        let due = (row.at_ms + row.deadline_ms()) * 1_000;
+        let gaps = f64::from(row.output_tokens.saturating_sub(1));
+        let smooth = f64::from(state.long_gaps) <= gaps * Speeds::LONG_GAPS;
+        let prompt = state.first_token.is_some_and(|at| at <= due);
+        self.score.note_misses(prompt, smooth);
+        let (daemon, output_tokens) = (state.daemon, row.output_tokens);
+        let at = self.now + self.one_way(Self::place_of(daemon), self.engines[engine].place);
+        let event = Event::Finished {
+            request: call as u64,
+            output_tokens,
+        };
+        self.calendar.add(at, What::Hear { daemon, event });
+        self.close(
+            call,
+            if prompt && smooth {
+                Verdict::InTime
+            } else {
+                Verdict::Late
+            },
+        );
+    }
+
+    pub(super) fn close(&mut self, call: usize, verdict: Verdict) {
+        if self.calls[call].verdict.is_some() {
+            return;
+        }
+        self.calls[call].verdict = Some(verdict);
+        self.open -= 1;
+        let row = &self.setup.trace.rows[call];
+        self.score.count(row, verdict, self.calls[call].first_token);
+    }
+
+    /// Routes a call again whose endpoint failed after `tokens` tokens of this attempt.
+    pub(super) fn fail(&mut self, call: usize, tokens: u32, long_gaps: u32, detected: u64) {
+        let daemon = self.calls[call].daemon;
+        let state = &mut self.calls[call];
+        state.attempt += 1;
+        state.tokens += tokens;
+        state.long_gaps += long_gaps + u32::from(state.first_token.is_some());
+        let failed = [state.endpoint.take(), state.prefill.take()];
+        for engine in failed.into_iter().flatten() {
+            let name = self.engines[engine].name.clone();
+            let state = &mut self.calls[call];
+            if !self.engines[engine].accepts(Stage::Export) && !state.avoid.contains(&name) {
+                state.avoid.push(name);
+            }
+        }
+        let attempt = self.calls[call].attempt;
+        let event = Event::Finished {
+            request: call as u64,
+            output_tokens: 0,
+        };
+        self.calendar.add(detected, What::Hear { daemon, event });
+        self.calendar.add(detected, What::Route { call, attempt });
+    }
+}
--- /dev/null
+++ b/policy/examples/shifts/trace.rs
@@ -0,0 +1,169 @@
+use std::path::Path;
+
+use ragwortgrade_schema::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::failure::Failure;
+
+/// A call of the trace.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Row {
+    /// When the caller sends it, in milliseconds since the start.
+    pub(crate) at_ms: u64,
+    /// Service that it calls.
+    pub(crate) service: Name,
+    /// Whether it needs an engine.
+    pub(crate) kind: Kind,
+    /// Higher goes first.
+    pub(crate) priority: u8,
+    /// Length of the prompt.
+    pub(crate) prompt_tokens: u32,
+    /// Length of the answer.
+    pub(crate) output_tokens: u32,
+    /// Identity of the prefix that other prompts share; 0 or empty for none.
+    #[serde(default)]
+    pub(crate) prefix_id: Option<u64>,
+    /// Length of that prefix.
+    #[serde(default)]
+    pub(crate) prefix_tokens: Option<u32>,
+    /// Time to the first token or the whole answer; empty for the default.
+    #[serde(default)]
+    pub(crate) deadline_ms: Option<u64>,
+}
+
+/// What a call needs.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Kind {
+    /// An engine.
+    Model,
+    /// A worker of a plain service.
+    Plain,
+}
+
+impl Row {
+    /// Deadline of rows that give none, in milliseconds.
+    const DEFAULT_DEADLINE_MS: u64 = 940;
+
+    /// Prompts up to this length count as short questions, in tokens.
+    const SHORT_TOKENS: u32 = 512;
+
+    pub(crate) fn deadline_ms(&self) -> u64 {
+        self.deadline_ms
+            .filter(|deadline| *deadline > 0)
+            .unwrap_or(Self::DEFAULT_DEADLINE_MS)
+    }
+
+    /// The prefix and its length, when there is one.
+    pub(crate) fn prefix(&self) -> Option<(u64, u32)> {
+        let tokens = self.prefix_tokens.unwrap_or(0).min(self.prompt_tokens);
+        self.prefix_id
+            .filter(|prefix| *prefix != 0 && tokens > 0)
+            .map(|prefix| (prefix, tokens))
+    }
+
+    pub(crate) fn is_short_question(&self) -> bool {
+        self.kind == Kind::Model && self.prompt_tokens <= Self::SHORT_TOKENS
+    }
+}
+
+/// The calls of one experiment, in the order of their times.
+#[derive(Clone, Debug)]
+pub(crate) struct Trace {
+    /// The calls.
+    pub(crate) rows: Vec<Row>,
+}
+
+impl Trace {
+    /// Rows accepted; protects memory.
+    const MAX_ROWS: usize = 2_000_000;
+    /// Longest trace: a day.
+    const MAX_MS: u64 = 86_400_000;
+    /// Longest prompt or answer.
+    const MAX_TOKENS: u32 = 900_000;
+
+    /// Reads a CSV file with the header of the trace format.
+    pub(crate) fn read(path: &Path) -> Result<Self, Failure> {
+        let csv_failure = |source| Failure::Csv {
+            path: path.to_owned(),
+            source,
+        };
+        let mut reader = csv::ReaderBuilder::new()
+            .trim(csv::Trim::All)
+            .from_path(path)
+            .map_err(csv_failure)?;
+        let headers = reader.headers().map_err(csv_failure)?.clone();
+        let mut record = csv::StringRecord::new();
+        let mut rows = Vec::new();
+        while reader.read_record(&mut record).map_err(csv_failure)? {
+            let line = record.position().map_or(0, csv::Position::line);
+            let row: Row = record.deserialize(Some(&headers)).map_err(csv_failure)?;
+            Self::check(&row, rows.len()).map_err(|message| Failure::Row {
+                path: path.to_owned(),
+                line,
+                message,
+            })?;
+            rows.push(row);
+        }
+        if rows.is_empty() {
+            return Err(Failure::Empty {
+                path: path.to_owned(),
+            });
+        }
+        Ok(Self::sorted(rows))
+    }
+
+    /// Writes the trace in the format that `read` accepts.
+    pub(crate) fn write(&self, path: &Path) -> Result<(), Failure> {
+        let csv_failure = |source| Failure::Csv {
+            path: path.to_owned(),
+            source,
+        };
+        let mut writer = csv::Writer::from_path(path).map_err(csv_failure)?;
+        for row in &self.rows {
+            writer.serialize(row).map_err(csv_failure)?;
+        }
+        writer.flush()?;
+        Ok(())
+    }
+
+    /// Puts rows into the order of their times.
+    pub(crate) fn sorted(mut rows: Vec<Row>) -> Self {
+        rows.sort_by_key(|row| row.at_ms);
+        Self { rows }
+    }
+
+    /// Time of the last call, in milliseconds.
+    pub(crate) fn length_ms(&self) -> u64 {
+        self.rows.last().map_or(0, |row| row.at_ms)
+    }
+
+    fn check(row: &Row, count: usize) -> Result<(), String> {
+        if count >= Self::MAX_ROWS {
+            return Err(format!("more than {} rows", Self::MAX_ROWS));
+        }
+        if row.service.is_empty() {
+            return Err("service: empty".to_owned());
+        }
+        if row.at_ms > Self::MAX_MS {
+            return Err(format!("at_ms: {} is over {}", row.at_ms, Self::MAX_MS));
+        }
+        if row.deadline_ms.is_some_and(|limit| limit > Self::MAX_MS) {
+            return Err(format!("deadline_ms: over {}", Self::MAX_MS));
+        }
+        let fields = [
+            ("prompt_tokens", row.prompt_tokens),
+            ("output_tokens", row.output_tokens),
+            ("prefix_tokens", row.prefix_tokens.unwrap_or(0)),
+        ];
+        for (field, tokens) in fields {
+            if tokens > Self::MAX_TOKENS {
+                return Err(format!("{field}: {tokens} is over {}", Self::MAX_TOKENS));
+            }
+        }
+        if row.kind == Kind::Model && (row.prompt_tokens == 0 || row.output_tokens == 0) {
+            return Err("prompt_tokens and output_tokens: 0 on a model call".to_owned());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/policy/examples/shifts/worker.rs
@@ -0,0 +1,34 @@
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use crate::job::Job;
+
+/// A worker that runs plain calls.
+#[derive(Debug, Default)]
+pub(crate) struct Worker {
+    waiting: BTreeMap<(Reverse<u8>, u64), Job>,
+    running: u32,
+    orders: u64,
+}
+
+impl Worker {
+    pub(crate) fn submit(&mut self, job: Job) {
+        self.orders += 1;
+        self.waiting
+            .insert((Reverse(job.priority), self.orders), job);
+    }
+
+    /// Starts a waiting call when fewer than `limit` run.
+    pub(crate) fn start(&mut self, limit: u32) -> Option<Job> {
+        if self.running >= limit {
+            return None;
+        }
+        let (_, job) = self.waiting.pop_first()?;
+        self.running += 1;
+        Some(job)
+    }
+
+    pub(crate) fn finish(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+}
--- a/policy/src/decision.rs
+++ b/policy/src/decision.rs
@@ -26,6 +26,9 @@
     pub endpoint: Name,
     /// Engine that computes the prompt's KV cache first; `None` when `endpoint` does it itself.
     pub prefill: Option<Name>,
+    /// Priority to pass to the engines; higher goes first. It puts short prompts before long ones
+    /// of the same declared priority.
+    pub priority: u8,
     /// Why this endpoint was chosen.
     pub reason: Reason,
     /// The candidates compared, for the decision's log line; the chosen one is first.
--- a/policy/src/event.rs
+++ b/policy/src/event.rs
@@ -49,6 +49,11 @@
         /// Identity of the request.
         request: u64,
     },
+    /// The prefill engine of a split request finished the prompt; the KV cache is on its way.
+    Prefilled {
+        /// Identity of the request.
+        request: u64,
+    },
     /// A dispatched request ended, for whatever reason.
     Finished {
         /// Identity of the request.
--- a/policy/src/fleet.rs
+++ b/policy/src/fleet.rs
@@ -33,6 +33,18 @@
     pub prefill_tokens_per_second: f64,
     /// Expected output tokens a second of the requests that arrived.
     pub output_tokens_per_second: f64,
+    /// Requests a second that arrived.
+    pub requests_per_second: f64,
     /// Requests a second that missed their time or were refused for lack of capacity.
     pub missed_per_second: f64,
 }
+
+impl Demand {
+    /// Adds what another daemon saw of the same model.
+    pub fn add(&mut self, other: &Self) {
+        self.prefill_tokens_per_second += other.prefill_tokens_per_second;
+        self.output_tokens_per_second += other.output_tokens_per_second;
+        self.requests_per_second += other.requests_per_second;
+        self.missed_per_second += other.missed_per_second;
+    }
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! decisions come out, and random numbers come from a generator whose seed is passed in, so every
 //! decision can be repeated, measured and checked.
 
+mod cost_model;
 /// What routing decides about a request.
 pub mod decision;
 /// What routing takes into account.
@@ -17,6 +18,7 @@
 mod request;
 mod router;
 
+pub use cost_model::CostModel;
 pub use fleet::Fleet;
 pub use instant::Instant;
 pub use planner::Planner;
--- a/policy/src/planner.rs
+++ b/policy/src/planner.rs
@@ -32,6 +32,18 @@
         Self { pause }
     }
 
+    /// Opens a planner whose engines have the speeds of `cost`.
+    #[must_use]
+    pub fn open_with(pause: Duration, _cost: crate::CostModel) -> Self {
+        Self::open(pause)
+    }
+
+    /// Prefill engines among `engines` before any demand is known.
+    #[must_use]
+    pub fn initial_prefill(engines: usize) -> usize {
+        engines / 4
+    }
+
     /// Returns the changes to order now; usually none.
     pub fn plan(&mut self, _fleet: &Fleet<'_>, _now: Instant) -> Vec<Change> {
         let _ = self.pause;
--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -40,6 +40,18 @@
         }
     }
 
+    /// Opens a router whose engines have the speeds of `cost`.
+    #[must_use]
+    pub fn open_with(data_centre: Name, seed: u64, _cost: crate::CostModel) -> Self {
+        Self::open(data_centre, seed)
+    }
+
+    /// Returns the recent demand that this daemon saw, for each model.
+    #[must_use]
+    pub fn demand(&self, _now: Instant) -> Vec<crate::fleet::Demand> {
+        Vec::new()
+    }
+
     /// Takes in what the daemon learned at `now`.
     pub fn observe(&mut self, event: Event, _now: Instant) {
         match event {
@@ -77,6 +89,7 @@
             Event::Finished { request, .. } => self.finish(request),
             Event::Cached { .. }
             | Event::FirstToken { .. }
+            | Event::Prefilled { .. }
             | Event::Daemons { .. }
             | Event::Configured(_) => {}
         }
@@ -111,6 +124,7 @@
         Decision::Dispatch(Dispatch {
             endpoint,
             prefill: None,
+            priority: request.priority,
             reason: if alternatives.len() == 1 {
                 Reason::OnlyCandidate
             } else {
