policy: route by expected time to the first token and plan roles by gain

Cause: the skeleton router counts requests in flight only; nearly every answer missed its gaps.

Change: the router compares prefill in place with a split over two engines, for a constant sample of engines. Loads are the latest report plus the own dispatches since, filled up with what the other daemons are expected to have sent to the least loaded engines (all see the same report). In-place prompts pay for the gaps that they break. Requests that cannot meet their deadline are refused before they run. The planner weighs the expected gain of one change over a shift against the lost engine time and the declared weight; a return needs three times as much.

Ruled out: engine priority by the length of the prompt in powers of two, which starves the longest prompts of a service under load.

--- a/policy/examples/shifts/strategy/ragwortgrade.rs
+++ b/policy/examples/shifts/strategy/ragwortgrade.rs
@@ -37,7 +37,7 @@
         Self {
             routers: routers.collect(),
             planners: (0..places)
-                .map(|_| Planner::open_with(Self::PAUSE, cost))
+                .map(|place| Planner::open_with(Self::PAUSE, cost).staggered(place, places))
                 .collect(),
             configuration: Arc::new(setup.deployment.configuration(&setup.trace)),
             fixed,
--- /dev/null
+++ b/policy/src/demand_meter.rs
@@ -0,0 +1,71 @@
+use std::collections::BTreeMap;
+
+use ragwortgrade_schema::Name;
+
+use crate::Instant;
+use crate::fleet::Demand;
+use crate::rate::Rate;
+
+/// Measures the recent demand of each model at one daemon, for the planner.
+#[derive(Debug, Default)]
+pub(crate) struct DemandMeter {
+    models: BTreeMap<Name, Meter>,
+}
+
+#[derive(Debug)]
+struct Meter {
+    prefill: Rate,
+    output: Rate,
+    requests: Rate,
+    missed: Rate,
+}
+
+impl Default for Meter {
+    fn default() -> Self {
+        let rate = Rate::over(DemandMeter::WINDOW_MS);
+        Self {
+            prefill: rate,
+            output: rate,
+            requests: rate,
+            missed: rate,
+        }
+    }
+}
+
+impl DemandMeter {
+    /// Time over which rates are averaged: short against a shift of minutes, long against the
+    /// noise of arrivals.
+    const WINDOW_MS: f64 = 10_000.0;
+
+    pub(crate) fn arrived(&mut self, model: &Name, prefill: f64, output: f64, now: Instant) {
+        let meter = self.meter(model);
+        meter.prefill.add(prefill, now);
+        meter.output.add(output, now);
+        meter.requests.add(1.0, now);
+    }
+
+    pub(crate) fn missed(&mut self, model: &Name, now: Instant) {
+        self.meter(model).missed.add(1.0, now);
+    }
+
+    pub(crate) fn demand(&self, now: Instant) -> Vec<Demand> {
+        let per_second = |rate: &Rate| rate.per_ms(now) * 1_000.0;
+        let models = self.models.iter();
+        models
+            .map(|(model, meter)| Demand {
+                model: model.clone(),
+                prefill_tokens_per_second: per_second(&meter.prefill),
+                output_tokens_per_second: per_second(&meter.output),
+                requests_per_second: per_second(&meter.requests),
+                missed_per_second: per_second(&meter.missed),
+            })
+            .collect()
+    }
+
+    fn meter(&mut self, model: &Name) -> &mut Meter {
+        if !self.models.contains_key(model) {
+            self.models.insert(model.clone(), Meter::default());
+        }
+        self.models.entry(model.clone()).or_default()
+    }
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -8,13 +8,17 @@
 mod cost_model;
 /// What routing decides about a request.
 pub mod decision;
+mod demand_meter;
 /// What routing takes into account.
 pub mod event;
 /// What the planner takes into account.
 pub mod fleet;
 mod instant;
+mod output_estimate;
 /// Roles and placement of the engines of a data centre.
 pub mod planner;
+mod prefix_index;
+mod rate;
 mod request;
 mod router;
 
--- a/policy/src/planner.rs
+++ b/policy/src/planner.rs
@@ -1,9 +1,17 @@
+use std::collections::HashMap;
 use std::time::Duration;
 
 use ragwortgrade_schema::Name;
-use ragwortgrade_schema::engine::Want;
+use ragwortgrade_schema::engine::{Role, Want};
 
-use crate::{Fleet, Instant};
+use crate::fleet::Member;
+use crate::{CostModel, Fleet, Instant};
+
+mod group;
+mod outlook;
+
+use group::Group;
+use outlook::Outlook;
 
 /// Decides the roles, models and adapters of the engines of one data centre.
 ///
@@ -12,6 +20,19 @@
 #[derive(Debug)]
 pub struct Planner {
     pause: Duration,
+    cost: CostModel,
+    /// Part of an engine that this data centre counts itself richer in prefill than it is; see
+    /// [`Planner::staggered`].
+    offset: f64,
+    changed: HashMap<Name, Instant>,
+    last: Option<Turn>,
+}
+
+/// The last role change that was ordered.
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    to_prefill: bool,
+    at: Instant,
 }
 
 /// A change that one engine should make.
@@ -26,27 +47,125 @@
 }
 
 impl Planner {
+    /// Time for which a shift of the mix is expected to last: the mix swings within minutes.
+    const SHIFT: Duration = Duration::from_mins(1);
+    /// Time within which a change in the other direction counts as a return.
+    const RETURN: Duration = Duration::from_secs(90);
+    /// A return must be worth this many times as much as a change.
+    const RETURN_FACTOR: f64 = 3.0;
+    /// Share of the engines that begin as prefill engines: the 28% of the work that is prefill.
+    const INITIAL_PREFILL: f64 = 0.28;
+
     /// Opens a planner that lets at least `pause` pass between two role changes of an engine.
     #[must_use]
     pub fn open(pause: Duration) -> Self {
-        Self { pause }
+        Self::open_with(pause, CostModel::default())
     }
 
     /// Opens a planner whose engines have the speeds of `cost`.
     #[must_use]
-    pub fn open_with(pause: Duration, _cost: crate::CostModel) -> Self {
-        Self::open(pause)
+    pub fn open_with(pause: Duration, cost: CostModel) -> Self {
+        Self {
+            pause,
+            cost,
+            offset: 0.0,
+            changed: HashMap::new(),
+            last: None,
+        }
+    }
+
+    /// Declares that this data centre is the `index`th of `count` that share the load.
+    ///
+    /// Data centres that see the same mix would all round the number of prefill engines in the
+    /// same direction. Each is given another part of an engine to add, so that their sum is
+    /// rounded once.
+    #[must_use]
+    pub fn staggered(mut self, index: usize, count: usize) -> Self {
+        let count = count.max(1) as f64;
+        self.offset = (index as f64 + 0.5) / count - 0.5;
+        self
     }
 
     /// Prefill engines among `engines` before any demand is known.
     #[must_use]
     pub fn initial_prefill(engines: usize) -> usize {
-        engines / 4
+        (engines as f64 * Self::INITIAL_PREFILL) as usize
     }
 
     /// Returns the changes to order now; usually none.
-    pub fn plan(&mut self, _fleet: &Fleet<'_>, _now: Instant) -> Vec<Change> {
-        let _ = self.pause;
-        Vec::new()
+    pub fn plan(&mut self, fleet: &Fleet<'_>, now: Instant) -> Vec<Change> {
+        let groups = Group::all(fleet);
+        let changes = groups.iter().filter_map(|group| {
+            let declared = group.declared(fleet);
+            declared.or_else(|| self.role_change(group, fleet, now))
+        });
+        let changes: Vec<_> = changes.collect();
+        for change in &changes {
+            self.changed.insert(change.engine.clone(), now);
+        }
+        changes
+    }
+
+    /// The role change that gains most, if it is worth its cost.
+    fn role_change(
+        &mut self,
+        group: &Group<'_>,
+        fleet: &Fleet<'_>,
+        now: Instant,
+    ) -> Option<Change> {
+        if !group.may_lose_one() {
+            return None;
+        }
+        let outlook = Outlook::new(group, &self.cost, self.offset);
+        let weight = fleet.configuration.policy.role_change_weight;
+        let options = [true, false].into_iter().filter_map(|to_prefill| {
+            let member = self.choose(group, to_prefill, now)?;
+            let gain = outlook.gain(to_prefill, Self::SHIFT);
+            (gain > self.threshold(to_prefill, weight, now)).then_some((gain, to_prefill, member))
+        });
+        let (gain, to_prefill, member) =
+            options.max_by(|left, right| left.0.total_cmp(&right.0))?;
+        self.last = Some(Turn {
+            to_prefill,
+            at: now,
+        });
+        let role = if to_prefill {
+            Role::Prefill
+        } else {
+            Role::Decode
+        };
+        Some(Change {
+            engine: member.load.engine.clone(),
+            want: Want {
+                adapters: member.load.adapters.clone(),
+                models: member.load.models.clone(),
+                role,
+            },
+            reason: format!("{outlook}, expected gain {gain:.0} requests"),
+        })
+    }
+
+    /// Requests in time that a change must gain; a return needs more (hysteresis).
+    fn threshold(&self, to_prefill: bool, weight: f64, now: Instant) -> f64 {
+        let returns = self
+            .last
+            .is_some_and(|last| last.to_prefill != to_prefill && now.since(last.at) < Self::RETURN);
+        if returns {
+            weight * Self::RETURN_FACTOR
+        } else {
+            weight
+        }
+    }
+
+    /// The engine that leaves its role soonest: the one with the least work.
+    fn choose<'f>(&self, group: &Group<'f>, to_prefill: bool, now: Instant) -> Option<&'f Member> {
+        let free = group.of_role(!to_prefill).filter(|member| {
+            let changed = self.changed.get(&member.load.engine);
+            changed.is_none_or(|at| now.since(*at) >= self.pause)
+        });
+        if to_prefill && group.of_role(false).count() < 2 {
+            return None;
+        }
+        free.min_by_key(|member| (member.load.sequences, member.load.queued_prefill_tokens))
     }
 }
--- /dev/null
+++ b/policy/src/planner/group.rs
@@ -0,0 +1,150 @@
+use ragwortgrade_schema::engine::{Role, Version, Want};
+
+use super::Change;
+use crate::Fleet;
+use crate::fleet::{Demand, Member};
+
+/// Engines of a data centre that run the same models, and the demand for these.
+#[derive(Debug)]
+pub(super) struct Group<'f> {
+    members: Vec<&'f Member>,
+    pub(super) demand: Demand,
+    /// Engines that must stay in service.
+    floor: u32,
+    fixed: Vec<bool>,
+}
+
+impl<'f> Group<'f> {
+    /// Divides the fleet by models.
+    pub(super) fn all(fleet: &'f Fleet<'_>) -> Vec<Self> {
+        let mut groups: Vec<Self> = Vec::new();
+        for member in &fleet.engines {
+            let models = &member.load.models;
+            let same = |group: &&mut Self| group.models() == models.as_slice();
+            match groups.iter_mut().find(same) {
+                Some(group) => group.members.push(member),
+                None => groups.push(Self::new(member, fleet)),
+            }
+        }
+        for group in &mut groups {
+            let fixed = |member: &&Member| {
+                let declared = fleet.configuration.endpoints.get(&*member.load.engine);
+                declared.is_some_and(|endpoint| endpoint.role.is_some())
+            };
+            group.fixed = group.members.iter().map(fixed).collect();
+        }
+        groups
+    }
+
+    fn new(first: &'f Member, fleet: &Fleet<'_>) -> Self {
+        let mut demand = Demand {
+            model: ragwortgrade_schema::Name::default(),
+            prefill_tokens_per_second: 0.0,
+            output_tokens_per_second: 0.0,
+            requests_per_second: 0.0,
+            missed_per_second: 0.0,
+        };
+        let mut floor = 0;
+        for model in &first.load.models {
+            for of_model in fleet.demand.iter().filter(|it| it.model == model.name) {
+                demand.add(of_model);
+            }
+            let declared = fleet.configuration.models.get(&*model.name);
+            floor = floor.max(declared.map_or(0, |declared| declared.floor));
+        }
+        Self {
+            members: vec![first],
+            demand,
+            floor,
+            fixed: Vec::new(),
+        }
+    }
+
+    fn models(&self) -> &[Version] {
+        self.members.first().map_or(&[], |it| &it.load.models)
+    }
+
+    fn in_service(member: &Member) -> bool {
+        !member.unavailable && !member.ordered && !member.load.changing && !member.load.draining
+    }
+
+    /// Whether no change is under way and the floor allows one more engine out of service.
+    pub(super) fn may_lose_one(&self) -> bool {
+        let under_way =
+            |member: &&&Member| !member.unavailable && (member.ordered || member.load.changing);
+        let serving = self
+            .members
+            .iter()
+            .filter(|it| Self::in_service(it))
+            .count();
+        self.members.iter().filter(under_way).count() == 0 && serving > self.floor as usize
+    }
+
+    /// Engines in service that prefill for others, or those that decode.
+    pub(super) fn of_role(&self, prefill: bool) -> impl Iterator<Item = &'f Member> {
+        let members = self.members.iter().zip(&self.fixed);
+        members
+            .filter(move |(member, fixed)| {
+                !**fixed
+                    && Self::in_service(member)
+                    && (member.load.role == Role::Prefill) == prefill
+            })
+            .map(|(member, _)| *member)
+    }
+
+    /// Number of engines in service of a kind, fixed ones included.
+    pub(super) fn count(&self, prefill: bool) -> usize {
+        let members = self.members.iter();
+        members
+            .filter(|it| Self::in_service(it) && (it.load.role == Role::Prefill) == prefill)
+            .count()
+    }
+
+    /// The change of an engine whose role or model version is not as declared.
+    pub(super) fn declared(&self, fleet: &Fleet<'_>) -> Option<Change> {
+        if !self.may_lose_one() {
+            return None;
+        }
+        let mut serving = self.members.iter().filter(|it| Self::in_service(it));
+        serving.find_map(|member| Self::difference(member, fleet))
+    }
+
+    fn difference(member: &Member, fleet: &Fleet<'_>) -> Option<Change> {
+        let endpoint = fleet.configuration.endpoints.get(&*member.load.engine);
+        let role = endpoint.and_then(|endpoint| endpoint.role);
+        let role = role.map_or(member.load.role, Self::engine_role);
+        let current = |version: &Version| {
+            let declared = fleet.configuration.models.get(&*version.name)?;
+            let runs = declared.versions.contains(&version.version);
+            let newest = declared.versions.last().filter(|_| !runs)?;
+            Some(newest.clone())
+        };
+        let mut models = member.load.models.clone();
+        for model in &mut models {
+            if let Some(version) = current(model) {
+                model.version = version;
+            }
+        }
+        if role == member.load.role && models == member.load.models {
+            return None;
+        }
+        Some(Change {
+            engine: member.load.engine.clone(),
+            want: Want {
+                adapters: member.load.adapters.clone(),
+                models,
+                role,
+            },
+            reason: "the declared role or version differs".to_owned(),
+        })
+    }
+
+    fn engine_role(role: ragwortgrade_schema::configuration::Role) -> Role {
+        use ragwortgrade_schema::configuration::Role as Declared;
+        match role {
+            Declared::Prefill => Role::Prefill,
+            Declared::Decode => Role::Decode,
+            Declared::Mixed => Role::Mixed,
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/router/candidate.rs
@@ -0,0 +1,109 @@
+use std::collections::VecDeque;
+
+use ragwortgrade_schema::engine::{Load, Role};
+
+use crate::event::Endpoint;
+use crate::{CostModel, Instant};
+
+/// An endpoint as this daemon knows it: the latest report and its own dispatches since.
+#[derive(Debug)]
+pub(super) struct Candidate {
+    pub(super) endpoint: Endpoint,
+    pub(super) load: Option<Load>,
+    pub(super) observed: Instant,
+    pub(super) leaving: bool,
+    pub(super) reachable: bool,
+    /// Own requests that run here or wait for this endpoint.
+    pub(super) in_flight: u32,
+    /// Own dispatches that the latest report cannot contain.
+    recent: VecDeque<Sent>,
+}
+
+/// A dispatch since the latest report.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    at: Instant,
+    prompt_tokens: f64,
+    kv_tokens: f64,
+    sequences: f64,
+}
+
+impl Candidate {
+    /// Dispatches remembered since the latest report; protects memory when reports stop.
+    const MAX_RECENT: usize = 512;
+
+    pub(super) fn new(endpoint: Endpoint) -> Self {
+        Self {
+            endpoint,
+            load: None,
+            observed: Instant::default(),
+            leaving: false,
+            reachable: true,
+            in_flight: 0,
+            recent: VecDeque::new(),
+        }
+    }
+
+    /// Takes a report unless a later one is known.
+    pub(super) fn report(&mut self, load: Load, observed: Instant) {
+        if observed < self.observed && self.load.is_some() {
+            return;
+        }
+        self.recent.retain(|sent| sent.at > observed);
+        self.load = Some(load);
+        self.observed = observed;
+    }
+
+    pub(super) fn sent(&mut self, at: Instant, prompt_tokens: f64, kv_tokens: f64, sequences: f64) {
+        if self.recent.len() >= Self::MAX_RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(Sent {
+            at,
+            prompt_tokens,
+            kv_tokens,
+            sequences,
+        });
+    }
+
+    /// Role in which the engine takes new work; `None` when it takes none.
+    pub(super) fn open_role(&self) -> Option<Role> {
+        let load = self.load.as_ref()?;
+        let open = self.is_open() && !load.draining && !load.changing;
+        open.then_some(load.role)
+    }
+
+    pub(super) fn is_open(&self) -> bool {
+        !self.leaving && self.reachable
+    }
+
+    pub(super) fn age_ms(&self, now: Instant) -> f64 {
+        now.since(self.observed).as_secs_f64() * 1_000.0
+    }
+
+    /// Prompt tokens that waited at the report, and those sent by this daemon since.
+    pub(super) fn queued_tokens(&self) -> f64 {
+        let own: f64 = self.recent.iter().map(|sent| sent.prompt_tokens).sum();
+        own + self
+            .load
+            .as_ref()
+            .map_or(0.0, |load| load.queued_prefill_tokens as f64)
+    }
+
+    /// Sequences at the report, and those sent by this daemon since.
+    pub(super) fn sequences(&self) -> f64 {
+        let own: f64 = self.recent.iter().map(|sent| sent.sequences).sum();
+        own + self
+            .load
+            .as_ref()
+            .map_or(0.0, |load| f64::from(load.sequences))
+    }
+
+    /// Fullest resource of a decoding engine, as part of its capacity.
+    pub(super) fn fullness(&self, cost: &CostModel) -> f64 {
+        let own: f64 = self.recent.iter().map(|sent| sent.kv_tokens).sum();
+        let reported = self.load.as_ref().map_or(0.0, |load| load.kv_tokens as f64);
+        let memory = (own + reported) / cost.kv_capacity_tokens;
+        memory.max(self.sequences() / cost.sequences)
+    }
+}
--- /dev/null
+++ b/policy/src/router/model.rs
@@ -0,0 +1,323 @@
+use std::time::Duration;
+
+use ragwortgrade_schema::Name;
+use rand::RngExt as _;
+
+use super::Router;
+use super::backlog::fill_level;
+use super::choice::{Choice, Need, Stage};
+use super::pools::Key;
+use crate::decision::{Alternative, Cause, Decision, Dispatch, Reason, Refusal};
+use crate::{Instant, Request};
+
+impl Router {
+    /// Engines considered for each part of a request, near and far, besides the holders of its
+    /// prefix. Constant, so that a decision costs the same in a large fleet.
+    const PREFILLS: (usize, usize) = (4, 6);
+    const DECODES: (usize, usize) = (5, 6);
+    /// Random part of a cost, in milliseconds; spreads daemons over equally loaded engines.
+    const TIE_BREAK_MS: f64 = 8.0;
+    /// Price of one gap over the limit in one running sequence, in milliseconds of waiting.
+    const LONG_GAP_MS: f64 = 3.0;
+    /// Part of the allowed long gaps that a routing decision plans with.
+    const LONG_GAP_MARGIN: f64 = 0.4;
+    /// Part of an engine's capacity from which arriving sequences wait for a place.
+    const FULL: f64 = 0.94;
+    /// Price of a full engine, in milliseconds; balances the engines' steps.
+    const FULLNESS_MS: f64 = 60.0;
+    /// Part of the queue in front of a prompt that fits into one chunk; longer prompts have a
+    /// lower priority towards the engine.
+    const AHEAD_OF_SHORT: f64 = 0.3;
+    /// Wait after which a refused request may come again.
+    const RETRY_AFTER: Duration = Duration::from_secs(2);
+    /// Alternatives kept for the decision's log line.
+    const ALTERNATIVES: usize = 4;
+
+    pub(super) fn route_model(
+        &mut self,
+        request: &Request,
+        model: &Name,
+        now: Instant,
+    ) -> Decision {
+        let expected = self.outputs.expected(&request.service);
+        let limit = request.max_output_tokens.map_or(f64::MAX, f64::from);
+        let need = Need {
+            model,
+            prompt_tokens: f64::from(request.prompt_tokens),
+            output_tokens: expected.min(limit),
+        };
+        let choices = self.choices(request, need, now);
+        let least = choices.first().map_or(need.prompt_tokens, |it| it.tokens);
+        self.demand.arrived(model, least, need.output_tokens, now);
+        let Some(best) = choices.first().copied() else {
+            self.demand.missed(model, now);
+            return Self::refuse(Cause::NoEndpoint);
+        };
+        let remaining_ms = request.deadline.since(now).as_secs_f64() * 1_000.0;
+        if best.first_token_ms > remaining_ms {
+            self.demand.missed(model, now);
+            return Self::refuse(Cause::DeadlineUnreachable);
+        }
+        self.commit(request, &best, need, now);
+        Decision::Dispatch(self.dispatch(request, &choices))
+    }
+
+    fn refuse(cause: Cause) -> Decision {
+        Decision::Refuse(Refusal {
+            cause,
+            retry_after: Some(Self::RETRY_AFTER),
+        })
+    }
+
+    /// All ways to serve the request among the sampled engines, the cheapest first.
+    fn choices(&mut self, request: &Request, need: Need<'_>, now: Instant) -> Vec<Choice> {
+        let decodes = self.decode_stages(request, need, now);
+        let prefills = self.prefill_stages(request, need, now);
+        let mut choices: Vec<_> = decodes
+            .iter()
+            .map(|decode| self.in_place(decode, need, now))
+            .collect();
+        if let Some(decode) = decodes
+            .iter()
+            .min_by(|left, right| left.wait_ms.total_cmp(&right.wait_ms))
+        {
+            let split = |prefill| self.split(prefill, decode, need);
+            choices.extend(prefills.iter().map(split));
+        }
+        choices.sort_by(|left, right| left.cost_ms().total_cmp(&right.cost_ms()));
+        choices
+    }
+
+    fn sample(&mut self, request: &Request, key: &Key, counts: (usize, usize)) -> Vec<usize> {
+        let mut sample = Vec::with_capacity(counts.0 + counts.1 + 4);
+        self.pools
+            .sample(key, counts, &mut self.random, &mut sample);
+        let holders = request
+            .prefix
+            .map_or(&[][..], |it| self.prefixes.holders(it));
+        for holder in holders {
+            if !sample.contains(&holder.engine) && self.pools.contains(holder.engine, key) {
+                sample.push(holder.engine);
+            }
+        }
+        if !request.avoid.is_empty() {
+            sample.retain(|slot| {
+                let id = &self.candidates[*slot].endpoint.id;
+                !request.avoid.contains(id)
+            });
+        }
+        sample
+    }
+
+    /// Prompt tokens that an engine need not compute.
+    fn cached_tokens(&self, request: &Request, slot: usize) -> f64 {
+        let holders = request
+            .prefix
+            .map_or(&[][..], |it| self.prefixes.holders(it));
+        let held = holders.iter().find(|holder| holder.engine == slot);
+        let tokens = held.map_or(0, |holder| holder.tokens.min(request.prefix_tokens));
+        f64::from(tokens.min(request.prompt_tokens.saturating_sub(1)))
+    }
+
+    /// What the other daemons send to the sampled engines in `age_ms`.
+    fn others(&self, own_per_ms: f64, age_ms: f64, key: &Key, sampled: usize) -> f64 {
+        let part = sampled as f64 / self.pools.len(key).max(1) as f64;
+        own_per_ms * f64::from(self.daemons - 1) * age_ms * part
+    }
+
+    /// Queues of the sampled prefill engines.
+    fn prefill_stages(&mut self, request: &Request, need: Need<'_>, now: Instant) -> Vec<Stage> {
+        let key = Key::Prefill(need.model.clone());
+        let sample = self.sample(request, &key, Self::PREFILLS);
+        let age = |slot: &usize| self.candidates[*slot].age_ms(now);
+        let mean_age = sample.iter().map(age).sum::<f64>() / sample.len().max(1) as f64;
+        let own = self.traffic.prefill.per_ms(now);
+        let others = self.others(own, mean_age, &key, sample.len());
+        let queued: Vec<_> = sample
+            .iter()
+            .map(|slot| self.candidates[*slot].queued_tokens())
+            .collect();
+        let level = fill_level(&queued, others, &mut Vec::new());
+        let mut stages = Vec::with_capacity(sample.len());
+        for (slot, queued) in sample.into_iter().zip(queued) {
+            let drained = self.candidates[slot].age_ms(now) * self.cost.prefill_tokens_per_ms;
+            let queued_tokens = (queued.max(level) - drained).max(0.0);
+            let cached = self.cached_tokens(request, slot);
+            let tokens = need.prompt_tokens - cached;
+            let tie_break = self.random.random::<f64>() * Self::TIE_BREAK_MS;
+            let wait_ms = self.queue_ms(queued_tokens, tokens);
+            stages.push(Stage {
+                slot,
+                wait_ms: wait_ms + self.crossing_ms(slot) + tie_break,
+                tokens,
+                cached: cached > 0.0,
+                sequences: 0.0,
+                queued_tokens,
+            });
+        }
+        stages
+    }
+
+    /// Wait behind `queued` tokens; short prompts pass the longer ones at the next chunk.
+    fn queue_ms(&self, queued: f64, tokens: f64) -> f64 {
+        let all_ms = self.cost.prefill_ms(queued);
+        if tokens > self.cost.chunk_tokens {
+            return all_ms;
+        }
+        let chunk_ms = self.cost.prefill_ms(self.cost.chunk_tokens);
+        all_ms.min(chunk_ms / 2.0 + all_ms * Self::AHEAD_OF_SHORT)
+    }
+
+    /// Places on the sampled decoding engines.
+    fn decode_stages(&mut self, request: &Request, need: Need<'_>, now: Instant) -> Vec<Stage> {
+        let key = Key::Decode(need.model.clone());
+        let sample = self.sample(request, &key, Self::DECODES);
+        let age = |slot: &usize| self.candidates[*slot].age_ms(now);
+        let mean_age = sample.iter().map(age).sum::<f64>() / sample.len().max(1) as f64;
+        let own = self.traffic.sequences.per_ms(now);
+        let others = self.others(own, mean_age, &key, sample.len());
+        let fullness = |slot: &usize| self.candidates[*slot].fullness(&self.cost);
+        let mut levels: Vec<_> = sample.iter().map(fullness).collect();
+        let total: f64 = levels.iter().sum::<f64>() * self.cost.sequences;
+        // About as many sequences end as begin, wherever they run.
+        let stay = (1.0 - others / total.max(1.0)).max(0.0);
+        for level in &mut levels {
+            *level *= stay;
+        }
+        let level = fill_level(&levels, others / self.cost.sequences, &mut Vec::new());
+        let mut stages = Vec::with_capacity(sample.len());
+        for (slot, fullness) in sample.into_iter().zip(levels) {
+            let fullness = fullness.max(level);
+            let cached = self.cached_tokens(request, slot);
+            let tie_break = self.random.random::<f64>() * Self::TIE_BREAK_MS;
+            let wait_ms = self.place_ms(fullness, need) + Self::FULLNESS_MS * fullness * fullness;
+            stages.push(Stage {
+                slot,
+                wait_ms: wait_ms + self.crossing_ms(slot) + tie_break,
+                tokens: need.prompt_tokens - cached,
+                cached: cached > 0.0,
+                sequences: self.candidates[slot].sequences().min(self.cost.sequences),
+                queued_tokens: self.in_place_queue(slot, now),
+            });
+        }
+        stages
+    }
+
+    /// Wait for a place in the batch of an engine.
+    fn place_ms(&self, fullness: f64, need: Need<'_>) -> f64 {
+        let excess = (fullness - Self::FULL).max(0.0);
+        excess * need.output_tokens * self.cost.decode_step_ms(self.cost.sequences)
+    }
+
+    /// Prompt tokens that still wait on a decoding engine.
+    fn in_place_queue(&self, slot: usize, now: Instant) -> f64 {
+        let candidate = &self.candidates[slot];
+        let step_ms = self.cost.decode_step_ms(candidate.sequences());
+        let chunk_ms = self.cost.prefill_ms(self.cost.chunk_tokens);
+        let per_ms = self.cost.chunk_tokens / (chunk_ms + step_ms);
+        (candidate.queued_tokens() - candidate.age_ms(now) * per_ms).max(0.0)
+    }
+
+    /// Prefill on the engine that decodes.
+    fn in_place(&self, decode: &Stage, need: Need<'_>, now: Instant) -> Choice {
+        let step_ms = self.cost.decode_step_ms(decode.sequences);
+        let budget = self.cost.step_budget_tokens(decode.sequences);
+        let tokens = decode.tokens + decode.queued_tokens;
+        let chunks = (tokens / self.cost.chunk_tokens).floor();
+        let key = Key::Decode(need.model.clone());
+        let engines = self.pools.len(&key).max(1) as f64;
+        let fleet = f64::from(self.daemons) / engines;
+        let per_step = self.traffic.in_place.per_ms(now) * fleet * step_ms;
+        let room = budget - tokens;
+        let long_steps = if room <= 0.0 {
+            (decode.tokens / self.cost.chunk_tokens).ceil()
+        } else {
+            (per_step / room).min(1.0)
+        };
+        let allowed = self.cost.long_gaps * Self::LONG_GAP_MARGIN / step_ms;
+        let used = self.traffic.long_steps.per_ms(now) * fleet / allowed;
+        let price = Self::LONG_GAP_MS * (1.0 + 4.0 * used * used);
+        Choice {
+            endpoint: decode.slot,
+            prefill: None,
+            tokens: decode.tokens,
+            cached: decode.cached,
+            first_token_ms: decode.wait_ms
+                + step_ms * (1.5 + chunks)
+                + self.cost.prefill_ms(tokens),
+            harm_ms: long_steps * decode.sequences * price,
+            long_steps,
+        }
+    }
+
+    /// Prefill on another engine than the one that decodes.
+    fn split(&self, prefill: &Stage, decode: &Stage, need: Need<'_>) -> Choice {
+        let transfer_ms = self.cost.transfer_ms(need.prompt_tokens.min(decode.tokens));
+        let step_ms = self.cost.decode_step_ms(decode.sequences);
+        Choice {
+            endpoint: decode.slot,
+            prefill: Some(prefill.slot),
+            tokens: prefill.tokens,
+            cached: prefill.cached,
+            first_token_ms: prefill.wait_ms
+                + self.cost.prefill_ms(prefill.tokens)
+                + transfer_ms
+                + decode.wait_ms
+                + step_ms * 1.5,
+            harm_ms: 0.0,
+            long_steps: 0.0,
+        }
+    }
+
+    /// Counts the chosen dispatch.
+    fn commit(&mut self, request: &Request, best: &Choice, need: Need<'_>, now: Instant) {
+        let kv_tokens = need.prompt_tokens + need.output_tokens;
+        self.traffic.sequences.add(1.0, now);
+        if let Some(prefill) = best.prefill {
+            self.traffic.prefill.add(best.tokens, now);
+            self.candidates[prefill].sent(now, best.tokens, 0.0, 0.0);
+            // The sequence reaches the decoding engine only after its prompt and the transfer.
+            let joins = now + Duration::from_secs_f64(best.first_token_ms.max(0.0) / 1_000.0);
+            self.candidates[best.endpoint].sent(joins, 0.0, kv_tokens, 1.0);
+        } else {
+            self.traffic.in_place.add(best.tokens, now);
+            self.traffic.long_steps.add(best.long_steps, now);
+            self.candidates[best.endpoint].sent(now, best.tokens, kv_tokens, 1.0);
+        }
+        self.start(request, best.endpoint, best.prefill);
+    }
+
+    fn dispatch(&self, request: &Request, choices: &[Choice]) -> Dispatch {
+        let best = &choices[0];
+        let reason = match best {
+            _ if choices.len() == 1 => Reason::OnlyCandidate,
+            Choice { cached: true, .. } => Reason::CachedPrefix,
+            Choice {
+                prefill: Some(_), ..
+            } => Reason::SplitPrefill,
+            _ => Reason::LowestCost,
+        };
+        let alternatives = choices.iter().take(Self::ALTERNATIVES);
+        Dispatch {
+            endpoint: self.name(best.endpoint),
+            prefill: best.prefill.map(|slot| self.name(slot)),
+            priority: self.engine_priority(request.priority, best.tokens),
+            reason,
+            alternatives: alternatives
+                .map(|choice| Alternative {
+                    endpoint: self.name(choice.prefill.unwrap_or(choice.endpoint)),
+                    cost_ms: choice.cost_ms() as f32,
+                })
+                .collect(),
+        }
+    }
+
+    /// Priority towards the engine: the declared one first, then prompts that fit into one chunk
+    /// before longer ones, so that a short question passes long prompts at the next chunk.
+    ///
+    /// Finer classes by length were measured and starve the longest prompts of a class.
+    fn engine_priority(&self, declared: u8, tokens: f64) -> u8 {
+        let short = u8::from(tokens <= self.cost.chunk_tokens);
+        declared.min(u8::MAX / 2) * 2 + short
+    }
+}
--- /dev/null
+++ b/policy/src/router/pools.rs
@@ -0,0 +1,107 @@
+use std::collections::HashMap;
+
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::engine::Role;
+use rand::RngExt as _;
+use rand_chacha::ChaCha8Rng;
+
+/// Endpoints by what they can do, so that a decision looks only at a few of them.
+#[derive(Debug, Default)]
+pub(super) struct Pools {
+    pools: HashMap<Key, Pool>,
+    /// Keys under which each endpoint is filed.
+    filed: HashMap<usize, Vec<Key>>,
+}
+
+/// What a pool's endpoints can do.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) enum Key {
+    /// Compute prompts of a model for other engines.
+    Prefill(Name),
+    /// Answer requests of a model.
+    Decode(Name),
+    /// Answer calls of a plain service.
+    Plain(Name),
+}
+
+/// The endpoints of one kind, those of the own data centre apart.
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    near: Vec<usize>,
+    far: Vec<usize>,
+}
+
+impl Key {
+    pub(super) fn of_role(role: Role, model: &Name) -> Self {
+        match role {
+            Role::Prefill => Self::Prefill(model.clone()),
+            Role::Decode | Role::Mixed => Self::Decode(model.clone()),
+        }
+    }
+}
+
+impl Pools {
+    /// Files an endpoint under `keys` and no others.
+    pub(super) fn file(&mut self, endpoint: usize, near: bool, keys: Vec<Key>) {
+        let old = self.filed.get(&endpoint);
+        if old.is_some_and(|old| *old == keys) {
+            return;
+        }
+        for key in self.filed.remove(&endpoint).unwrap_or_default() {
+            if let Some(pool) = self.pools.get_mut(&key) {
+                pool.near.retain(|it| *it != endpoint);
+                pool.far.retain(|it| *it != endpoint);
+            }
+        }
+        for key in &keys {
+            let pool = self.pools.entry(key.clone()).or_default();
+            if near {
+                pool.near.push(endpoint);
+            } else {
+                pool.far.push(endpoint);
+            }
+        }
+        self.filed.insert(endpoint, keys);
+    }
+
+    /// Whether an endpoint is filed under a key.
+    pub(super) fn contains(&self, endpoint: usize, key: &Key) -> bool {
+        let keys = self.filed.get(&endpoint);
+        keys.is_some_and(|keys| keys.contains(key))
+    }
+
+    pub(super) fn len(&self, key: &Key) -> usize {
+        let pool = self.pools.get(key);
+        pool.map_or(0, |pool| pool.near.len() + pool.far.len())
+    }
+
+    /// Puts up to `near` and `far` different endpoints of a pool into `sample`.
+    pub(super) fn sample(
+        &self,
+        key: &Key,
+        (near, far): (usize, usize),
+        random: &mut ChaCha8Rng,
+        sample: &mut Vec<usize>,
+    ) {
+        let Some(pool) = self.pools.get(key) else {
+            return;
+        };
+        Self::pick(&pool.near, near, random, sample);
+        Self::pick(&pool.far, far, random, sample);
+    }
+
+    /// Picks a run of the list from a random start; the list's order is arbitrary, and a run
+    /// needs one random number for any count.
+    fn pick(list: &[usize], count: usize, random: &mut ChaCha8Rng, sample: &mut Vec<usize>) {
+        if list.is_empty() {
+            return;
+        }
+        let start = random.random_range(0..list.len());
+        for offset in 0..count.min(list.len()) {
+            let endpoint = list[(start + offset) % list.len()];
+            if !sample.contains(&endpoint) {
+                sample.push(endpoint);
+            }
+        }
+    }
+}
