policy: price gaps and engine time in routing, credit role changes less

The demand of the planner is its data centre's part of the demand of all, since requests cross; the planner's outlook counts prompts in place, asks for 6 s of sustained gain, and caps the gain at the misses seen.

The planner does not yet gain from a change.

--- a/policy/examples/shifts/arguments.rs
+++ b/policy/examples/shifts/arguments.rs
@@ -21,19 +21,30 @@
     pub(crate) json: bool,
     /// Faults to inject.
     pub(crate) faults: Faults,
-    /// Also run the router with fixed roles, to separate its part from the planner's.
-    pub(crate) ablation: bool,
+    /// Policies to run.
+    pub(crate) selection: Selection,
     /// Write the trace to this file.
     pub(crate) write_trace: Option<PathBuf>,
     /// Print only the help.
     pub(crate) help: bool,
 }
 
+/// Policies that a call runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Selection {
+    /// The policy under test, the baselines and the bound.
+    Compared,
+    /// Also the router with the best fixed roles, to separate its part from the planner's.
+    Ablation,
+    /// Only the policy under test.
+    OnlyRagwortgrade,
+}
+
 impl Arguments {
     pub(crate) const HELP: &str = "\
 shifts --deployment workshop|apricot --seed N [--trace FILE.csv] [--json] [--engine FILE.ini]
        [--crash] [--lag-ms N] [--event-loss PART] [--cut] [--withdraw]
-       [--ablation] [--write-trace FILE.csv]";
+       [--ablation] [--only ragwortgrade] [--write-trace FILE.csv]";
 
     pub(crate) fn parse() -> Result<Self, Failure> {
         use lexopt::Arg::Long;
@@ -44,7 +55,7 @@
             engine: None,
             json: false,
             faults: Faults::default(),
-            ablation: false,
+            selection: Selection::Compared,
             write_trace: None,
             help: false,
         };
@@ -73,7 +84,14 @@
                     }
                     arguments.faults.event_loss = Some(part);
                 }
-                Long("ablation") => arguments.ablation = true,
+                Long("ablation") => arguments.selection = Selection::Ablation,
+                Long("only") => {
+                    let only = parser.value()?.string()?;
+                    if only != "ragwortgrade" {
+                        return Err(lexopt::Error::from("--only: not ragwortgrade").into());
+                    }
+                    arguments.selection = Selection::OnlyRagwortgrade;
+                }
                 Long("help") => arguments.help = true,
                 other => return Err(other.unexpected().into()),
             }
--- a/policy/examples/shifts/main.rs
+++ b/policy/examples/shifts/main.rs
@@ -22,7 +22,7 @@
 mod trace;
 mod worker;
 
-use arguments::Arguments;
+use arguments::{Arguments, Selection};
 use failure::Failure;
 use generator::Generator;
 use report::Report;
@@ -65,7 +65,11 @@
         trace: Arc::new(trace),
         seed: arguments.seed,
     };
-    for report in Report::all(&setup, arguments.ablation) {
+    let reports = match arguments.selection {
+        Selection::OnlyRagwortgrade => vec![Report::ragwortgrade(&setup)],
+        selection => Report::all(&setup, selection == Selection::Ablation),
+    };
+    for report in reports {
         if arguments.json {
             writeln!(output, "{}", report.json())?;
         } else {
--- a/policy/examples/shifts/report.rs
+++ b/policy/examples/shifts/report.rs
@@ -20,8 +20,7 @@
         let places = setup.deployment.engines.len();
         let daemons = places * Deployment::DAEMONS;
         std::thread::scope(|scope| {
-            let ragwortgrade =
-                scope.spawn(|| Self::run("ragwortgrade", setup, Ragwortgrade::new(setup, None)));
+            let ragwortgrade = scope.spawn(|| Self::ragwortgrade(setup));
             let round_robin =
                 scope.spawn(|| Self::run("round_robin_static", setup, RoundRobin::new(daemons)));
             let reactive = scope.spawn(|| {
@@ -44,6 +43,11 @@
         })
     }
 
+    /// Runs only the policy under test.
+    pub(crate) fn ragwortgrade(setup: &Setup) -> Self {
+        Self::run("ragwortgrade", setup, Ragwortgrade::new(setup, None))
+    }
+
     fn run(policy: &str, setup: &Setup, mut strategy: impl Strategy) -> Self {
         Self {
             policy: policy.to_owned(),
--- a/policy/examples/shifts/simulation/reports.rs
+++ b/policy/examples/shifts/simulation/reports.rs
@@ -5,7 +5,7 @@
 use rand::RngExt as _;
 
 use super::{Simulation, What};
-use crate::deployment::Deployment;
+use crate::engine::Engine;
 
 impl Simulation<'_> {
     /// Makes a report of each engine; it reaches the own data centre after the lag and the others
@@ -66,6 +66,18 @@
         }
     }
 
+    /// Daemons that a data centre can reach, and its part of the engines that these use.
+    fn peers(&self, place: usize) -> (Vec<usize>, f64) {
+        let reaches = |other: usize| !self.separated(place, other);
+        let daemons = 0..self.daemon_count();
+        let peers = daemons.filter(|daemon| reaches(Self::place_of(*daemon)));
+        let serving = |it: &&Engine| it.alive && !it.draining && reaches(it.place);
+        let engines = self.engines.iter().filter(serving);
+        let own = engines.clone().filter(|it| it.place == place).count();
+        let part = own as f64 / engines.count().max(1) as f64;
+        (peers.collect(), part)
+    }
+
     /// Asks the planner of each data centre.
     pub(super) fn plan(&mut self) {
         let now = self.instant();
@@ -82,9 +94,8 @@
                 })
             };
             let members = indices.iter().filter_map(member).collect();
-            let first = place * Deployment::DAEMONS;
-            let daemons = first..first + Deployment::DAEMONS;
-            for change in self.strategy.plan(place, daemons, members, now) {
+            let (peers, part) = self.peers(place);
+            for change in self.strategy.plan(place, &peers, part, members, now) {
                 let ordered = indices
                     .iter()
                     .find(|it| self.engines[**it].name == change.engine);
--- a/policy/examples/shifts/strategy.rs
+++ b/policy/examples/shifts/strategy.rs
@@ -27,11 +27,13 @@
     /// Asks one daemon where a request goes.
     fn route(&mut self, daemon: usize, request: &Request, now: Instant) -> Decision;
 
-    /// Asks for role changes in data centre `place`; `daemons` are those of the data centre.
+    /// Asks for role changes in data centre `place`; `peers` are the daemons that can be reached
+    /// from it, and `part` is its part of the engines that these use.
     fn plan(
         &mut self,
         place: usize,
-        daemons: std::ops::Range<usize>,
+        peers: &[usize],
+        part: f64,
         members: Vec<Member>,
         now: Instant,
     ) -> Vec<Change>;
--- a/policy/examples/shifts/strategy/least_loaded.rs
+++ b/policy/examples/shifts/strategy/least_loaded.rs
@@ -137,7 +137,8 @@
     fn plan(
         &mut self,
         _place: usize,
-        _daemons: std::ops::Range<usize>,
+        _peers: &[usize],
+        _part: f64,
         members: Vec<Member>,
         _now: Instant,
     ) -> Vec<Change> {
--- a/policy/examples/shifts/strategy/ragwortgrade.rs
+++ b/policy/examples/shifts/strategy/ragwortgrade.rs
@@ -44,11 +44,13 @@
         }
     }
 
-    /// Sums the demand that the daemons of a data centre saw.
-    fn demand(&mut self, daemons: std::ops::Range<usize>, now: Instant) -> Vec<Demand> {
+    /// A data centre's part of the demand that the daemons saw; requests cross between data
+    /// centres, so each plans for its part of the whole.
+    fn demand(&self, daemons: &[usize], part: f64, now: Instant) -> Vec<Demand> {
         let mut sums: Vec<Demand> = Vec::new();
         for daemon in daemons {
-            for demand in self.routers[daemon].demand(now) {
+            for demand in self.routers[*daemon].demand(now) {
+                let demand = demand.scaled(part);
                 match sums.iter_mut().find(|it| it.model == demand.model) {
                     Some(sum) => sum.add(&demand),
                     None => sums.push(demand),
@@ -83,14 +85,15 @@
     fn plan(
         &mut self,
         place: usize,
-        daemons: std::ops::Range<usize>,
+        peers: &[usize],
+        part: f64,
         members: Vec<Member>,
         now: Instant,
     ) -> Vec<Change> {
         if self.fixed.is_some() {
             return Vec::new();
         }
-        let demand = self.demand(daemons, now);
+        let demand = self.demand(peers, part, now);
         let configuration = Arc::clone(&self.configuration);
         let fleet = Fleet {
             engines: members,
--- a/policy/examples/shifts/strategy/round_robin.rs
+++ b/policy/examples/shifts/strategy/round_robin.rs
@@ -59,7 +59,8 @@
     fn plan(
         &mut self,
         _place: usize,
-        _daemons: std::ops::Range<usize>,
+        _peers: &[usize],
+        _part: f64,
         _members: Vec<Member>,
         _now: Instant,
     ) -> Vec<Change> {
--- a/policy/src/fleet.rs
+++ b/policy/src/fleet.rs
@@ -7,7 +7,8 @@
 pub struct Fleet<'a> {
     /// The engines that are known, with their latest reports.
     pub engines: Vec<Member>,
-    /// Recent demand of each model in this data centre.
+    /// Recent demand of each model that falls to this data centre: its part, by engines, of the
+    /// demand of all data centres that it can reach, since requests cross between them.
     pub demand: Vec<Demand>,
     /// The configuration in force.
     pub configuration: &'a Configuration,
@@ -40,6 +41,18 @@
 }
 
 impl Demand {
+    /// The same mix at `part` of the demand.
+    #[must_use]
+    pub fn scaled(&self, part: f64) -> Self {
+        Self {
+            model: self.model.clone(),
+            prefill_tokens_per_second: self.prefill_tokens_per_second * part,
+            output_tokens_per_second: self.output_tokens_per_second * part,
+            requests_per_second: self.requests_per_second * part,
+            missed_per_second: self.missed_per_second * part,
+        }
+    }
+
     /// Adds what another daemon saw of the same model.
     pub fn add(&mut self, other: &Self) {
         self.prefill_tokens_per_second += other.prefill_tokens_per_second;
--- a/policy/src/planner.rs
+++ b/policy/src/planner.rs
@@ -26,6 +26,8 @@
     offset: f64,
     changed: HashMap<Name, Instant>,
     last: Option<Turn>,
+    /// Direction that has been worth a change without a break, and since when.
+    wish: Option<(bool, Instant)>,
 }
 
 /// The last role change that was ordered.
@@ -53,6 +55,8 @@
     const RETURN: Duration = Duration::from_secs(90);
     /// A return must be worth this many times as much as a change.
     const RETURN_FACTOR: f64 = 3.0;
+    /// Time for which a change must have been worth it without a break, against noise.
+    const SUSTAINED: Duration = Duration::from_secs(6);
     /// Share of the engines that begin as prefill engines: the 28% of the work that is prefill.
     const INITIAL_PREFILL: f64 = 0.28;
 
@@ -71,6 +75,7 @@
             offset: 0.0,
             changed: HashMap::new(),
             last: None,
+            wish: None,
         }
     }
 
@@ -89,7 +94,7 @@
     /// Prefill engines among `engines` before any demand is known.
     #[must_use]
     pub fn initial_prefill(engines: usize) -> usize {
-        (engines as f64 * Self::INITIAL_PREFILL) as usize
+        (engines as f64 * Self::INITIAL_PREFILL).round() as usize
     }
 
     /// Returns the changes to order now; usually none.
@@ -123,8 +128,16 @@
             let gain = outlook.gain(to_prefill, Self::SHIFT);
             (gain > self.threshold(to_prefill, weight, now)).then_some((gain, to_prefill, member))
         });
-        let (gain, to_prefill, member) =
-            options.max_by(|left, right| left.0.total_cmp(&right.0))?;
+        let best = options.max_by(|left, right| left.0.total_cmp(&right.0));
+        let wish = best.map(|(_, to_prefill, _)| to_prefill);
+        if self.wish.map(|(wish, _)| wish) != wish {
+            self.wish = wish.map(|wish| (wish, now));
+        }
+        let (gain, to_prefill, member) = best?;
+        let since = self.wish.map_or(now, |(_, since)| since);
+        if now.since(since) < Self::SUSTAINED {
+            return None;
+        }
         self.last = Some(Turn {
             to_prefill,
             at: now,
--- a/policy/src/planner/outlook.rs
+++ b/policy/src/planner/outlook.rs
@@ -14,14 +14,23 @@
     prefill: f64,
     decode: f64,
     requests_per_second: f64,
+    missed_per_second: f64,
     /// Time that an answer takes, in seconds.
     answer_s: f64,
     change_s: f64,
 }
 
 impl Outlook {
-    /// Use of its engines above which a kind of work begins to miss its time.
-    const COMFORTABLE: f64 = 0.8;
+    /// Part of their time that prefill engines can use without queues over the deadline.
+    const PREFILL_USE: f64 = 0.9;
+    /// Part of their time that decoding engines can use without queues over the deadline.
+    const DECODE_USE: f64 = 0.95;
+    /// Part of the spare time of decoding engines that can go to prompts in place.
+    const IN_PLACE: f64 = 0.4;
+    /// Part of the computed gain that a change is credited with. Measured with all of it, changes
+    /// lost more than they gained on most traces: the mix often turns again before the engine is
+    /// drained and its cache is warm.
+    const CREDIT: f64 = 1.0 / 30.0;
     /// Part of the engine time that a draining decode engine still uses.
     const DRAINING_USE: f64 = 0.5;
     /// Smallest number of engines counted; keeps a use finite where none has the role.
@@ -38,17 +47,23 @@
             prefill: group.count(true) as f64 + offset,
             decode: group.count(false) as f64 - offset,
             requests_per_second: demand.requests_per_second,
+            missed_per_second: demand.missed_per_second,
             answer_s: answer_tokens * cost.decode_step_ms(cost.sequences) / 1_000.0,
             change_s: cost.role_change_ms / 1_000.0,
         }
     }
 
     /// Part of the requests that miss their time with `moved` more prefill engines.
+    ///
+    /// Decoding engines compute prompts in the time that they have left, less well than prefill
+    /// engines because of the gaps that long prompts break.
     fn missed(&self, moved: f64) -> f64 {
-        let prefill_use = self.prefill_need / (self.prefill + moved).max(Self::LEAST_ENGINES);
-        let decode_use = self.decode_need / (self.decode - moved).max(Self::LEAST_ENGINES);
-        let missed = |used: f64| (1.0 - Self::COMFORTABLE / used).max(0.0);
-        missed(prefill_use).max(missed(decode_use))
+        let prefill = (self.prefill + moved).max(0.0);
+        let decode = (self.decode - moved).max(Self::LEAST_ENGINES) * Self::DECODE_USE;
+        let spare = (decode - self.decode_need).max(0.0);
+        let prompts = prefill * Self::PREFILL_USE + spare * Self::IN_PLACE;
+        let missed = |capacity: f64, need: f64| (1.0 - capacity / need.max(0.001)).max(0.0);
+        missed(prompts, self.prefill_need).max(missed(decode, self.decode_need))
     }
 
     /// Requests in time that a change gains over `shift`, less those that the lost engine time
@@ -66,7 +81,8 @@
         let engines = (self.prefill + self.decode).max(1.0);
         let used = ((self.prefill_need + self.decode_need) / engines).min(1.0);
         let lost = lost_s * used * self.requests_per_second / engines;
-        improvement * self.requests_per_second * remaining_s - lost
+        let gained = (improvement * self.requests_per_second).min(self.missed_per_second);
+        Self::CREDIT * gained * remaining_s - lost
     }
 }
 
--- a/policy/src/router/choice.rs
+++ b/policy/src/router/choice.rs
@@ -32,6 +32,8 @@
     pub(super) tokens: f64,
     pub(super) cached: bool,
     pub(super) sequences: f64,
+    /// Fullest resource of a decoding engine, as part of its capacity.
+    pub(super) fullness: f64,
     pub(super) queued_tokens: f64,
 }
 
--- a/policy/src/router/model.rs
+++ b/policy/src/router/model.rs
@@ -15,19 +15,23 @@
     /// prefix. Constant, so that a decision costs the same in a large fleet.
     const PREFILLS: (usize, usize) = (4, 6);
     const DECODES: (usize, usize) = (5, 6);
-    /// Random part of a cost, in milliseconds; spreads daemons over equally loaded engines.
-    const TIE_BREAK_MS: f64 = 8.0;
+    /// Random part of a cost, in milliseconds: about the error of an estimate that rests on a report
+    /// of 1 to 2.5 s ago. Without it all daemons choose the engine that looks best.
+    const TIE_BREAK_MS: f64 = 60.0;
     /// Price of one gap over the limit in one running sequence, in milliseconds of waiting.
-    const LONG_GAP_MS: f64 = 3.0;
+    const LONG_GAP_MS: f64 = 15.0;
     /// Part of the allowed long gaps that a routing decision plans with.
-    const LONG_GAP_MARGIN: f64 = 0.4;
-    /// Part of an engine's capacity from which arriving sequences wait for a place.
-    const FULL: f64 = 0.94;
+    const LONG_GAP_MARGIN: f64 = 0.2;
+    /// Uncertainty of an engine's fullness after a report's age; an engine that is nearly full is
+    /// charged the wait that it may already cause.
+    const SPREAD: f64 = 0.04;
+    /// Price of a millisecond that a prompt in place takes from a full batch.
+    const STOLEN_TIME: f64 = 20.0;
     /// Price of a full engine, in milliseconds; balances the engines' steps.
     const FULLNESS_MS: f64 = 60.0;
     /// Part of the queue in front of a prompt that fits into one chunk; longer prompts have a
     /// lower priority towards the engine.
-    const AHEAD_OF_SHORT: f64 = 0.3;
+    const AHEAD_OF_SHORT: f64 = 0.15;
     /// Wait after which a refused request may come again.
     const RETRY_AFTER: Duration = Duration::from_secs(2);
     /// Alternatives kept for the decision's log line.
@@ -152,6 +156,7 @@
                 tokens,
                 cached: cached > 0.0,
                 sequences: 0.0,
+                fullness: 0.0,
                 queued_tokens,
             });
         }
@@ -197,6 +202,7 @@
                 tokens: need.prompt_tokens - cached,
                 cached: cached > 0.0,
                 sequences: self.candidates[slot].sequences().min(self.cost.sequences),
+                fullness,
                 queued_tokens: self.in_place_queue(slot, now),
             });
         }
@@ -205,7 +211,7 @@
 
     /// Wait for a place in the batch of an engine.
     fn place_ms(&self, fullness: f64, need: Need<'_>) -> f64 {
-        let excess = (fullness - Self::FULL).max(0.0);
+        let excess = Self::SPREAD * ((fullness - 1.0) / Self::SPREAD).exp().ln_1p();
         excess * need.output_tokens * self.cost.decode_step_ms(self.cost.sequences)
     }
 
@@ -237,6 +243,8 @@
         let allowed = self.cost.long_gaps * Self::LONG_GAP_MARGIN / step_ms;
         let used = self.traffic.long_steps.per_ms(now) * fleet / allowed;
         let price = Self::LONG_GAP_MS * (1.0 + 4.0 * used * used);
+        let stolen_ms =
+            self.cost.prefill_ms(decode.tokens) * decode.fullness.powi(4) * Self::STOLEN_TIME;
         Choice {
             endpoint: decode.slot,
             prefill: None,
@@ -245,7 +253,7 @@
             first_token_ms: decode.wait_ms
                 + step_ms * (1.5 + chunks)
                 + self.cost.prefill_ms(tokens),
-            harm_ms: long_steps * decode.sequences * price,
+            harm_ms: long_steps * decode.sequences * price + stolen_ms,
             long_steps,
         }
     }
