policy: keep a prefill engine in each data centre and refuse unbearable prompts

Change: the last engine of a role stays; a data centre whose prefill engine left replaces it; a long prompt is refused when the running answers have used up the planned long gaps.

--- a/policy/src/planner.rs
+++ b/policy/src/planner.rs
@@ -126,7 +126,11 @@
         let weight = fleet.configuration.policy.role_change_weight;
         let options = [true, false].into_iter().filter_map(|to_prefill| {
             let member = self.choose(group, to_prefill, now)?;
-            let gain = outlook.gain(to_prefill, Self::SHIFT);
+            let gain = if to_prefill && group.has_lost_prefill() {
+                f64::INFINITY
+            } else {
+                outlook.gain(to_prefill, Self::SHIFT)
+            };
             (gain > self.threshold(group, to_prefill, weight, now))
                 .then_some((gain, to_prefill, member))
         });
@@ -182,7 +186,8 @@
             let changed = self.changed.get(&member.load.engine);
             changed.is_none_or(|at| now.since(*at) >= self.pause)
         });
-        if to_prefill && group.of_role(false).count() < 2 {
+        // The last engine of a role stays: without a prefill engine every prompt breaks gaps.
+        if group.count(!to_prefill) < 2 {
             return None;
         }
         free.min_by_key(|member| (member.load.sequences, member.load.queued_prefill_tokens))
--- a/policy/src/planner/group.rs
+++ b/policy/src/planner/group.rs
@@ -16,6 +16,9 @@
 }
 
 impl<'f> Group<'f> {
+    /// Engines from which on one should compute prompts for the others.
+    const ENGINES_FOR_PREFILL: usize = 3;
+
     /// Divides the fleet by models.
     pub(super) fn all(fleet: &'f Fleet<'_>) -> Vec<Self> {
         let mut groups: Vec<Self> = Vec::new();
@@ -88,6 +91,16 @@
         self.members.iter().filter(under_way).count() == 0 && serving > self.floor as usize
     }
 
+    /// Whether the last prefill engine left and enough engines remain to replace it; one that
+    /// crashed comes back in its role.
+    pub(super) fn has_lost_prefill(&self) -> bool {
+        let stays = |member: &&&Member| !member.load.draining;
+        let staying = || self.members.iter().filter(stays);
+        let lost = !staying().any(|member| member.load.role == Role::Prefill);
+        let left = staying().count() < self.members.len();
+        lost && left && staying().count() >= Self::ENGINES_FOR_PREFILL
+    }
+
     /// Engines in service that prefill for others, or those that decode.
     pub(super) fn of_role(&self, prefill: bool) -> impl Iterator<Item = &'f Member> {
         let members = self.members.iter().zip(&self.fixed);
--- a/policy/src/router/choice.rs
+++ b/policy/src/router/choice.rs
@@ -16,6 +16,8 @@
     pub(super) harm_ms: f64,
     /// Steps over the gap limit that it is expected to cause.
     pub(super) long_steps: f64,
+    /// Whether the running answers can bear these steps.
+    pub(super) bearable: bool,
 }
 
 impl Choice {
--- a/policy/src/router/model.rs
+++ b/policy/src/router/model.rs
@@ -22,6 +22,9 @@
     const LONG_GAP_MS: f64 = 15.0;
     /// Part of the allowed long gaps that a routing decision plans with.
     const LONG_GAP_MARGIN: f64 = 0.2;
+    /// Use of the planned long gaps at which no more long prompts are computed in place: the prompt
+    /// is refused rather than the answers of a whole batch broken.
+    const LONG_GAP_LIMIT: f64 = 1.0;
     /// Uncertainty of an engine's fullness after a report's age; an engine that is nearly full is
     /// charged the wait that it may already cause.
     const SPREAD: f64 = 0.04;
@@ -88,6 +91,7 @@
             let split = |prefill| self.split(prefill, decode, need);
             choices.extend(prefills.iter().map(split));
         }
+        choices.retain(|choice| choice.bearable);
         choices.sort_by(|left, right| left.cost_ms().total_cmp(&right.cost_ms()));
         choices
     }
@@ -255,6 +259,7 @@
                 + self.cost.prefill_ms(tokens),
             harm_ms: long_steps * decode.sequences * price + stolen_ms,
             long_steps,
+            bearable: long_steps < 1.0 || used < Self::LONG_GAP_LIMIT,
         }
     }
 
@@ -274,6 +279,7 @@
                 + step_ms * 1.5,
             harm_ms: 0.0,
             long_steps: 0.0,
+            bearable: true,
         }
     }
 
