policy: lend unused shares and reclaim them at admission

Cause: declared shares of services had no effect.

Change: while a service below its share misses its time, services above theirs are admitted only if they would be served within 80% of the time to their deadline. No request under way is touched.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -21,6 +21,7 @@
 mod rate;
 mod request;
 mod router;
+mod shares;
 
 pub use cost_model::CostModel;
 pub use fleet::Fleet;
--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -1,8 +1,6 @@
 use std::collections::HashMap;
-use std::sync::Arc;
 
 use ragwortgrade_schema::Name;
-use ragwortgrade_schema::configuration::Configuration;
 use ragwortgrade_schema::engine::{CacheEvent, CacheKind, Load};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng as _;
@@ -14,6 +12,7 @@
 use crate::output_estimate::OutputEstimate;
 use crate::prefix_index::{Holder, PrefixIndex};
 use crate::rate::Rate;
+use crate::shares::Shares;
 use crate::{CostModel, Instant, Request};
 
 mod backlog;
@@ -43,7 +42,7 @@
     running: HashMap<u64, Running>,
     /// Live daemons that route to the same endpoints, this one included.
     daemons: u32,
-    configuration: Option<Arc<Configuration>>,
+    shares: Shares,
     traffic: Traffic,
 }
 
@@ -98,7 +97,7 @@
             demand: DemandMeter::default(),
             running: HashMap::new(),
             daemons: 1,
-            configuration: None,
+            shares: Shares::new(),
             traffic: Traffic {
                 prefill: rate,
                 sequences: rate,
@@ -135,7 +134,7 @@
                 output_tokens,
             } => self.finished(request, output_tokens, now),
             Event::Daemons { count } => self.daemons = count.max(1),
-            Event::Configured(configuration) => self.configuration = Some(configuration),
+            Event::Configured(configuration) => self.shares.configure(&configuration),
         }
     }
 
@@ -247,6 +246,7 @@
             && let Some(model) = running.model.clone()
         {
             self.demand.missed(&model, now);
+            self.shares.missed(&running.service, now);
         }
     }
 
--- a/policy/src/router/model.rs
+++ b/policy/src/router/model.rs
@@ -61,8 +61,10 @@
             return Self::refuse(Cause::NoEndpoint);
         };
         let remaining_ms = request.deadline.since(now).as_secs_f64() * 1_000.0;
-        if best.first_token_ms > remaining_ms {
+        let patience = self.shares.patience(&request.service, now);
+        if best.first_token_ms > remaining_ms * patience {
             self.demand.missed(model, now);
+            self.shares.missed(&request.service, now);
             return Self::refuse(Cause::DeadlineUnreachable);
         }
         self.commit(request, &best, need, now);
@@ -298,6 +300,9 @@
             self.traffic.long_steps.add(best.long_steps, now);
             self.candidates[best.endpoint].sent(now, best.tokens, kv_tokens, 1.0);
         }
+        let engine_ms =
+            self.cost.prefill_ms(best.tokens) + need.output_tokens * self.cost.output_token_ms();
+        self.shares.used(&request.service, engine_ms, now);
         self.start(request, best.endpoint, best.prefill);
     }
 
