policy: test routing, planning and the shifts experiment

Cause: only measurements showed the router and the planner.

Change: tests over the public interfaces and over the experiment's command line; each refusal or restraint has a control case in which the same call goes through.

--- /dev/null
+++ b/policy/tests/routing.rs
@@ -0,0 +1,322 @@
+//! Decisions of the router from its public interface.
+
+use std::time::Duration;
+
+use ragwortgrade_policy::decision::{Cause, Decision, Dispatch};
+use ragwortgrade_policy::event::{Endpoint, Event};
+use ragwortgrade_policy::{Instant, Request, Router};
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::engine::{CacheEvent, CacheKind, Load, Role, Version};
+use ragwortgrade_testutil::named_cases;
+use rstest::rstest;
+
+const NOW: Instant = Instant::from_millis(1_000);
+
+struct Fleet {
+    router: Router,
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Self {
+        Self {
+            router: Router::open(Name::from("here"), seed),
+        }
+    }
+
+    fn join(mut self, id: &str, data_centre: &str, service: Option<&str>) -> Self {
+        let endpoint = Endpoint {
+            id: Name::from(id),
+            data_centre: Name::from(data_centre),
+            service: service.map(Name::from),
+        };
+        self.router.observe(Event::Joined(endpoint), NOW);
+        self
+    }
+
+    fn engine(self, id: &str, role: Role, change: impl FnOnce(&mut Load)) -> Self {
+        let mut fleet = self.join(id, "here", None);
+        let mut load = load(id, role);
+        change(&mut load);
+        fleet.report(load);
+        fleet
+    }
+
+    fn report(&mut self, load: Load) {
+        let observed = NOW;
+        self.router.observe(Event::Reported { load, observed }, NOW);
+    }
+
+    fn route(&mut self, request: &Request) -> Decision {
+        self.router.route(request, NOW)
+    }
+
+    fn dispatch(&mut self, request: &Request) -> Dispatch {
+        match self.route(request) {
+            Decision::Dispatch(dispatch) => dispatch,
+            other => panic!("not dispatched: {other:?}"),
+        }
+    }
+}
+
+fn load(id: &str, role: Role) -> Load {
+    Load {
+        adapters: Vec::new(),
+        at_ms: 0,
+        changing: false,
+        draining: false,
+        engine: Name::from(id),
+        incarnation: 1,
+        kv_tokens: 0,
+        last_fence: 0,
+        last_order: String::new(),
+        models: vec![Version {
+            name: Name::from("base"),
+            version: Name::from("1"),
+        }],
+        queued_prefill_tokens: 0,
+        role,
+        sequences: 0,
+    }
+}
+
+fn request(id: u64, prompt_tokens: u32) -> Request {
+    Request {
+        id,
+        service: Name::from("ask"),
+        workspace: Name::from("w"),
+        model: Some(Name::from("base")),
+        priority: 1,
+        prompt_tokens,
+        prefix: None,
+        prefix_tokens: 0,
+        max_output_tokens: None,
+        arrived: NOW,
+        deadline: NOW + Duration::from_secs(10),
+        avoid: Vec::new(),
+    }
+}
+
+/// Guards against a long prompt that breaks the gaps of a running batch.
+#[rstest]
+#[case::long_prompt_is_split(8_000, Some("prefill"))]
+#[case::short_prompt_stays(20, None)]
+fn prompts_go_where_they_break_no_gaps(#[case] tokens: u32, #[case] prefill: Option<&str>) {
+    let mut fleet = Fleet::new(1)
+        // A queue of 100 ms, so that only the gaps speak for a split.
+        .engine("prefill", Role::Prefill, |load| load.queued_prefill_tokens = 4_000)
+        .engine("decode", Role::Decode, |load| load.sequences = 60);
+    let dispatch = fleet.dispatch(&request(1, tokens));
+    assert_eq!(dispatch.endpoint, Name::from("decode"));
+    assert_eq!(dispatch.prefill, prefill.map(Name::from));
+}
+
+/// Guards against new work for an endpoint that must not get any; without the change it does.
+fn gets_nothing(change: impl Fn(&mut Fleet, &mut Request)) {
+    let build = || {
+        Fleet::new(2)
+            .engine("idle", Role::Decode, |_| {})
+            .engine("busy", Role::Decode, |load| load.sequences = 120)
+    };
+    let mut ask = request(1, 100);
+    assert_eq!(build().dispatch(&ask).endpoint, Name::from("idle"));
+    let mut fleet = build();
+    change(&mut fleet, &mut ask);
+    assert_eq!(fleet.dispatch(&ask).endpoint, Name::from("busy"));
+}
+
+named_cases! { gets_nothing:
+    leaving_engine(|fleet: &mut Fleet, _: &mut Request| {
+        let endpoint = Name::from("idle");
+        fleet.router.observe(Event::Leaving { endpoint, leaving: true }, NOW);
+    });
+    unreachable_engine(|fleet: &mut Fleet, _: &mut Request| {
+        let endpoint = Name::from("idle");
+        fleet.router.observe(Event::Reachable { endpoint, reachable: false }, NOW);
+    });
+    departed_engine(|fleet: &mut Fleet, _: &mut Request| {
+        fleet.router.observe(Event::Left { endpoint: Name::from("idle") }, NOW);
+    });
+    draining_engine(|fleet: &mut Fleet, _: &mut Request| {
+        fleet.report(Load { draining: true, ..load("idle", Role::Decode) });
+    });
+    changing_engine(|fleet: &mut Fleet, _: &mut Request| {
+        fleet.report(Load { changing: true, ..load("idle", Role::Decode) });
+    });
+    prefill_engine(|fleet: &mut Fleet, _: &mut Request| {
+        fleet.report(load("idle", Role::Prefill));
+    });
+    engine_of_another_model(|fleet: &mut Fleet, _: &mut Request| {
+        fleet.report(Load { models: Vec::new(), ..load("idle", Role::Decode) });
+    });
+    engine_that_failed_the_request(|_: &mut Fleet, ask: &mut Request| {
+        ask.avoid.push(Name::from("idle"));
+    });
+}
+
+/// Guards against running a request that cannot meet its deadline; with more time it runs.
+#[rstest]
+#[case::too_little_time(500, Some(Cause::DeadlineUnreachable))]
+#[case::enough_time(9_000, None)]
+fn hopeless_requests_are_refused_early(#[case] time_ms: u64, #[case] cause: Option<Cause>) {
+    let mut fleet = Fleet::new(3)
+        .engine("prefill", Role::Prefill, |load| {
+            load.queued_prefill_tokens = 60_000;
+        })
+        .engine("decode", Role::Decode, |load| load.sequences = 100);
+    let mut ask = request(1, 10_000);
+    ask.deadline = NOW + Duration::from_millis(time_ms);
+    let refused = match fleet.route(&ask) {
+        Decision::Refuse(refusal) => Some(refusal.cause),
+        _ => None,
+    };
+    assert_eq!(refused, cause);
+}
+
+/// Guards against waiting for an endpoint that does not exist.
+#[test]
+fn unknown_models_have_no_endpoint() {
+    let mut fleet = Fleet::new(4).engine("decode", Role::Decode, |_| {});
+    let mut ask = request(1, 10);
+    ask.model = Some(Name::from("other"));
+    let Decision::Refuse(refusal) = fleet.route(&ask) else {
+        panic!("dispatched");
+    };
+    assert_eq!(refusal.cause, Cause::NoEndpoint);
+}
+
+/// How many of nine busy daemons choose the engine that looks best in a report of one second ago,
+/// when each believes that there are `count` daemons.
+fn choose_the_best(count: u32) -> usize {
+    let best = |seed: &u64| {
+        let mut fleet = Fleet::new(*seed);
+        // As many as one decision looks at, so that only the estimates decide.
+        let prefills: Vec<_> = (0..4).map(|engine| format!("prefill-{engine}")).collect();
+        for id in &prefills {
+            fleet = fleet.engine(id, Role::Prefill, |_| {});
+        }
+        fleet = fleet.engine("decode", Role::Decode, |load| load.sequences = 40);
+        fleet.router.observe(Event::Daemons { count }, NOW);
+        let later = |ms| NOW + Duration::from_millis(ms);
+        let ask = |id: u64, ms: u64| Request {
+            deadline: later(ms + 60_000),
+            ..request(id, 4_000)
+        };
+        for id in 0..25 {
+            fleet.router.route(&ask(id, 40 * id), later(40 * id));
+        }
+        for (index, id) in prefills.iter().enumerate() {
+            let mut load = load(id, Role::Prefill);
+            load.queued_prefill_tokens = if index == 0 { 40_000 } else { 46_000 };
+            let observed = later(1_000);
+            fleet
+                .router
+                .observe(Event::Reported { load, observed }, later(2_000));
+        }
+        match fleet.router.route(&ask(99, 2_000), later(2_000)) {
+            Decision::Dispatch(dispatch) => dispatch.prefill == Some(Name::from("prefill-0")),
+            _ => false,
+        }
+    };
+    (0..9).filter(best).count()
+}
+
+/// Guards against all daemons choosing the engine that looks best in one old report. With the
+/// others left out of account all do.
+#[test]
+fn daemons_spread_after_the_same_report() {
+    assert!(choose_the_best(9) <= 5);
+    assert_eq!(choose_the_best(1), 9, "control");
+}
+
+/// Guards against decisions that cannot be repeated from the same seed and events.
+#[test]
+fn equal_seeds_decide_equally() {
+    let run = || {
+        let mut fleet = Fleet::new(9)
+            .engine("a", Role::Decode, |_| {})
+            .engine("b", Role::Decode, |_| {})
+            .engine("c", Role::Prefill, |_| {});
+        let decide = |id| {
+            let dispatch = fleet.dispatch(&request(id, 700));
+            (dispatch.endpoint, dispatch.prefill)
+        };
+        (0..50).map(decide).collect::<Vec<_>>()
+    };
+    assert_eq!(run(), run());
+}
+
+/// Guards against ignoring a cached prefix, and against relying on one that was evicted.
+#[rstest]
+#[case::held(false, true)]
+#[case::evicted(true, false)]
+fn a_cached_prefix_attracts_its_prompts(#[case] evicted: bool, #[case] expected: bool) {
+    let mut fleet = Fleet::new(5).engine("decode", Role::Decode, |load| load.sequences = 60);
+    for id in ["a", "b", "c", "d"] {
+        fleet = fleet.engine(id, Role::Prefill, |_| {});
+    }
+    let kinds = [CacheKind::Stored, CacheKind::Evicted];
+    for kind in kinds.into_iter().take(1 + usize::from(evicted)) {
+        let event = CacheEvent {
+            kind,
+            prefix: 77,
+            sequence: 1,
+            tokens: 15_000,
+        };
+        let engine = Name::from("c");
+        fleet.router.observe(Event::Cached { engine, event }, NOW);
+    }
+    let mut ask = request(1, 16_000);
+    ask.prefix = Some(77);
+    ask.prefix_tokens = 15_000;
+    let dispatch = fleet.dispatch(&ask);
+    let held = dispatch.reason == ragwortgrade_policy::decision::Reason::CachedPrefix;
+    assert_eq!(held, expected);
+    assert!(!expected || dispatch.prefill == Some(Name::from("c")));
+}
+
+/// Guards against plain calls that cross without need, or queue while others are idle.
+#[test]
+fn plain_calls_stay_near_until_the_worker_is_busy() {
+    let mut fleet =
+        Fleet::new(6)
+            .join("near", "here", Some("stock"))
+            .join("far", "there", Some("stock"));
+    let mut ask = request(0, 0);
+    ask.model = None;
+    ask.service = Name::from("stock");
+    let mut chosen = Vec::new();
+    for id in 0..6 {
+        ask.id = id;
+        chosen.push(fleet.dispatch(&ask).endpoint);
+    }
+    assert_eq!(chosen[0], Name::from("near"));
+    assert!(chosen.contains(&Name::from("far")));
+}
+
+/// Guards against log lines and costs that grow with the fleet.
+#[test]
+fn alternatives_are_few_and_begin_with_the_chosen_one() {
+    let mut fleet = Fleet::new(7);
+    for engine in 0..200 {
+        fleet = fleet.engine(&format!("e{engine}"), Role::Decode, |_| {});
+    }
+    let dispatch = fleet.dispatch(&request(1, 100));
+    assert!(dispatch.alternatives.len() <= 4);
+    assert_eq!(dispatch.alternatives[0].endpoint, dispatch.endpoint);
+    let costs = dispatch.alternatives.iter().map(|it| it.cost_ms);
+    assert!(costs.is_sorted());
+}
+
+/// Guards against a short question that waits behind a long prompt of the same priority.
+#[test]
+fn short_prompts_pass_long_ones_of_their_priority() {
+    let mut fleet = Fleet::new(8)
+        .engine("prefill", Role::Prefill, |_| {})
+        .engine("decode", Role::Decode, |load| load.sequences = 60);
+    let long = fleet.dispatch(&request(1, 20_000)).priority;
+    let short = fleet.dispatch(&request(2, 200)).priority;
+    assert!(short > long);
+    let mut urgent = request(3, 20_000);
+    urgent.priority = 2;
+    assert!(fleet.dispatch(&urgent).priority > short);
+}
--- /dev/null
+++ b/policy/tests/shifts.rs
@@ -0,0 +1,167 @@
+//! The `shifts` experiment from its command line, on small traces.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use ragwortgrade_testutil::named_cases;
+use serde_json::Value;
+
+const HEADER: &str = "at_ms,service,kind,priority,prompt_tokens,output_tokens,prefix_id,\
+                      prefix_tokens,deadline_ms";
+
+const POLICIES: [&str; 5] = [
+    "ragwortgrade",
+    "round_robin_static",
+    "least_loaded_reactive",
+    "best_static",
+    "bound",
+];
+
+/// The experiment, which `cargo test` builds next to the tests.
+fn experiment() -> Command {
+    let mut path = std::env::current_exe().expect("the test's own path");
+    path.pop();
+    path.pop();
+    path.push("examples");
+    Command::new(path.join("shifts"))
+}
+
+/// Writes a file that no other test uses.
+fn file(name: &str, content: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, content).expect("a file in the target directory");
+    path
+}
+
+/// A trace of `seconds` with a model call every 50 ms and a plain call every 500 ms.
+fn trace(seconds: u64) -> String {
+    let mut rows = vec![HEADER.to_owned()];
+    for at in (0..seconds * 1_000).step_by(50) {
+        let prompt = 100 + (at * 37) % 6_000;
+        rows.push(format!(
+            "{at},undeclared,model,1,{prompt},80,{},50,4000",
+            at % 7 + 1
+        ));
+        if at % 500 == 0 {
+            rows.push(format!("{at},stock,plain,2,0,0,,,"));
+        }
+    }
+    rows.join("\n")
+}
+
+fn run(arguments: &[&str], trace: &PathBuf) -> Output {
+    let mut command = experiment();
+    command.args([
+        "--deployment",
+        "workshop",
+        "--seed",
+        "3",
+        "--json",
+        "--trace",
+    ]);
+    command.arg(trace).args(arguments);
+    command.output().expect("the experiment runs")
+}
+
+fn lines(output: &Output) -> Vec<Value> {
+    assert!(output.status.success(), "{output:?}");
+    let text = String::from_utf8_lossy(&output.stdout);
+    let parse = |line| serde_json::from_str(line).expect("a JSON line");
+    text.lines().map(parse).collect()
+}
+
+/// Guards against lost or doubled calls in the figures, and against a bound that a policy exceeds.
+fn figures_add_up(name: &str, faults: &[&str]) {
+    let path = file(&format!("{name}.csv"), &trace(20));
+    let lines = lines(&run(faults, &path));
+    let policies: Vec<_> = lines.iter().map(|line| line["policy"].as_str()).collect();
+    assert_eq!(policies, POLICIES.map(Some));
+    let field = |line: &Value, key: &str| line[key].as_u64().expect("a count");
+    let bound = field(&lines[4], "in_time");
+    for line in &lines {
+        assert_eq!(field(line, "offered"), 440);
+        let sum = ["in_time", "late", "refused_not_run"].map(|key| field(line, key));
+        assert_eq!(sum.iter().sum::<u64>(), 440, "{line}");
+        assert!(field(line, "in_time") <= bound, "{line}");
+        assert!(
+            line["goodput"].is_f64() || line["goodput"].is_u64(),
+            "{line}"
+        );
+    }
+}
+
+named_cases! { figures_add_up:
+    without_a_fault("plain", &[]);
+    with_crashes("crash", &["--crash"]);
+    with_late_reports("lag", &["--lag-ms", "4000"]);
+    with_lost_cache_events("loss", &["--event-loss", "1"]);
+    with_a_partition("cut", &["--cut"]);
+    with_withdrawn_engines("withdraw", &["--withdraw"]);
+    with_all_faults("all", &["--crash", "--cut", "--withdraw"]);
+}
+
+/// Guards against figures that change between runs of one seed.
+#[test]
+fn equal_seeds_give_equal_figures() {
+    let path = file("equal.csv", &trace(10));
+    let arguments = ["--only", "ragwortgrade", "--crash"];
+    assert_eq!(run(&arguments, &path).stdout, run(&arguments, &path).stdout);
+}
+
+/// Guards against a bound that does not notice overload, which would make every target empty.
+#[test]
+fn the_bound_notices_overload() {
+    let row = |at: u64| format!("{at},long,model,1,400000,2,,,30000");
+    let rows = (0..2_000).map(|call| row(call * 10));
+    let text: Vec<_> = std::iter::once(HEADER.to_owned()).chain(rows).collect();
+    let path = file("overload.csv", &text.join("\n"));
+    let lines = lines(&run(&[], &path));
+    // 2,000 prompts of 20 s each in 50 s on 12 engines.
+    let bound = lines[4]["in_time"].as_u64().expect("a count");
+    assert!((1..=60).contains(&bound), "{bound}");
+}
+
+/// Guards against faults of a trace or engine file that stop the run without saying where.
+fn is_refused(name: &str, row: &str, expected: &str) {
+    let path = file(&format!("bad-{name}.csv"), &format!("{HEADER}\n{row}\n"));
+    let output = run(&["--only", "ragwortgrade"], &path);
+    let message = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success());
+    assert!(message.contains(expected), "{message}");
+    assert!(!message.contains("panicked"), "{message}");
+}
+
+named_cases! { is_refused:
+    empty_service("service", "0,,model,1,10,10,,,", "line 2: service: empty");
+    empty_number("number", "0,s,model,1,,10,,,", "line: 2");
+    unknown_kind("kind", "0,s,other,1,10,10,,,", "line: 2");
+    negative_time("time", "-5,s,model,1,10,10,,,", "line: 2");
+    huge_prompt("prompt", "0,s,model,1,4000000000,10,,,", "line 2: prompt_tokens");
+    huge_time("late", "99999999999,s,model,1,10,10,,,", "line 2: at_ms");
+    huge_deadline("deadline", "0,s,model,1,10,10,,,99999999999", "line 2: deadline_ms");
+    number_over_64_bits("bits", "0,s,model,1,10,10,,,99999999999999999999999", "line: 2");
+    no_output("output", "0,s,model,1,10,0,,,", "line 2");
+    missing_fields("fields", "0,s,model", "line: 2");
+    no_rows("rows", "", "no rows");
+}
+
+/// Guards against engine files whose faults are ignored.
+#[test]
+fn engine_files_are_checked() {
+    let path = file("engine.csv", &trace(1));
+    let cases = [
+        ("[engine]\nstep_ms = 30\n", None),
+        ("[engine]\nsteps_ms = 30\n", Some("unknown key `steps_ms`")),
+        ("[engine]\nstep_ms = 0\n", Some("out of bounds")),
+        ("[engine]\nstep_ms = fast\n", Some("not a number")),
+        ("[engin]\nstep_ms = 30\n", Some("outside of [engine]")),
+    ];
+    for (index, (content, expected)) in cases.into_iter().enumerate() {
+        let engine = file(&format!("engine-{index}.ini"), content);
+        let engine = engine.to_string_lossy();
+        let output = run(&["--only", "ragwortgrade", "--engine", &engine], &path);
+        let message = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.success(), expected.is_none(), "{message}");
+        assert!(message.contains(expected.unwrap_or("")), "{message}");
+    }
+}
