--- a/schema/src/row.rs
+++ b/schema/src/row.rs
@@ -2,7 +2,7 @@
 
 /// The load of one engine inside a [`crate::Digest`].
 ///
-/// Twelve bytes on the wire: a digest is sent to two peers each second, so its size decides the
+/// Fourteen bytes on the wire: a digest is sent to two peers each second, so its size decides the
 /// control traffic of a daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Row {
@@ -21,12 +21,15 @@
     /// Prompt tokens that wait for prefill, in thousands, rounded up.
     pub queued_prefill_thousands: u16,
     /// KV cache memory in use, in pieces of 2,048 tokens.
-    pub kv_pieces: u8,
+    pub kv_pieces: u16,
+    /// Checksum of the engine's incarnation, models and adapters; a daemon that holds another
+    /// description asks the engine for the new one.
+    pub description: u8,
 }
 
 impl Row {
     /// Bytes of one row on the wire.
-    pub const WIRE_BYTES: usize = 12;
+    pub const WIRE_BYTES: usize = 14;
 
     const DRAINING: u8 = 0b0100;
     const CHANGING: u8 = 0b1000;
@@ -47,13 +50,14 @@
         wire.extend_from_slice(&self.engine.to_be_bytes());
         wire.extend_from_slice(&self.age.to_be_bytes());
         wire.push(flags);
-        wire.push(self.kv_pieces);
+        wire.push(self.description);
+        wire.extend_from_slice(&self.kv_pieces.to_be_bytes());
         wire.extend_from_slice(&self.sequences.to_be_bytes());
         wire.extend_from_slice(&self.queued_prefill_thousands.to_be_bytes());
     }
 
     pub(crate) fn decode(wire: &[u8; Self::WIRE_BYTES]) -> Option<Self> {
-        let [e0, e1, e2, e3, a0, a1, flags, kv_pieces, s0, s1, q0, q1] = *wire;
+        let [e0, e1, e2, e3, a0, a1, flags, description, k0, k1, s0, s1, q0, q1] = *wire;
         let role = match flags & Self::ROLE_MASK {
             0 => Role::Prefill,
             1 => Role::Decode,
@@ -68,7 +72,8 @@
             changing: flags & Self::CHANGING != 0,
             sequences: u16::from_be_bytes([s0, s1]),
             queued_prefill_thousands: u16::from_be_bytes([q0, q1]),
-            kv_pieces,
+            kv_pieces: u16::from_be_bytes([k0, k1]),
+            description,
         })
     }
 }
