peer: connect daemons over tarpc and spread membership by gossip

Cause: routing, claims and configuration need to know the live daemons, the endpoints and the engines' loads without a store of our own. Ruled out: heartbeats of all members in each exchange and one VM-list read per daemon (both grow with the fleet). Change: tarpc service behind an HMAC handshake, SWIM roster, endpoint register whose states only move on, departure marks, load digests, the observer of engines and the reader of the VM list.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod peer;
 
 pub mod platform;
+mod worker;
 
 pub use clock::Clock;
 pub use node::Node;
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -1,5 +1,11 @@
 //! Endpoints and daemons as this daemon knows them.
 
 mod directory;
+mod lister;
+mod observer;
+mod table;
 
 pub use directory::{Directory, Endpoint};
+pub use lister::Lister;
+pub use observer::Observer;
+pub use table::Table;
--- /dev/null
+++ b/lib/src/membership/lister.rs
@@ -0,0 +1,62 @@
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ragwortgrade_policy::rendezvous;
+
+use super::Table;
+use crate::Node;
+use crate::platform::VmList;
+use crate::worker::Worker;
+
+const PERIOD: Duration = Duration::from_secs(1);
+/// The list of 1,130 VMs is about 170 KB; only one daemon of a data centre reads it each second.
+const PERIODS_BETWEEN_OWN_READS: u32 = 120;
+const READER_KEY: &str = "vm-list";
+
+/// Reads the VM list: each second when it falls to this daemon, else rarely.
+#[derive(Debug)]
+pub struct Lister {
+    _worker: Worker,
+}
+
+impl Lister {
+    /// Spawns the lister's thread; the first read comes at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the thread cannot be started.
+    pub fn spawn(node: Arc<Node>, table: Arc<Table>, list: Box<dyn VmList>) -> io::Result<Self> {
+        let mut periods_left = 0;
+        let worker = Worker::spawn("lister", move || {
+            if periods_left == 0 || is_reader(&node, &table) {
+                periods_left = if read(&table, &*list) {
+                    PERIODS_BETWEEN_OWN_READS
+                } else {
+                    1
+                };
+            }
+            periods_left -= 1;
+            PERIOD
+        })?;
+        Ok(Self { _worker: worker })
+    }
+}
+
+fn is_reader(node: &Node, table: &Table) -> bool {
+    let daemons = table.local_daemons();
+    rendezvous::is_among_highest(&node.settings.daemon.id, READER_KEY, &daemons, 1)
+}
+
+fn read(table: &Table, list: &dyn VmList) -> bool {
+    match list.vms() {
+        Ok(vms) => {
+            table.absorb_list(&vms);
+            true
+        }
+        Err(error) => {
+            log::debug!(error:% = error; "VM list was not read");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/membership/observer.rs
@@ -0,0 +1,99 @@
+use std::collections::HashMap;
+use std::io;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use ragwortgrade_policy::event::Event;
+use ragwortgrade_policy::rendezvous;
+use ragwortgrade_schema::Name;
+
+use super::{Endpoint, Table};
+use crate::Node;
+use crate::worker::Worker;
+
+const PERIOD: Duration = Duration::from_secs(1);
+/// Two daemons observe each endpoint, so that its loads stay known when one is paused.
+const OBSERVERS: usize = 2;
+/// One lost answer says little; two in a row keep new work away.
+const FAILURES_TO_UNREACHABLE: u32 = 2;
+
+/// Reads the loads of the endpoints that fall to this daemon, once a second.
+#[derive(Debug)]
+pub struct Observer {
+    _worker: Worker,
+}
+
+impl Observer {
+    /// Spawns the observer's thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the thread cannot be started.
+    pub fn spawn(node: Arc<Node>, table: Arc<Table>) -> io::Result<Self> {
+        let mut failures = HashMap::new();
+        let worker = Worker::spawn("observer", move || {
+            observe(&node, &table, &mut failures);
+            PERIOD
+        })?;
+        Ok(Self { _worker: worker })
+    }
+}
+
+fn observe(node: &Node, table: &Table, failures: &mut HashMap<Name, u32>) {
+    let daemons = table.local_daemons();
+    let daemon = &node.settings.daemon;
+    node.observe(Event::Daemons {
+        count: daemons.len() as u32,
+    });
+    let mine: Vec<Endpoint> = node
+        .directory
+        .all()
+        .into_iter()
+        .filter(|endpoint| endpoint.data_centre == daemon.data_centre)
+        .filter(|endpoint| {
+            rendezvous::is_among_highest(&daemon.id, &endpoint.id, &daemons, OBSERVERS)
+        })
+        .collect();
+    failures.retain(|id, _| mine.iter().any(|endpoint| endpoint.id == *id));
+    // Side by side, so that endpoints that hang do not age the reports of the others.
+    let answered: Vec<bool> = thread::scope(|scope| {
+        let reads: Vec<_> = mine
+            .iter()
+            .map(|endpoint| scope.spawn(|| read(node, table, endpoint)))
+            .collect();
+        reads
+            .into_iter()
+            .map(|read| read.join().unwrap_or(false))
+            .collect()
+    });
+    for (endpoint, answered) in mine.iter().zip(answered) {
+        let count = failures.entry(endpoint.id.clone()).or_default();
+        let before = *count;
+        *count = if answered { 0 } else { before + 1 };
+        let was_unreachable = before >= FAILURES_TO_UNREACHABLE;
+        let is_unreachable = *count >= FAILURES_TO_UNREACHABLE;
+        if was_unreachable != is_unreachable {
+            log::info!(endpoint:% = endpoint.id, reachable = !is_unreachable; "endpoint observed");
+            let reachable = !is_unreachable;
+            node.observe(Event::Reachable {
+                endpoint: endpoint.id.clone(),
+                reachable,
+            });
+        }
+    }
+}
+
+fn read(node: &Node, table: &Table, endpoint: &Endpoint) -> bool {
+    if endpoint.service.is_some() {
+        return node.plains.load(&endpoint.address).is_ok();
+    }
+    match node.engines.load(&endpoint.address) {
+        // Another engine may have taken over the address.
+        Ok(load) if load.engine == endpoint.id => {
+            table.observe(load);
+            true
+        }
+        Ok(_) | Err(_) => false,
+    }
+}
--- /dev/null
+++ b/lib/src/membership/table.rs
@@ -0,0 +1,272 @@
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use ragwortgrade_policy::event::{self, Event};
+use ragwortgrade_policy::membership::{Departures, Loads, Register, Roster, Sighting};
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::engine::Load;
+use ragwortgrade_schema::peer::{Departure, EndpointNews, EndpointState, Gossip, Member};
+use ragwortgrade_schema::platform::Vm;
+
+use super::Endpoint;
+use crate::Node;
+
+const THOUSAND: u64 = 1_000;
+const PIECE_TOKENS: u64 = 2_048;
+
+/// What one daemon knows of daemons, endpoints and loads; every change is told to the router.
+#[derive(Debug)]
+pub struct Table {
+    node: Arc<Node>,
+    roster: Arc<Mutex<Roster>>,
+    register: Mutex<Register>,
+    departures: Mutex<Departures>,
+    loads: Mutex<Loads>,
+    descriptions: Mutex<HashMap<u32, Load>>,
+}
+
+impl Table {
+    /// Opens a table over the roster that the network uses.
+    #[must_use]
+    pub fn open(node: Arc<Node>, roster: Arc<Mutex<Roster>>) -> Self {
+        Self {
+            node,
+            roster,
+            register: Mutex::default(),
+            departures: Mutex::default(),
+            loads: Mutex::default(),
+            descriptions: Mutex::default(),
+        }
+    }
+
+    /// Locks the roster of daemons.
+    pub fn roster(&self) -> MutexGuard<'_, Roster> {
+        lock(&self.roster)
+    }
+
+    /// Returns the live daemons of this data centre, this one included.
+    #[must_use]
+    pub fn local_daemons(&self) -> Vec<Name> {
+        let own = &self.node.settings.daemon.data_centre;
+        let is_local = |member: &Member| member.identity.data_centre == *own;
+        let live = self.roster().live();
+        live.into_iter()
+            .filter(is_local)
+            .map(|member| member.identity.id)
+            .collect()
+    }
+
+    /// Takes in a read of the VM list.
+    pub fn absorb_list(&self, vms: &[Vm]) {
+        let (daemons, now) = (self.daemons(), self.node.clock.now());
+        let changed = lock(&self.register).absorb_list(vms, daemons, now);
+        self.apply_endpoints(&changed);
+    }
+
+    /// Takes in the membership part of a peer's gossip and returns the engines whose description
+    /// is not known and must be asked for.
+    pub fn absorb(&self, gossip: &Gossip) -> Vec<Name> {
+        let (daemons, now) = (self.daemons(), self.node.clock.now());
+        self.roster().absorb(&gossip.members, now);
+        let changed = lock(&self.register).absorb(&gossip.endpoints, daemons, now);
+        self.apply_endpoints(&changed);
+        self.mark(&gossip.departures);
+        let is_local = gossip.sender.data_centre == self.node.settings.daemon.data_centre;
+        let mut undescribed = Vec::new();
+        for (index, digest) in gossip.digests.iter().enumerate() {
+            // A daemon of this data centre sends its own rows first, those of the others second.
+            let sightings = lock(&self.loads).absorb(digest, is_local && index == 0, now);
+            undescribed.extend(self.apply_sightings(&sightings));
+        }
+        undescribed
+    }
+
+    /// Keeps new work from endpoints during a planned change, or ends that; the marks are
+    /// gossiped.
+    pub fn mark(&self, departures: &[Departure]) {
+        let (daemons, now) = (self.daemons(), self.node.clock.now());
+        let changed = lock(&self.departures).absorb(departures, daemons, now);
+        self.refresh_leaving(&changed);
+    }
+
+    /// Takes in a report that this daemon read from an engine.
+    pub fn observe(&self, load: Load) {
+        let now = self.node.clock.now();
+        lock(&self.loads).observe(&load, now);
+        self.describe(load);
+    }
+
+    /// Takes in a report of an engine whose description was not known.
+    pub fn describe(&self, load: Load) {
+        let observed = self.node.clock.now();
+        let engine = load.engine.clone();
+        lock(&self.descriptions).insert(Loads::engine_hash(&engine), load.clone());
+        self.node.observe(Event::Reported { load, observed });
+        self.refresh_leaving(&[engine]);
+    }
+
+    /// Returns the last full report of an engine, updated by what gossip told since.
+    #[must_use]
+    pub fn load(&self, engine: &Name) -> Option<Load> {
+        let description = lock(&self.descriptions)
+            .get(&Loads::engine_hash(engine))
+            .cloned()?;
+        let sighting = lock(&self.loads).get(engine);
+        Some(sighting.map_or(description.clone(), |sighting| {
+            updated(&description, &sighting)
+        }))
+    }
+
+    /// Lets suspects die and marks end.
+    pub fn tick(&self) {
+        let now = self.node.clock.now();
+        self.roster().tick(now);
+        let ended = lock(&self.departures).expire(now);
+        self.refresh_leaving(&ended);
+    }
+
+    /// Fills the membership part of a message to a daemon of this data centre or of another.
+    pub fn fill(&self, gossip: &mut Gossip, is_remote: bool) {
+        let now = self.node.clock.now();
+        gossip.members = self.roster().news();
+        gossip.endpoints = lock(&self.register).news();
+        gossip.departures = lock(&self.departures).news();
+        let loads = lock(&self.loads);
+        gossip.digests.push(loads.digest(true, now));
+        if !is_remote {
+            gossip.digests.push(loads.digest(false, now));
+        }
+    }
+
+    /// Fills a message with everything, for a daemon that has just started.
+    pub fn fill_all(&self, gossip: &mut Gossip) {
+        self.fill(gossip, false);
+        gossip.members = self.roster().everyone();
+        gossip.endpoints = lock(&self.register).everything();
+    }
+
+    /// Tells the router anew which of the endpoints take no new work.
+    pub fn refresh_leaving(&self, endpoints: &[Name]) {
+        for id in endpoints {
+            let Some(mut endpoint) = self.node.directory.get(id) else {
+                continue;
+            };
+            endpoint.leaving = self.is_leaving(&endpoint);
+            let leaving = endpoint.leaving;
+            let known = self.node.directory.put(endpoint);
+            if known.is_none_or(|known| known.leaving != leaving) {
+                log::info!(endpoint:% = id, leaving; "endpoint changed its availability");
+                self.node.observe(Event::Leaving {
+                    endpoint: id.clone(),
+                    leaving,
+                });
+            }
+        }
+    }
+
+    fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        let now = self.node.clock.now();
+        let listed = lock(&self.register).is_leaving(&endpoint.id);
+        let marked = lock(&self.departures).is_marked(&endpoint.id, endpoint.incarnation, now);
+        let drained = self
+            .node
+            .configuration
+            .load()
+            .as_ref()
+            .is_some_and(|configuration| {
+                configuration
+                    .endpoints
+                    .get(endpoint.id.as_str())
+                    .is_some_and(|declared| declared.drain)
+            });
+        let reported = lock(&self.loads)
+            .get(&endpoint.id)
+            .is_some_and(|sighting| sighting.row.draining);
+        listed || marked || drained || reported
+    }
+
+    fn apply_endpoints(&self, changed: &[EndpointNews]) {
+        for news in changed {
+            if news.state == EndpointState::Gone {
+                self.forget(&news.id);
+                continue;
+            }
+            let endpoint = Endpoint {
+                id: news.id.clone(),
+                data_centre: news.data_centre.clone(),
+                address: news.address.clone(),
+                service: news.service.clone(),
+                incarnation: news.incarnation,
+                leaving: false,
+            };
+            let known = self.node.directory.put(endpoint.clone());
+            if known.is_none_or(|known| known.incarnation != news.incarnation) {
+                self.node.observe(Event::Joined(event::Endpoint {
+                    id: endpoint.id,
+                    data_centre: endpoint.data_centre,
+                    service: endpoint.service,
+                }));
+            }
+            self.refresh_leaving(std::slice::from_ref(&news.id));
+        }
+    }
+
+    fn forget(&self, id: &Name) {
+        if self.node.directory.remove(id).is_some() {
+            log::info!(endpoint:% = id; "endpoint is gone");
+            self.node.observe(Event::Left {
+                endpoint: id.clone(),
+            });
+        }
+        lock(&self.loads).remove(id);
+        lock(&self.descriptions).remove(&Loads::engine_hash(id));
+    }
+
+    fn apply_sightings(&self, sightings: &[Sighting]) -> Vec<Name> {
+        let mut undescribed = Vec::new();
+        for sighting in sightings {
+            let description = lock(&self.descriptions).get(&sighting.row.engine).cloned();
+            match description {
+                Some(load) if Loads::description_of(&load) == sighting.row.description => {
+                    let engine = load.engine.clone();
+                    let load = updated(&load, sighting);
+                    self.node.observe(Event::Reported {
+                        load,
+                        observed: sighting.observed,
+                    });
+                    self.refresh_leaving(&[engine]);
+                }
+                _ => undescribed.extend(self.engine_named(sighting.row.engine)),
+            }
+        }
+        undescribed
+    }
+
+    fn engine_named(&self, hash: u32) -> Option<Name> {
+        let endpoints = self.node.directory.all();
+        let mut names = endpoints.into_iter().map(|endpoint| endpoint.id);
+        names.find(|id| Loads::engine_hash(id) == hash)
+    }
+
+    fn daemons(&self) -> usize {
+        self.roster().live().len()
+    }
+}
+
+/// Applies what a digest row tells to the last full report.
+fn updated(load: &Load, sighting: &Sighting) -> Load {
+    let row = &sighting.row;
+    Load {
+        role: row.role,
+        sequences: u32::from(row.sequences),
+        queued_prefill_tokens: u64::from(row.queued_prefill_thousands) * THOUSAND,
+        kv_tokens: u64::from(row.kv_pieces) * PIECE_TOKENS,
+        draining: row.draining,
+        changing: row.changing,
+        ..load.clone()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/lib/src/peer.rs
+++ b/lib/src/peer.rs
@@ -2,8 +2,16 @@
 
 mod error;
 mod handler;
+mod handshake;
+mod keyring;
+mod meter;
+mod network;
 mod peers;
+mod server;
+mod service;
 
 pub use error::Error;
 pub use handler::Handler;
+pub use keyring::Keyring;
+pub use network::Network;
 pub use peers::Peers;
--- /dev/null
+++ b/lib/src/peer/network.rs
@@ -0,0 +1,302 @@
+use std::collections::HashMap;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use futures::StreamExt as _;
+use ragwortgrade_policy::membership::Roster;
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::peer::{
+    ClaimAnswer, ClaimOutcome, ClaimRequest, ConfigurationAnswer, Gossip, Identity, Member,
+    Settled, StreamAnswer, StreamRequest, Trial,
+};
+use tarpc::client::{self, RpcError};
+use tarpc::context::{self, Context};
+use tarpc::serde_transport;
+use tarpc::server::{BaseChannel, Channel as _};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Runtime;
+use tokio_serde::formats::Json;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use super::meter::Meter;
+use super::server::Server;
+use super::service::{Service as _, ServiceClient};
+use super::{Error, Handler, Keyring, Peers, handshake};
+
+/// A gossip exchange or an identity: short answers from memory.
+const SHORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// A claim waits for a group commit at the platform, whose calls take up to 2 s.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(4);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// A whole configuration document is at most 1 MB; JSON may escape some of it.
+const FRAME_BYTES_MAX: usize = 4 << 20;
+/// Threads that only wait for sockets; handlers run on the blocking pool.
+const RUNTIME_THREADS: usize = 2;
+const BLOCKING_THREADS_MAX: usize = 64;
+
+type Frames = Framed<Meter<TcpStream>, LengthDelimitedCodec>;
+
+/// The connections to other daemons and the listener for theirs.
+pub struct Network {
+    own: Name,
+    address: SocketAddr,
+    keyring: Keyring,
+    roster: Arc<Mutex<Roster>>,
+    clients: Mutex<HashMap<String, ServiceClient>>,
+    bytes: Arc<AtomicU64>,
+    listener: Mutex<Option<std::net::TcpListener>>,
+    runtime: Runtime,
+}
+
+impl fmt::Debug for Network {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Network")
+            .field("own", &self.own)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Network {
+    /// Binds the listener for other daemons; connections are accepted from [`Self::serve`] on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound or the runtime cannot start.
+    pub fn bind(
+        own: Name,
+        address: &str,
+        keyring: Keyring,
+        roster: Arc<Mutex<Roster>>,
+    ) -> io::Result<Self> {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(RUNTIME_THREADS)
+            .max_blocking_threads(BLOCKING_THREADS_MAX)
+            .thread_name("peer")
+            .enable_all()
+            .build()?;
+        Ok(Self {
+            own,
+            address: listener.local_addr()?,
+            keyring,
+            roster,
+            clients: Mutex::default(),
+            bytes: Arc::default(),
+            listener: Mutex::new(Some(listener)),
+            runtime,
+        })
+    }
+
+    /// Starts to answer other daemons through `handler`; later calls do nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the listener cannot be handed to the runtime.
+    pub fn serve(&self, handler: Arc<dyn Handler>) -> io::Result<()> {
+        let Some(listener) = lock(&self.listener).take() else {
+            return Ok(());
+        };
+        let _entered = self.runtime.enter();
+        let listener = TcpListener::from_std(listener)?;
+        let acceptor = Acceptor {
+            own: self.own.clone(),
+            keyring: self.keyring.clone(),
+            bytes: Arc::clone(&self.bytes),
+            server: Server { handler },
+        };
+        self.runtime.spawn(acceptor.accept(listener));
+        Ok(())
+    }
+
+    /// Returns the address on which the listener is bound.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the bytes sent to and received from other daemons so far.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Exchanges gossip with the daemon at an address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no daemon answers there within a second.
+    pub fn exchange(&self, address: &str, gossip: Gossip) -> Result<Gossip, Error> {
+        self.call(address, SHORT_TIMEOUT, async |client, context| {
+            client.exchange(context, gossip).await
+        })
+    }
+
+    fn call<A>(
+        &self,
+        address: &str,
+        timeout: Duration,
+        ask: impl AsyncFnOnce(ServiceClient, Context) -> Result<A, RpcError>,
+    ) -> Result<A, Error> {
+        let answer = self.runtime.block_on(async {
+            let client = self.client(address).await?;
+            let mut context = context::current();
+            context.deadline = Instant::now() + timeout;
+            ask(client, context)
+                .await
+                .map_err(|error| error.to_string())
+        });
+        answer.map_err(|reason| {
+            // A new connection is opened by the next call.
+            lock(&self.clients).remove(address);
+            Error::NoAnswer {
+                daemon: address.to_owned(),
+                reason,
+            }
+        })
+    }
+
+    async fn client(&self, address: &str) -> Result<ServiceClient, String> {
+        if let Some(client) = lock(&self.clients).get(address) {
+            return Ok(client.clone());
+        }
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = connecting
+            .map_err(|_elapsed| "connection timed out".to_owned())?
+            .map_err(|error| error.to_string())?;
+        let mut frames = frames(stream, Arc::clone(&self.bytes)).map_err(|e| e.to_string())?;
+        let opening = handshake::open(&mut frames, &self.own, &self.keyring);
+        tokio::time::timeout(HANDSHAKE_TIMEOUT, opening)
+            .await
+            .map_err(|_elapsed| "handshake timed out".to_owned())?
+            .map_err(|error| error.to_string())?;
+        let transport = serde_transport::new(frames, Json::default());
+        let client = ServiceClient::new(client::Config::default(), transport).spawn();
+        lock(&self.clients).insert(address.to_owned(), client.clone());
+        Ok(client)
+    }
+
+    fn address_of(&self, daemon: &Name) -> Result<String, Error> {
+        if *daemon == self.own {
+            return Ok(self.address.to_string());
+        }
+        lock(&self.roster)
+            .get(daemon)
+            .map(|member| member.address.clone())
+            .ok_or_else(|| Error::Unknown {
+                daemon: daemon.to_string(),
+            })
+    }
+}
+
+impl Peers for Network {
+    fn members(&self) -> Vec<Member> {
+        lock(&self.roster).live()
+    }
+
+    fn claim(&self, daemon: &Name, request: &ClaimRequest) -> Result<ClaimAnswer, Error> {
+        let address = self.address_of(daemon)?;
+        self.call(&address, CLAIM_TIMEOUT, async |client, context| {
+            client.claim(context, request.clone()).await
+        })
+    }
+
+    fn settle(&self, daemon: &Name, outcome: &ClaimOutcome) -> Result<Settled, Error> {
+        let address = self.address_of(daemon)?;
+        self.call(&address, CLAIM_TIMEOUT, async |client, context| {
+            client.settle(context, outcome.clone()).await
+        })
+    }
+
+    fn stream(&self, daemon: &Name, request: &StreamRequest) -> Result<StreamAnswer, Error> {
+        let address = self.address_of(daemon)?;
+        self.call(&address, SHORT_TIMEOUT, async |client, context| {
+            client.stream(context, request.clone()).await
+        })
+    }
+
+    fn reserve_trial(&self, daemon: &Name, trial: &Trial) -> Result<bool, Error> {
+        let address = self.address_of(daemon)?;
+        self.call(&address, SHORT_TIMEOUT, async |client, context| {
+            client.reserve_trial(context, trial.clone()).await
+        })
+    }
+
+    fn identity(&self, address: &str) -> Result<Identity, Error> {
+        self.call(address, SHORT_TIMEOUT, async |client, context| {
+            client.identity(context).await
+        })
+    }
+
+    fn configuration(&self, daemon: &Name, since: u64) -> Result<ConfigurationAnswer, Error> {
+        let address = self.address_of(daemon)?;
+        self.call(&address, CLAIM_TIMEOUT, async |client, context| {
+            client.configuration(context, since).await
+        })
+    }
+}
+
+/// Accepts connections of other daemons and serves those that prove the key.
+#[derive(Clone)]
+struct Acceptor {
+    own: Name,
+    keyring: Keyring,
+    bytes: Arc<AtomicU64>,
+    server: Server,
+}
+
+impl Acceptor {
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(self.clone().serve(stream));
+                }
+                Err(error) => {
+                    log::warn!(error:% = error; "connection of a daemon was not accepted");
+                    // Running out of file descriptors would otherwise make this loop busy.
+                    tokio::time::sleep(CONNECT_TIMEOUT).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        let Ok(mut frames) = frames(stream, Arc::clone(&self.bytes)) else {
+            return;
+        };
+        let accepting = handshake::accept(&mut frames, &self.own, &self.keyring);
+        match tokio::time::timeout(HANDSHAKE_TIMEOUT, accepting).await {
+            Ok(Ok(peer)) => log::debug!(peer:% = peer; "daemon connected"),
+            Ok(Err(error)) => {
+                log::warn!(error:% = error; "connection of a daemon was refused");
+                return;
+            }
+            Err(_elapsed) => return,
+        }
+        let transport = serde_transport::new(frames, Json::default());
+        BaseChannel::with_defaults(transport)
+            .execute(self.server.serve())
+            .for_each(|answer| async {
+                tokio::spawn(answer);
+            })
+            .await;
+    }
+}
+
+fn frames(stream: TcpStream, bytes: Arc<AtomicU64>) -> io::Result<Frames> {
+    stream.set_nodelay(true)?;
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_BYTES_MAX)
+        .new_codec();
+    Ok(Framed::new(Meter { stream, bytes }, codec))
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -12,8 +12,10 @@
 /// What the planner takes into account.
 pub mod fleet;
 mod instant;
+pub mod membership;
 /// Roles and placement of the engines of a data centre.
 pub mod planner;
+pub mod rendezvous;
 mod request;
 mod router;
 
--- /dev/null
+++ b/policy/src/membership/departures.rs
@@ -0,0 +1,87 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::peer::Departure;
+
+use super::spread::sends_for;
+use crate::Instant;
+
+/// A mark that is not renewed ends after this time, so that an endpoint whose planned change lost
+/// its controller returns to service. The controller renews every few seconds.
+const MARK_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pieces of news in one exchange; about 100 bytes each.
+const NEWS_MAX: usize = 16;
+
+/// Marks that keep new work from endpoints during a planned change.
+#[derive(Debug, Default)]
+pub struct Departures {
+    marks: BTreeMap<Name, Mark>,
+}
+
+#[derive(Debug)]
+struct Mark {
+    departure: Departure,
+    changed: Instant,
+    sends_left: u32,
+}
+
+impl Departures {
+    /// Takes in marks and returns the endpoints whose state changed.
+    ///
+    /// Of two marks for one endpoint the one with the higher sequence wins.
+    pub fn absorb(&mut self, departures: &[Departure], daemons: usize, now: Instant) -> Vec<Name> {
+        let sends_left = sends_for(daemons);
+        let mut changed = Vec::new();
+        for departure in departures {
+            let known = self.marks.get(&departure.endpoint);
+            if known.is_some_and(|mark| mark.departure.sequence >= departure.sequence) {
+                continue;
+            }
+            let mark = Mark {
+                departure: departure.clone(),
+                changed: now,
+                sends_left,
+            };
+            self.marks.insert(departure.endpoint.clone(), mark);
+            changed.push(departure.endpoint.clone());
+        }
+        changed
+    }
+
+    /// Tells whether an endpoint takes no new work because of a planned change.
+    #[must_use]
+    pub fn is_marked(&self, endpoint: &str, incarnation: u64, now: Instant) -> bool {
+        self.marks.get(endpoint).is_some_and(|mark| {
+            mark.departure.leaving
+                && mark.departure.incarnation == incarnation
+                && now.since(mark.changed) < MARK_TIMEOUT
+        })
+    }
+
+    /// Returns the endpoints whose marks ended since the last call, and forgets them.
+    pub fn expire(&mut self, now: Instant) -> Vec<Name> {
+        let ended: Vec<Name> = self
+            .marks
+            .iter()
+            .filter(|(_, mark)| now.since(mark.changed) >= MARK_TIMEOUT)
+            .map(|(endpoint, _)| endpoint.clone())
+            .collect();
+        for endpoint in &ended {
+            self.marks.remove(endpoint);
+        }
+        ended
+    }
+
+    /// Returns the news for the next exchange; each is passed on a bounded number of times.
+    pub fn news(&mut self) -> Vec<Departure> {
+        let mut news = Vec::new();
+        for mark in self.marks.values_mut() {
+            if mark.sends_left > 0 && news.len() < NEWS_MAX {
+                mark.sends_left -= 1;
+                news.push(mark.departure.clone());
+            }
+        }
+        news
+    }
+}
--- /dev/null
+++ b/policy/src/membership/loads.rs
@@ -0,0 +1,149 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ragwortgrade_schema::engine::Load;
+use ragwortgrade_schema::{Digest, Row};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Instant;
+
+/// Unit of the ages in a digest.
+const AGE_UNIT: Duration = Duration::from_millis(100);
+/// Rows older than this are not passed on; routing hardly weighs them any more.
+const PASS_ON_MAX_AGE: Duration = Duration::from_secs(5);
+/// Rows of other data centres arrive every 8 s and are passed on while younger than this.
+const PASS_ON_MAX_AGE_REMOTE: Duration = Duration::from_secs(10);
+/// Tokens in one piece of KV cache memory.
+const PIECE_TOKENS: u64 = 2_048;
+const THOUSAND: u64 = 1_000;
+
+/// The newest load of each engine, own observations and gossip alike.
+#[derive(Debug, Default)]
+pub struct Loads {
+    sightings: HashMap<u32, Sighting>,
+}
+
+/// The load of an engine at a time on this daemon's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sighting {
+    /// The load; its age counts from `observed`.
+    pub row: Row,
+    /// When the engine was in this state.
+    pub observed: Instant,
+    /// The engine stands in this daemon's data centre.
+    pub is_local: bool,
+}
+
+impl Loads {
+    /// Returns the 32 bits by which a digest names an engine.
+    #[must_use]
+    pub fn engine_hash(engine: &str) -> u32 {
+        (xxh3_64(engine.as_bytes()) >> 32) as u32
+    }
+
+    /// Returns the checksum of what changes rarely in a load report.
+    #[must_use]
+    pub fn description_of(load: &Load) -> u8 {
+        let mut text = format!("{}", load.incarnation);
+        for version in load.models.iter().chain(&load.adapters) {
+            text.push('\n');
+            text.push_str(&version.name);
+            text.push('\t');
+            text.push_str(&version.version);
+        }
+        (xxh3_64(text.as_bytes()) >> 56) as u8
+    }
+
+    /// Takes in a report that this daemon read from an engine of its own data centre.
+    pub fn observe(&mut self, load: &Load, observed: Instant) {
+        let row = Row {
+            engine: Self::engine_hash(&load.engine),
+            age: 0,
+            role: load.role,
+            draining: load.draining,
+            changing: load.changing,
+            sequences: saturate(u64::from(load.sequences)),
+            queued_prefill_thousands: saturate(load.queued_prefill_tokens.div_ceil(THOUSAND)),
+            kv_pieces: saturate(load.kv_tokens.div_ceil(PIECE_TOKENS)),
+            description: Self::description_of(load),
+        };
+        self.put(Sighting {
+            row,
+            observed,
+            is_local: true,
+        });
+    }
+
+    /// Takes in a digest that arrived at `now`; returns the rows that are newer than what was
+    /// known.
+    pub fn absorb(&mut self, digest: &Digest, is_local: bool, now: Instant) -> Vec<Sighting> {
+        let mut newer = Vec::new();
+        for row in &digest.rows {
+            let observed = now - AGE_UNIT * u32::from(row.age);
+            let sighting = Sighting {
+                row: Row { age: 0, ..*row },
+                observed,
+                is_local,
+            };
+            if self.put(sighting) {
+                newer.push(sighting);
+            }
+        }
+        newer
+    }
+
+    /// Returns the rows to pass on at `now`, those of this data centre or of the others.
+    #[must_use]
+    pub fn digest(&self, is_local: bool, now: Instant) -> Digest {
+        let max_age = if is_local {
+            PASS_ON_MAX_AGE
+        } else {
+            PASS_ON_MAX_AGE_REMOTE
+        };
+        let mut rows: Vec<Row> = self
+            .sightings
+            .values()
+            .filter(|sighting| sighting.is_local == is_local)
+            .filter(|sighting| now.since(sighting.observed) <= max_age)
+            .map(|sighting| Row {
+                age: age_of(sighting.observed, now),
+                ..sighting.row
+            })
+            .collect();
+        rows.sort_by_key(|row| row.engine);
+        Digest {
+            at_ms: now.as_micros() / THOUSAND,
+            rows,
+        }
+    }
+
+    /// Returns the newest load of an engine.
+    #[must_use]
+    pub fn get(&self, engine: &str) -> Option<Sighting> {
+        self.sightings.get(&Self::engine_hash(engine)).copied()
+    }
+
+    /// Forgets an engine that is gone.
+    pub fn remove(&mut self, engine: &str) {
+        self.sightings.remove(&Self::engine_hash(engine));
+    }
+
+    /// Keeps the newer of two sightings; ages are rounded to 100 ms, so a row that went round
+    /// must be newer by more than that.
+    fn put(&mut self, sighting: Sighting) -> bool {
+        let known = self.sightings.get(&sighting.row.engine);
+        let is_newer = known.is_none_or(|known| sighting.observed > known.observed + AGE_UNIT);
+        if is_newer {
+            self.sightings.insert(sighting.row.engine, sighting);
+        }
+        is_newer
+    }
+}
+
+fn age_of(observed: Instant, now: Instant) -> u16 {
+    saturate((now.since(observed).as_millis() / AGE_UNIT.as_millis()) as u64)
+}
+
+fn saturate(value: u64) -> u16 {
+    u16::try_from(value).unwrap_or(u16::MAX)
+}
--- a/schema/src/row.rs
+++ b/schema/src/row.rs
@@ -57,7 +57,22 @@
     }
 
     pub(crate) fn decode(wire: &[u8; Self::WIRE_BYTES]) -> Option<Self> {
-        let [e0, e1, e2, e3, a0, a1, flags, description, k0, k1, s0, s1, q0, q1] = *wire;
+        let [
+            e0,
+            e1,
+            e2,
+            e3,
+            a0,
+            a1,
+            flags,
+            description,
+            k0,
+            k1,
+            s0,
+            s1,
+            q0,
+            q1,
+        ] = *wire;
         let role = match flags & Self::ROLE_MASK {
             0 => Role::Prefill,
             1 => Role::Decode,
