front: serve chat completions and plain services over tiny_http

Cause: callers had no interface. Ruled out: rouille, which holds a streamed body back until 8 KiB are there; tiny_http's own Response for the same reason. Change: Front::bind serves /v1/chat/completions streamed (one flushed event per token) and whole, /services/<service>/<path>, /healthz and /readyz; refusals carry the stable codes. A broken stream goes on at another engine from the next token. TCP_NODELAY is set on the listener and inherited, otherwise small segments wait for acknowledgements. Claims, trials and resumable streams have their shapes, so that the daemon can be wired; they answer "unavailable", "yes" and "unknown". Node::open builds the shared part.

--- /dev/null
+++ b/lib/src/front/incoming.rs
@@ -0,0 +1,29 @@
+/// A caller's request, read whole and within the bounds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Incoming {
+    /// HTTP method.
+    pub method: String,
+    /// Path with its query, from `/`.
+    pub path: String,
+    /// Headers in the order received; never logged.
+    pub headers: Vec<(String, String)>,
+    /// Body; never logged.
+    pub body: Vec<u8>,
+}
+
+impl Incoming {
+    /// Returns the first header of a name, whatever its case.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(field, _)| field.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the path without its query.
+    #[must_use]
+    pub fn path_only(&self) -> &str {
+        self.path.split('?').next().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/lib/src/front/refusal.rs
@@ -0,0 +1,95 @@
+use std::time::Duration;
+
+use ragwortgrade_policy::decision;
+use serde::Serialize;
+
+use super::Code;
+use crate::endpoint::Ran;
+
+/// An answer that says why a request was not carried out.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{message}")]
+pub struct Refusal {
+    /// Stable error code.
+    pub code: Code,
+    /// For people; never holds another workspace's data.
+    pub message: String,
+    /// Whether this submission ran.
+    pub ran: Ran,
+    /// When a new try may succeed, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    error: Fields<'a>,
+}
+
+#[derive(Serialize)]
+struct Fields<'a> {
+    code: Code,
+    message: &'a str,
+    ran: &'static str,
+    retry_after_ms: u64,
+}
+
+impl Refusal {
+    /// Refuses a request that was not sent to any endpoint.
+    #[must_use]
+    pub fn not_run(code: Code, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            message: message.into(),
+            ran: Ran::No,
+            retry_after_ms: code.retry_after_ms(),
+        }
+    }
+
+    /// Gives up a request that may have run.
+    #[must_use]
+    pub fn may_have_run(code: Code, message: impl Into<String>) -> Self {
+        Self {
+            ran: Ran::Unknown,
+            ..Self::not_run(code, message)
+        }
+    }
+
+    /// Replaces the retry time.
+    #[must_use]
+    pub fn after(mut self, retry_after: Option<Duration>) -> Self {
+        if let Some(time) = retry_after {
+            self.retry_after_ms = time.as_millis() as u64;
+        }
+        self
+    }
+
+    /// Turns a refusal of the router into the answer towards the caller.
+    #[must_use]
+    pub fn routing(refusal: &decision::Refusal) -> Self {
+        let (code, message) = match refusal.cause {
+            decision::Cause::DeadlineUnreachable => {
+                (Code::DeadlineUnreachable, "the deadline cannot be met")
+            }
+            decision::Cause::NoEndpoint => (Code::NoEndpoint, "no endpoint is available"),
+            decision::Cause::OverLimit => (Code::OverLimit, "the limit is used up"),
+        };
+        Self::not_run(code, message).after(refusal.retry_after)
+    }
+
+    /// Renders the JSON body.
+    #[must_use]
+    pub fn body(&self) -> String {
+        let body = Body {
+            error: Fields {
+                code: self.code,
+                message: &self.message,
+                ran: match self.ran {
+                    Ran::No => "no",
+                    Ran::Unknown => "unknown",
+                },
+                retry_after_ms: self.retry_after_ms,
+            },
+        };
+        serde_json::to_string(&body).unwrap_or_default()
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -1,9 +1,15 @@
 //! The daemon of ragwortgrade: a shell round the decisions of `ragwortgrade-policy`.
 
+mod attempt;
+
+pub mod claims;
+
 mod clock;
 
 pub mod endpoint;
 
+pub mod front;
+
 pub mod membership;
 mod node;
 
@@ -11,5 +17,7 @@
 
 pub mod platform;
 
+pub mod trial;
+
 pub use clock::Clock;
-pub use node::Node;
+pub use node::{Interfaces, Node};
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -37,6 +37,17 @@
     pub(crate) draining: AtomicBool,
 }
 
+/// Interfaces to the outside that a [`Node`] is opened with.
+#[derive(Debug)]
+pub struct Interfaces {
+    /// The platform's key-value service.
+    pub key_value: Arc<dyn KeyValue>,
+    /// Interface of engines.
+    pub engines: Arc<dyn Engine>,
+    /// Interface of plain services.
+    pub plains: Arc<dyn Plain>,
+}
+
 impl fmt::Debug for Node {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Node")
@@ -46,6 +57,29 @@
 }
 
 impl Node {
+    /// Opens the shared part of a daemon that knows no endpoint and no configuration yet.
+    #[must_use]
+    pub fn open(settings: Settings, incarnation: u64, interfaces: Interfaces) -> Self {
+        let router = Router::open(settings.daemon.data_centre.clone(), incarnation);
+        Self {
+            settings,
+            incarnation,
+            clock: Clock::start(),
+            directory: Directory::default(),
+            configuration: ArcSwapOption::empty(),
+            key_value: interfaces.key_value,
+            engines: interfaces.engines,
+            plains: interfaces.plains,
+            router: Mutex::new(router),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    /// Marks the daemon as being on its way to a planned stop.
+    pub fn start_draining(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
     /// Locks the router; decisions are short, so callers hold it only for one call.
     pub fn router(&self) -> MutexGuard<'_, Router> {
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
