settings: check the daemon's settings whole and add logging and metrics

Cause: the daemon needs its settings before any other part can start, and a fault found one at a time costs a restart each.

Ruled out: the parser of rust-ini over the whole file, which stops at the first syntax error and forgets lines; each line goes through it by itself instead. Ranges and defaults written again in Rust; they are read from the JSON Schema from which the types are generated.

--- a/cli/src/bin/ragwortgrade.rs
+++ b/cli/src/bin/ragwortgrade.rs
@@ -1,3 +1,113 @@
-//! The `ragwortgrade` program.
+//! The `ragwortgrade` program: reads the settings, starts the daemon and drains it on a signal.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use ragwortgrade_lib::{observe, settings};
+use ragwortgrade_schema::settings::Settings;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+const EXIT_FAILURE: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+const EXIT_SETTINGS: u8 = 3;
+
+const HELP: &str = "\
+Serves language models and plain services on a fixed fleet; one process per entry VM.
+
+Usage: ragwortgrade --settings FILE [--check-settings]
+
+Options:
+      --settings FILE    Reads the settings from FILE
+      --check-settings   Checks the settings, prints every fault and ends
+  -h, --help             Prints this text
+  -V, --version          Prints the version
+
+Signals: SIGTERM and SIGINT drain the daemon; it ends when its requests are done.
+
+Exit codes: 0 done or drained, 1 could not start, 2 wrong command line, 3 faulty settings.
+";
+
+struct Options {
+    settings: PathBuf,
+    is_check: bool,
+}
+
+enum Command {
+    Run(Options),
+    Print(String),
+}
+
+fn main() -> ExitCode {
+    match parse_command_line() {
+        Ok(Command::Print(text)) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Ok(Command::Run(options)) => run(&options),
+        Err(error) => {
+            eprintln!("ragwortgrade: {error}; see `ragwortgrade --help`");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn parse_command_line() -> Result<Command, lexopt::Error> {
+    use lexopt::prelude::{Long, Short};
+
+    let mut settings = None;
+    let mut is_check = false;
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
+            Long("check-settings") => is_check = true,
+            Long("help") | Short('h') => return Ok(Command::Print(HELP.to_owned())),
+            Long("version") | Short('V') => {
+                let version = env!("CARGO_PKG_VERSION");
+                return Ok(Command::Print(format!("ragwortgrade {version}\n")));
+            }
+            other => return Err(other.unexpected()),
+        }
+    }
+    let settings = settings.ok_or("missing option `--settings FILE`")?;
+    Ok(Command::Run(Options { settings, is_check }))
+}
+
+fn run(options: &Options) -> ExitCode {
+    let settings = match settings::load(&options.settings) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if options.is_check {
+        println!("{}: no faults", options.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    match serve(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("ragwortgrade: {error}");
+            ExitCode::from(EXIT_FAILURE)
+        }
+    }
+}
+
+/// Runs the daemon until a signal asks for its planned stop.
+fn serve(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    observe::start_logging(&settings.observe)?;
+    serve_until(settings, || {
+        signals.forever().next();
+    })
+}
+
+/// Starts the daemon, waits for the signal and drains; the only place that touches the daemon.
+fn serve_until(
+    _settings: Settings,
+    _wait_for_signal: impl FnOnce(),
+) -> Result<(), Box<dyn std::error::Error>> {
+    Err("the daemon is not wired yet".into())
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,9 +7,13 @@
 pub mod membership;
 mod node;
 
+pub mod observe;
+
 pub mod peer;
 
 pub mod platform;
 
+pub mod settings;
+
 pub use clock::Clock;
 pub use node::Node;
--- /dev/null
+++ b/operator/src/ini/fault.rs
@@ -0,0 +1,20 @@
+use std::fmt;
+
+/// One fault of an INI text.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
+pub struct Fault {
+    /// Line, counted from 1; 0 when the fault belongs to no line.
+    pub line: usize,
+    /// What is wrong and what is accepted.
+    pub message: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.line == 0 {
+            f.write_str(&self.message)
+        } else {
+            write!(f, "line {}: {}", self.line, self.message)
+        }
+    }
+}
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -1,1 +1,3 @@
-//! To be written.
+//! The operators' library: declares, checks, renders, compares and applies the configuration.
+
+pub mod ini;
--- a/schema/src/lib.rs
+++ b/schema/src/lib.rs
@@ -12,3 +12,7 @@
 pub use generated::{configuration, engine, peer, platform, settings};
 pub use name::Name;
 pub use row::Row;
+
+/// The JSON Schema of the settings: the daemon checks its file against the same text from which
+/// the types are generated, so ranges and defaults are stated once.
+pub const SETTINGS_SCHEMA: &str = include_str!("../schema/settings.json");
