--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod membership;
 mod node;
 
+pub mod observe;
+
 pub mod peer;
 
 pub mod platform;
@@ -20,5 +22,7 @@
 
 pub mod trial;
 
+pub mod settings;
+
 pub use clock::Clock;
 pub use node::{Interfaces, Node};
