daemon: put the parts of a daemon together

Cause: the callers' interface, gossip and membership stood side by side. Change: Daemon::spawn opens all parts from checked settings, the gossip thread exchanges once a second, the switchboard hands peers' calls to the parts that answer them; SIGTERM drains. Ruled out: starting the callers' interface first (it would refuse requests until the VM list is read; readiness covers that). Conclusion: the whole path compiles.

--- a/cli/src/bin/ragwortgrade.rs
+++ b/cli/src/bin/ragwortgrade.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use ragwortgrade_lib::{observe, settings};
+use ragwortgrade_lib::{Daemon, observe, settings};
 use ragwortgrade_schema::settings::Settings;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -106,8 +106,13 @@
 
 /// Starts the daemon, waits for the signal and drains; the only place that touches the daemon.
 fn serve_until(
-    _settings: Settings,
-    _wait_for_signal: impl FnOnce(),
+    settings: Settings,
+    wait_for_signal: impl FnOnce(),
 ) -> Result<(), Box<dyn std::error::Error>> {
-    Err("the daemon is not wired yet".into())
+    let daemon = Daemon::spawn(settings)?;
+    wait_for_signal();
+    if daemon.drain() {
+        return Ok(());
+    }
+    Err("requests were still open when the drain timeout ended".into())
 }
--- /dev/null
+++ b/lib/src/daemon.rs
@@ -0,0 +1,149 @@
+//! One daemon, put together from its parts.
+
+mod error;
+mod switchboard;
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+pub use error::Error;
+use ragwortgrade_policy::membership::Roster;
+use ragwortgrade_schema::peer::{Identity, Member, MemberState};
+use ragwortgrade_schema::settings::Settings;
+
+use crate::claims::Claims;
+use crate::endpoint::{HttpEngine, HttpPlain};
+use crate::front::{Front, Streams};
+use crate::gossip::Gossiper;
+use crate::membership::{Lister, Observer, Table};
+use crate::node::{Interfaces, Node};
+use crate::peer::{Keyring, Network};
+use crate::platform::{HttpKeyValue, HttpVmList};
+use crate::trial::Trials;
+use crate::worker::Worker;
+use switchboard::Switchboard;
+
+/// Bits of the incarnation below the start time, filled at random: two processes started in the
+/// same second are told apart.
+const INCARNATION_RANDOM_BITS: u32 = 32;
+
+/// A running daemon; dropping it stops its threads without waiting for requests.
+pub struct Daemon {
+    front: Front,
+    network: Arc<Network>,
+    // Workers stop when dropped, before the parts that they use.
+    _gossip: Worker,
+    _observer: Observer,
+    _lister: Lister,
+}
+
+impl fmt::Debug for Daemon {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Daemon")
+            .field("callers", &self.front.address())
+            .field("peers", &self.network.address())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Daemon {
+    /// Spawns a daemon with checked settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound, a thread cannot be started, or no random numbers
+    /// can be had.
+    pub fn spawn(settings: Settings) -> Result<Self, Error> {
+        let incarnation = incarnation()?;
+        let keyring = Keyring::open(&settings.keys).ok_or(Error::Keys)?;
+        let roster = Arc::new(Mutex::new(Roster::open(
+            own_member(&settings, incarnation),
+            incarnation,
+        )));
+        let daemon = &settings.daemon;
+        let network = Network::bind(
+            daemon.id.clone(),
+            &daemon.peers_address,
+            keyring,
+            Arc::clone(&roster),
+        )?;
+        let network = Arc::new(network);
+        let vm_list = HttpVmList::open(&settings.platform.vm_list);
+        let interfaces = Interfaces {
+            key_value: Arc::new(HttpKeyValue::open(&settings.platform.key_value)),
+            engines: Arc::new(HttpEngine::open()),
+            plains: Arc::new(HttpPlain::open()),
+        };
+        let node = Arc::new(Node::open(settings, incarnation, interfaces));
+        let table = Arc::new(Table::open(Arc::clone(&node), roster));
+        let claims = Claims::open(Arc::clone(&node));
+        let streams = Arc::new(Streams::default());
+        let trials = Arc::new(Trials::default());
+        let switchboard = Arc::new(Switchboard::open(
+            Arc::clone(&node),
+            Arc::clone(&table),
+            Arc::clone(&network),
+            claims,
+            Arc::clone(&streams),
+            Arc::clone(&trials),
+        ));
+        network.serve(Arc::<Switchboard>::clone(&switchboard))?;
+        let lister = Lister::spawn(Arc::clone(&node), Arc::clone(&table), Box::new(vm_list))?;
+        let gossip = Gossiper::spawn(Arc::clone(switchboard.gossiper()))?;
+        let observer = Observer::spawn(Arc::clone(&node), table)?;
+        let peers = Arc::<Network>::clone(&network);
+        let front = Front::bind(node, peers, streams, trials)?;
+        log::info!(callers:% = front.address(), peers:% = network.address(); "daemon started");
+        Ok(Self {
+            front,
+            network,
+            _gossip: gossip,
+            _observer: observer,
+            _lister: lister,
+        })
+    }
+
+    /// Returns the address on which callers are served.
+    #[must_use]
+    pub fn callers_address(&self) -> SocketAddr {
+        self.front.address()
+    }
+
+    /// Takes no new requests, waits for the open ones and stops; returns whether all of them
+    /// ended within the drain timeout.
+    #[must_use]
+    pub fn drain(mut self) -> bool {
+        log::info!("daemon drains");
+        let is_complete = self.front.drain();
+        self.front.stop();
+        log::info!(is_complete; "daemon drained");
+        is_complete
+    }
+}
+
+fn own_member(settings: &Settings, incarnation: u64) -> Member {
+    let daemon = &settings.daemon;
+    Member {
+        identity: Identity {
+            id: daemon.id.clone(),
+            incarnation,
+            data_centre: daemon.data_centre.clone(),
+            draining: false,
+        },
+        address: daemon.peers_address.clone(),
+        heartbeat: 1,
+        state: MemberState::Alive,
+    }
+}
+
+/// Draws the incarnation: the start time in the upper bits lets a later process win.
+fn incarnation() -> Result<u64, Error> {
+    let seconds = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_secs();
+    let random = getrandom::u32()?;
+    Ok((seconds << INCARNATION_RANDOM_BITS) | u64::from(random))
+}
--- /dev/null
+++ b/lib/src/daemon/switchboard.rs
@@ -0,0 +1,92 @@
+use std::sync::Arc;
+
+use ragwortgrade_schema::peer::{
+    ClaimAnswer, ClaimOutcome, ClaimRequest, ConfigurationAnswer, Gossip, Identity, Settled,
+    StreamAnswer, StreamRequest, Trial,
+};
+
+use crate::Node;
+use crate::claims::Claims;
+use crate::front::Streams;
+use crate::gossip::{Gossiper, Hooks};
+use crate::membership::Table;
+use crate::peer::{Handler, Network};
+use crate::trial::Trials;
+
+/// Hands the calls of other daemons to the parts that answer them.
+#[derive(Debug)]
+pub(super) struct Switchboard {
+    gossiper: Arc<Gossiper>,
+    claims: Arc<Claims>,
+    streams: Arc<Streams>,
+    trials: Arc<Trials>,
+}
+
+impl Switchboard {
+    pub(super) fn open(
+        node: Arc<Node>,
+        table: Arc<Table>,
+        network: Arc<Network>,
+        claims: Arc<Claims>,
+        streams: Arc<Streams>,
+        trials: Arc<Trials>,
+    ) -> Self {
+        let hooks = Arc::new(NoHooks);
+        let gossiper = Gossiper::open(node, table, network, Arc::clone(&trials), hooks);
+        Self {
+            gossiper: Arc::new(gossiper),
+            claims,
+            streams,
+            trials,
+        }
+    }
+
+    pub(super) fn gossiper(&self) -> &Arc<Gossiper> {
+        &self.gossiper
+    }
+}
+
+impl Handler for Switchboard {
+    fn exchange(&self, gossip: Gossip) -> Gossip {
+        self.gossiper.exchange(&gossip)
+    }
+
+    fn claim(&self, request: ClaimRequest) -> ClaimAnswer {
+        self.claims.claim(&request)
+    }
+
+    fn settle(&self, outcome: ClaimOutcome) -> Settled {
+        self.claims.settle(&outcome)
+    }
+
+    fn stream(&self, request: StreamRequest) -> StreamAnswer {
+        self.streams.answer(&request)
+    }
+
+    fn reserve_trial(&self, trial: Trial) -> bool {
+        self.trials.reserve(&trial)
+    }
+
+    fn identity(&self) -> Identity {
+        self.gossiper.identity()
+    }
+
+    fn configuration(&self, since: u64) -> ConfigurationAnswer {
+        ConfigurationAnswer {
+            revision: since,
+            whole: false,
+            changed: Vec::new(),
+            removed: Vec::new(),
+            checksum: None,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct NoHooks;
+
+impl Hooks for NoHooks {
+    fn complete(&self, _gossip: &mut Gossip) {}
+
+    fn learn(&self, _received: &Gossip) {}
+}
--- /dev/null
+++ b/lib/src/gossip.rs
@@ -0,0 +1,200 @@
+//! The regular exchange of membership, loads, strikes and the configuration's revision.
+
+use std::collections::VecDeque;
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use ragwortgrade_policy::membership::Target;
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::peer::{Gossip, Identity};
+
+use crate::Node;
+use crate::membership::Table;
+use crate::peer::Network;
+use crate::trial::Trials;
+use crate::worker::Worker;
+
+const PERIOD: Duration = Duration::from_secs(1);
+/// While alone, a daemon tries the seeds of its settings each round, then every so many rounds,
+/// so that the sides of a partition that forgot each other meet again.
+const SEED_PERIOD: u64 = 30;
+/// Engines asked for their description in one round.
+const DESCRIPTIONS_MAX: usize = 8;
+
+/// Exchanges gossip once a second and answers the exchanges of others.
+#[derive(Debug)]
+pub struct Gossiper {
+    node: Arc<Node>,
+    table: Arc<Table>,
+    network: Arc<Network>,
+    trials: Arc<Trials>,
+    undescribed: Mutex<VecDeque<Name>>,
+    hooks: Arc<dyn Hooks>,
+}
+
+/// The parts of a daemon that put something into its gossip or learn from that of others.
+pub trait Hooks: std::fmt::Debug + Send + Sync {
+    /// Completes a message that is about to be sent.
+    fn complete(&self, gossip: &mut Gossip);
+
+    /// Takes in a message; `received` comes from the daemon named in it.
+    fn learn(&self, received: &Gossip);
+}
+
+impl Gossiper {
+    /// Opens the exchange; [`Self::spawn`] starts it.
+    #[must_use]
+    pub fn open(
+        node: Arc<Node>,
+        table: Arc<Table>,
+        network: Arc<Network>,
+        trials: Arc<Trials>,
+        hooks: Arc<dyn Hooks>,
+    ) -> Self {
+        Self {
+            node,
+            table,
+            network,
+            trials,
+            undescribed: Mutex::default(),
+            hooks,
+        }
+    }
+
+    /// Starts the thread that exchanges gossip once a second.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the thread cannot be started.
+    pub(crate) fn spawn(gossiper: Arc<Self>) -> io::Result<Worker> {
+        let mut round = 0;
+        Worker::spawn("gossip", move || {
+            gossiper.run(round);
+            round += 1;
+            PERIOD
+        })
+    }
+
+    /// Takes in a peer's message and returns what it lacks: everything when the peer is new.
+    pub fn exchange(&self, received: &Gossip) -> Gossip {
+        let is_known = self.knows(&received.sender);
+        self.take_in(received);
+        let mut answer = self.message();
+        if is_known {
+            answer.members = self.table.roster().news();
+        } else {
+            self.table.fill_all(&mut answer);
+        }
+        answer
+    }
+
+    /// Returns this daemon's identity.
+    #[must_use]
+    pub fn identity(&self) -> Identity {
+        let daemon = &self.node.settings.daemon;
+        Identity {
+            id: daemon.id.clone(),
+            incarnation: self.node.incarnation,
+            data_centre: daemon.data_centre.clone(),
+            draining: self.node.is_draining(),
+        }
+    }
+
+    fn run(&self, round: u64) {
+        self.table.tick();
+        let targets = self.table.roster().targets();
+        // Side by side, so that daemons that hang do not delay the news to the others.
+        thread::scope(|scope| {
+            for target in &targets {
+                scope.spawn(|| self.contact(target));
+            }
+        });
+        if targets.is_empty() || round.is_multiple_of(SEED_PERIOD) {
+            self.contact_seeds();
+        }
+        self.ask_descriptions();
+    }
+
+    fn contact(&self, target: &Target) {
+        let mut message = self.message();
+        self.table.fill(&mut message, target.is_remote);
+        let answer = self.network.exchange(&target.address, message);
+        let now = self.node.clock.now();
+        self.table.roster().probed(&target.id, answer.is_ok(), now);
+        match answer {
+            Ok(answer) => self.take_in(&answer),
+            Err(error) => log::debug!(peer:% = target.id, error:% = error; "exchange failed"),
+        }
+    }
+
+    fn contact_seeds(&self) {
+        let own = self.network.address().to_string();
+        for seed in &self.node.settings.peers.seeds {
+            if *seed == own {
+                continue;
+            }
+            let mut message = self.message();
+            message.members = self.table.roster().news();
+            if let Ok(answer) = self.network.exchange(seed, message) {
+                self.take_in(&answer);
+            }
+        }
+    }
+
+    fn message(&self) -> Gossip {
+        let mut message = Gossip {
+            sender: self.identity(),
+            configuration: 0,
+            members: Vec::new(),
+            digests: Vec::new(),
+            departures: Vec::new(),
+            endpoints: Vec::new(),
+            strikes: self.trials.strikes(),
+            reader: None,
+        };
+        self.hooks.complete(&mut message);
+        message
+    }
+
+    fn take_in(&self, received: &Gossip) {
+        let undescribed = self.table.absorb(received);
+        self.trials.absorb(&received.strikes);
+        self.hooks.learn(received);
+        let mut waiting = self.lock_undescribed();
+        for engine in undescribed {
+            if !waiting.contains(&engine) {
+                waiting.push_back(engine);
+            }
+        }
+    }
+
+    fn ask_descriptions(&self) {
+        for _ in 0..DESCRIPTIONS_MAX {
+            let Some(engine) = self.lock_undescribed().pop_front() else {
+                return;
+            };
+            let Some(endpoint) = self.node.directory.get(&engine) else {
+                continue;
+            };
+            match self.node.engines.load(&endpoint.address) {
+                Ok(load) if load.engine == engine => self.table.describe(load),
+                Ok(_) | Err(_) => {}
+            }
+        }
+    }
+
+    fn knows(&self, sender: &Identity) -> bool {
+        let roster = self.table.roster();
+        roster
+            .get(&sender.id)
+            .is_some_and(|member| member.identity.incarnation == sender.incarnation)
+    }
+
+    fn lock_undescribed(&self) -> MutexGuard<'_, VecDeque<Name>> {
+        self.undescribed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -1,28 +1,21 @@
 //! The daemon of ragwortgrade: a shell round the decisions of `ragwortgrade-policy`.
 
 mod attempt;
-
 pub mod claims;
-
 mod clock;
-
+pub mod daemon;
 pub mod endpoint;
-
 pub mod front;
-
+pub mod gossip;
 pub mod membership;
 mod node;
-
 pub mod observe;
-
 pub mod peer;
-
 pub mod platform;
-mod worker;
-
-pub mod trial;
-
 pub mod settings;
+pub mod trial;
+mod worker;
 
 pub use clock::Clock;
+pub use daemon::Daemon;
 pub use node::{Interfaces, Node};
