membership: tell a resumed daemon that it was taken for dead

Ruled out: passing news on for ever (messages would grow with the fleet). Change: the answer to a daemon holds its own entry when it is not known alive.

--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -83,7 +83,7 @@
         self.take_in(received);
         let mut answer = self.message();
         if is_known {
-            answer.members = self.table.roster().news();
+            answer.members = self.table.roster().news_for(&received.sender.id);
         } else {
             self.table.fill_all(&mut answer);
         }
--- a/policy/src/membership/roster.rs
+++ b/policy/src/membership/roster.rs
@@ -166,6 +166,21 @@
         news
     }
 
+    /// Returns the news for the answer to `peer`, with its own entry when it is not known alive.
+    ///
+    /// A daemon that resumes after a pause learns in this way that the others took it for dead,
+    /// long after the news of its death was passed on for the last time.
+    pub fn news_for(&mut self, peer: &str) -> Vec<Member> {
+        let mut news = self.news();
+        let believed = self.others.get(peer).map(|entry| &entry.member);
+        news.extend(
+            believed
+                .filter(|member| member.state != MemberState::Alive)
+                .cloned(),
+        );
+        news
+    }
+
     /// Returns every member, for a daemon that has just started.
     #[must_use]
     pub fn everyone(&self) -> Vec<Member> {
--- /dev/null
+++ b/policy/tests/membership.rs
@@ -0,0 +1,264 @@
+//! Membership: failure detection, spreading of news, stale lists and stale loads.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::membership::{Departures, Loads, Register, Roster};
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::engine::{Load, Role};
+use ragwortgrade_schema::peer::{Departure, Identity, Member, MemberState};
+use ragwortgrade_schema::platform::{Vm, VmKind, VmState};
+use ragwortgrade_testutil::named_cases;
+
+fn member(index: usize, data_centre: &str) -> Member {
+    Member {
+        identity: Identity {
+            id: Name::from(format!("daemon-{index}")),
+            incarnation: 1,
+            data_centre: Name::from(data_centre),
+            draining: false,
+        },
+        address: format!("127.0.0.1:{}", 1_000 + index),
+        heartbeat: 1,
+        state: MemberState::Alive,
+    }
+}
+
+/// Rosters that exchange news in lockstep; daemons in `down` do not answer.
+struct Group {
+    rosters: Vec<Roster>,
+    down: BTreeSet<usize>,
+    second: u64,
+    exchanges: usize,
+    members_sent: usize,
+}
+
+impl Group {
+    fn of(count: usize) -> Self {
+        let members: Vec<Member> = (0..count).map(|index| member(index, "a")).collect();
+        let rosters = members
+            .iter()
+            .enumerate()
+            .map(|(index, own)| {
+                let mut roster = Roster::open(own.clone(), index as u64);
+                roster.absorb(&members, Instant::default());
+                roster
+            })
+            .collect();
+        Self {
+            rosters,
+            down: BTreeSet::new(),
+            second: 0,
+            exchanges: 0,
+            members_sent: 0,
+        }
+    }
+
+    fn run(&mut self, rounds: u64) {
+        for _ in 0..rounds {
+            self.second += 1;
+            for index in 0..self.rosters.len() {
+                if !self.down.contains(&index) {
+                    self.round_of(index);
+                }
+            }
+        }
+    }
+
+    fn round_of(&mut self, index: usize) {
+        let now = Instant::from_millis(self.second * 1_000);
+        self.rosters[index].tick(now);
+        for target in self.rosters[index].targets() {
+            let other: usize = target.id.trim_start_matches("daemon-").parse().unwrap();
+            let news = self.rosters[index].news();
+            self.exchanges += 1;
+            self.members_sent += news.len();
+            let answered = !self.down.contains(&other);
+            self.rosters[index].probed(&target.id, answered, now);
+            if answered {
+                self.rosters[other].absorb(&news, now);
+                let answer = self.rosters[other].news_for(&format!("daemon-{index}"));
+                self.rosters[index].absorb(&answer, now);
+            }
+        }
+    }
+
+    fn believe_dead(&self, id: &str) -> usize {
+        let is_dead = |roster: &&Roster| {
+            roster
+                .get(id)
+                .is_none_or(|member| member.state == MemberState::Dead)
+        };
+        let up = (0..self.rosters.len()).filter(|index| !self.down.contains(index));
+        up.map(|index| &self.rosters[index]).filter(is_dead).count()
+    }
+}
+
+/// Guards against a killed daemon that keeps shards and duties, at any size of the group.
+fn killed_daemon_is_dead_everywhere(count: usize, rounds: u64) {
+    let mut group = Group::of(count);
+    group.run(5);
+    assert_eq!(
+        group.believe_dead("daemon-1"),
+        0,
+        "a live daemon was declared dead"
+    );
+    group.down.insert(1);
+    group.run(rounds);
+    assert_eq!(group.believe_dead("daemon-1"), count - 1);
+}
+
+named_cases! { killed_daemon_is_dead_everywhere:
+    killed_daemon_is_noticed_among_3(3, 15);
+    killed_daemon_is_noticed_among_9(9, 15);
+    killed_daemon_is_noticed_among_50(50, 20);
+}
+
+/// Guards against a paused daemon that stays dead for the others after it resumed.
+#[test]
+fn resumed_daemon_refutes_its_death() {
+    let mut group = Group::of(9);
+    group.run(3);
+    group.down.insert(4);
+    group.run(15);
+    assert_eq!(group.believe_dead("daemon-4"), 8);
+    group.down.clear();
+    group.run(15);
+    assert_eq!(group.believe_dead("daemon-4"), 0);
+}
+
+/// Guards against messages that grow with the group: after the start only news is sent.
+#[test]
+fn quiet_group_sends_only_its_own_entries() {
+    let mut group = Group::of(50);
+    group.run(30);
+    (group.exchanges, group.members_sent) = (0, 0);
+    group.run(10);
+    assert_eq!(group.members_sent, group.exchanges);
+}
+
+/// Guards against a restarted daemon that is taken for its former process.
+#[test]
+fn later_incarnation_wins_over_death() {
+    let mut roster = Roster::open(member(0, "a"), 7);
+    let mut other = member(1, "a");
+    other.state = MemberState::Dead;
+    other.heartbeat = 90;
+    roster.absorb(&[other.clone()], Instant::default());
+    assert_eq!(roster.live().len(), 1);
+    other.identity.incarnation = 2;
+    other.heartbeat = 1;
+    other.state = MemberState::Alive;
+    roster.absorb(&[other], Instant::default());
+    assert_eq!(roster.live().len(), 2);
+}
+
+fn vm(state: VmState, incarnation: u64) -> Vm {
+    Vm {
+        id: Name::from("engine-1"),
+        kind: VmKind::Engine,
+        data_centre: Name::from("a"),
+        address: "127.0.0.1:9".to_owned(),
+        peers_address: None,
+        service: None,
+        state,
+        incarnation,
+    }
+}
+
+/// Guards against new work for a leaving endpoint after a stale read of the list.
+#[test]
+fn stale_list_does_not_bring_a_leaving_endpoint_back() {
+    let mut register = Register::default();
+    let now = Instant::default();
+    register.absorb_list(&[vm(VmState::Leaving, 5)], 3, now);
+    assert!(
+        register
+            .absorb_list(&[vm(VmState::Live, 5)], 3, now)
+            .is_empty()
+    );
+    assert!(register.is_leaving("engine-1"));
+    // Negative control: a new incarnation is a new endpoint.
+    register.absorb_list(&[vm(VmState::Live, 6)], 3, now);
+    assert!(!register.is_leaving("engine-1"));
+}
+
+/// Guards against an endpoint that stays known after the list dropped it.
+#[test]
+fn unlisted_endpoint_is_gone() {
+    let mut register = Register::default();
+    let now = Instant::default();
+    register.absorb_list(&[vm(VmState::Live, 5)], 3, now);
+    let changed = register.absorb_list(&[], 3, now);
+    assert_eq!(changed.len(), 1);
+    assert!(register.is_leaving("engine-1"));
+}
+
+fn mark(sequence: u64, leaving: bool) -> Departure {
+    Departure {
+        endpoint: Name::from("engine-1"),
+        incarnation: 5,
+        leaving,
+        sequence,
+    }
+}
+
+/// Guards against late news that marks an endpoint again after its change has ended.
+#[test]
+fn late_mark_does_not_win_over_its_end() {
+    let mut departures = Departures::default();
+    let now = Instant::default();
+    departures.absorb(&[mark(1, true), mark(2, false)], 3, now);
+    assert!(departures.absorb(&[mark(1, true)], 3, now).is_empty());
+    assert!(!departures.is_marked("engine-1", 5, now));
+}
+
+/// Guards against an endpoint lost for good when the controller dies during a change.
+#[test]
+fn mark_ends_when_it_is_not_renewed() {
+    let mut departures = Departures::default();
+    departures.absorb(&[mark(1, true)], 3, Instant::default());
+    let soon = Instant::from_millis(20_000);
+    let late = Instant::from_millis(31_000);
+    assert!(departures.is_marked("engine-1", 5, soon));
+    assert!(departures.expire(soon).is_empty());
+    assert!(!departures.is_marked("engine-1", 5, late));
+    assert_eq!(departures.expire(late).len(), 1);
+}
+
+fn load(sequences: u32) -> Load {
+    Load {
+        engine: Name::from("engine-1"),
+        incarnation: 5,
+        at_ms: 0,
+        role: Role::Mixed,
+        sequences,
+        queued_prefill_tokens: 1_500,
+        kv_tokens: 4_096,
+        draining: false,
+        changing: false,
+        last_fence: 0,
+        last_order: String::new(),
+        models: Vec::new(),
+        adapters: Vec::new(),
+    }
+}
+
+/// Guards against an old load that replaces a newer one after a detour, and against clocks of
+/// different VMs being compared: the receiver's clock is an hour ahead.
+#[test]
+fn newest_load_wins_by_age() {
+    let mut sender = Loads::default();
+    sender.observe(&load(3), Instant::from_millis(1_000));
+    let old = sender.digest(true, Instant::from_millis(4_000));
+    sender.observe(&load(9), Instant::from_millis(4_000));
+    let new = sender.digest(true, Instant::from_millis(4_100));
+
+    let hour = Duration::from_hours(1);
+    let now = Instant::from_millis(4_200) + hour;
+    let mut receiver = Loads::default();
+    assert_eq!(receiver.absorb(&new, true, now).len(), 1);
+    assert!(receiver.absorb(&old, true, now).is_empty());
+    assert_eq!(receiver.get("engine-1").unwrap().row.sequences, 9);
+}
