standins: add stand-ins of engines, plain services and the platform

Cause: the daemon is tested against the published protocols, and no outside system may be started. Ruled out: rouille for the engine, the plain service and the key-value service, because it can neither stream nor break a connection, which lost answers and crashes need. Recording effects and orders only in memory was ruled out because a crashed process would take its evidence with it.

--- /dev/null
+++ b/standins/src/engine/completion.rs
@@ -0,0 +1,224 @@
+//! Completions: the stream of one answer, and KV export and import.
+
+use std::io;
+use std::sync::mpsc::{self, Receiver};
+use std::time::Duration;
+
+use ragwortgrade_schema::engine::{Completion, KvExport, KvHandle, KvImport, Role, Token};
+use tiny_http::Request;
+
+use super::answer::{self, DEFAULT_ANSWER_TOKENS};
+use super::sequence::{Progress, Sequence};
+use super::shared::Shared;
+use crate::http::{self, ATTEMPT_HEADER, Empty, unix_ms};
+
+/// Handles held for other engines; a later export drops the rest.
+const EXPORTS_MAX: usize = 1_024;
+const HANDLE_TIMEOUT: Duration = Duration::from_secs(2);
+const BROKEN_STREAM: &[u8] = b"stream broken on request\r\n";
+
+/// Answers `POST /v1/chat/completions` with a stream.
+pub(super) fn complete(shared: &Shared, mut request: Request) {
+    let Ok(completion) = http::read_json::<Completion>(&mut request) else {
+        return http::answer(request, 400, &Empty {});
+    };
+    let attempt = http::header(&request, ATTEMPT_HEADER).unwrap_or_default();
+    let resume_from = number_header(&request, "X-Resume-From").unwrap_or(0);
+    let priority = number_header(&request, "X-Priority").unwrap_or(0) as u8;
+    let prefix = http::header(&request, "X-Prefix-Hash")
+        .and_then(|text| u64::from_str_radix(&text, 16).ok());
+    if let Some(status) = refusal(shared, &completion) {
+        return http::answer(request, status, &Empty {});
+    }
+    let end_index = completion.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS);
+    let ask = Ask {
+        attempt: attempt.clone(),
+        priority,
+        prefix,
+        next_index: resume_from,
+        end_index: end_index.max(resume_from),
+    };
+    let progress = enqueue(shared, &completion, ask);
+    let crossed = take_crossed(shared);
+    let (attempt, hash) = if crossed {
+        ("another-attempt".to_owned(), u64::from(resume_from))
+    } else {
+        (attempt, answer::content_hash(&completion))
+    };
+    // The caller has gone away when writing fails; the batch notices by the closed channel.
+    drop(stream(request, &attempt, hash, &progress));
+}
+
+/// Answers `POST /kv/export` once the prompt is computed.
+pub(super) fn export(shared: &Shared, mut request: Request) {
+    let Ok(export) = http::read_json::<KvExport>(&mut request) else {
+        return http::answer(request, 400, &Empty {});
+    };
+    if !shared.lock().serves(&export.completion.model) {
+        return http::answer(request, 404, &Empty {});
+    }
+    let ask = Ask {
+        attempt: export.attempt.clone(),
+        priority: export.priority,
+        prefix: None,
+        next_index: 0,
+        end_index: 0,
+    };
+    let progress = enqueue(shared, &export.completion, ask);
+    if progress.recv() != Ok(Progress::Done) {
+        return http::break_connection(request);
+    }
+    let tokens = prompt_tokens(&export.completion);
+    let handle = format!("kv-{}-{}", shared.settings.name, export.attempt);
+    let mut state = shared.lock();
+    if state.exports.len() >= EXPORTS_MAX {
+        state.exports.clear();
+    }
+    state.exports.insert(handle.clone(), tokens);
+    drop(state);
+    let answer = KvHandle {
+        attempt: export.attempt,
+        handle,
+        tokens,
+    };
+    http::answer(request, 200, &answer);
+}
+
+/// Answers `GET /kv/<handle>`, by which an importing engine fetches.
+pub(super) fn fetch(shared: &Shared, request: Request, handle: &str) {
+    let found = shared.lock().exports.get(handle).copied();
+    match found {
+        Some(tokens) => http::answer(request, 200, &tokens),
+        None => http::answer(request, 404, &Empty {}),
+    }
+}
+
+/// Answers `POST /kv/import` after fetching from the engine that exported.
+pub(super) fn import(shared: &Shared, mut request: Request) {
+    let Ok(import) = http::read_json::<KvImport>(&mut request) else {
+        return http::answer(request, 400, &Empty {});
+    };
+    let url = format!("http://{}/kv/{}", import.from, import.handle);
+    let fetched = ureq::get(&url)
+        .config()
+        .timeout_global(Some(HANDLE_TIMEOUT))
+        .build()
+        .call()
+        .and_then(|mut answer| answer.body_mut().read_json::<u32>());
+    match fetched {
+        Ok(tokens) => {
+            shared.lock().imports.insert(import.attempt, tokens);
+            http::answer(request, 200, &Empty {});
+        }
+        Err(_) => http::answer(request, 404, &Empty {}),
+    }
+}
+
+/// Counts the tokens of a prompt.
+fn prompt_tokens(completion: &Completion) -> u32 {
+    let messages = completion.messages.iter();
+    messages
+        .map(|message| answer::token_count(&message.content))
+        .sum()
+}
+
+struct Ask {
+    attempt: String,
+    priority: u8,
+    prefix: Option<u64>,
+    next_index: u32,
+    end_index: u32,
+}
+
+/// Tells with which status the engine refuses, before it runs anything.
+fn refusal(shared: &Shared, completion: &Completion) -> Option<u16> {
+    let mut state = shared.lock();
+    state.work.arrivals += 1;
+    state.work.last_arrival_ms = unix_ms();
+    if !state.serves(&completion.model) {
+        return Some(404);
+    }
+    let role_changes = state
+        .change
+        .as_ref()
+        .is_some_and(|want| want.role != state.role);
+    (role_changes || state.role == Role::Prefill).then_some(503)
+}
+
+fn enqueue(shared: &Shared, completion: &Completion, ask: Ask) -> Receiver<Progress> {
+    let (sender, progress) = mpsc::channel();
+    let prompt_tokens = prompt_tokens(completion);
+    let last = completion.messages.last();
+    let question = last.map_or(0, |message| answer::token_count(&message.content));
+    let prefix_tokens = match completion.messages.len() {
+        0 | 1 => prompt_tokens,
+        _ => prompt_tokens - question,
+    };
+    let crashes = shared.settings.crash_marker.as_ref().is_some_and(|marker| {
+        let mut messages = completion.messages.iter();
+        messages.any(|message| message.content.contains(marker))
+    });
+    let sequence = Sequence {
+        attempt: ask.attempt,
+        priority: ask.priority,
+        prefix: ask.prefix,
+        prefix_tokens,
+        prompt_tokens,
+        prefill_left: prompt_tokens + ask.next_index,
+        blocks: 0,
+        next_index: ask.next_index,
+        end_index: ask.end_index,
+        crashes,
+        progress: sender,
+    };
+    let mut state = shared.lock();
+    if !state.crashed {
+        state.waiting.push(sequence);
+    }
+    drop(state);
+    shared.changed.notify_all();
+    progress
+}
+
+fn take_crossed(shared: &Shared) -> bool {
+    let mut state = shared.lock();
+    let crossed = state.fault.crossed_answers > 0;
+    state.fault.crossed_answers = state.fault.crossed_answers.saturating_sub(1);
+    crossed
+}
+
+fn stream(
+    request: Request,
+    attempt: &str,
+    hash: u64,
+    progress: &Receiver<Progress>,
+) -> io::Result<()> {
+    let mut writer = request.into_writer();
+    http::start_stream(&mut writer, attempt)?;
+    loop {
+        match progress.recv() {
+            Ok(Progress::Token(index)) => {
+                let token = Token {
+                    attempt: attempt.to_owned(),
+                    index,
+                    token: answer::token(hash, index),
+                };
+                let text = serde_json::to_string(&token)?;
+                http::write_chunk(&mut writer, &format!("data: {text}\n\n"))?;
+            }
+            Ok(Progress::Done) => {
+                http::write_chunk(&mut writer, "data: [DONE]\n\n")?;
+                return http::end_stream(&mut writer);
+            }
+            Err(_) => {
+                // No chunk starts like this, so the reader sees a broken stream at once.
+                writer.write_all(BROKEN_STREAM)?;
+                return writer.flush();
+            }
+        }
+    }
+}
+
+fn number_header(request: &Request, name: &str) -> Option<u32> {
+    http::header(request, name)?.parse().ok()
+}
--- /dev/null
+++ b/standins/src/key_value/store.rs
@@ -0,0 +1,232 @@
+use std::collections::{BTreeMap, HashMap};
+use std::ops::Bound;
+use std::time::{Duration, Instant};
+
+use ragwortgrade_schema::platform::{Entries, Entry, Write};
+
+use super::{Fault, KeyValueSettings};
+use crate::token_bucket::TokenBucket;
+
+/// Largest value that the service holds.
+const VALUE_BYTES_MAX: usize = 1 << 20;
+
+/// Keys, revisions, leases and the fault in force.
+#[derive(Debug)]
+pub(super) struct Store {
+    pub(super) fault: Fault,
+    pub(super) stopped: bool,
+    pub(super) writes: u64,
+    pub(super) reads: u64,
+    pub(super) rate_limited: u64,
+    data: Data,
+    snapshot: Data,
+    leases: HashMap<u64, Hold>,
+    last_lease: u64,
+    write_rate: TokenBucket,
+    read_rate: TokenBucket,
+}
+
+/// What a rollback brings back.
+#[derive(Clone, Debug, Default)]
+struct Data {
+    keys: BTreeMap<String, Record>,
+    revision: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    /// `None` marks a deleted key, which watches still report.
+    value: Option<String>,
+    revision: u64,
+    lease: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Hold {
+    ttl: Duration,
+    ends: Instant,
+}
+
+impl Store {
+    pub(super) fn open(settings: &KeyValueSettings) -> Self {
+        Self {
+            fault: Fault::None,
+            stopped: false,
+            writes: 0,
+            reads: 0,
+            rate_limited: 0,
+            data: Data::default(),
+            snapshot: Data::default(),
+            leases: HashMap::new(),
+            last_lease: 0,
+            write_rate: TokenBucket::open(settings.writes_per_second),
+            read_rate: TokenBucket::open(settings.reads_per_second),
+        }
+    }
+
+    /// Counts a call against its rate.
+    pub(super) fn admit(&mut self, is_write: bool, now: Instant) -> bool {
+        let admitted = if is_write {
+            self.writes += 1;
+            self.write_rate.take(1.0, now)
+        } else {
+            self.reads += 1;
+            self.read_rate.take(1.0, now)
+        };
+        self.rate_limited += u64::from(!admitted);
+        admitted
+    }
+
+    pub(super) fn set_fault(&mut self, fault: Fault) {
+        if fault == Fault::Rollback {
+            self.data = self.snapshot.clone();
+            self.drop_orphans();
+            self.fault = Fault::None;
+        } else {
+            self.fault = fault;
+        }
+    }
+
+    /// Remembers the store's content for a later rollback.
+    pub(super) fn take_snapshot(&mut self) {
+        self.snapshot = self.data.clone();
+    }
+
+    /// Tells whether the answer of this call is lost, and counts it.
+    pub(super) fn lose_answer(&mut self) -> bool {
+        match &mut self.fault {
+            Fault::LostAnswers { count } if *count > 0 => {
+                *count -= 1;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    pub(super) fn get(&self, key: &str) -> Option<Entry> {
+        let record = self.data.keys.get(key)?;
+        record.value.as_ref()?;
+        Some(entry(key, record))
+    }
+
+    /// Writes, or returns the key's revision, 0 when it does not exist.
+    pub(super) fn write(&mut self, write: &Write) -> Result<u64, u64> {
+        let current = self.get(&write.key).map_or(0, |entry| entry.revision);
+        let lease_ended = write
+            .lease
+            .is_some_and(|lease| !self.leases.contains_key(&lease));
+        let too_large = write
+            .value
+            .as_ref()
+            .is_some_and(|value| value.len() > VALUE_BYTES_MAX);
+        if current != write.expect || lease_ended || too_large {
+            return Err(current);
+        }
+        Ok(self.put(&write.key, write.value.clone(), write.lease))
+    }
+
+    pub(super) fn list(&self, prefix: &str, after: &str) -> Entries {
+        let start = if prefix > after {
+            Bound::Included(prefix)
+        } else {
+            Bound::Excluded(after)
+        };
+        let range = self.data.keys.range::<str, _>((start, Bound::Unbounded));
+        let entries = range
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(_, record)| record.value.is_some())
+            .map(|(key, record)| entry(key, record))
+            .collect();
+        Entries {
+            entries,
+            revision: self.data.revision,
+        }
+    }
+
+    /// Returns the keys that changed after a revision, deleted ones with a null value.
+    pub(super) fn changes(&self, prefix: &str, after: u64) -> Entries {
+        let range = self
+            .data
+            .keys
+            .range::<str, _>((Bound::Included(prefix), Bound::Unbounded));
+        let mut entries: Vec<Entry> = range
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(_, record)| record.revision > after)
+            .map(|(key, record)| entry(key, record))
+            .collect();
+        entries.sort_by_key(|entry| entry.revision);
+        Entries {
+            entries,
+            revision: self.data.revision,
+        }
+    }
+
+    pub(super) fn grant(&mut self, ttl: Duration, now: Instant) -> u64 {
+        self.last_lease += 1;
+        let ends = now + ttl;
+        self.leases.insert(self.last_lease, Hold { ttl, ends });
+        self.last_lease
+    }
+
+    pub(super) fn keep_alive(&mut self, lease: u64, now: Instant) -> bool {
+        self.expire(now);
+        let Some(hold) = self.leases.get_mut(&lease) else {
+            return false;
+        };
+        hold.ends = now + hold.ttl;
+        true
+    }
+
+    pub(super) fn revoke(&mut self, lease: u64) -> bool {
+        let existed = self.leases.remove(&lease).is_some();
+        self.drop_orphans();
+        existed
+    }
+
+    /// Ends the leases whose time is over; tells whether any key disappeared.
+    pub(super) fn expire(&mut self, now: Instant) -> bool {
+        let before = self.leases.len();
+        self.leases.retain(|_, hold| hold.ends > now);
+        before != self.leases.len() && self.drop_orphans()
+    }
+
+    /// Deletes the keys whose lease has ended.
+    fn drop_orphans(&mut self) -> bool {
+        let orphans: Vec<String> = self
+            .data
+            .keys
+            .iter()
+            .filter(|(_, record)| record.value.is_some())
+            .filter(|(_, record)| {
+                record
+                    .lease
+                    .is_some_and(|lease| !self.leases.contains_key(&lease))
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in &orphans {
+            self.put(key, None, None);
+        }
+        !orphans.is_empty()
+    }
+
+    fn put(&mut self, key: &str, value: Option<String>, lease: Option<u64>) -> u64 {
+        self.data.revision += 1;
+        let revision = self.data.revision;
+        let record = Record {
+            value,
+            revision,
+            lease,
+        };
+        self.data.keys.insert(key.to_owned(), record);
+        revision
+    }
+}
+
+fn entry(key: &str, record: &Record) -> Entry {
+    Entry {
+        key: key.to_owned(),
+        revision: record.revision,
+        value: record.value.clone(),
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,41 @@
-//! To be written.
+//! Stand-ins of the systems outside ragwortgrade: small, fast, and with faults on request.
+//!
+//! Each stand-in speaks the published protocol of the system that it stands for, is bound with
+//! `bind(settings)` and returns a running handle with `address()` and `stop()`.
+
+mod control_server;
+mod engine;
+mod error;
+mod http;
+mod http_server;
+mod key_value;
+mod plain;
+mod record_log;
+mod relay;
+mod token_bucket;
+mod vm_list;
+mod weights;
+
+pub use engine::{Engine, EngineFault, EngineSettings, OrderRecord, Work, answer_token};
+pub use error::Error;
+pub use key_value::{Fault, KeyValue, KeyValueSettings};
+pub use plain::{Effect, Plain, PlainFault, PlainSettings};
+pub use relay::{Cut, Relay};
+pub use vm_list::{VmList, VmListSettings};
+pub use weights::{Weights, WeightsSettings};
+
+/// Draws an incarnation: random, with the start time in its upper bits.
+fn incarnation() -> u64 {
+    const TIME_BITS: u32 = 42;
+    let time = http::unix_ms() << (u64::BITS - TIME_BITS);
+    let noise = u64::from(std::process::id()) ^ (&raw const time as usize as u64) ^ nanoseconds();
+    time | (xxhash_rust::xxh3::xxh3_64(&noise.to_le_bytes()) >> TIME_BITS)
+}
+
+fn nanoseconds() -> u64 {
+    let now = std::time::SystemTime::now();
+    let since = now
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
+    since.as_nanos() as u64
+}
--- /dev/null
+++ b/standins/src/relay.rs
@@ -0,0 +1,205 @@
+//! A TCP relay that can hold back what passes through it.
+
+mod cut;
+
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+pub use self::cut::Cut;
+use crate::Error;
+
+const BUFFER_BYTES: usize = 64 << 10;
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How often a blocked read or wait looks whether the relay is stopping.
+const STOP_CHECK: Duration = Duration::from_millis(100);
+
+/// Forwards one loopback port to another; either direction can be cut and healed.
+///
+/// Bytes that meet a cut are held and delivered late, as a network that retransmits does.
+#[derive(Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    accepting: Option<JoinHandle<()>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    target: Mutex<SocketAddr>,
+    cut: Mutex<Cut>,
+    healed: Condvar,
+    stopping: AtomicBool,
+}
+
+#[derive(Clone, Copy)]
+enum Direction {
+    ToTarget,
+    FromTarget,
+}
+
+impl Relay {
+    /// Listens on `address` and forwards to `target`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is taken.
+    pub fn bind(address: &str, target: SocketAddr) -> Result<Self, Error> {
+        let failed = |error: &io::Error| Error::Bind {
+            address: address.to_owned(),
+            reason: error.to_string(),
+        };
+        let listener = TcpListener::bind(address).map_err(|error| failed(&error))?;
+        let local = listener.local_addr().map_err(|error| failed(&error))?;
+        let shared = Arc::new(Shared {
+            target: Mutex::new(target),
+            cut: Mutex::new(Cut::None),
+            healed: Condvar::new(),
+            stopping: AtomicBool::new(false),
+        });
+        let accepted = Arc::clone(&shared);
+        let accepting = thread::spawn(move || accept(&listener, &accepted));
+        Ok(Self {
+            address: local,
+            shared,
+            accepting: Some(accepting),
+        })
+    }
+
+    /// Returns the address that the relay listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Forwards new connections to another address, such as that of a restarted process.
+    pub fn set_target(&self, target: SocketAddr) {
+        *lock(&self.shared.target) = target;
+    }
+
+    /// Cuts the directions named and heals the others.
+    pub fn set_cut(&self, cut: Cut) {
+        *lock(&self.shared.cut) = cut;
+        self.shared.healed.notify_all();
+    }
+
+    /// Stops the relay and its connections.
+    pub fn stop(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        self.shared.healed.notify_all();
+        // A connection of our own ends the blocking accept.
+        drop(TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT));
+        if let Some(accepting) = self.accepting.take()
+            && accepting.join().is_err()
+        {
+            log::error!("the accepting thread of a relay panicked");
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+impl Shared {
+    fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Waits while the direction is cut.
+    fn wait_until_open(&self, direction: Direction) {
+        let mut cut = lock(&self.cut);
+        while cut.holds(direction) && !self.is_stopping() {
+            cut = self
+                .healed
+                .wait_timeout(cut, STOP_CHECK)
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
+        }
+    }
+}
+
+impl Cut {
+    fn holds(self, direction: Direction) -> bool {
+        match (self, direction) {
+            (Self::None, _) => false,
+            (Self::Both, _) => true,
+            (Self::ToTarget, direction) => matches!(direction, Direction::ToTarget),
+            (Self::FromTarget, direction) => matches!(direction, Direction::FromTarget),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
+    for stream in listener.incoming() {
+        if shared.is_stopping() {
+            return;
+        }
+        if let Ok(stream) = stream {
+            let shared = Arc::clone(shared);
+            thread::spawn(move || {
+                // A refused or broken connection is passed on by closing the caller's.
+                drop(relay(&stream, &shared));
+            });
+        }
+    }
+}
+
+/// Relays both directions of one connection until either side ends it.
+fn relay(caller: &TcpStream, shared: &Arc<Shared>) -> io::Result<()> {
+    shared.wait_until_open(Direction::ToTarget);
+    let target = *lock(&shared.target);
+    let target = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT)?;
+    for stream in [caller, &target] {
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(STOP_CHECK))?;
+    }
+    let (back_from, back_to) = (target.try_clone()?, caller.try_clone()?);
+    let back_shared = Arc::clone(shared);
+    let back = thread::spawn(move || {
+        copy(&back_from, &back_to, Direction::FromTarget, &back_shared);
+    });
+    copy(caller, &target, Direction::ToTarget, shared);
+    if back.join().is_err() {
+        log::error!("a relay thread panicked");
+    }
+    Ok(())
+}
+
+fn copy(mut from: &TcpStream, mut to: &TcpStream, direction: Direction, shared: &Shared) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    while !shared.is_stopping() {
+        let read = match from.read(&mut buffer) {
+            Ok(read) => read,
+            Err(error) if is_timeout(&error) => continue,
+            Err(_) => 0,
+        };
+        shared.wait_until_open(direction);
+        if read == 0 || to.write_all(&buffer[..read]).is_err() {
+            break;
+        }
+    }
+    // The stand-in's protocols have no half-closed connections, so one end ends both.
+    drop(from.shutdown(Shutdown::Both));
+    drop(to.shutdown(Shutdown::Both));
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
+}
