--- /dev/null
+++ b/policy/src/authority/takeover.rs
@@ -0,0 +1,85 @@
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::configuration::Fencing;
+
+use crate::Instant;
+
+use super::{Holder, Tenure, Terms};
+
+/// What the holder learned of a former holder.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Evidence {
+    /// The process at `address` has this incarnation.
+    Answers {
+        /// `ip:port` that was asked.
+        address: String,
+        /// Incarnation of the process that answered.
+        incarnation: u64,
+    },
+    /// The platform's list names exactly these entry VMs, live or leaving.
+    Listed(Vec<Name>),
+    /// An operator declares this holder gone.
+    Declared(Holder),
+}
+
+impl Evidence {
+    fn proves_gone(&self, former: &Holder) -> bool {
+        match self {
+            Self::Answers {
+                address,
+                incarnation,
+            } => former.address == *address && former.incarnation != *incarnation,
+            Self::Listed(vms) => former.listed && !vms.contains(&former.daemon),
+            Self::Declared(gone) => former.is_same_run(gone),
+        }
+    }
+}
+
+/// Decides when a new holder may order an engine.
+///
+/// An engine that checks fencing tokens may be ordered at once. One that ignores them may be
+/// ordered only when no former holder can send any more and their last orders have arrived.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Takeover {
+    terms: Terms,
+    formers: Vec<Holder>,
+    clear_since: Instant,
+}
+
+impl Takeover {
+    /// Opens the takeover of `tenure`, acquired at `now`.
+    #[must_use]
+    pub fn open(terms: Terms, tenure: &Tenure, now: Instant) -> Self {
+        Self {
+            terms,
+            formers: tenure.formers.clone(),
+            clear_since: now,
+        }
+    }
+
+    /// Returns the former holders that are not known to be gone.
+    #[must_use]
+    pub fn formers(&self) -> &[Holder] {
+        &self.formers
+    }
+
+    /// Takes in evidence; returns the former holders that it proves to be gone.
+    pub fn learn(&mut self, evidence: &Evidence, now: Instant) -> Vec<Holder> {
+        let is_gone = |former: &mut Holder| evidence.proves_gone(former);
+        let gone: Vec<_> = self.formers.extract_if(.., is_gone).collect();
+        if !gone.is_empty() {
+            self.clear_since = now;
+        }
+        gone
+    }
+
+    /// Tells whether an engine with this declaration may be ordered at `now`.
+    #[must_use]
+    pub fn permits(&self, fencing: Fencing, now: Instant) -> bool {
+        match fencing {
+            Fencing::Checked => true,
+            Fencing::Ignored => {
+                self.formers.is_empty() && now >= self.clear_since + self.terms.under_way
+            }
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/authority/tenure.rs
@@ -0,0 +1,62 @@
+use serde::{Deserialize, Serialize};
+
+use super::Holder;
+
+/// What one holder of authority leaves to the next; kept in the key-value service without a lease,
+/// since the next holder needs it after the lease has lapsed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Tenure {
+    /// The holder.
+    pub holder: Holder,
+    /// Its fencing token.
+    pub fence: u64,
+    /// It gave authority back and has no order under way.
+    pub released: bool,
+    /// Earlier holders that are not known to be gone.
+    ///
+    /// All of them are kept, since a holder that was paused two tenures ago can still send.
+    pub formers: Vec<Holder>,
+}
+
+impl Tenure {
+    /// Tokens in one block; each takeover moves to the next block.
+    ///
+    /// Two daemons can start from equal data when the service comes back with older data between
+    /// them. The low bits of the incarnation keep their tokens apart.
+    const BLOCK: u64 = 1 << 16;
+
+    /// Returns the tenure of `holder` after `previous`.
+    ///
+    /// `revision` is the revision of the lock record, `highest_seen` the highest fencing token
+    /// that an engine of the data centre reports.
+    #[must_use]
+    pub fn after(
+        previous: Option<&Self>,
+        holder: &Holder,
+        revision: u64,
+        highest_seen: u64,
+    ) -> Self {
+        let previous_fence = previous.map_or(0, |tenure| tenure.fence);
+        let highest = previous_fence.max(revision).max(highest_seen);
+        Self {
+            holder: holder.clone(),
+            fence: Self::next_fence(highest, holder.incarnation),
+            released: false,
+            formers: previous.map_or_else(Vec::new, |tenure| tenure.left_behind(holder)),
+        }
+    }
+
+    fn next_fence(highest: u64, incarnation: u64) -> u64 {
+        let block = (highest / Self::BLOCK).saturating_add(1);
+        block.saturating_mul(Self::BLOCK) + incarnation % Self::BLOCK
+    }
+
+    fn left_behind(&self, successor: &Holder) -> Vec<Holder> {
+        let mut formers = self.formers.clone();
+        if !self.released {
+            formers.push(self.holder.clone());
+        }
+        formers.retain(|former| !former.is_same_run(successor));
+        formers
+    }
+}
--- /dev/null
+++ b/policy/src/authority/terms.rs
@@ -0,0 +1,50 @@
+use std::time::Duration;
+
+/// The times on which the safety of authority rests.
+///
+/// The model check runs the same transitions with times of a few ticks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Terms {
+    /// Time after which the platform drops a lease that is not renewed.
+    pub ttl: Duration,
+    /// The holder treats its lease as ended this much earlier.
+    ///
+    /// It covers the whole time of an order's call, a clock rate error of 1% and a step of the
+    /// scheduler.
+    pub margin: Duration,
+    /// Time between two renewals.
+    pub renewal: Duration,
+    /// Longest time that an order can stay in the network after its call has ended.
+    pub delivery: Duration,
+    /// Longest time from the start of an order's call to its delivery.
+    pub under_way: Duration,
+    /// Time for the news that an engine is about to change to reach all daemons.
+    pub notice: Duration,
+    /// Time between two reads of an engine's state while an order waits for it.
+    pub poll: Duration,
+    /// A change whose engine does not run empty in this time is given up.
+    pub drain: Duration,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            ttl: Duration::from_secs(10),
+            margin: Duration::from_secs(2),
+            renewal: Duration::from_millis(2_500),
+            delivery: Duration::from_secs(3),
+            under_way: Duration::from_secs(5),
+            notice: Duration::from_secs(3),
+            poll: Duration::from_secs(1),
+            drain: Duration::from_mins(10),
+        }
+    }
+}
+
+impl Terms {
+    /// Time after the sending of a renewal during which the holder may act.
+    #[must_use]
+    pub fn usable(&self) -> Duration {
+        self.ttl.saturating_sub(self.margin)
+    }
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,6 +5,8 @@
 //! decisions come out, and random numbers come from a generator whose seed is passed in, so every
 //! decision can be repeated, measured and checked.
 
+/// Authority over the engines of a data centre.
+pub mod authority;
 /// What routing decides about a request.
 pub mod decision;
 /// What routing takes into account.
