cli: measure what control costs a daemon at several sizes

Cause: docs/CAPACITY.md needs slopes from runs, not estimates. Ruled out: daemons as threads of one process (their processor time and memory could not be told apart). Change: example capacity starts daemons as processes beside stand-ins, reads their processor time, memory and control bytes, and prints one line a size; the daemon reports gauges for it.

--- /dev/null
+++ b/cli/examples/capacity/arguments.rs
@@ -0,0 +1,42 @@
+use lexopt::ValueExt as _;
+use lexopt::prelude::Long;
+
+/// Sizes and duration of the measurement.
+#[derive(Debug)]
+pub struct Arguments {
+    /// Numbers of daemons in the data centre.
+    pub daemons: Vec<usize>,
+    /// Numbers of engines in the data centre.
+    pub engines: Vec<usize>,
+    /// Duration of each measurement.
+    pub seconds: u64,
+}
+
+impl Arguments {
+    /// Reads the command line; the default is the data centre of letter-scale size and two below.
+    pub fn parse() -> Result<Self, lexopt::Error> {
+        let mut arguments = Self {
+            daemons: vec![10, 25, 50],
+            engines: vec![12, 45, 91],
+            seconds: 20,
+        };
+        let mut parser = lexopt::Parser::from_env();
+        while let Some(argument) = parser.next()? {
+            match argument {
+                Long("daemons") => arguments.daemons = sizes(&mut parser)?,
+                Long("engines") => arguments.engines = sizes(&mut parser)?,
+                Long("seconds") => arguments.seconds = parser.value()?.parse_with(str::parse)?,
+                other => return Err(other.unexpected()),
+            }
+        }
+        Ok(arguments)
+    }
+}
+
+fn sizes(parser: &mut lexopt::Parser) -> Result<Vec<usize>, lexopt::Error> {
+    let value = parser.value()?.string()?;
+    value
+        .split(',')
+        .map(|size| Ok(size.parse().map_err(|_error| "sizes are numbers")?))
+        .collect()
+}
--- /dev/null
+++ b/cli/examples/capacity/fleet.rs
@@ -0,0 +1,197 @@
+use std::cell::RefCell;
+use std::env;
+use std::error::Error;
+use std::fmt::Write as _;
+use std::fs;
+use std::io;
+use std::net::{TcpListener, UdpSocket};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::platform::{Vm, VmKind, VmState};
+use ragwortgrade_standins::{
+    Engine, EngineSettings, KeyValue, KeyValueSettings, VmList, VmListSettings,
+};
+use tempfile::TempDir;
+
+use crate::sample::Sample;
+
+const DATA_CENTRE: &str = "a";
+const PEER_KEY: &str = "6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b";
+const OPERATOR_KEY: &str = "6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f6f";
+
+/// One data centre: daemons as processes, everything else as stand-ins.
+pub struct Fleet {
+    daemons: Vec<Daemon>,
+    key_value: KeyValue,
+    _engines: Vec<Engine>,
+    _list: VmList,
+    _directory: TempDir,
+}
+
+struct Daemon {
+    process: Child,
+    gauges: UdpSocket,
+    last: RefCell<Sample>,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        drop(self.process.kill());
+        drop(self.process.wait());
+    }
+}
+
+impl Fleet {
+    /// Starts a data centre of the given size.
+    pub fn spawn(daemons: usize, engines: usize) -> Result<Self, Box<dyn Error>> {
+        let directory = TempDir::new()?;
+        let engines = (0..engines).map(engine).collect::<Result<Vec<_>, _>>()?;
+        let vms = engines
+            .iter()
+            .enumerate()
+            .map(|(index, engine)| vm(index, engine))
+            .collect();
+        let list = VmList::bind(VmListSettings {
+            vms,
+            ..VmListSettings::default()
+        })?;
+        let key_value = KeyValue::bind(&KeyValueSettings::default())?;
+        let platform = (key_value.address().to_string(), list.address().to_string());
+        let ports = (0..daemons)
+            .map(|_| free_port())
+            .collect::<Result<Vec<_>, _>>()?;
+        let daemons = (0..daemons)
+            .map(|index| Daemon::spawn(directory.path(), index, &ports, &platform))
+            .collect::<Result<_, _>>()?;
+        Ok(Self {
+            daemons,
+            key_value,
+            _engines: engines,
+            _list: list,
+            _directory: directory,
+        })
+    }
+
+    /// Reads the state of every daemon.
+    pub fn samples(&self) -> io::Result<Vec<Sample>> {
+        let sample = |daemon: &Daemon| {
+            let last = *daemon.last.borrow();
+            let sample = Sample::read(daemon.process.id(), &daemon.gauges, &last)?;
+            daemon.last.replace(sample);
+            Ok(sample)
+        };
+        self.daemons.iter().map(sample).collect()
+    }
+
+    /// Returns the calls of the key-value service so far.
+    pub fn platform_calls(&self) -> u64 {
+        let url = format!("http://{}/debug/counts", self.key_value.address());
+        let counts = ureq::get(url)
+            .call()
+            .ok()
+            .and_then(|mut answer| answer.body_mut().read_json::<serde_json::Value>().ok());
+        let count = |name: &str| counts.as_ref().and_then(|counts| counts[name].as_u64());
+        count("reads").unwrap_or_default() + count("writes").unwrap_or_default()
+    }
+}
+
+impl Daemon {
+    fn spawn(
+        directory: &Path,
+        index: usize,
+        ports: &[u16],
+        platform: &(String, String),
+    ) -> Result<Self, Box<dyn Error>> {
+        let gauges = UdpSocket::bind("127.0.0.1:0")?;
+        gauges.set_nonblocking(true)?;
+        let file = directory.join(format!("{index}.ini"));
+        fs::write(
+            &file,
+            settings(index, ports, platform, &gauges.local_addr()?.to_string())?,
+        )?;
+        let process = Command::new(binary()?)
+            .arg("--settings")
+            .arg(file)
+            .stdin(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()?;
+        Ok(Self {
+            process,
+            gauges,
+            last: RefCell::default(),
+        })
+    }
+}
+
+fn settings(
+    index: usize,
+    ports: &[u16],
+    (key_value, vm_list): &(String, String),
+    metrics: &str,
+) -> Result<String, std::fmt::Error> {
+    // Three seeds, as an operator would list them.
+    let seeds: Vec<String> = ports
+        .iter()
+        .take(3)
+        .map(|port| format!("127.0.0.1:{port}"))
+        .collect();
+    let mut text = String::new();
+    writeln!(
+        text,
+        "[daemon]\nid = daemon-{index}\ndata_centre = {DATA_CENTRE}\nregion = r"
+    )?;
+    writeln!(
+        text,
+        "callers_address = 127.0.0.1:0\nadmin_address = 127.0.0.1:0"
+    )?;
+    writeln!(text, "peers_address = 127.0.0.1:{}", ports[index])?;
+    writeln!(
+        text,
+        "[platform]\nkey_value = http://{key_value}\nvm_list = http://{vm_list}"
+    )?;
+    writeln!(text, "[peers]\nseeds = {}", seeds.join(", "))?;
+    writeln!(text, "[keys]\npeer.k1 = {PEER_KEY}\npeer_active = k1")?;
+    writeln!(text, "operator.o1 = {OPERATOR_KEY}")?;
+    writeln!(
+        text,
+        "[observe]\nlog_level = warn\nmetrics_address = {metrics}"
+    )?;
+    Ok(text)
+}
+
+fn engine(index: usize) -> Result<Engine, ragwortgrade_standins::Error> {
+    let name = format!("engine-{index}");
+    Engine::bind(EngineSettings {
+        name,
+        ..EngineSettings::default()
+    })
+}
+
+fn vm(index: usize, engine: &Engine) -> Vm {
+    Vm {
+        id: Name::from(format!("engine-{index}")),
+        kind: VmKind::Engine,
+        data_centre: Name::from(DATA_CENTRE),
+        address: engine.address().to_string(),
+        peers_address: None,
+        service: None,
+        state: VmState::Live,
+        incarnation: 1,
+    }
+}
+
+fn free_port() -> io::Result<u16> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
+}
+
+/// The daemon beside this example in the target directory.
+fn binary() -> io::Result<std::path::PathBuf> {
+    let example = env::current_exe()?;
+    let profile = example
+        .parent()
+        .and_then(Path::parent)
+        .unwrap_or(Path::new("."));
+    Ok(profile.join("ragwortgrade"))
+}
--- /dev/null
+++ b/cli/examples/capacity/main.rs
@@ -0,0 +1,81 @@
+//! Measures what control costs a daemon at several sizes of a data centre and derives slopes.
+//!
+//! `cargo build --release && cargo run --release --example capacity -- --daemons 10,25,50
+//! --engines 12,91,182 --seconds 20` starts real daemons as processes and the platform and engines
+//! as stand-ins in this process, sends no callers' requests, and prints one JSON line a size.
+
+mod arguments;
+mod fleet;
+mod sample;
+
+use std::error::Error;
+use std::thread;
+use std::time::Duration;
+
+use arguments::Arguments;
+use fleet::Fleet;
+use sample::Sample;
+
+/// Time in which daemons find each other and read the list before the measurement starts.
+const WARM_UP: Duration = Duration::from_secs(15);
+const BYTES_PER_KIB: f64 = 1_024.0;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let arguments = Arguments::parse()?;
+    let largest_fleet = arguments.daemons.iter().copied().max().unwrap_or_default();
+    let most_engines = arguments.engines.iter().copied().max().unwrap_or_default();
+    for &daemons in &arguments.daemons {
+        measure(daemons, most_engines, arguments.seconds)?;
+    }
+    for &engines in arguments
+        .engines
+        .iter()
+        .filter(|&&engines| engines != most_engines)
+    {
+        measure(largest_fleet, engines, arguments.seconds)?;
+    }
+    Ok(())
+}
+
+/// Runs one size and prints its costs, as means and maxima over the daemons.
+fn measure(daemons: usize, engines: usize, seconds: u64) -> Result<(), Box<dyn Error>> {
+    let fleet = Fleet::spawn(daemons, engines)?;
+    thread::sleep(WARM_UP);
+    let before: Vec<Sample> = fleet.samples()?;
+    let calls_before = fleet.platform_calls();
+    thread::sleep(Duration::from_secs(seconds));
+    let after: Vec<Sample> = fleet.samples()?;
+    let calls = fleet.platform_calls() - calls_before;
+    let spent: Vec<Sample> = before
+        .iter()
+        .zip(&after)
+        .map(|(before, after)| after.since(before))
+        .collect();
+    let period = seconds as f64;
+    let core_percent = |sample: &Sample| sample.cpu_seconds / period * 100.0;
+    let kilobytes = |sample: &Sample| sample.peer_bytes as f64 / period / BYTES_PER_KIB;
+    let memory = |sample: &Sample| sample.resident_kib as f64 / BYTES_PER_KIB;
+    let line = serde_json::json!({
+        "daemons": daemons,
+        "engines": engines,
+        "live_seen_min": after.iter().map(|sample| sample.live).min(),
+        "endpoints_seen_min": after.iter().map(|sample| sample.endpoints).min(),
+        "cpu_core_percent_mean": mean(&spent, core_percent),
+        "cpu_core_percent_max": max(&spent, core_percent),
+        "peer_kib_per_s_mean": mean(&spent, kilobytes),
+        "peer_kib_per_s_max": max(&spent, kilobytes),
+        "resident_mib_mean": mean(&spent, memory),
+        "resident_mib_max": max(&spent, memory),
+        "platform_calls_per_s": calls as f64 / period,
+    });
+    println!("{line}");
+    Ok(())
+}
+
+fn mean(samples: &[Sample], value: impl Fn(&Sample) -> f64) -> f64 {
+    samples.iter().map(value).sum::<f64>() / samples.len() as f64
+}
+
+fn max(samples: &[Sample], value: impl Fn(&Sample) -> f64) -> f64 {
+    samples.iter().map(value).fold(0.0, f64::max)
+}
--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -115,6 +115,17 @@
             self.contact_seeds();
         }
         self.ask_descriptions();
+        self.report();
+    }
+
+    fn report(&self) {
+        let live = self.table.roster().live().len();
+        self.node.metrics.gauge("peer.bytes", self.network.bytes());
+        self.node.metrics.gauge("peer.live", live as u64);
+        self.node
+            .metrics
+            .gauge("endpoints", self.node.directory.all().len() as u64);
+        self.node.metrics.flush();
     }
 
     fn contact(&self, target: &Target) {
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -11,6 +11,7 @@
 use crate::clock::Clock;
 use crate::endpoint::{Engine, Plain};
 use crate::membership::Directory;
+use crate::observe::Metrics;
 use crate::platform::KeyValue;
 
 /// What all parts of one daemon share.
@@ -33,6 +34,8 @@
     pub engines: Arc<dyn Engine>,
     /// Interface of plain services.
     pub plains: Arc<dyn Plain>,
+    /// Metrics of the daemon.
+    pub metrics: Metrics,
     pub(crate) router: Mutex<Router>,
     pub(crate) draining: AtomicBool,
 }
@@ -60,6 +63,10 @@
     /// Opens the shared part of a daemon that knows no endpoint and no configuration yet.
     #[must_use]
     pub fn open(settings: Settings, incarnation: u64, interfaces: Interfaces) -> Self {
+        let metrics = Metrics::open(&settings.observe).unwrap_or_else(|error| {
+            log::warn!(error:% = error; "metrics are not sent");
+            Metrics::none()
+        });
         let router = Router::open(settings.daemon.data_centre.clone(), incarnation);
         Self {
             settings,
@@ -70,6 +77,7 @@
             key_value: interfaces.key_value,
             engines: interfaces.engines,
             plains: interfaces.plains,
+            metrics,
             router: Mutex::new(router),
             draining: AtomicBool::new(false),
         }
