membership: bound control traffic at any size of a data centre

Cause: at 50 daemons and 91 engines a daemon sent and received 18.6 KiB/s 15 s after the start (example capacity), over the limit of 9 KB/s; part of it is news of the start, part the digest in every exchange. Ruled out: smaller rows (hash, role and loads are already 14 bytes), relaying rows of other data centres (639 rows a round).

--- a/cli/examples/capacity/fleet.rs
+++ b/cli/examples/capacity/fleet.rs
@@ -31,15 +31,16 @@
 }
 
 struct Daemon {
-    process: Child,
+    process: RefCell<Child>,
     gauges: UdpSocket,
     last: RefCell<Sample>,
 }
 
 impl Drop for Daemon {
     fn drop(&mut self) {
-        drop(self.process.kill());
-        drop(self.process.wait());
+        let process = self.process.get_mut();
+        drop(process.kill());
+        drop(process.wait());
     }
 }
 
@@ -77,8 +78,11 @@
     /// Reads the state of every daemon.
     pub fn samples(&self) -> io::Result<Vec<Sample>> {
         let sample = |daemon: &Daemon| {
+            if daemon.process.borrow_mut().try_wait()?.is_some() {
+                return Err(io::Error::other("a daemon ended during the measurement"));
+            }
             let last = *daemon.last.borrow();
-            let sample = Sample::read(daemon.process.id(), &daemon.gauges, &last)?;
+            let sample = Sample::read(daemon.process.borrow().id(), &daemon.gauges, &last)?;
             daemon.last.replace(sample);
             Ok(sample)
         };
@@ -118,7 +122,7 @@
             .stderr(Stdio::null())
             .spawn()?;
         Ok(Self {
-            process,
+            process: RefCell::new(process),
             gauges,
             last: RefCell::default(),
         })
--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -104,11 +104,11 @@
 
     fn run(&self, round: u64) {
         self.table.tick();
-        let targets = self.table.roster().targets();
+        let targets = self.table.targets();
         // Side by side, so that daemons that hang do not delay the news to the others.
         thread::scope(|scope| {
             for target in &targets {
-                scope.spawn(|| self.contact(target));
+                scope.spawn(|| self.contact(target, round));
             }
         });
         if targets.is_empty() || round.is_multiple_of(SEED_PERIOD) {
@@ -128,9 +128,9 @@
         self.node.metrics.flush();
     }
 
-    fn contact(&self, target: &Target) {
+    fn contact(&self, target: &Target, round: u64) {
         let mut message = self.message();
-        self.table.fill(&mut message, target.is_remote);
+        self.table.fill(&mut message, round, target.is_remote);
         let answer = self.network.exchange(&target.address, message);
         let now = self.node.clock.now();
         self.table.roster().probed(&target.id, answer.is_ok(), now);
--- a/lib/src/membership/table.rs
+++ b/lib/src/membership/table.rs
@@ -2,7 +2,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use ragwortgrade_policy::event::{self, Event};
-use ragwortgrade_policy::membership::{Departures, Loads, Register, Roster, Sighting};
+use ragwortgrade_policy::membership::{Departures, Loads, Register, Roster, Sighting, Target};
 use ragwortgrade_schema::Name;
 use ragwortgrade_schema::engine::Load;
 use ragwortgrade_schema::peer::{Departure, EndpointNews, EndpointState, Gossip, Member};
@@ -73,9 +73,8 @@
         self.mark(&gossip.departures);
         let is_local = gossip.sender.data_centre == self.node.settings.daemon.data_centre;
         let mut undescribed = Vec::new();
-        for (index, digest) in gossip.digests.iter().enumerate() {
-            // A daemon of this data centre sends its own rows first, those of the others second.
-            let sightings = lock(&self.loads).absorb(digest, is_local && index == 0, now);
+        for digest in &gossip.digests {
+            let sightings = lock(&self.loads).absorb(digest, is_local, now);
             undescribed.extend(self.apply_sightings(&sightings));
         }
         undescribed
@@ -125,22 +124,27 @@
         self.refresh_leaving(&ended);
     }
 
-    /// Fills the membership part of a message to a daemon of this data centre or of another.
-    pub fn fill(&self, gossip: &mut Gossip, is_remote: bool) {
+    /// Chooses the daemons to contact in this round.
+    pub fn targets(&self) -> Vec<Target> {
+        let remote_chance = lock(&self.loads).remote_chance();
+        self.roster().targets(remote_chance)
+    }
+
+    /// Fills the membership part of a message; the loads are added when they are due.
+    pub fn fill(&self, gossip: &mut Gossip, round: u64, is_remote: bool) {
         let now = self.node.clock.now();
         gossip.members = self.roster().news();
         gossip.endpoints = lock(&self.register).news();
         gossip.departures = lock(&self.departures).news();
         let loads = lock(&self.loads);
-        gossip.digests.push(loads.digest(true, now));
-        if !is_remote {
-            gossip.digests.push(loads.digest(false, now));
+        if is_remote || loads.is_due(round) {
+            gossip.digests.push(loads.digest(now));
         }
     }
 
     /// Fills a message with everything, for a daemon that has just started.
     pub fn fill_all(&self, gossip: &mut Gossip) {
-        self.fill(gossip, false);
+        self.fill(gossip, 0, false);
         gossip.members = self.roster().everyone();
         gossip.endpoints = lock(&self.register).everything();
     }
--- a/policy/src/membership/loads.rs
+++ b/policy/src/membership/loads.rs
@@ -11,8 +11,12 @@
 const AGE_UNIT: Duration = Duration::from_millis(100);
 /// Rows older than this are not passed on; routing hardly weighs them any more.
 const PASS_ON_MAX_AGE: Duration = Duration::from_secs(5);
-/// Rows of other data centres arrive every 8 s and are passed on while younger than this.
-const PASS_ON_MAX_AGE_REMOTE: Duration = Duration::from_secs(10);
+/// Rows of this data centre that one round may carry to two daemons: about 3 KB/s sent and
+/// received. Larger data centres send theirs in every second, third, ... round.
+const ROWS_PER_ROUND: usize = 50;
+/// Rows that one round may carry to another data centre on average, about 2 KB/s sent and
+/// received.
+const REMOTE_ROWS_PER_ROUND: usize = 50;
 /// Tokens in one piece of KV cache memory.
 const PIECE_TOKENS: u64 = 2_048;
 const THOUSAND: u64 = 1_000;
@@ -92,19 +96,14 @@
         newer
     }
 
-    /// Returns the rows to pass on at `now`, those of this data centre or of the others.
+    /// Returns the rows of this data centre to pass on at `now`.
+    ///
+    /// Rows of other data centres are not passed on: each daemon hears of them directly.
     #[must_use]
-    pub fn digest(&self, is_local: bool, now: Instant) -> Digest {
-        let max_age = if is_local {
-            PASS_ON_MAX_AGE
-        } else {
-            PASS_ON_MAX_AGE_REMOTE
-        };
+    pub fn digest(&self, now: Instant) -> Digest {
         let mut rows: Vec<Row> = self
-            .sightings
-            .values()
-            .filter(|sighting| sighting.is_local == is_local)
-            .filter(|sighting| now.since(sighting.observed) <= max_age)
+            .local()
+            .filter(|sighting| now.since(sighting.observed) <= PASS_ON_MAX_AGE)
             .map(|sighting| Row {
                 age: age_of(sighting.observed, now),
                 ..sighting.row
@@ -117,6 +116,24 @@
         }
     }
 
+    /// Tells whether the digest goes out in this round, so that control traffic stays bounded in
+    /// a data centre of any size.
+    #[must_use]
+    pub fn is_due(&self, round: u64) -> bool {
+        let period = self.local().count().div_ceil(ROWS_PER_ROUND).max(1);
+        round.is_multiple_of(period as u64)
+    }
+
+    /// Returns the probability with which a round goes to another data centre as well.
+    #[must_use]
+    pub fn remote_chance(&self) -> f64 {
+        REMOTE_ROWS_PER_ROUND as f64 / self.local().count().max(1) as f64
+    }
+
+    fn local(&self) -> impl Iterator<Item = &Sighting> {
+        self.sightings.values().filter(|sighting| sighting.is_local)
+    }
+
     /// Returns the newest load of an engine.
     #[must_use]
     pub fn get(&self, engine: &str) -> Option<Sighting> {
--- a/policy/src/membership/roster.rs
+++ b/policy/src/membership/roster.rs
@@ -18,8 +18,6 @@
 const NEWS_MAX: usize = 8;
 /// Members of this data centre that are contacted each round.
 const LOCAL_TARGETS: usize = 2;
-/// Every so many rounds a member of another data centre is contacted too.
-const REMOTE_PERIOD: u64 = 8;
 /// Every so many rounds a dead member is tried, so that the sides of a healed partition meet.
 const DEAD_PERIOD: u64 = 4;
 
@@ -28,7 +26,6 @@
 pub struct Roster {
     own: Member,
     others: BTreeMap<Name, Entry>,
-    own_sends: u32,
     round: u64,
     random: ChaCha8Rng,
 }
@@ -59,7 +56,6 @@
         Self {
             own,
             others: BTreeMap::new(),
-            own_sends: sends_for(1),
             round: 0,
             random,
         }
@@ -94,14 +90,15 @@
         self.others.get(id).map(|entry| &entry.member)
     }
 
-    /// Chooses the daemons to contact in the next round.
-    pub fn targets(&mut self) -> Vec<Target> {
+    /// Chooses the daemons to contact in the next round, with probability `remote_chance` one of
+    /// another data centre among them.
+    pub fn targets(&mut self, remote_chance: f64) -> Vec<Target> {
         self.round += 1;
         let mut targets = self.choose(LOCAL_TARGETS, |entry, own| {
             entry.state != MemberState::Dead
                 && entry.identity.data_centre == own.identity.data_centre
         });
-        if self.round.is_multiple_of(REMOTE_PERIOD) {
+        if self.random.random_bool(remote_chance.clamp(0.0, 1.0)) {
             targets.extend(self.choose(1, |entry, own| {
                 entry.state != MemberState::Dead
                     && entry.identity.data_centre != own.identity.data_centre
@@ -148,11 +145,16 @@
         });
     }
 
-    /// Returns the news for the next exchange, the own entry first; each is passed on a bounded
-    /// number of times.
+    /// Returns the news for the next exchange, the own entry first; that of others is passed on a
+    /// bounded number of times.
     pub fn news(&mut self) -> Vec<Member> {
         let mut news = vec![self.own.clone()];
-        self.own_sends = self.own_sends.saturating_sub(1);
+        news.extend(self.news_of_others());
+        news
+    }
+
+    fn news_of_others(&mut self) -> Vec<Member> {
+        let mut news = Vec::new();
         let mut fresh: Vec<&mut Entry> = self
             .others
             .values_mut()
@@ -168,10 +170,13 @@
 
     /// Returns the news for the answer to `peer`, with its own entry when it is not known alive.
     ///
+    /// The peer knows whom it asked, so the answer omits the own entry, the largest part of a quiet
+    /// answer.
+    ///
     /// A daemon that resumes after a pause learns in this way that the others took it for dead,
     /// long after the news of its death was passed on for the last time.
     pub fn news_for(&mut self, peer: &str) -> Vec<Member> {
-        let mut news = self.news();
+        let mut news = self.news_of_others();
         let believed = self.others.get(peer).map(|entry| &entry.member);
         news.extend(
             believed
@@ -219,7 +224,6 @@
 
     fn refute(&mut self, heartbeat: u64) {
         self.own.heartbeat = self.own.heartbeat.max(heartbeat) + 1;
-        self.own_sends = sends_for(self.others.len() + 1);
     }
 
     fn choose(
