--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 /// Authority over the engines of a data centre.
 pub mod authority;
+mod cost_model;
 /// What routing decides about a request.
 pub mod decision;
 /// What routing takes into account.
@@ -21,6 +22,7 @@
 mod request;
 mod router;
 
+pub use cost_model::CostModel;
 pub use fleet::Fleet;
 pub use instant::Instant;
 pub use planner::Planner;
