endpoint: follow no redirects and no proxies, and notice silent engines

Cause: ureq follows up to ten redirects and reads a proxy from the environment by default. A redirect answered by a plain service would run a call a second time, at an undeclared address. A paused engine held a stream for ever, as no timeout applied between tokens. Change: redirects and proxies are off for calls of endpoints; a stream whose engine sends nothing for 15 s breaks and goes on elsewhere.

front: read callers' requests within bounds

Cause: tiny_http bounds neither the length of a head nor the time that a caller takes, drains an unread body before the refusal is sent, and ends its accept loop for good when the process has no file descriptor left. Ruled out: checks after tiny_http has read the request (memory and the thread are already taken); socket options inherited from the listener (the accept call then times out too and ends the loop). Change: front::Connection reads heads with httparse and bodies by length or chunks from a plain TCP socket, with bounds on bytes, headers, time, connections and open requests, each with its refusal. Lengths that two readers may understand differently are refused. HTTP/1.0 callers get events until the connection ends. Conclusion: the callers' interface no longer uses tiny_http; rouille and tiny_http stay for the admin interface and the stand-ins.

--- a/lib/src/endpoint/http.rs
+++ b/lib/src/endpoint/http.rs
@@ -2,7 +2,9 @@
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
+use ureq::config::ConfigBuilder;
 use ureq::http::Response;
+use ureq::typestate::AgentScope;
 use ureq::{Agent, Body};
 
 use super::Error;
@@ -10,15 +12,32 @@
 /// Header with the identity of an attempt, in requests and answers.
 pub(super) const ATTEMPT_HEADER: &str = "X-Attempt-Id";
 
+/// Connections kept open between calls; a new one costs a round trip to another data centre.
+const IDLE_CONNECTIONS: usize = 256;
+const IDLE_CONNECTIONS_PER_ENDPOINT: usize = 16;
+
 /// A control answer, such as the cache events of one poll.
 const CONTROL_BYTES_MAX: u64 = 4 << 20;
 
-/// Builds an agent that hands every status to the caller; `timeout` bounds the whole call.
-pub(super) fn agent(connect: Duration, timeout: Option<Duration>) -> Agent {
+/// Starts the configuration of an agent that hands every status to the caller.
+///
+/// A redirect would run a call a second time, at an address that nobody declared; a proxy from
+/// the environment would see every request. Both are off.
+pub(super) fn configuration(connect: Duration) -> ConfigBuilder<AgentScope> {
     Agent::config_builder()
         .timeout_connect(Some(connect))
-        .timeout_global(timeout)
         .http_status_as_error(false)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .proxy(None)
+        .max_idle_connections(IDLE_CONNECTIONS)
+        .max_idle_connections_per_host(IDLE_CONNECTIONS_PER_ENDPOINT)
+}
+
+/// Builds an agent whose calls are bounded in time as a whole.
+pub(super) fn agent(connect: Duration, timeout: Option<Duration>) -> Agent {
+    configuration(connect)
+        .timeout_global(timeout)
         .build()
         .into()
 }
--- a/lib/src/endpoint/http_engine.rs
+++ b/lib/src/endpoint/http_engine.rs
@@ -8,7 +8,7 @@
 use serde::de::DeserializeOwned;
 use ureq::{Agent, BodyReader};
 
-use super::http::{ATTEMPT_HEADER, agent, check_attempt, classify, read_json};
+use super::http::{ATTEMPT_HEADER, agent, check_attempt, classify, configuration, read_json};
 use super::{Call, Engine, Error, TokenStream};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -17,7 +17,7 @@
 /// Prefill of the longest prompt behind a full queue.
 const EXPORT_TIMEOUT: Duration = Duration::from_mins(1);
 /// An engine that sends nothing for so long is taken to have failed.
-const TOKEN_TIMEOUT: Duration = Duration::from_secs(30);
+const TOKEN_TIMEOUT: Duration = Duration::from_secs(15);
 const DATA_PREFIX: &str = "data: ";
 const DONE: &str = "[DONE]";
 
@@ -32,10 +32,8 @@
     /// Opens a client for any number of engines.
     #[must_use]
     pub fn open() -> Self {
-        let streams = Agent::config_builder()
-            .timeout_connect(Some(CONNECT_TIMEOUT))
-            .timeout_recv_response(Some(EXPORT_TIMEOUT))
-            .http_status_as_error(false)
+        let streams = configuration(CONNECT_TIMEOUT)
+            .timeout_per_read(Some(TOKEN_TIMEOUT))
             .build()
             .into();
         Self {
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -1,10 +1,13 @@
 //! The callers' interface over HTTP.
 
+mod acceptor;
 mod admission;
 mod chat;
 mod code;
+mod connection;
 mod context;
 mod handler;
+mod head;
 mod incoming;
 mod refusal;
 mod reply;
@@ -12,15 +15,15 @@
 mod streams;
 
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::OwnedFd;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use acceptor::Acceptor;
 pub use code::Code;
 pub(crate) use context::Context;
+pub use head::{Content, Head};
 pub use incoming::Incoming;
 pub use refusal::Refusal;
 pub use reply::Reply;
@@ -32,22 +35,16 @@
 
 /// Time between two looks at the number of open requests during a drain.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time for the connection that wakes the accept loop of this process.
+const WAKE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The running callers' interface.
+#[derive(Debug)]
 pub struct Front {
     address: SocketAddr,
     context: Arc<Context>,
-    server: Arc<tiny_http::Server>,
-    stopped: Arc<AtomicBool>,
-    acceptor: Option<JoinHandle<()>>,
-}
-
-impl std::fmt::Debug for Front {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Front")
-            .field("address", &self.address)
-            .finish_non_exhaustive()
-    }
+    acceptor: Arc<Acceptor>,
+    thread: Option<JoinHandle<()>>,
 }
 
 impl Front {
@@ -65,24 +62,18 @@
         trials: Arc<Trials>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(&node.settings.daemon.callers_address)?;
-        let listener = without_delay(listener)?;
         let address = listener.local_addr()?;
-        let server = tiny_http::Server::from_listener(listener, None)
-            .map_err(|error| io::Error::other(error.to_string()))?;
-        let server = Arc::new(server);
         let context = Arc::new(Context::new(node, peers, streams, trials));
-        let stopped = Arc::new(AtomicBool::new(false));
-        let acceptor = thread::Builder::new().name("front".to_owned()).spawn({
-            let (server, context) = (Arc::clone(&server), Arc::clone(&context));
-            let stopped = Arc::clone(&stopped);
-            move || accept(&server, &context, &stopped)
+        let acceptor = Acceptor::open(Arc::clone(&context));
+        let thread = thread::Builder::new().name("front".to_owned()).spawn({
+            let acceptor = Arc::clone(&acceptor);
+            move || acceptor.run(&listener)
         })?;
         Ok(Self {
             address,
             context,
-            server,
-            stopped,
-            acceptor: Some(acceptor),
+            acceptor,
+            thread: Some(thread),
         })
     }
 
@@ -111,11 +102,15 @@
 
     /// Stops accepting requests; those being served go on in their threads.
     pub fn stop(&mut self) {
-        self.stopped.store(true, Ordering::Release);
-        self.server.unblock();
-        if let Some(acceptor) = self.acceptor.take()
-            && acceptor.join().is_err()
-        {
+        let Some(thread) = self.thread.take() else {
+            return;
+        };
+        self.acceptor.stop();
+        if let Err(error) = TcpStream::connect_timeout(&reachable(self.address), WAKE_TIMEOUT) {
+            log::warn!("waking the callers' acceptor failed: {error}");
+            return;
+        }
+        if thread.join().is_err() {
             log::error!("the callers' acceptor had failed");
         }
     }
@@ -127,32 +122,12 @@
     }
 }
 
-/// Turns off the delay of small segments, which would hold a token back for tens of milliseconds.
-///
-/// Accepted connections inherit the option from the listener; the listener's own type does not
-/// offer it.
-fn without_delay(listener: TcpListener) -> io::Result<TcpListener> {
-    let socket = TcpStream::from(OwnedFd::from(listener));
-    socket.set_nodelay(true)?;
-    Ok(TcpListener::from(OwnedFd::from(socket)))
-}
-
-fn accept(server: &tiny_http::Server, context: &Arc<Context>, stopped: &AtomicBool) {
-    while !stopped.load(Ordering::Acquire) {
-        match server.recv() {
-            Ok(request) => {
-                let context = Arc::clone(context);
-                let spawned = thread::Builder::new()
-                    .name("request".to_owned())
-                    .spawn(move || handler::serve(&context, request));
-                if let Err(error) = spawned {
-                    log::warn!("no thread for a request: {error}");
-                }
-            }
-            Err(error) if stopped.load(Ordering::Acquire) => {
-                log::debug!("callers' interface stopped: {error}");
-            }
-            Err(error) => log::warn!("accepting a request failed: {error}"),
-        }
-    }
+/// Returns an address under which this process reaches its own listener.
+fn reachable(address: SocketAddr) -> SocketAddr {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) if ip.is_unspecified() => IpAddr::V4(Ipv4Addr::LOCALHOST),
+        IpAddr::V6(ip) if ip.is_unspecified() => IpAddr::V6(Ipv6Addr::LOCALHOST),
+        ip => ip,
+    };
+    SocketAddr::new(ip, address.port())
 }
--- /dev/null
+++ b/lib/src/front/acceptor.rs
@@ -0,0 +1,174 @@
+use std::collections::HashMap;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use super::connection::{Connection, Ended};
+use super::{Code, Context, Refusal, Reply, handler};
+
+/// Connections for each request that may be open: callers keep some open between requests.
+const CONNECTIONS_PER_REQUEST: usize = 2;
+/// A connection without a request is closed after this time.
+const IDLE_TIMEOUT: Duration = Duration::from_mins(2);
+/// Pause after a failed accept, such as one without a free file descriptor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts callers' connections and serves each in its own thread.
+#[derive(Debug)]
+pub(super) struct Acceptor {
+    context: Arc<Context>,
+    stopped: AtomicBool,
+    connections: Mutex<Connections>,
+}
+
+/// The open connections; those that wait for a request are closed by a stop.
+#[derive(Debug, Default)]
+struct Connections {
+    next: u64,
+    open: usize,
+    idle: HashMap<u64, TcpStream>,
+}
+
+impl Acceptor {
+    pub(super) fn open(context: Arc<Context>) -> Arc<Self> {
+        Arc::new(Self {
+            context,
+            stopped: AtomicBool::new(false),
+            connections: Mutex::default(),
+        })
+    }
+
+    /// Accepts until [`Self::stop`] is called.
+    pub(super) fn run(self: &Arc<Self>, listener: &TcpListener) {
+        loop {
+            let accepted = listener.accept();
+            if self.is_stopped() {
+                return;
+            }
+            match accepted {
+                Ok((stream, _)) => self.spawn(stream),
+                Err(error) => {
+                    log::warn!("accepting a connection failed: {error}");
+                    thread::sleep(ACCEPT_PAUSE);
+                }
+            }
+        }
+    }
+
+    /// Ends the accept loop, which wakes with the next connection, and the idle connections.
+    pub(super) fn stop(&self) {
+        self.stopped.store(true, Ordering::Release);
+        for stream in self.lock().idle.values() {
+            if let Err(error) = stream.shutdown(Shutdown::Read) {
+                log::debug!("closing an idle connection failed: {error}");
+            }
+        }
+    }
+
+    fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Acquire)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Connections> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn spawn(self: &Arc<Self>, stream: TcpStream) {
+        let limit = self.context.node.settings.limits.open_requests.get() as usize;
+        let number = {
+            let mut connections = self.lock();
+            if connections.open >= limit * CONNECTIONS_PER_REQUEST {
+                drop(connections);
+                return turn_away(&stream);
+            }
+            connections.open += 1;
+            connections.next += 1;
+            connections.next
+        };
+        let entry = Entry {
+            acceptor: Arc::clone(self),
+            number,
+        };
+        let spawned = thread::Builder::new()
+            .name("caller".to_owned())
+            .spawn(move || entry.serve(stream));
+        if let Err(error) = spawned {
+            log::warn!("no thread for a connection: {error}");
+        }
+    }
+}
+
+/// One counted connection; dropping it takes it off the count, also after a panic.
+struct Entry {
+    acceptor: Arc<Acceptor>,
+    number: u64,
+}
+
+impl Entry {
+    fn serve(&self, stream: TcpStream) {
+        match Connection::open(stream) {
+            Ok(connection) => self.serve_requests(connection),
+            Err(error) => log::debug!("connection failed: {error}"),
+        }
+    }
+
+    fn serve_requests(&self, mut connection: Connection) {
+        let context = &self.acceptor.context;
+        while self.wait(&mut connection) {
+            match connection.read(&context.node.settings.limits) {
+                Ok((head, incoming)) => {
+                    let Ok(mut reply) = Reply::open(connection.stream(), &head) else {
+                        return;
+                    };
+                    handler::serve(context, &incoming, &mut reply);
+                    if !reply.keep_alive() || self.acceptor.is_stopped() {
+                        return;
+                    }
+                }
+                Err(Ended::Closed) => return,
+                Err(Ended::Refused(refusal)) => {
+                    log::debug!(code:? = refusal.code; "request refused");
+                    if let Ok(mut reply) = Reply::closing(connection.stream())
+                        && reply.refuse(&refusal).is_ok()
+                    {
+                        connection.discard();
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Waits for a request; during that time a stop may close the connection.
+    fn wait(&self, connection: &mut Connection) -> bool {
+        let Ok(stream) = connection.stream().try_clone() else {
+            return false;
+        };
+        self.acceptor.lock().idle.insert(self.number, stream);
+        let has_request = !self.acceptor.is_stopped() && connection.wait(IDLE_TIMEOUT);
+        self.acceptor.lock().idle.remove(&self.number);
+        has_request
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let mut connections = self.acceptor.lock();
+        connections.open -= 1;
+        connections.idle.remove(&self.number);
+    }
+}
+
+/// Refuses a connection in the accepting thread; the answer fits into the empty socket buffer.
+fn turn_away(stream: &TcpStream) {
+    let refusal = Refusal::not_run(Code::OverLimit, "too many connections are open");
+    if let Ok(mut reply) = Reply::closing(stream)
+        && let Err(error) = reply.refuse(&refusal)
+    {
+        log::debug!("caller went away: {error}");
+    }
+}
--- /dev/null
+++ b/lib/src/front/connection.rs
@@ -0,0 +1,217 @@
+use std::io::{self, Read as _, Write as _};
+use std::net::{Shutdown, TcpStream};
+use std::time::{Duration, Instant};
+
+use ragwortgrade_schema::settings::Limits;
+
+use super::head::Content;
+use super::{Code, Head, Incoming, Refusal};
+
+/// Size of one read from the socket.
+const READ_BYTES: usize = 16 * 1_024;
+/// A chunk size in hexadecimal and its extensions.
+const CHUNK_LINE_BYTES_MAX: usize = 256;
+/// Unread bytes of a refused request that are thrown away before the connection is closed. Closing
+/// with unread bytes resets the connection, and the caller may lose the refusal.
+const DISCARD_BYTES_MAX: usize = 256 * 1_024;
+const DISCARD_TIME: Duration = Duration::from_millis(500);
+/// A caller that takes nothing of its answer for so long has gone away.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A caller's connection, read within bounds of size and time.
+///
+/// `tiny_http` bounds neither the length of a head nor the time that a caller takes to send its
+/// request, and its accept loop ends for good when the process runs out of file descriptors.
+#[derive(Debug)]
+pub(super) struct Connection {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+/// Why no request was read.
+#[derive(Debug)]
+pub(super) enum Ended {
+    /// The caller closed the connection between two requests, or broke it.
+    Closed,
+    /// The request is refused and the connection closed, as the next request's start is unknown.
+    Refused(Refusal),
+}
+
+impl From<Refusal> for Ended {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+impl Connection {
+    pub(super) fn open(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
+        Ok(Self {
+            stream,
+            buffer: Vec::new(),
+        })
+    }
+
+    pub(super) fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Waits for the first byte of the next request; `false` when none comes.
+    pub(super) fn wait(&mut self, time: Duration) -> bool {
+        if !self.buffer.is_empty() {
+            return true;
+        }
+        self.fill(Instant::now() + time).is_ok_and(|read| read > 0)
+    }
+
+    /// Reads a request whole; the time counts from its first byte.
+    pub(super) fn read(&mut self, limits: &Limits) -> Result<(Head, Incoming), Ended> {
+        let deadline = Instant::now() + Duration::from_millis(limits.read_timeout_ms);
+        let head = self.read_head(limits, deadline)?;
+        if let Content::Length(length) = head.content
+            && length > limits.body_bytes
+        {
+            return Err(too_large());
+        }
+        if head.expects_continue {
+            self.stream
+                .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+                .map_err(|_gone| Ended::Closed)?;
+        }
+        let body = match head.content {
+            Content::Length(length) => self.read_exactly(length as usize, deadline)?,
+            Content::Chunked => self.read_chunked(limits.body_bytes as usize, deadline)?,
+        };
+        let incoming = Incoming {
+            method: head.method.clone(),
+            path: head.path.clone(),
+            headers: head.headers.clone(),
+            body,
+        };
+        Ok((head, incoming))
+    }
+
+    /// Closes the connection after a refusal, so that the caller can still read it.
+    pub(super) fn discard(mut self) {
+        if self.stream.shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let deadline = Instant::now() + DISCARD_TIME;
+        let mut discarded = 0;
+        while discarded < DISCARD_BYTES_MAX {
+            self.buffer.clear();
+            match self.fill(deadline) {
+                Ok(read) if read > 0 => discarded += read,
+                _ => return,
+            }
+        }
+    }
+
+    fn read_head(&mut self, limits: &Limits, deadline: Instant) -> Result<Head, Ended> {
+        loop {
+            if let Some((head, length)) = Head::parse(&self.buffer, limits)? {
+                self.buffer.drain(..length);
+                return Ok(head);
+            }
+            self.more(deadline)?;
+        }
+    }
+
+    fn read_exactly(&mut self, length: usize, deadline: Instant) -> Result<Vec<u8>, Ended> {
+        while self.buffer.len() < length {
+            self.more(deadline)?;
+        }
+        let rest = self.buffer.split_off(length);
+        Ok(std::mem::replace(&mut self.buffer, rest))
+    }
+
+    fn read_chunked(&mut self, bytes_max: usize, deadline: Instant) -> Result<Vec<u8>, Ended> {
+        let mut body = Vec::new();
+        loop {
+            let size = chunk_size(&self.read_line(deadline)?)?;
+            if body.len() + size > bytes_max {
+                return Err(too_large());
+            }
+            if size == 0 {
+                break;
+            }
+            body.extend_from_slice(&self.read_exactly(size, deadline)?);
+            if !self.read_line(deadline)?.is_empty() {
+                return Err(malformed_chunk());
+            }
+        }
+        // Trailers end with an empty line; their lines are bounded and their content ignored.
+        while !self.read_line(deadline)?.is_empty() {}
+        Ok(body)
+    }
+
+    fn read_line(&mut self, deadline: Instant) -> Result<Vec<u8>, Ended> {
+        loop {
+            if let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") {
+                if end > CHUNK_LINE_BYTES_MAX {
+                    return Err(malformed_chunk());
+                }
+                let rest = self.buffer.split_off(end + 2);
+                let mut line = std::mem::replace(&mut self.buffer, rest);
+                line.truncate(end);
+                return Ok(line);
+            }
+            if self.buffer.len() > CHUNK_LINE_BYTES_MAX {
+                return Err(malformed_chunk());
+            }
+            self.more(deadline)?;
+        }
+    }
+
+    /// Reads further bytes of a request that has begun.
+    fn more(&mut self, deadline: Instant) -> Result<(), Ended> {
+        match self.fill(deadline) {
+            Ok(read) if read > 0 => Ok(()),
+            Err(error) if is_timeout(&error) => {
+                let message = "the request was not sent in time";
+                Err(Refusal::not_run(Code::SlowSender, message).into())
+            }
+            _ => Err(Ended::Closed),
+        }
+    }
+
+    fn fill(&mut self, deadline: Instant) -> io::Result<usize> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        self.stream.set_read_timeout(Some(left))?;
+        let filled = self.buffer.len();
+        self.buffer.resize(filled + READ_BYTES, 0);
+        let read = self.stream.read(&mut self.buffer[filled..]);
+        self.buffer
+            .truncate(filled + read.as_ref().copied().unwrap_or_default());
+        read
+    }
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
+}
+
+fn chunk_size(line: &[u8]) -> Result<usize, Ended> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let text = std::str::from_utf8(digits).unwrap_or_default().trim_end();
+    let is_hexadecimal = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    match u32::from_str_radix(text, 16) {
+        Ok(size) if is_hexadecimal => Ok(size as usize),
+        _ => Err(malformed_chunk()),
+    }
+}
+
+fn malformed_chunk() -> Ended {
+    Refusal::not_run(Code::Malformed, "chunked body is malformed").into()
+}
+
+fn too_large() -> Ended {
+    Refusal::not_run(Code::TooLarge, "the body is too large").into()
+}
--- a/lib/src/front/context.rs
+++ b/lib/src/front/context.rs
@@ -48,23 +48,19 @@
         }
     }
 
-    /// Counts a request as open unless the limit is reached.
-    pub(crate) fn enter(&self) -> bool {
+    /// Counts a request as open until the guard is dropped, unless the limit is reached.
+    pub(crate) fn enter(&self) -> Option<OpenRequest<'_>> {
         let limit = self.node.settings.limits.open_requests.get();
         let entered = self
             .open
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |open| {
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |open| {
                 (open < limit).then_some(open + 1)
             });
-        entered.is_ok()
-    }
-
-    pub(crate) fn leave(&self) {
-        self.open.fetch_sub(1, Ordering::AcqRel);
+        entered.is_ok().then_some(OpenRequest { open: &self.open })
     }
 
     pub(crate) fn open_requests(&self) -> u32 {
-        self.open.load(Ordering::Acquire)
+        self.open.load(Ordering::SeqCst)
     }
 
     pub(crate) fn next_request(&self) -> u64 {
@@ -116,6 +112,18 @@
     }
 }
 
+/// A request that counts as open; also a panic of its thread ends the count.
+#[derive(Debug)]
+pub(crate) struct OpenRequest<'a> {
+    open: &'a AtomicU32,
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// Writes the log line of a routing decision.
 fn log_dispatch(request: &Request, dispatch: &Dispatch) {
     if !log::log_enabled!(log::Level::Info) {
--- /dev/null
+++ b/lib/src/front/head.rs
@@ -0,0 +1,147 @@
+use ragwortgrade_schema::settings::Limits;
+
+use super::{Code, Refusal};
+
+/// How the length of a request's body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// By `Content-Length`; 0 when there is no body.
+    Length(u64),
+    /// By the chunked transfer coding.
+    Chunked,
+}
+
+/// Request line and headers of a caller's request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// HTTP method.
+    pub method: String,
+    /// Path with its query, from `/`.
+    pub path: String,
+    /// Headers in the order received.
+    pub headers: Vec<(String, String)>,
+    /// Length of the body.
+    pub content: Content,
+    /// The caller waits for `100 Continue` before it sends the body.
+    pub expects_continue: bool,
+    /// The connection serves another request afterwards.
+    pub keep_alive: bool,
+    /// The caller understands the chunked transfer coding (HTTP/1.1).
+    pub chunked_answer: bool,
+}
+
+impl Head {
+    /// Parses the head at the start of `bytes` and returns it with its length, or `None` when it
+    /// is not complete yet.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a head that exceeds the limits or does not follow the protocol.
+    pub fn parse(bytes: &[u8], limits: &Limits) -> Result<Option<(Self, usize)>, Refusal> {
+        let bytes_max = limits.header_bytes as usize;
+        let mut headers = vec![httparse::EMPTY_HEADER; limits.header_count as usize];
+        let mut request = httparse::Request::new(&mut headers);
+        let seen = &bytes[..bytes.len().min(bytes_max)];
+        match request.parse(seen) {
+            Ok(httparse::Status::Complete(length)) => Ok(Some((Self::check(&request)?, length))),
+            Ok(httparse::Status::Partial) if bytes.len() > bytes_max => Err(too_many()),
+            Ok(httparse::Status::Partial) => Ok(None),
+            Err(httparse::Error::TooManyHeaders) => Err(too_many()),
+            Err(error) => Err(malformed(error.to_string())),
+        }
+    }
+
+    /// Returns the first header of a name, whatever its case.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        find(&self.headers, name)
+    }
+
+    fn check(request: &httparse::Request<'_, '_>) -> Result<Self, Refusal> {
+        let path = request.path.unwrap_or_default();
+        if !path.starts_with('/') {
+            return Err(malformed("path does not start with /"));
+        }
+        let headers = request
+            .headers
+            .iter()
+            .map(text)
+            .collect::<Result<Vec<_>, _>>()?;
+        let is_1_1 = request.version == Some(1);
+        let content = content(&headers, is_1_1)?;
+        let connection = find(&headers, "Connection").unwrap_or_default();
+        let keep_alive = if is_1_1 {
+            !has_option(connection, "close")
+        } else {
+            has_option(connection, "keep-alive")
+        };
+        let expects_continue = find(&headers, "Expect")
+            .is_some_and(|expected| expected.eq_ignore_ascii_case("100-continue"));
+        Ok(Self {
+            method: request.method.unwrap_or_default().to_owned(),
+            path: path.to_owned(),
+            headers,
+            content,
+            expects_continue,
+            keep_alive,
+            chunked_answer: is_1_1,
+        })
+    }
+}
+
+pub(super) fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
+    headers
+        .iter()
+        .find(|(field, _)| field.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value.as_str())
+}
+
+fn text(header: &httparse::Header<'_>) -> Result<(String, String), Refusal> {
+    match std::str::from_utf8(header.value) {
+        Ok(value) => Ok((header.name.to_owned(), value.trim().to_owned())),
+        Err(_binary) => Err(malformed("a header is not text")),
+    }
+}
+
+/// Finds the length of the body; ambiguous lengths are refused, since a balancer may read them in
+/// another way and take a part of the body for the next request.
+fn content(headers: &[(String, String)], is_1_1: bool) -> Result<Content, Refusal> {
+    let values = |name: &str| -> Vec<&str> {
+        headers
+            .iter()
+            .filter(|(field, _)| field.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
+            .collect()
+    };
+    match (
+        values("Transfer-Encoding").as_slice(),
+        values("Content-Length").as_slice(),
+    ) {
+        ([], []) => Ok(Content::Length(0)),
+        ([], [length]) => decimal(length).map(Content::Length),
+        ([coding], []) if is_1_1 && coding.eq_ignore_ascii_case("chunked") => Ok(Content::Chunked),
+        _ => Err(malformed("length of the body is ambiguous")),
+    }
+}
+
+fn decimal(text: &str) -> Result<u64, Refusal> {
+    let is_decimal = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+    match text.parse() {
+        Ok(length) if is_decimal => Ok(length),
+        _ => Err(malformed("Content-Length is not a number")),
+    }
+}
+
+fn has_option(connection: &str, option: &str) -> bool {
+    connection
+        .split(',')
+        .any(|part| part.trim().eq_ignore_ascii_case(option))
+}
+
+fn malformed(message: impl Into<String>) -> Refusal {
+    Refusal::not_run(Code::Malformed, message)
+}
+
+fn too_many() -> Refusal {
+    Refusal::not_run(Code::TooManyHeaders, "the headers exceed the limits")
+}
--- a/lib/src/front/incoming.rs
+++ b/lib/src/front/incoming.rs
@@ -1,3 +1,5 @@
+use super::head;
+
 /// A caller's request, read whole and within the bounds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Incoming {
@@ -15,10 +17,7 @@
     /// Returns the first header of a name, whatever its case.
     #[must_use]
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers
-            .iter()
-            .find(|(field, _)| field.eq_ignore_ascii_case(name))
-            .map(|(_, value)| value.as_str())
+        head::find(&self.headers, name)
     }
 
     /// Returns the path without its query.
--- a/lib/src/front/reply.rs
+++ b/lib/src/front/reply.rs
@@ -1,25 +1,69 @@
-use std::io::{self, Write};
+use std::io::{self, Write as _};
+use std::net::TcpStream;
 
-use super::Refusal;
+use super::{Head, Refusal};
 
 const JSON: &str = "application/json";
 
 /// Writes one answer to a caller, whole or as server-sent events.
 ///
-/// Events are flushed one by one: a token must reach the caller when the engine produces it.
+/// Each event is written at once: a token must reach the caller when the engine produces it.
+#[derive(Debug)]
 pub struct Reply {
-    writer: Box<dyn Write + Send>,
+    stream: TcpStream,
     started: bool,
+    framing: Framing,
+    head_only: bool,
+    keep_alive: bool,
+}
+
+/// How the end of a stream of events is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    Chunked,
+    /// HTTP/1.0 knows no chunks: the end of the connection ends the answer.
+    UntilClose,
 }
 
 impl Reply {
-    /// Wraps the writing half of a caller's connection.
-    #[must_use]
-    pub fn new(writer: Box<dyn Write + Send>) -> Self {
-        Self {
-            writer,
+    /// Wraps a caller's connection for the answer to one request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has no file descriptor left.
+    pub fn open(stream: &TcpStream, head: &Head) -> io::Result<Self> {
+        Ok(Self {
+            stream: stream.try_clone()?,
             started: false,
-        }
+            framing: if head.chunked_answer {
+                Framing::Chunked
+            } else {
+                Framing::UntilClose
+            },
+            head_only: head.method == "HEAD",
+            keep_alive: head.keep_alive,
+        })
+    }
+
+    /// Wraps a connection that is closed after a refusal, as its request could not be read.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has no file descriptor left.
+    pub fn closing(stream: &TcpStream) -> io::Result<Self> {
+        Ok(Self {
+            stream: stream.try_clone()?,
+            started: false,
+            framing: Framing::Chunked,
+            head_only: false,
+            keep_alive: false,
+        })
+    }
+
+    /// Tells whether the connection can serve another request.
+    #[must_use]
+    pub fn keep_alive(&self) -> bool {
+        self.keep_alive
     }
 
     /// Tells whether the head was sent, after which no other status can follow.
@@ -28,6 +72,22 @@
         self.started
     }
 
+    /// Tells whether the caller has closed its connection.
+    #[must_use]
+    pub fn is_abandoned(&self) -> bool {
+        if self.stream.set_nonblocking(true).is_err() {
+            return true;
+        }
+        let seen = self.stream.peek(&mut [0]);
+        if self.stream.set_nonblocking(false).is_err() {
+            return true;
+        }
+        match seen {
+            Ok(bytes) => bytes == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Sends a whole answer.
     ///
     /// # Errors
@@ -35,14 +95,17 @@
     /// Fails when the caller has gone away.
     pub fn whole(&mut self, status: u16, content_type: &str, body: &[u8]) -> io::Result<()> {
         self.started = true;
-        write!(
-            self.writer,
-            "HTTP/1.1 {status} {}\r\nContent-Type: {content_type}\r\nContent-Length: {}\r\n\r\n",
+        let mut answer = format!(
+            "HTTP/1.1 {status} {}\r\nContent-Type: {content_type}\r\nContent-Length: {}\r\n{}\r\n",
             reason(status),
-            body.len()
-        )?;
-        self.writer.write_all(body)?;
-        self.writer.flush()
+            body.len(),
+            self.connection_header(),
+        )
+        .into_bytes();
+        if !self.head_only {
+            answer.extend_from_slice(body);
+        }
+        self.write(&answer)
     }
 
     /// Sends a refusal, as an answer or, inside a stream, as its last event.
@@ -66,10 +129,17 @@
     /// Fails when the caller has gone away.
     pub fn start_events(&mut self) -> io::Result<()> {
         self.started = true;
-        self.writer.write_all(
-            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\
-              Transfer-Encoding: chunked\r\n\r\n",
-        )
+        self.keep_alive &= self.framing == Framing::Chunked;
+        let coding = match self.framing {
+            Framing::Chunked => "Transfer-Encoding: chunked\r\n",
+            Framing::UntilClose => "",
+        };
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\
+             {coding}{}\r\n",
+            self.connection_header(),
+        );
+        self.write(head.as_bytes())
     }
 
     /// Sends one event with its identity.
@@ -92,21 +162,34 @@
     }
 
     fn chunk(&mut self, text: &str) -> io::Result<()> {
-        write!(self.writer, "{:x}\r\n{text}\r\n", text.len())?;
-        self.writer.flush()
+        match self.framing {
+            Framing::Chunked => {
+                let framed = format!("{:x}\r\n{text}\r\n", text.len());
+                self.write(framed.as_bytes())
+            }
+            Framing::UntilClose => self.write(text.as_bytes()),
+        }
     }
 
     fn end(&mut self) -> io::Result<()> {
-        self.writer.write_all(b"0\r\n\r\n")?;
-        self.writer.flush()
+        match self.framing {
+            Framing::Chunked => self.write(b"0\r\n\r\n"),
+            Framing::UntilClose => Ok(()),
+        }
+    }
+
+    fn connection_header(&self) -> &'static str {
+        if self.keep_alive {
+            "Connection: keep-alive\r\n"
+        } else {
+            "Connection: close\r\n"
+        }
     }
-}
 
-impl std::fmt::Debug for Reply {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Reply")
-            .field("started", &self.started)
-            .finish_non_exhaustive()
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let written = self.stream.write_all(bytes);
+        self.keep_alive &= written.is_ok();
+        written
     }
 }
 
@@ -116,7 +199,6 @@
         400 => "Bad Request",
         403 => "Forbidden",
         404 => "Not Found",
-        405 => "Method Not Allowed",
         408 => "Request Timeout",
         409 => "Conflict",
         413 => "Content Too Large",
--- /dev/null
+++ b/lib/tests/fakes/engine.rs
@@ -0,0 +1,173 @@
+use std::collections::{HashMap, VecDeque};
+use std::sync::Mutex;
+
+use ragwortgrade_lib::endpoint::{Call, Engine, Error, TokenStream};
+use ragwortgrade_schema::engine::{
+    CacheEvents, KvExport, KvHandle, KvImport, Load, Order, OrderAnswer, Token,
+};
+
+/// Tokens of a whole answer.
+pub const TOKENS: u32 = 6;
+
+/// How a fake engine treats one completion.
+#[derive(Clone, Debug)]
+pub enum Script {
+    Whole,
+    /// The stream breaks before the token of this index.
+    Break(u32),
+    /// Like [`Script::Break`], and the engine does not answer afterwards.
+    Crash(u32),
+    Unreachable,
+    /// The answer bears another attempt.
+    Crossed,
+    /// Endless tokens.
+    Endless,
+}
+
+/// Engines that follow a script; without one they answer whole.
+#[derive(Debug, Default)]
+pub struct FakeEngine {
+    pub scripts: Mutex<HashMap<String, VecDeque<Script>>>,
+    /// Calls as `(address, resume_from)`.
+    pub calls: Mutex<Vec<(String, u32)>>,
+    pub attempts: Mutex<Vec<String>>,
+    pub cancelled: Mutex<Vec<String>>,
+    pub transfers: Mutex<Vec<String>>,
+    pub dead: Mutex<Vec<String>>,
+}
+
+impl FakeEngine {
+    pub fn script(&self, address: &str, script: Script) {
+        let mut scripts = self.scripts.lock().unwrap();
+        scripts
+            .entry(address.to_owned())
+            .or_default()
+            .push_back(script);
+    }
+
+    pub fn calls(&self) -> Vec<(String, u32)> {
+        self.calls.lock().unwrap().clone()
+    }
+
+    fn is_dead(&self, address: &str) -> bool {
+        self.dead.lock().unwrap().iter().any(|dead| dead == address)
+    }
+}
+
+fn unreachable_error() -> Error {
+    Error::Unreachable {
+        reason: "fake".to_owned(),
+    }
+}
+
+impl Engine for FakeEngine {
+    fn complete(&self, address: &str, call: &Call) -> Result<Box<dyn TokenStream>, Error> {
+        self.calls
+            .lock()
+            .unwrap()
+            .push((address.to_owned(), call.resume_from));
+        self.attempts.lock().unwrap().push(call.attempt.clone());
+        if self.is_dead(address) {
+            return Err(unreachable_error());
+        }
+        let script = self
+            .scripts
+            .lock()
+            .unwrap()
+            .get_mut(address)
+            .and_then(VecDeque::pop_front)
+            .unwrap_or(Script::Whole);
+        let end = match script {
+            Script::Unreachable => return Err(unreachable_error()),
+            Script::Crossed => return Err(Error::Crossed),
+            Script::Crash(end) => {
+                self.dead.lock().unwrap().push(address.to_owned());
+                End::Broken(end)
+            }
+            Script::Break(end) => End::Broken(end),
+            Script::Whole => End::Whole(TOKENS),
+            Script::Endless => End::Whole(u32::MAX),
+        };
+        Ok(Box::new(FakeStream {
+            attempt: call.attempt.clone(),
+            next: call.resume_from,
+            end,
+        }))
+    }
+
+    fn cancel(&self, _address: &str, attempt: &str) -> Result<(), Error> {
+        self.cancelled.lock().unwrap().push(attempt.to_owned());
+        Ok(())
+    }
+
+    fn load(&self, address: &str) -> Result<Load, Error> {
+        if self.is_dead(address) {
+            return Err(unreachable_error());
+        }
+        Ok(super::load(address))
+    }
+
+    fn state(&self, address: &str) -> Result<Load, Error> {
+        self.load(address)
+    }
+
+    fn cache_events(&self, _address: &str, _after: u64) -> Result<CacheEvents, Error> {
+        Err(unreachable_error())
+    }
+
+    fn order(&self, _address: &str, _order: &Order) -> Result<OrderAnswer, Error> {
+        Err(unreachable_error())
+    }
+
+    fn export(&self, address: &str, export: &KvExport) -> Result<KvHandle, Error> {
+        self.transfers
+            .lock()
+            .unwrap()
+            .push(format!("export {address}"));
+        Ok(KvHandle {
+            attempt: export.attempt.clone(),
+            tokens: 1,
+            handle: "h".to_owned(),
+        })
+    }
+
+    fn import(&self, address: &str, import: &KvImport) -> Result<(), Error> {
+        self.transfers
+            .lock()
+            .unwrap()
+            .push(format!("import {address} from {}", import.from));
+        Ok(())
+    }
+}
+
+enum End {
+    Whole(u32),
+    Broken(u32),
+}
+
+struct FakeStream {
+    attempt: String,
+    next: u32,
+    end: End,
+}
+
+impl TokenStream for FakeStream {
+    fn next_token(&mut self) -> Result<Option<Token>, Error> {
+        match self.end {
+            End::Whole(end) if self.next >= end => return Ok(None),
+            End::Broken(end) if self.next >= end => {
+                return Err(Error::Broken {
+                    reason: "fake".to_owned(),
+                });
+            }
+            _ => {}
+        }
+        let index = self.next;
+        self.next += 1;
+        Ok(Some(Token {
+            attempt: self.attempt.clone(),
+            index,
+            token: format!("t{index}"),
+        }))
+    }
+}
--- /dev/null
+++ b/lib/tests/fakes/mod.rs
@@ -0,0 +1,177 @@
+//! Fakes at the borders of the daemon's parts, and a caller that speaks plain HTTP.
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
+
+mod caller;
+mod engine;
+mod key_value;
+mod peers;
+mod plain;
+
+use std::sync::Arc;
+
+pub use caller::{Answer, Caller};
+pub use engine::{FakeEngine, Script};
+pub use key_value::{Failure, FakeKeyValue};
+pub use peers::FakePeers;
+pub use plain::{FakePlain, Outcome};
+use ragwortgrade_lib::claims::Claims;
+use ragwortgrade_lib::front::{Front, Streams};
+use ragwortgrade_lib::membership::Endpoint;
+use ragwortgrade_lib::trial::Trials;
+use ragwortgrade_lib::{Interfaces, Node};
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::event::{self, Event};
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::configuration::Configuration;
+use ragwortgrade_schema::engine::{Load, Role, Version};
+use ragwortgrade_schema::settings::Settings;
+use serde_json::json;
+
+/// A front with fakes on all sides.
+pub struct Stage {
+    pub node: Arc<Node>,
+    pub engines: Arc<FakeEngine>,
+    pub plains: Arc<FakePlain>,
+    pub key_value: Arc<FakeKeyValue>,
+    pub peers: Arc<FakePeers>,
+    pub streams: Arc<Streams>,
+    pub trials: Arc<Trials>,
+    pub front: Front,
+}
+
+impl Stage {
+    pub fn open() -> Self {
+        Self::with_limits(&json!({}))
+    }
+
+    pub fn with_limits(limits: &serde_json::Value) -> Self {
+        let (engines, plains) = (
+            Arc::new(FakeEngine::default()),
+            Arc::new(FakePlain::default()),
+        );
+        let key_value = Arc::new(FakeKeyValue::default());
+        let interfaces = Interfaces {
+            key_value: Arc::<FakeKeyValue>::clone(&key_value),
+            engines: Arc::<FakeEngine>::clone(&engines),
+            plains: Arc::<FakePlain>::clone(&plains),
+        };
+        let node = Arc::new(Node::open(settings(limits), 1, interfaces));
+        node.configuration.store(Some(Arc::new(configuration())));
+        let claims = Claims::open(Arc::clone(&node));
+        let peers = Arc::new(FakePeers::new("d1", claims));
+        let (streams, trials) = (Arc::new(Streams::default()), Arc::new(Trials::default()));
+        let front = Front::bind(
+            Arc::clone(&node),
+            Arc::<FakePeers>::clone(&peers),
+            Arc::clone(&streams),
+            Arc::clone(&trials),
+        )
+        .expect("front binds");
+        Self {
+            node,
+            engines,
+            plains,
+            key_value,
+            peers,
+            streams,
+            trials,
+            front,
+        }
+    }
+
+    pub fn caller(&self) -> Caller {
+        Caller::open(self.front.address())
+    }
+
+    /// Adds an engine that serves the model `weave`.
+    pub fn engine(&self, name: &str) -> &Self {
+        self.endpoint(name, None);
+        self.node.observe(Event::Reported {
+            load: load(name),
+            observed: Instant::default(),
+        });
+        self
+    }
+
+    /// Adds an endpoint of a plain service, or an engine.
+    pub fn endpoint(&self, name: &str, service: Option<&str>) -> &Self {
+        let endpoint = Endpoint {
+            id: Name::from(name),
+            data_centre: Name::from("a"),
+            address: name.to_owned(),
+            service: service.map(Name::from),
+            incarnation: 1,
+            leaving: false,
+        };
+        self.node.observe(Event::Joined(event::Endpoint {
+            id: endpoint.id.clone(),
+            data_centre: endpoint.data_centre.clone(),
+            service: endpoint.service.clone(),
+        }));
+        self.node.directory.put(endpoint);
+        self
+    }
+}
+
+pub fn settings(limits: &serde_json::Value) -> Settings {
+    serde_json::from_value(json!({
+        "daemon": {
+            "id": "d1", "data_centre": "a", "region": "r", "callers_address": "127.0.0.1:0",
+            "peers_address": "127.0.0.1:0", "admin_address": "127.0.0.1:0"
+        },
+        "platform": {"key_value": "", "vm_list": ""},
+        "peers": {"seeds": []},
+        "keys": {"peer": {}, "peer_active": "k", "operator": {}},
+        "limits": limits,
+        "observe": {}
+    }))
+    .expect("settings fit the schema")
+}
+
+pub fn configuration() -> Configuration {
+    let service = |kind: &str, idempotent: bool| {
+        json!({"kind": kind, "model": "weave", "share": 10.0, "priority": 1,
+               "deadline_ms": 5_000, "idempotent": idempotent})
+    };
+    let workspace = |services: &[&str], requests: f64| {
+        json!({"services": services, "requests_per_second": requests,
+               "tokens_per_second": 1e6})
+    };
+    serde_json::from_value(json!({
+        "header": {"revision": 1, "apply_id": "x", "author": "x"},
+        "models": {"weave": {"versions": ["1"], "floor": 1, "weight_bytes": 1}},
+        "adapters": {},
+        "services": {
+            "stitch": service("model", true), "stock": service("plain", true),
+            "order": service("plain", false)
+        },
+        "workspaces": {
+            "lab": workspace(&[], 1e6), "narrow": workspace(&["stock"], 1e6),
+            "small": workspace(&[], 1.0)
+        },
+        "endpoints": {},
+        "policy": {"role_change_weight": 1.0}
+    }))
+    .expect("configuration fits the schema")
+}
+
+pub fn load(engine: &str) -> Load {
+    Load {
+        engine: Name::from(engine),
+        incarnation: 1,
+        at_ms: 0,
+        role: Role::Mixed,
+        sequences: 0,
+        queued_prefill_tokens: 0,
+        kv_tokens: 0,
+        draining: false,
+        changing: false,
+        last_fence: 0,
+        last_order: String::new(),
+        models: vec![Version {
+            name: Name::from("weave"),
+            version: Name::from("1"),
+        }],
+        adapters: Vec::new(),
+    }
+}
--- /dev/null
+++ b/lib/tests/front.rs
@@ -0,0 +1,159 @@
+//! The callers' interface, seen by a caller that speaks plain HTTP.
+
+mod fakes;
+
+use std::io::Read as _;
+
+use fakes::{Caller, Script, Stage};
+use ragwortgrade_lib::front::Code;
+use ragwortgrade_testutil::named_cases;
+use serde_json::json;
+
+#[test]
+fn a_stream_has_one_event_per_token() {
+    // Guards against tokens that are lost, repeated or held back at the daemon.
+    let stage = Stage::open();
+    stage.engine("e1");
+    let mut caller = stage.caller();
+    assert_eq!(caller.chat(true, "").head().0, 200);
+    assert_eq!(caller.events(), ((0..6).collect(), true));
+}
+
+#[test]
+fn a_connection_serves_whole_answers_one_after_another() {
+    // Guards against bytes of one request that are taken for a part of the next.
+    let stage = Stage::open();
+    stage.engine("e1");
+    let mut caller = stage.caller();
+    for _ in 0..3 {
+        let answer = caller.chat(false, "").answer();
+        let body: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
+        assert_eq!(body["choices"][0]["message"]["content"], "t0t1t2t3t4t5");
+    }
+}
+
+/// Sends a request that must be refused before anything runs.
+fn refuses(request: &str, status: u16, code: &str) {
+    let stage = Stage::with_limits(&json!({
+        "body_bytes": 2_000, "header_count": 8, "header_bytes": 1_024, "read_timeout_ms": 300
+    }));
+    stage.engine("e1").endpoint("p1", Some("order"));
+    let answer = stage.caller().send(request.as_bytes()).answer();
+    assert_eq!(answer.refusal(), (status, code.to_owned(), "no".to_owned()));
+    assert_eq!(stage.engines.calls(), Vec::new());
+    assert_eq!(stage.plains.runs(), 0);
+}
+
+fn chat(headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!("POST /v1/chat/completions HTTP/1.1\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
+}
+
+const LAB: &str = "X-Workspace: lab\r\n";
+const BODY: &str = r#"{"model":"weave","messages":[]}"#;
+
+named_cases! { refuses:
+    no_json(&chat(LAB, "{"), 400, "malformed");
+    no_workspace(&chat("", BODY), 400, "malformed");
+    no_path("GET /nothing HTTP/1.1\r\n\r\n", 400, "malformed");
+    no_http("\x01\x02\r\n\r\n", 400, "malformed");
+    two_lengths(&chat("Content-Length: 3\r\n", BODY), 400, "malformed");
+    length_and_chunks(&chat("Transfer-Encoding: chunked\r\n", BODY), 400, "malformed");
+    bad_chunk("POST /v1/chat/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+        400, "malformed");
+    other_workspace(&chat("X-Workspace: other\r\n", BODY), 403, "unknown_workspace");
+    other_model(&chat(LAB, &BODY.replace("weave", "none")), 404, "unknown_model");
+    other_service(&chat("X-Workspace: lab\r\nX-Service: none\r\n", BODY), 404, "unknown_service");
+    plain_service(&chat("X-Workspace: lab\r\nX-Service: stock\r\n", BODY), 404, "unknown_service");
+    forbidden_service("GET /services/order/x HTTP/1.1\r\nX-Workspace: narrow\r\n\r\n", 404,
+        "unknown_service");
+    undeclared_service("GET /services/none/x HTTP/1.1\r\nX-Workspace: lab\r\n\r\n", 404,
+        "unknown_service");
+    slow_head("POST /v1/chat", 408, "slow_sender");
+    slow_body("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 9\r\n\r\n{", 408, "slow_sender");
+    long_body(&chat(LAB, &"x".repeat(2_001)), 413, "too_large");
+    long_chunks("POST /v1/chat/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7d1\r\n",
+        413, "too_large");
+    many_headers(&chat(&"A: b\r\n".repeat(9), BODY), 431, "too_many_headers");
+    long_headers(&chat(&format!("A: {}\r\n", "b".repeat(2_000)), BODY), 431, "too_many_headers");
+    no_plain_endpoint("GET /services/stock/x HTTP/1.1\r\nX-Workspace: lab\r\n\r\n", 503,
+        "no_endpoint");
+}
+
+#[test]
+fn a_request_within_the_bounds_passes() {
+    // Negative control of `refuses`: the same settings accept a request at the bounds.
+    let stage = Stage::with_limits(&json!({
+        "body_bytes": 2_000, "header_count": 8, "header_bytes": 1_024, "read_timeout_ms": 300
+    }));
+    stage.engine("e1");
+    let body = format!("{BODY}{}", " ".repeat(2_000 - BODY.len()));
+    let answer = stage.caller().send(chat(LAB, &body).as_bytes()).answer();
+    assert_eq!(answer.status, 200);
+}
+
+#[test]
+fn open_requests_are_bounded() {
+    // Guards against a daemon that takes on more requests than it has threads and memory for.
+    let stage = Stage::with_limits(&json!({"open_requests": 1}));
+    stage.engine("e1").engine("e2");
+    stage.engines.script("e1", Script::Endless);
+    stage.engines.script("e2", Script::Endless);
+    let mut first = stage.caller();
+    assert_eq!(first.chat(true, "").head().0, 200);
+    let refused = stage.caller().chat(false, "").answer();
+    let expected = (429, "over_limit".to_owned(), "no".to_owned());
+    assert_eq!(refused.refusal(), expected);
+}
+
+#[test]
+fn a_drain_refuses_new_requests_and_finishes_open_ones() {
+    let mut stage = Stage::open();
+    stage.engine("e1");
+    let mut caller = stage.caller();
+    assert_eq!(
+        caller.send(b"GET /readyz HTTP/1.1\r\n\r\n").answer().status,
+        200
+    );
+    assert!(stage.front.drain());
+    let refused = caller.send(b"GET /readyz HTTP/1.1\r\n\r\n").answer();
+    assert_eq!(refused.refusal().1, "draining");
+    assert_eq!(caller.chat(false, "").answer().refusal().1, "draining");
+    stage.front.stop();
+    let mut rest = Vec::new();
+    let ended = caller.stream.read_to_end(&mut rest);
+    assert!(
+        ended.is_ok() && rest.is_empty(),
+        "idle connection is closed"
+    );
+}
+
+#[test]
+fn every_code_has_the_documented_status() {
+    // Guards against a change of the interface: callers' programs depend on codes and statuses.
+    let documented = "malformed 400, unknown_workspace 403, unknown_model 404, \
+        unknown_service 404, slow_sender 408, key_conflict 422, in_progress 409, too_large 413, \
+        too_many_headers 431, over_limit 429, deadline_unreachable 503, no_endpoint 503, \
+        draining 503, claims_unavailable 503, not_configured 503, crashes_endpoints 422, \
+        outcome_unknown 504, endpoint_failed 502";
+    for entry in documented.split(", ") {
+        let (code, status) = entry.split_once(' ').unwrap();
+        let found = Code::ALL.into_iter().find(|known| json!(known) == code);
+        assert_eq!(found.map(Code::status), status.parse().ok(), "{code}");
+    }
+}
+
+#[test]
+fn http_1_0_gets_events_until_the_connection_ends() {
+    // Guards against chunk sizes inside the events of a caller that knows no chunks.
+    let stage = Stage::open();
+    stage.engine("e1");
+    let body = r#"{"model":"weave","stream":true,"messages":[]}"#;
+    let request = chat(LAB, body).replace("HTTP/1.1", "HTTP/1.0");
+    let mut caller = Caller::open(stage.front.address());
+    let mut answer = String::new();
+    caller.send(request.as_bytes());
+    caller.stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.ends_with("\n\ndata: [DONE]\n\n"), "{answer}");
+    assert!(!answer.contains("Transfer-Encoding"), "{answer}");
+}
