policy: limit workspaces and retries

Cause: nothing bounded a workspace's requests or a fleet's retries. Change: limit::Limiter keeps a bucket of requests and one of tokens for each workspace, for this daemon's share of the limit: a tenth of the limit is split evenly, the rest by demand once the others' demand is known, evenly until then. Output tokens are charged afterwards. retry::Budget allows retries up to a tenth of the requests of the last 10 s, and at least 10 of them, as one engine's streams exceed a tenth of a small daemon's requests. Ruled out: a bucket without debt, since the length of an answer is known only at its end.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -12,11 +12,13 @@
 /// What the planner takes into account.
 pub mod fleet;
 mod instant;
+pub mod limit;
 pub mod membership;
 /// Roles and placement of the engines of a data centre.
 pub mod planner;
 pub mod rendezvous;
 mod request;
+pub mod retry;
 mod router;
 
 pub use fleet::Fleet;
--- /dev/null
+++ b/policy/src/limit.rs
@@ -0,0 +1,192 @@
+//! Limits of workspaces.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::configuration::Workspace;
+
+use crate::Instant;
+
+/// Time for which an unused allowance is kept; a burst may spend it at once.
+const BURST_SECONDS: f64 = 2.0;
+/// Fewest requests in a burst: a small share must still let single requests through.
+const BURST_REQUESTS_MIN: f64 = 1.0;
+/// Part of a workspace's limit that is split evenly; the rest follows demand. A daemon without
+/// recent demand can so serve the first requests that reach it.
+const EVEN_PART: f64 = 0.1;
+/// Time over which a daemon's own demand is averaged.
+const DEMAND_SECONDS: f64 = 10.0;
+
+/// Token buckets of the workspaces, for this daemon's share of their limits.
+#[derive(Debug)]
+pub struct Limiter {
+    daemons: u32,
+    accounts: HashMap<Name, Account>,
+}
+
+#[derive(Debug)]
+struct Account {
+    requests: Bucket,
+    tokens: Bucket,
+    demand: Demand,
+    others_demand: Option<f64>,
+}
+
+/// An allowance that refills with time; a cost may take it below zero, as output lengths are
+/// known only afterwards.
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    level: f64,
+    refilled: Instant,
+}
+
+/// Requests a second, averaged with exponential decay.
+#[derive(Clone, Copy, Debug, Default)]
+struct Demand {
+    rate: f64,
+    updated: Instant,
+}
+
+impl Limiter {
+    /// Opens a limiter for one of `daemons` live daemons.
+    #[must_use]
+    pub fn open(daemons: u32) -> Self {
+        Self {
+            daemons: daemons.max(1),
+            accounts: HashMap::new(),
+        }
+    }
+
+    /// Takes in the number of live daemons that share the limits, this one included.
+    pub fn set_daemons(&mut self, daemons: u32) {
+        self.daemons = daemons.max(1);
+    }
+
+    /// Returns this daemon's recent requests a second on behalf of a workspace.
+    #[must_use]
+    pub fn demand(&self, workspace: &Name, now: Instant) -> f64 {
+        let account = self.accounts.get(workspace);
+        account.map_or(0.0, |account| account.demand.at(now))
+    }
+
+    /// Takes in the recent requests a second of all other daemons together.
+    pub fn set_others_demand(&mut self, workspace: &Name, requests_per_second: f64) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.others_demand = Some(requests_per_second.max(0.0));
+        }
+    }
+
+    /// Counts a request with `tokens` of prompt against its workspace's limits.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which a request can pass when a limit is used up.
+    pub fn admit(
+        &mut self,
+        workspace: &Name,
+        limits: &Workspace,
+        tokens: u32,
+        now: Instant,
+    ) -> Result<(), Duration> {
+        let share = self.share(workspace, now);
+        let account = self.account(workspace, limits, share, now);
+        account.demand.count(now);
+        let request_rate = limits.requests_per_second * share;
+        let token_rate = limits.tokens_per_second * share;
+        account
+            .requests
+            .refill(request_rate, BURST_REQUESTS_MIN, now);
+        account.tokens.refill(token_rate, 1.0, now);
+        let wait = account.requests.wait(request_rate, 1.0);
+        let wait = wait.max(account.tokens.wait(token_rate, f64::MIN_POSITIVE));
+        if !wait.is_zero() {
+            return Err(wait);
+        }
+        account.requests.level -= 1.0;
+        account.tokens.level -= f64::from(tokens);
+        Ok(())
+    }
+
+    /// Counts output tokens of a request that was admitted.
+    pub fn charge(&mut self, workspace: &Name, tokens: u32) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.tokens.level -= f64::from(tokens);
+        }
+    }
+
+    /// Forgets the workspaces that are not declared any more.
+    pub fn retain(&mut self, is_declared: impl Fn(&Name) -> bool) {
+        self.accounts.retain(|workspace, _| is_declared(workspace));
+    }
+
+    fn share(&self, workspace: &Name, now: Instant) -> f64 {
+        let even = 1.0 / f64::from(self.daemons);
+        let Some(account) = self.accounts.get(workspace) else {
+            return even;
+        };
+        let own = account.demand.at(now);
+        match account.others_demand {
+            Some(others) if own + others > 0.0 => {
+                EVEN_PART * even + (1.0 - EVEN_PART) * own / (own + others)
+            }
+            _ => even,
+        }
+    }
+
+    fn account(
+        &mut self,
+        workspace: &Name,
+        limits: &Workspace,
+        share: f64,
+        now: Instant,
+    ) -> &mut Account {
+        let full = |rate: f64, least: f64| Bucket {
+            level: (rate * share * BURST_SECONDS).max(least),
+            refilled: now,
+        };
+        self.accounts
+            .entry(workspace.clone())
+            .or_insert_with(|| Account {
+                requests: full(limits.requests_per_second, BURST_REQUESTS_MIN),
+                tokens: full(limits.tokens_per_second, 1.0),
+                demand: Demand::default(),
+                others_demand: None,
+            })
+    }
+}
+
+impl Bucket {
+    fn refill(&mut self, rate: f64, least: f64, now: Instant) {
+        let gained = rate * now.since(self.refilled).as_secs_f64();
+        let full = (rate * BURST_SECONDS).max(least);
+        self.level = (self.level + gained).min(full);
+        self.refilled = now;
+    }
+
+    /// Returns the time until the level reaches `needed`.
+    fn wait(&self, rate: f64, needed: f64) -> Duration {
+        if self.level >= needed {
+            return Duration::ZERO;
+        }
+        let seconds = (needed - self.level) / rate;
+        Duration::try_from_secs_f64(seconds)
+            .unwrap_or(Duration::MAX)
+            .clamp(RETRY_MIN, RETRY_MAX)
+    }
+}
+
+/// Bounds of the retry time that a refused caller is told.
+const RETRY_MIN: Duration = Duration::from_millis(1);
+const RETRY_MAX: Duration = Duration::from_mins(1);
+
+impl Demand {
+    fn at(self, now: Instant) -> f64 {
+        self.rate * (-now.since(self.updated).as_secs_f64() / DEMAND_SECONDS).exp()
+    }
+
+    fn count(&mut self, now: Instant) {
+        self.rate = self.at(now) + 1.0 / DEMAND_SECONDS;
+        self.updated = now;
+    }
+}
--- /dev/null
+++ b/policy/src/retry.rs
@@ -0,0 +1,71 @@
+//! Retries and their budget.
+
+use std::time::Duration;
+
+use crate::Instant;
+
+/// Part of recent requests that may be retries, so that retries cannot double the load.
+const RETRY_PART: f64 = 0.1;
+/// Retries in each window that a daemon with few requests may make: with 20 requests/s a tenth
+/// would not cover the streams of one engine that breaks.
+const RETRIES_MIN: u32 = 10;
+const SLOTS: usize = 10;
+const SLOT: Duration = Duration::from_secs(1);
+
+/// Counts requests and retries of the last 10 s and allows a retry while they are few.
+#[derive(Debug)]
+pub struct Budget {
+    slots: [Slot; SLOTS],
+    newest: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Slot {
+    requests: u32,
+    retries: u32,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self {
+            slots: [Slot::default(); SLOTS],
+            newest: 0,
+        }
+    }
+}
+
+impl Budget {
+    /// Counts a request.
+    pub fn request(&mut self, now: Instant) {
+        self.slot(now).requests += 1;
+    }
+
+    /// Takes a retry out of the budget.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to ask again when the budget is used up.
+    pub fn retry(&mut self, now: Instant) -> Result<(), Instant> {
+        self.slot(now);
+        let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
+        let retries: u32 = self.slots.iter().map(|slot| slot.retries).sum();
+        let allowed = (f64::from(requests) * RETRY_PART) as u32;
+        if retries >= allowed.max(RETRIES_MIN) {
+            return Err(now + SLOT);
+        }
+        self.slot(now).retries += 1;
+        Ok(())
+    }
+
+    /// Moves the window to `now` and returns its newest slot.
+    fn slot(&mut self, now: Instant) -> &mut Slot {
+        let number = now.as_micros() / SLOT.as_micros() as u64;
+        let passed = number.saturating_sub(self.newest).min(SLOTS as u64);
+        for step in 1..=passed {
+            let stale = (number - passed + step) % SLOTS as u64;
+            self.slots[stale as usize] = Slot::default();
+        }
+        self.newest = self.newest.max(number);
+        &mut self.slots[(self.newest % SLOTS as u64) as usize]
+    }
+}
--- /dev/null
+++ b/policy/tests/limit.rs
@@ -0,0 +1,85 @@
+//! Limits of workspaces.
+
+use std::time::Duration;
+
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::limit::Limiter;
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::configuration::Workspace;
+use ragwortgrade_testutil::named_cases;
+
+fn limits(requests: f64, tokens: f64) -> Workspace {
+    Workspace {
+        services: Vec::new(),
+        requests_per_second: requests,
+        tokens_per_second: tokens,
+    }
+}
+
+/// Offers 100 requests a second for 20 s and compares the number that pass.
+fn passes(daemons: u32, limits: &Workspace, tokens: u32, expected: std::ops::RangeInclusive<u32>) {
+    let mut limiter = Limiter::open(daemons);
+    let workspace = Name::from("lab");
+    let passed = (0..2_000)
+        .filter(|step| {
+            let now = Instant::from_millis(step * 10);
+            limiter.admit(&workspace, limits, tokens, now).is_ok()
+        })
+        .count() as u32;
+    assert!(expected.contains(&passed), "{passed} passed");
+}
+
+named_cases! { passes:
+    requests_are_limited(1, &limits(10.0, 1e9), 1, 200..=221);
+    a_daemon_has_its_share(10, &limits(10.0, 1e9), 1, 20..=23);
+    prompt_tokens_are_limited(1, &limits(1e9, 1_000.0), 100, 200..=221);
+    a_limit_of_zero_lets_nothing_more_through(1, &limits(0.0, 1e9), 1, 0..=1);
+    a_wide_limit_lets_all_through(1, &limits(1e9, 1e9), 1, 2_000..=2_000);
+}
+
+#[test]
+fn a_refused_request_passes_after_the_time_told() {
+    // Guards against a retry time that sends the caller into the next refusal.
+    let mut limiter = Limiter::open(1);
+    let (workspace, limits) = (Name::from("lab"), limits(0.5, 1e9));
+    let start = Instant::from_millis(5);
+    assert!(limiter.admit(&workspace, &limits, 1, start).is_ok());
+    let wait = limiter.admit(&workspace, &limits, 1, start).unwrap_err();
+    let early = start + wait - Duration::from_millis(50);
+    assert!(limiter.admit(&workspace, &limits, 1, early).is_err());
+    let late = start + wait + Duration::from_millis(1);
+    assert!(limiter.admit(&workspace, &limits, 1, late).is_ok());
+}
+
+#[test]
+fn output_tokens_delay_the_next_requests() {
+    let mut limiter = Limiter::open(1);
+    let (workspace, limits) = (Name::from("lab"), limits(1e9, 100.0));
+    let now = Instant::from_millis(5);
+    assert!(limiter.admit(&workspace, &limits, 1, now).is_ok());
+    limiter.charge(&workspace, 1_000);
+    assert!(
+        limiter
+            .admit(&workspace, &limits, 1, now + Duration::from_secs(7))
+            .is_err()
+    );
+    assert!(
+        limiter
+            .admit(&workspace, &limits, 1, now + Duration::from_secs(9))
+            .is_ok()
+    );
+}
+
+#[test]
+fn a_share_follows_demand() {
+    // Guards against a workspace held to a fraction of its limit because one daemon gets it all.
+    let mut limiter = Limiter::open(10);
+    let (workspace, limits) = (Name::from("lab"), limits(10.0, 1e9));
+    let mut passed = 0;
+    for step in 0..2_000 {
+        let now = Instant::from_millis(step * 10);
+        passed += u32::from(limiter.admit(&workspace, &limits, 1, now).is_ok());
+        limiter.set_others_demand(&workspace, 0.0);
+    }
+    assert!((180..=215).contains(&passed), "{passed} passed");
+}
