--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -20,6 +20,7 @@
 mod request;
 pub mod retry;
 mod router;
+pub mod suspect;
 
 pub use fleet::Fleet;
 pub use instant::Instant;
--- /dev/null
+++ b/policy/src/suspect.rs
@@ -0,0 +1,26 @@
+//! Requests that crash endpoints.
+//!
+//! When an endpoint crashes, every request in its batch may be the cause. A content with one
+//! strike runs again only as a trial, on an endpoint without another content that has a strike.
+//! If that endpoint crashes too, the content is the only one in both batches.
+
+mod ledger;
+mod reservations;
+
+pub use ledger::{Ledger, Standing};
+pub use reservations::Reservations;
+
+/// Digest of a request's workspace, service and body.
+pub type Content = u128;
+
+/// Renders a content's digest as messages carry it.
+#[must_use]
+pub fn content_text(content: Content) -> String {
+    format!("{content:032x}")
+}
+
+/// Parses a content's digest; `None` when the text is none.
+#[must_use]
+pub fn content_from_text(text: &str) -> Option<Content> {
+    Content::from_str_radix(text, 16).ok()
+}
--- /dev/null
+++ b/policy/src/suspect/reservations.rs
@@ -0,0 +1,105 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ragwortgrade_schema::Name;
+
+use super::{Content, Ledger, Standing};
+use crate::Instant;
+
+/// Longest time for which one message reserves an endpoint; a peer's larger wish is cut to it.
+const RESERVATION_MAX: Duration = Duration::from_secs(10);
+
+/// Endpoints reserved for trials, and the contents that this daemon runs on each endpoint.
+#[derive(Debug, Default)]
+pub struct Reservations {
+    reserved: HashMap<Name, Reservation>,
+    running: HashMap<Name, HashMap<Content, u32>>,
+}
+
+#[derive(Debug)]
+struct Reservation {
+    holder: Name,
+    until: Instant,
+}
+
+impl Reservations {
+    /// Counts a content as running on an endpoint.
+    pub fn started(&mut self, endpoint: &Name, content: Content) {
+        let contents = self.running.entry(endpoint.clone()).or_default();
+        *contents.entry(content).or_default() += 1;
+    }
+
+    /// Ends what [`Self::started`] began.
+    pub fn ended(&mut self, endpoint: &Name, content: Content) {
+        let Some(contents) = self.running.get_mut(endpoint) else {
+            return;
+        };
+        if let Some(count) = contents.get_mut(&content) {
+            *count -= 1;
+            if *count == 0 {
+                contents.remove(&content);
+            }
+        }
+        if contents.is_empty() {
+            self.running.remove(endpoint);
+        }
+    }
+
+    /// Returns the number of requests that this daemon runs on an endpoint.
+    #[must_use]
+    pub fn running(&self, endpoint: &Name) -> u32 {
+        self.running
+            .get(endpoint)
+            .map_or(0, |contents| contents.values().sum())
+    }
+
+    /// Reserves an endpoint for a trial of `holder`, or renews the reservation.
+    ///
+    /// Fails when another trial holds the endpoint, or when this daemon runs a content with a
+    /// strike there outside the trial.
+    pub fn reserve(
+        &mut self,
+        endpoint: &Name,
+        holder: &Name,
+        time: Duration,
+        ledger: &Ledger,
+        now: Instant,
+    ) -> bool {
+        self.reserved
+            .retain(|_, reservation| reservation.until > now);
+        let is_renewal = match self.reserved.get(endpoint) {
+            Some(reservation) if reservation.holder != *holder => return false,
+            Some(_) => true,
+            None => false,
+        };
+        if !is_renewal && self.runs_struck(endpoint, ledger, now) {
+            return false;
+        }
+        let until = now + time.min(RESERVATION_MAX);
+        let reservation = Reservation {
+            holder: holder.clone(),
+            until,
+        };
+        self.reserved.insert(endpoint.clone(), reservation);
+        true
+    }
+
+    /// Ends a trial's reservation.
+    pub fn release(&mut self, endpoint: &Name, holder: &Name) {
+        if self
+            .reserved
+            .get(endpoint)
+            .is_some_and(|reservation| reservation.holder == *holder)
+        {
+            self.reserved.remove(endpoint);
+        }
+    }
+
+    fn runs_struck(&self, endpoint: &Name, ledger: &Ledger, now: Instant) -> bool {
+        self.running.get(endpoint).is_some_and(|contents| {
+            contents
+                .keys()
+                .any(|content| ledger.standing(*content, now) != Standing::Clear)
+        })
+    }
+}
