--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -15,12 +15,15 @@
 /// What the planner takes into account.
 pub mod fleet;
 mod instant;
+pub mod limit;
 pub mod membership;
 /// Roles and placement of the engines of a data centre.
 pub mod planner;
 pub mod rendezvous;
 mod request;
+pub mod retry;
 mod router;
+pub mod suspect;
 
 pub use cost_model::CostModel;
 pub use fleet::Fleet;
