--- /dev/null
+++ b/standins/examples/quickstart/load.rs
@@ -0,0 +1,257 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use ragwortgrade_standins::deployment::{DataCentre, Deployment};
+use ragwortgrade_standins::{Caller, Effect, End, PlainQuestion, Question, Verdict};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+
+use crate::options::Options;
+use crate::report::Report;
+
+/// Callers that wait for answers at the same time.
+const CALLERS: usize = 24;
+/// Pairs of questions that compare the way through a daemon with a direct call.
+const FIRST_TOKEN_PAIRS: usize = 200;
+/// Time in which every daemon must answer its first question.
+const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+const FIRST_ANSWER_RETRY: Duration = Duration::from_millis(100);
+const WORKSPACES: [&str; 2] = ["weavers", "buyers"];
+
+/// The mixed load of streamed prompts, short questions, stock checks and orders.
+pub(crate) struct Load<'a> {
+    deployment: &'a Deployment,
+    options: &'a Options,
+    interrupted: &'a AtomicBool,
+    entrances: Vec<SocketAddr>,
+    caller: Caller,
+    next: AtomicUsize,
+    /// For each order: whether an answer was complete, and whether all answers said "not run".
+    orders: Mutex<BTreeMap<String, OrderAnswers>>,
+}
+
+#[derive(Clone, Copy)]
+struct OrderAnswers {
+    complete: bool,
+    all_not_run: bool,
+}
+
+#[derive(Deserialize)]
+struct Effects {
+    effects: Vec<Effect>,
+}
+
+impl<'a> Load<'a> {
+    /// Opens a load on a running deployment.
+    pub(crate) fn open(
+        deployment: &'a Deployment,
+        options: &'a Options,
+        interrupted: &'a AtomicBool,
+    ) -> Self {
+        Self {
+            deployment,
+            options,
+            interrupted,
+            entrances: deployment.entrances(),
+            caller: Caller::open(),
+            next: AtomicUsize::new(0),
+            orders: Mutex::new(BTreeMap::new()),
+        }
+    }
+
+    /// Sends the load, judges it and compares times to the first token.
+    pub(crate) fn run(&self, report: &mut Report) -> Result<(), Box<dyn std::error::Error>> {
+        self.wait_for_first_answers()?;
+        let shared = Mutex::new(report);
+        thread::scope(|scope| {
+            for _ in 0..CALLERS {
+                scope.spawn(|| self.send_until_done(&shared));
+            }
+        });
+        let report = shared.into_inner().unwrap_or_else(PoisonError::into_inner);
+        self.judge_orders(report)?;
+        report.first_token_added_ms_p50 = self.first_token_added()?;
+        Ok(())
+    }
+
+    /// Waits until every daemon knows an engine.
+    fn wait_for_first_answers(&self) -> Result<(), String> {
+        let until = Instant::now() + FIRST_ANSWER_TIMEOUT;
+        for &address in &self.entrances {
+            let question = Question::streamed(WORKSPACES[0], "ready?", 1);
+            loop {
+                let answer = self.caller.ask(address, &question, None);
+                if answer.end == End::Whole {
+                    break;
+                }
+                if Instant::now() > until || self.interrupted.load(Ordering::Relaxed) {
+                    return Err(format!("{address} does not answer: {:?}", answer.end));
+                }
+                thread::sleep(FIRST_ANSWER_RETRY);
+            }
+        }
+        Ok(())
+    }
+
+    fn send_until_done(&self, report: &Mutex<&mut Report>) {
+        while !self.interrupted.load(Ordering::Relaxed) {
+            let index = self.next.fetch_add(1, Ordering::Relaxed);
+            if index >= self.options.requests {
+                return;
+            }
+            for verdict in self.send(index) {
+                report
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .count(verdict);
+            }
+        }
+    }
+
+    /// Sends the request with this index; an order may be sent twice.
+    fn send(&self, index: usize) -> Vec<Verdict> {
+        let mut random = ChaCha8Rng::seed_from_u64(self.options.seed.wrapping_add(index as u64));
+        let workspace = WORKSPACES[index % WORKSPACES.len()];
+        let entrance = self.entrances[random.random_range(0..self.entrances.len())];
+        match random.random_range(0..10) {
+            0..4 => {
+                let words = random.random_range(50..800);
+                let prompt = format!("prompt {index}: {}", "warp and weft ".repeat(words));
+                let tokens = random.random_range(16..96);
+                let question = Question::streamed(workspace, &prompt, tokens).service("explain");
+                vec![self.ask(entrance, &question)]
+            }
+            4..7 => {
+                let prompt = format!("short question {index}");
+                let question = Question::streamed(workspace, &prompt, 8).service("ask");
+                let is_whole = random.random_bool(0.5);
+                let question = if is_whole { question.whole() } else { question };
+                vec![self.ask(entrance, &question)]
+            }
+            7..9 => vec![self.call(entrance, &plain(workspace, "stock", index))],
+            _ => {
+                let other = self.entrances[random.random_range(0..self.entrances.len())];
+                self.order(
+                    &[entrance, other][..random.random_range(1..=2)],
+                    workspace,
+                    index,
+                )
+            }
+        }
+    }
+
+    fn ask(&self, entrance: SocketAddr, question: &Question) -> Verdict {
+        let answer = self.caller.ask(entrance, question, None);
+        let verdict = question.judge(&answer, 0);
+        explain(verdict, &answer.end);
+        verdict
+    }
+
+    fn call(&self, entrance: SocketAddr, question: &PlainQuestion) -> Verdict {
+        let answer = self.caller.call(entrance, question);
+        let verdict = question.judge(&answer);
+        explain(verdict, &answer.end);
+        verdict
+    }
+
+    /// Sends one order through each entrance at the same time.
+    fn order(&self, entrances: &[SocketAddr], workspace: &str, index: usize) -> Vec<Verdict> {
+        let question = plain(workspace, "orders", index);
+        let verdicts: Vec<Verdict> = thread::scope(|scope| {
+            let sent: Vec<_> = entrances
+                .iter()
+                .map(|entrance| scope.spawn(|| self.call(*entrance, &question)))
+                .collect();
+            sent.into_iter()
+                .map(|call| call.join().unwrap_or(Verdict::Lost))
+                .collect()
+        });
+        let answers = OrderAnswers {
+            complete: verdicts.contains(&Verdict::Complete),
+            all_not_run: verdicts.iter().all(|verdict| *verdict == Verdict::NotRun),
+        };
+        self.orders
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(question.body, answers);
+        verdicts
+    }
+
+    /// Compares the answers with what the order service did.
+    fn judge_orders(&self, report: &mut Report) -> Result<(), ragwortgrade_standins::Error> {
+        let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+        for endpoint in self
+            .deployment
+            .data_centres
+            .iter()
+            .flat_map(|centre| &centre.plains)
+        {
+            let effects: Effects = self.caller.get(&endpoint.url("/debug/effects"))?;
+            for effect in effects.effects {
+                *counts.entry(effect.body).or_default() += 1;
+            }
+        }
+        let orders = self.orders.lock().unwrap_or_else(PoisonError::into_inner);
+        for (body, answers) in orders.iter() {
+            let effects = counts.get(body).copied().unwrap_or(0);
+            report.doubled += u64::from(effects > 1 || (answers.all_not_run && effects > 0));
+            report.lost += u64::from(answers.complete && effects == 0);
+        }
+        Ok(())
+    }
+
+    /// Returns what the way through a daemon adds to the median time to the first token, in
+    /// milliseconds; direct and indirect questions alternate in one run.
+    fn first_token_added(&self) -> Result<f64, Box<dyn std::error::Error>> {
+        let centres: &[DataCentre] = &self.deployment.data_centres;
+        let mut direct: Histogram<u64> = Histogram::new(3)?;
+        let mut through: Histogram<u64> = Histogram::new(3)?;
+        for pair in 0..FIRST_TOKEN_PAIRS {
+            let prompt = format!("time to the first token {pair}");
+            let question = Question::streamed(WORKSPACES[0], &prompt, 4).service("ask");
+            let engines = &centres[pair % centres.len()].engines;
+            let engine = engines[pair % engines.len()].address;
+            let attempt = format!("direct-{pair}");
+            if let Some(time) = self
+                .caller
+                .ask_engine(engine, &question, &attempt)
+                .first_token
+            {
+                direct.record(time.as_micros() as u64)?;
+            }
+            let entrance = self.entrances[pair % self.entrances.len()];
+            if let Some(time) = self.caller.ask(entrance, &question, None).first_token {
+                through.record(time.as_micros() as u64)?;
+            }
+        }
+        let (direct, through) = (
+            direct.value_at_quantile(0.5),
+            through.value_at_quantile(0.5),
+        );
+        eprintln!("first token p50: {direct} us direct, {through} us through a daemon");
+        Ok((through as f64 - direct as f64) / 1_000.0)
+    }
+}
+
+fn plain(workspace: &str, service: &str, index: usize) -> PlainQuestion {
+    PlainQuestion {
+        workspace: workspace.to_owned(),
+        service: service.to_owned(),
+        path: "/new".to_owned(),
+        key: (service == "orders").then(|| format!("key-{index}")),
+        body: format!("{service} {index}"),
+    }
+}
+
+/// Reports an answer that is neither complete nor a refusal before the run.
+fn explain(verdict: Verdict, end: &End) {
+    if !matches!(verdict, Verdict::Complete | Verdict::NotRun) {
+        eprintln!("{verdict:?}: {end:?}");
+    }
+}
--- /dev/null
+++ b/standins/examples/quickstart/options.rs
@@ -0,0 +1,49 @@
+use std::error::Error;
+use std::ffi::OsString;
+
+use lexopt::prelude::Long;
+use lexopt::{Parser, ValueExt as _};
+
+const REQUESTS: usize = 1_500;
+const DAEMONS: usize = 3;
+const ENGINES: usize = 4;
+
+/// The command line.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    /// Requests of the load.
+    pub(crate) requests: usize,
+    /// Daemons in each data centre.
+    pub(crate) daemons: usize,
+    /// Engines in each data centre.
+    pub(crate) engines: usize,
+    /// Seed of the mix.
+    pub(crate) seed: u64,
+    /// Leave the deployment running until Ctrl-C.
+    pub(crate) keep: bool,
+}
+
+impl Options {
+    /// Reads the arguments.
+    pub(crate) fn parse(arguments: impl Iterator<Item = OsString>) -> Result<Self, Box<dyn Error>> {
+        let mut options = Self {
+            requests: REQUESTS,
+            daemons: DAEMONS,
+            engines: ENGINES,
+            seed: 1,
+            keep: false,
+        };
+        let mut parser = Parser::from_args(arguments);
+        while let Some(argument) = parser.next()? {
+            match argument {
+                Long("requests") => options.requests = parser.value()?.parse()?,
+                Long("daemons") => options.daemons = parser.value()?.parse()?,
+                Long("engines") => options.engines = parser.value()?.parse()?,
+                Long("seed") => options.seed = parser.value()?.parse()?,
+                Long("keep") => options.keep = true,
+                other => return Err(other.unexpected().into()),
+            }
+        }
+        Ok(options)
+    }
+}
--- /dev/null
+++ b/standins/src/caller.rs
@@ -0,0 +1,262 @@
+//! A caller of the daemons, for tests and load generators.
+
+mod answer;
+mod question;
+mod refusal;
+mod verdict;
+
+use std::io::{BufRead as _, BufReader};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use ragwortgrade_schema::engine::Token;
+use ragwortgrade_schema::platform::{Write, Written};
+use serde::{Deserialize, Serialize};
+use ureq::http::Response;
+use ureq::{Agent, Body};
+
+pub use self::answer::{Answer, End};
+pub use self::question::{PlainQuestion, Question};
+pub use self::refusal::Refusal;
+pub use self::verdict::Verdict;
+use crate::Error;
+use crate::http::ATTEMPT_HEADER;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Callers give up after this; longer than any deadline of a test.
+const CALL_TIMEOUT: Duration = Duration::from_mins(1);
+const ANSWER_BYTES_MAX: u64 = 16 << 20;
+const DATA_PREFIX: &str = "data: ";
+const ID_PREFIX: &str = "id: ";
+const DONE: &str = "[DONE]";
+
+/// Calls daemons and stand-ins over HTTP.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    agent: Agent,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    delta: Content,
+    #[serde(default)]
+    message: Content,
+}
+
+#[derive(Default, Deserialize)]
+struct Content {
+    #[serde(default)]
+    content: String,
+}
+
+impl Caller {
+    /// Opens a caller; clones share its connections.
+    #[must_use]
+    pub fn open() -> Self {
+        Self::with_timeout(CALL_TIMEOUT)
+    }
+
+    /// Opens a caller that gives up after `timeout`.
+    #[must_use]
+    pub fn with_timeout(timeout: Duration) -> Self {
+        let agent = Agent::config_builder()
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .timeout_global(Some(timeout))
+            .http_status_as_error(false)
+            .build()
+            .into();
+        Self { agent }
+    }
+
+    /// Asks a daemon for a completion; `last_event` resumes a broken answer.
+    #[must_use]
+    pub fn ask(
+        &self,
+        address: SocketAddr,
+        question: &Question,
+        last_event: Option<&str>,
+    ) -> Answer {
+        let mut request = self
+            .agent
+            .post(format!("http://{address}/v1/chat/completions"))
+            .header("X-Workspace", &question.workspace);
+        if let Some(service) = &question.service {
+            request = request.header("X-Service", service);
+        }
+        if let Some(last_event) = last_event {
+            request = request.header("Last-Event-ID", last_event);
+        }
+        let started = Instant::now();
+        match request.send_json(&question.completion) {
+            Err(error) => Answer::broken(error.to_string()),
+            Ok(mut answer) if !answer.status().is_success() => Answer::refused(&mut answer),
+            Ok(answer) if question.completion.stream => read_stream(answer, started),
+            Ok(answer) => read_whole(answer, started),
+        }
+    }
+
+    /// Asks an engine directly, past the daemons.
+    #[must_use]
+    pub fn ask_engine(&self, address: SocketAddr, question: &Question, attempt: &str) -> Answer {
+        let request = self
+            .agent
+            .post(format!("http://{address}/v1/chat/completions"))
+            .header(ATTEMPT_HEADER, attempt);
+        let started = Instant::now();
+        match request.send_json(&question.completion) {
+            Err(error) => Answer::broken(error.to_string()),
+            Ok(mut answer) if !answer.status().is_success() => Answer::refused(&mut answer),
+            Ok(answer) => read_stream(answer, started),
+        }
+    }
+
+    /// Calls a plain service through a daemon.
+    #[must_use]
+    pub fn call(&self, address: SocketAddr, question: &PlainQuestion) -> Answer {
+        let PlainQuestion { service, path, .. } = question;
+        let mut request = self
+            .agent
+            .post(format!("http://{address}/services/{service}{path}"))
+            .header("X-Workspace", &question.workspace);
+        if let Some(key) = &question.key {
+            request = request.header("Idempotency-Key", key);
+        }
+        match request.send(&question.body) {
+            Err(error) => Answer::broken(error.to_string()),
+            Ok(mut answer) if !answer.status().is_success() => Answer::refused(&mut answer),
+            Ok(mut answer) => match read_text(&mut answer) {
+                Ok(text) => Answer::whole(vec![text]),
+                Err(error) => Answer::broken(error.to_string()),
+            },
+        }
+    }
+
+    /// Tells whether a URL answers with success.
+    #[must_use]
+    pub fn is_ok(&self, url: &str) -> bool {
+        let answer = self.agent.get(url).call();
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// Reads a JSON document.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the call does or the document has another form.
+    pub fn get<T: for<'a> Deserialize<'a>>(&self, url: &str) -> Result<T, Error> {
+        let answer = self.agent.get(url).call();
+        read_json(url, answer)
+    }
+
+    /// Posts a JSON document and ignores the answer's body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the call does or is refused.
+    pub fn post(&self, url: &str, body: &impl Serialize) -> Result<(), Error> {
+        let answer = self.agent.post(url).send_json(body);
+        let _: serde_json::Value = read_json(url, answer)?;
+        Ok(())
+    }
+
+    /// Writes a key of the key-value service; returns the new revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the call does or the key has another revision.
+    pub fn write(&self, key_value: SocketAddr, write: &Write) -> Result<u64, Error> {
+        let url = format!("http://{key_value}/cas");
+        let answer = self.agent.post(&url).send_json(write);
+        let written: Written = read_json(&url, answer)?;
+        Ok(written.revision)
+    }
+}
+
+fn read_json<T: for<'a> Deserialize<'a>>(
+    url: &str,
+    answer: Result<Response<Body>, ureq::Error>,
+) -> Result<T, Error> {
+    let failed = |reason: String| Error::Call {
+        url: url.to_owned(),
+        reason,
+    };
+    let mut answer = answer.map_err(|error| failed(error.to_string()))?;
+    let text = read_text(&mut answer).map_err(|error| failed(error.to_string()))?;
+    if !answer.status().is_success() {
+        return Err(failed(format!("status {}: {text}", answer.status())));
+    }
+    serde_json::from_str(&text).map_err(|error| failed(format!("{error}: {text}")))
+}
+
+fn read_text(answer: &mut Response<Body>) -> Result<String, ureq::Error> {
+    answer
+        .body_mut()
+        .with_config()
+        .limit(ANSWER_BYTES_MAX)
+        .read_to_string()
+}
+
+/// Reads a whole answer of a daemon; its tokens are joined in one text.
+fn read_whole(mut answer: Response<Body>, started: Instant) -> Answer {
+    let text = match read_text(&mut answer) {
+        Ok(text) => text,
+        Err(error) => return Answer::broken(error.to_string()),
+    };
+    match serde_json::from_str::<Chunk>(&text) {
+        Ok(chunk) => {
+            let contents = chunk
+                .choices
+                .into_iter()
+                .map(|choice| choice.message.content);
+            let mut answer = Answer::whole(contents.collect());
+            answer.first_token = Some(started.elapsed());
+            answer
+        }
+        Err(error) => Answer::broken(format!("{error}: {text}")),
+    }
+}
+
+/// Reads a stream of a daemon or an engine to its end.
+fn read_stream(answer: Response<Body>, started: Instant) -> Answer {
+    let mut collected = Answer::broken("the stream ended early".to_owned());
+    for line in BufReader::new(answer.into_body().into_reader()).lines() {
+        let line = match line {
+            Ok(line) => line,
+            Err(error) => {
+                collected.end = End::Broken(error.to_string());
+                return collected;
+            }
+        };
+        if let Some(id) = line.strip_prefix(ID_PREFIX) {
+            collected.next_event = Some(id.to_owned());
+        }
+        let Some(data) = line.strip_prefix(DATA_PREFIX) else {
+            continue;
+        };
+        if data == DONE {
+            collected.end = End::Whole;
+            return collected;
+        }
+        let Some(token) = token(data) else {
+            collected.end = End::Broken(format!("unexpected event: {data}"));
+            return collected;
+        };
+        collected.push(token, started.elapsed());
+    }
+    collected
+}
+
+/// Returns the token of an event, in the form of the daemons or of the engines.
+fn token(data: &str) -> Option<String> {
+    if let Ok(token) = serde_json::from_str::<Token>(data) {
+        return Some(token.token);
+    }
+    let chunk: Chunk = serde_json::from_str(data).ok()?;
+    Some(chunk.choices.into_iter().next()?.delta.content)
+}
--- /dev/null
+++ b/standins/src/caller/question.rs
@@ -0,0 +1,76 @@
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::engine::{Completion, Message};
+
+use crate::answer_token;
+
+/// A chat completion that a caller asks for.
+#[derive(Clone, Debug)]
+pub struct Question {
+    /// Value of `X-Workspace`.
+    pub workspace: String,
+    /// Value of `X-Service`.
+    pub service: Option<String>,
+    /// Body.
+    pub completion: Completion,
+}
+
+/// A call of a plain service.
+#[derive(Clone, Debug)]
+pub struct PlainQuestion {
+    /// Value of `X-Workspace`.
+    pub workspace: String,
+    /// Name of the service.
+    pub service: String,
+    /// Path inside the service, from `/`.
+    pub path: String,
+    /// Value of `Idempotency-Key`.
+    pub key: Option<String>,
+    /// Body.
+    pub body: String,
+}
+
+impl Question {
+    /// Builds a streamed question about `content`, answered with `tokens` tokens.
+    #[must_use]
+    pub fn streamed(workspace: &str, content: &str, tokens: u32) -> Self {
+        let message = Message {
+            content: content.to_owned(),
+            role: "user".to_owned(),
+        };
+        Self {
+            workspace: workspace.to_owned(),
+            service: None,
+            completion: Completion {
+                deadline_ms: None,
+                max_tokens: Some(tokens),
+                messages: vec![message],
+                model: Name::from("base"),
+                priority: None,
+                stream: true,
+            },
+        }
+    }
+
+    /// Asks for the whole answer at once.
+    #[must_use]
+    pub fn whole(mut self) -> Self {
+        self.completion.stream = false;
+        self
+    }
+
+    /// Names the service.
+    #[must_use]
+    pub fn service(mut self, service: &str) -> Self {
+        self.service = Some(service.to_owned());
+        self
+    }
+
+    /// Returns the only right answer, which the engines compute in the same way.
+    #[must_use]
+    pub fn expected(&self) -> Vec<String> {
+        let tokens = self.completion.max_tokens.unwrap_or(0);
+        (0..tokens)
+            .map(|index| answer_token(&self.completion, index))
+            .collect()
+    }
+}
--- /dev/null
+++ b/standins/src/caller/refusal.rs
@@ -0,0 +1,40 @@
+use serde::Deserialize;
+
+/// A refusal of a daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// HTTP status.
+    pub status: u16,
+    /// Stable error code.
+    pub code: String,
+    /// Whether the daemon says that the request did not run.
+    pub is_not_run: bool,
+    /// When a new try may succeed, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct Document {
+    error: Fields,
+}
+
+#[derive(Deserialize)]
+struct Fields {
+    code: String,
+    ran: String,
+    #[serde(default)]
+    retry_after_ms: u64,
+}
+
+impl Refusal {
+    /// Reads the JSON body of a refusal.
+    pub(super) fn parse(status: u16, body: &str) -> Option<Self> {
+        let document: Document = serde_json::from_str(body).ok()?;
+        Some(Self {
+            status,
+            code: document.error.code,
+            is_not_run: document.error.ran == "no",
+            retry_after_ms: document.error.retry_after_ms,
+        })
+    }
+}
--- /dev/null
+++ b/standins/src/deployment.rs
@@ -0,0 +1,188 @@
+//! A whole deployment as processes on loopback: the platform, endpoints and daemons.
+
+mod daemon;
+mod data_centre;
+mod declaration;
+mod endpoint;
+mod plan;
+mod process;
+mod programs;
+
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ragwortgrade_schema::platform::{Vms, Write};
+
+pub use self::daemon::{DaemonProcess, DaemonSettings};
+pub use self::data_centre::DataCentre;
+pub use self::declaration::{Declaration, Workspace};
+pub use self::endpoint::EndpointProcess;
+pub use self::plan::Plan;
+pub use self::process::Process;
+pub use self::programs::Programs;
+use crate::{Caller, Error};
+
+/// Key under which daemons look for the configuration.
+const CONFIGURATION_KEY: &str = "configuration";
+/// Time for a whole deployment to become ready, with a debug build on a busy machine.
+const READY_TIMEOUT: Duration = Duration::from_mins(1);
+const READY_CHECK: Duration = Duration::from_millis(50);
+
+/// A running deployment; dropping it ends every process that it started.
+#[derive(Debug)]
+pub struct Deployment {
+    /// The key-value service.
+    pub key_value: EndpointProcess,
+    /// The list of VMs.
+    pub vm_list: EndpointProcess,
+    /// The weight store.
+    pub weights: EndpointProcess,
+    /// The data centres.
+    pub data_centres: Vec<DataCentre>,
+    /// What the operators declared last.
+    pub declaration: Declaration,
+    directory: PathBuf,
+    configuration_revision: u64,
+}
+
+impl Deployment {
+    /// Starts the platform, the endpoints and the daemons, and waits until all are ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process cannot start or is not ready in time.
+    pub fn spawn(plan: &Plan) -> Result<Self, Error> {
+        let key_value = EndpointProcess::spawn(&plan.standin, "key-value", "key-value", &[])?;
+        let vm_list = EndpointProcess::spawn(&plan.standin, "vm-list", "vm-list", &[])?;
+        let weights = EndpointProcess::spawn(&plan.standin, "weights", "weights", &[])?;
+        let mut deployment = Self {
+            key_value,
+            vm_list,
+            weights,
+            data_centres: Vec::new(),
+            declaration: Declaration::standard(),
+            directory: plan.directory.clone(),
+            configuration_revision: 0,
+        };
+        deployment.write_operator_key()?;
+        let seeds = plan.peers_addresses()?;
+        for index in 0..plan.data_centres {
+            let centre = DataCentre::spawn(plan, index, &seeds, &deployment)?;
+            deployment.data_centres.push(centre);
+        }
+        deployment
+            .declaration
+            .declare_endpoints(&deployment.data_centres);
+        deployment.publish_vms()?;
+        deployment.apply()?;
+        deployment.wait_until_ready()?;
+        Ok(deployment)
+    }
+
+    fn write_operator_key(&self) -> Result<(), Error> {
+        let path = self.operator_key_file();
+        let text = format!("test:{}\n", daemon::OPERATOR_KEY);
+        fs::write(&path, text).map_err(|cause| Error::File {
+            path: path.display().to_string(),
+            cause,
+        })
+    }
+
+    /// Returns the directory of settings and logs.
+    #[must_use]
+    pub fn directory(&self) -> &Path {
+        &self.directory
+    }
+
+    /// Returns the file with the operators' key, as `<key id>:<hex>`.
+    #[must_use]
+    pub fn operator_key_file(&self) -> PathBuf {
+        self.directory.join("operator.key")
+    }
+
+    /// Writes the declaration into the key-value service as the next revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the service cannot be reached or another revision is in force.
+    pub fn apply(&mut self) -> Result<(), Error> {
+        self.declaration.revision += 1;
+        let write = Write {
+            expect: self.configuration_revision,
+            key: CONFIGURATION_KEY.to_owned(),
+            lease: None,
+            value: Some(self.declaration.to_string()),
+        };
+        self.configuration_revision = Caller::open().write(self.key_value.address, &write)?;
+        Ok(())
+    }
+
+    /// Tells the VM list which VMs there are.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the list cannot be reached.
+    pub fn publish_vms(&self) -> Result<(), Error> {
+        let vms = self.data_centres.iter().flat_map(DataCentre::vms).collect();
+        let url = format!("http://{}/debug/vms", self.vm_list.address);
+        Caller::open().post(&url, &Vms { vms })
+    }
+
+    /// Returns the callers' addresses of all daemons that run.
+    #[must_use]
+    pub fn entrances(&self) -> Vec<SocketAddr> {
+        let daemons = self.data_centres.iter().flat_map(|centre| &centre.daemons);
+        daemons
+            .filter(|daemon| daemon.is_running())
+            .map(|daemon| daemon.settings.callers)
+            .collect()
+    }
+
+    /// Waits until every daemon says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the time is over.
+    pub fn wait_until_ready(&self) -> Result<(), Error> {
+        let until = Instant::now() + READY_TIMEOUT;
+        let caller = Caller::open();
+        for address in self.entrances() {
+            let url = format!("http://{address}/readyz");
+            while !caller.is_ok(&url) {
+                if Instant::now() > until {
+                    return Err(Error::Call {
+                        url,
+                        reason: format!("not ready; logs are in {}", self.directory.display()),
+                    });
+                }
+                thread::sleep(READY_CHECK);
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends every process; those that do not end by themselves are killed.
+    pub fn stop(mut self) {
+        for centre in &mut self.data_centres {
+            centre.stop();
+        }
+    }
+}
+
+/// Finds an address that nothing listens on.
+///
+/// # Errors
+///
+/// Fails when the system has no port left.
+pub fn free_address() -> Result<SocketAddr, Error> {
+    let address = "127.0.0.1:0";
+    TcpListener::bind(address)
+        .and_then(|listener| listener.local_addr())
+        .map_err(|error| Error::Bind {
+            address: address.to_owned(),
+            reason: error.to_string(),
+        })
+}
--- /dev/null
+++ b/standins/src/deployment/daemon.rs
@@ -0,0 +1,150 @@
+use std::fmt;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use super::Process;
+use crate::Error;
+
+/// Keys of a test deployment; they protect nothing.
+pub(crate) const PEER_KEY: &str =
+    "6b65792d666f722d74657374732d6b65792d666f722d74657374732d6b657931";
+/// Operators' key of a test deployment.
+pub(crate) const OPERATOR_KEY: &str =
+    "6f70657261746f722d6b65792d666f722d74657374732d6f70657261746f7231";
+
+/// Settings of one daemon, rendered as its INI file.
+#[derive(Clone, Debug)]
+pub struct DaemonSettings {
+    /// Name of the daemon.
+    pub id: String,
+    /// Data centre of the daemon.
+    pub data_centre: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other daemons.
+    pub peers: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Address of the key-value service, or of a relay to it.
+    pub key_value: SocketAddr,
+    /// Address of the VM list, or of a relay to it.
+    pub vm_list: SocketAddr,
+    /// Addresses of other daemons.
+    pub seeds: Vec<SocketAddr>,
+    /// Time that a drain may take, in milliseconds.
+    pub drain_timeout_ms: u64,
+}
+
+impl fmt::Display for DaemonSettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let seeds = self.seeds.iter().filter(|seed| **seed != self.peers);
+        let seeds: Vec<String> = seeds.map(ToString::to_string).collect();
+        writeln!(f, "[daemon]")?;
+        writeln!(f, "id = {}", self.id)?;
+        writeln!(f, "data_centre = {}", self.data_centre)?;
+        writeln!(f, "region = region-1")?;
+        writeln!(f, "callers_address = {}", self.callers)?;
+        writeln!(f, "peers_address = {}", self.peers)?;
+        writeln!(f, "admin_address = {}", self.admin)?;
+        writeln!(f, "\n[platform]")?;
+        writeln!(f, "key_value = http://{}", self.key_value)?;
+        writeln!(f, "vm_list = http://{}", self.vm_list)?;
+        writeln!(f, "\n[peers]")?;
+        writeln!(f, "seeds = {}", seeds.join(", "))?;
+        writeln!(f, "\n[keys]")?;
+        writeln!(f, "peer.test = {PEER_KEY}")?;
+        writeln!(f, "peer_active = test")?;
+        writeln!(f, "operator.test = {OPERATOR_KEY}")?;
+        writeln!(f, "\n[limits]")?;
+        writeln!(f, "drain_timeout_ms = {}", self.drain_timeout_ms)?;
+        writeln!(f, "\n[observe]")?;
+        writeln!(f, "log_level = info")
+    }
+}
+
+/// A daemon that runs as a process.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    /// Its settings.
+    pub settings: DaemonSettings,
+    /// The process, `None` while the daemon is down.
+    pub process: Option<Process>,
+    /// Number of times that it was started.
+    pub starts: u64,
+    program: PathBuf,
+    file: PathBuf,
+    log: PathBuf,
+}
+
+impl DaemonProcess {
+    /// Writes the settings into `directory` and starts the daemon.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file cannot be written or the process cannot start.
+    pub fn spawn(
+        program: &Path,
+        directory: &Path,
+        settings: DaemonSettings,
+    ) -> Result<Self, Error> {
+        let file = directory.join(format!("{}.ini", settings.id));
+        fs::write(&file, settings.to_string()).map_err(|cause| Error::File {
+            path: file.display().to_string(),
+            cause,
+        })?;
+        let log = directory.join(format!("{}.log", settings.id));
+        let mut daemon = Self {
+            settings,
+            process: None,
+            starts: 0,
+            program: program.to_owned(),
+            file,
+            log,
+        };
+        daemon.start()?;
+        Ok(daemon)
+    }
+
+    /// Starts the daemon, unless it runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot start.
+    pub fn start(&mut self) -> Result<(), Error> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let mut command = Command::new(&self.program);
+        command.arg("--settings").arg(&self.file);
+        self.process = Some(Process::spawn(command, &self.log)?);
+        self.starts += 1;
+        Ok(())
+    }
+
+    /// Tells whether the daemon was started and not ended by its handle.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        self.process.is_some()
+    }
+
+    /// Kills the daemon.
+    pub fn kill(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            process.kill();
+        }
+    }
+
+    /// Returns the path of its log.
+    #[must_use]
+    pub fn log(&self) -> &Path {
+        &self.log
+    }
+
+    /// Returns the path of its settings.
+    #[must_use]
+    pub fn settings_file(&self) -> &Path {
+        &self.file
+    }
+}
--- /dev/null
+++ b/standins/src/deployment/data_centre.rs
@@ -0,0 +1,228 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::platform::{Vm, VmKind, VmState};
+
+use super::{DaemonProcess, DaemonSettings, Deployment, EndpointProcess, Plan, free_address};
+use crate::{Cut, Error, Relay};
+
+/// Plain services that run in each data centre.
+const PLAIN_SERVICES: [&str; 2] = ["stock", "orders"];
+/// Every engine with this remainder of its number ignores fencing tokens.
+const IGNORES_FENCE_EVERY: usize = 3;
+/// Time in which an idle daemon drains; after it the process is killed.
+const STOP_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The processes of one data centre.
+#[derive(Debug)]
+pub struct DataCentre {
+    /// Name of the data centre.
+    pub name: String,
+    /// Entry VMs.
+    pub daemons: Vec<DaemonProcess>,
+    /// Model engines.
+    pub engines: Vec<EndpointProcess>,
+    /// Endpoints of plain services.
+    pub plains: Vec<EndpointProcess>,
+    /// Relay to the key-value service, if the plan has relays.
+    pub platform_relay: Option<Relay>,
+    /// Relays to the engines and then to the plain endpoints, in their order.
+    pub endpoint_relays: Vec<Relay>,
+}
+
+impl DataCentre {
+    pub(super) fn spawn(
+        plan: &Plan,
+        index: usize,
+        seeds: &[SocketAddr],
+        deployment: &Deployment,
+    ) -> Result<Self, Error> {
+        let mut centre = Self {
+            name: format!("dc-{}", index + 1),
+            daemons: Vec::new(),
+            engines: Vec::new(),
+            plains: Vec::new(),
+            platform_relay: None,
+            endpoint_relays: Vec::new(),
+        };
+        if plan.has_relays {
+            let target = deployment.key_value.address;
+            centre.platform_relay = Some(Relay::bind("127.0.0.1:0", target)?);
+        }
+        for number in 0..plan.engines {
+            let weights = deployment.weights.url("");
+            centre.spawn_engine(plan, number, &weights)?;
+        }
+        for service in PLAIN_SERVICES {
+            centre.spawn_plain(plan, service)?;
+        }
+        centre.spawn_relays(plan)?;
+        let own = &seeds[index * plan.daemons..][..plan.daemons];
+        for (number, peers) in own.iter().enumerate() {
+            centre.spawn_daemon(plan, number, *peers, seeds, deployment)?;
+        }
+        Ok(centre)
+    }
+
+    fn spawn_engine(&mut self, plan: &Plan, number: usize, weights: &str) -> Result<(), Error> {
+        let name = format!("engine-{}-{}", self.name, number + 1);
+        let fencing = if ignores_fence(number) {
+            "ignored"
+        } else {
+            "checked"
+        };
+        let order_log = plan.directory.join(format!("{name}.orders"));
+        let pairs = [
+            ("--name", name.as_str()),
+            ("--fencing", fencing),
+            ("--weights", weights),
+            ("--order-log", &order_log.to_string_lossy()),
+        ];
+        let mut flags = flags(&pairs);
+        flags.extend_from_slice(&plan.engine_flags);
+        let engine = EndpointProcess::spawn(&plan.standin, "engine", &name, &flags)?;
+        self.engines.push(engine);
+        Ok(())
+    }
+
+    fn spawn_plain(&mut self, plan: &Plan, service: &str) -> Result<(), Error> {
+        let name = format!("{service}-{}", self.name);
+        let effect_log = plan.directory.join(format!("{name}.effects"));
+        let pairs = [
+            ("--name", name.as_str()),
+            ("--effect-log", &effect_log.to_string_lossy()),
+        ];
+        let mut endpoint = EndpointProcess::spawn(&plan.standin, "plain", &name, &flags(&pairs))?;
+        endpoint.service = Some(service.to_owned());
+        self.plains.push(endpoint);
+        Ok(())
+    }
+
+    fn spawn_relays(&mut self, plan: &Plan) -> Result<(), Error> {
+        if !plan.has_relays {
+            return Ok(());
+        }
+        for endpoint in self.engines.iter().chain(&self.plains) {
+            self.endpoint_relays
+                .push(Relay::bind("127.0.0.1:0", endpoint.address)?);
+        }
+        Ok(())
+    }
+
+    fn spawn_daemon(
+        &mut self,
+        plan: &Plan,
+        number: usize,
+        peers: SocketAddr,
+        seeds: &[SocketAddr],
+        deployment: &Deployment,
+    ) -> Result<(), Error> {
+        let key_value = self
+            .platform_relay
+            .as_ref()
+            .map_or(deployment.key_value.address, Relay::address);
+        let settings = DaemonSettings {
+            id: format!("daemon-{}-{}", self.name, number + 1),
+            data_centre: self.name.clone(),
+            callers: free_address()?,
+            peers,
+            admin: free_address()?,
+            key_value,
+            vm_list: deployment.vm_list.address,
+            seeds: seeds.to_vec(),
+            drain_timeout_ms: plan.drain_timeout_ms,
+        };
+        let daemon = DaemonProcess::spawn(&plan.daemon, &plan.directory, settings)?;
+        self.daemons.push(daemon);
+        Ok(())
+    }
+
+    /// Returns the address at which daemons reach an endpoint.
+    fn endpoint_address(&self, index: usize, endpoint: &EndpointProcess) -> SocketAddr {
+        let relay = self.endpoint_relays.get(index);
+        relay.map_or(endpoint.address, Relay::address)
+    }
+
+    /// Cuts or heals the way from this data centre's daemons to the key-value service.
+    pub fn cut_platform(&self, cut: Cut) {
+        if let Some(relay) = &self.platform_relay {
+            relay.set_cut(cut);
+        }
+    }
+
+    /// Returns the VMs of this data centre.
+    #[must_use]
+    pub fn vms(&self) -> Vec<Vm> {
+        let endpoints = self.engines.iter().chain(&self.plains);
+        let endpoints = endpoints
+            .enumerate()
+            .map(|(index, endpoint)| self.endpoint_vm(index, endpoint));
+        let daemons = self.daemons.iter().map(|daemon| self.daemon_vm(daemon));
+        endpoints.chain(daemons).collect()
+    }
+
+    fn endpoint_vm(&self, index: usize, endpoint: &EndpointProcess) -> Vm {
+        Vm {
+            address: self.endpoint_address(index, endpoint).to_string(),
+            data_centre: Name::from(self.name.as_str()),
+            id: Name::from(endpoint.name.as_str()),
+            incarnation: endpoint.starts,
+            kind: match endpoint.service {
+                None => VmKind::Engine,
+                Some(_) => VmKind::Plain,
+            },
+            peers_address: None,
+            service: endpoint.service.as_deref().map(Name::from),
+            state: if endpoint.is_leaving {
+                VmState::Leaving
+            } else {
+                VmState::Live
+            },
+        }
+    }
+
+    fn daemon_vm(&self, daemon: &DaemonProcess) -> Vm {
+        Vm {
+            address: daemon.settings.callers.to_string(),
+            data_centre: Name::from(self.name.as_str()),
+            id: Name::from(daemon.settings.id.as_str()),
+            incarnation: daemon.starts,
+            kind: VmKind::Entry,
+            peers_address: Some(daemon.settings.peers.to_string()),
+            service: None,
+            state: VmState::Live,
+        }
+    }
+
+    /// Ends the daemons, first by SIGTERM and then by SIGKILL; endpoints end when dropped.
+    pub(super) fn stop(&mut self) {
+        for daemon in &mut self.daemons {
+            if let Some(process) = &mut daemon.process
+                && let Err(error) = process.terminate()
+            {
+                log::warn!("{error}");
+            }
+        }
+        for daemon in &mut self.daemons {
+            if let Some(process) = &mut daemon.process
+                && process.wait(STOP_TIMEOUT).is_none()
+            {
+                log::warn!("{} does not end and is killed", daemon.settings.id);
+            }
+            daemon.kill();
+        }
+    }
+}
+
+/// Tells whether the engine with this number ignores fencing tokens.
+pub(super) fn ignores_fence(number: usize) -> bool {
+    number % IGNORES_FENCE_EVERY == IGNORES_FENCE_EVERY - 1
+}
+
+fn flags(pairs: &[(&str, &str)]) -> Vec<String> {
+    pairs
+        .iter()
+        .flat_map(|(flag, value)| [(*flag).to_owned(), (*value).to_owned()])
+        .collect()
+}
--- /dev/null
+++ b/standins/src/deployment/declaration.rs
@@ -0,0 +1,111 @@
+use std::fmt;
+
+use super::DataCentre;
+use super::data_centre::ignores_fence;
+
+/// A workspace of a declaration.
+#[derive(Clone, Debug)]
+pub struct Workspace {
+    /// Name of the workspace.
+    pub name: String,
+    /// Requests per second that it may send.
+    pub requests_per_second: f64,
+}
+
+/// What operators declare for a test deployment, rendered as its INI document.
+#[derive(Clone, Debug)]
+pub struct Declaration {
+    /// Revision of the document.
+    pub revision: u64,
+    /// Who applied it; part of the apply identity.
+    pub author: String,
+    /// Workspaces.
+    pub workspaces: Vec<Workspace>,
+    /// Engines and plain endpoints: name, whether fencing tokens are checked, whether it drains.
+    pub endpoints: Vec<(String, bool, bool)>,
+    /// Requests in time that one role change must be worth.
+    pub role_change_weight: f64,
+}
+
+impl Declaration {
+    /// Returns the declaration of the quickstart, without endpoints.
+    #[must_use]
+    pub fn standard() -> Self {
+        let workspace = |name: &str| Workspace {
+            name: name.to_owned(),
+            requests_per_second: 10_000.0,
+        };
+        Self {
+            revision: 0,
+            author: "quickstart".to_owned(),
+            workspaces: vec![workspace("weavers"), workspace("buyers")],
+            endpoints: Vec::new(),
+            role_change_weight: 20.0,
+        }
+    }
+
+    /// Declares the endpoints of the data centres.
+    pub fn declare_endpoints(&mut self, centres: &[DataCentre]) {
+        for centre in centres {
+            for (number, engine) in centre.engines.iter().enumerate() {
+                let checks = !ignores_fence(number);
+                self.endpoints.push((engine.name.clone(), checks, false));
+            }
+            for plain in &centre.plains {
+                self.endpoints.push((plain.name.clone(), true, false));
+            }
+        }
+    }
+}
+
+impl fmt::Display for Declaration {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "[configuration]")?;
+        writeln!(f, "revision = {}", self.revision)?;
+        writeln!(f, "apply_id = {}-{}", self.author, self.revision)?;
+        writeln!(f, "author = {}", self.author)?;
+        writeln!(
+            f,
+            "\n[model base]\nversions = 1\nfloor = 1\nweight_bytes = 16000000000"
+        )?;
+        write_service(f, "base", "model", 20, 2, 5_000)?;
+        write_service(f, "explain", "model", 40, 1, 20_000)?;
+        write_service(f, "ask", "model", 20, 5, 5_000)?;
+        write_service(f, "stock", "plain", 10, 5, 5_000)?;
+        write_service(f, "orders", "plain", 10, 5, 5_000)?;
+        for workspace in &self.workspaces {
+            writeln!(f, "\n[workspace {}]", workspace.name)?;
+            writeln!(f, "services =")?;
+            writeln!(f, "requests_per_second = {}", workspace.requests_per_second)?;
+            writeln!(f, "tokens_per_second = 100000000")?;
+        }
+        for (name, checks, drains) in &self.endpoints {
+            let fencing = if *checks { "checked" } else { "ignored" };
+            writeln!(
+                f,
+                "\n[endpoint {name}]\nfencing = {fencing}\ndrain = {drains}"
+            )?;
+        }
+        writeln!(f, "\n[policy]")?;
+        writeln!(f, "role_change_weight = {}", self.role_change_weight)
+    }
+}
+
+fn write_service(
+    f: &mut fmt::Formatter<'_>,
+    name: &str,
+    kind: &str,
+    share: u32,
+    priority: u32,
+    deadline_ms: u32,
+) -> fmt::Result {
+    writeln!(f, "\n[service {name}]\nkind = {kind}")?;
+    if kind == "model" {
+        writeln!(f, "model = base")?;
+    }
+    writeln!(
+        f,
+        "share = {share}\npriority = {priority}\ndeadline_ms = {deadline_ms}"
+    )?;
+    writeln!(f, "idempotent = {}", name != "orders")
+}
--- /dev/null
+++ b/standins/src/deployment/endpoint.rs
@@ -0,0 +1,112 @@
+use std::ffi::OsString;
+use std::io::{BufRead as _, BufReader};
+use std::net::SocketAddr;
+use std::process::{Command, Stdio};
+
+use serde::Deserialize;
+
+use super::Process;
+use crate::Error;
+
+/// A stand-in that runs as a process.
+#[derive(Debug)]
+pub struct EndpointProcess {
+    /// Name in logs and in the VM list.
+    pub name: String,
+    /// Address of its HTTP interface.
+    pub address: SocketAddr,
+    /// Plain service that it runs.
+    pub service: Option<String>,
+    /// The platform says that the VM leaves.
+    pub is_leaving: bool,
+    /// Number of times that it was started.
+    pub starts: u64,
+    /// The process.
+    pub process: Process,
+    program: Vec<OsString>,
+    kind: String,
+    flags: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Ready {
+    address: SocketAddr,
+}
+
+impl EndpointProcess {
+    /// Starts a stand-in; `program` is the command that runs stand-ins, with its first arguments.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot start or does not say its address.
+    pub fn spawn(
+        program: &[OsString],
+        kind: &str,
+        name: &str,
+        flags: &[String],
+    ) -> Result<Self, Error> {
+        let (process, address) = start(program, kind, "127.0.0.1:0", flags)?;
+        Ok(Self {
+            name: name.to_owned(),
+            address,
+            service: None,
+            is_leaving: false,
+            starts: 1,
+            process,
+            program: program.to_vec(),
+            kind: kind.to_owned(),
+            flags: flags.to_vec(),
+        })
+    }
+
+    /// Starts the process again on the same address; kills it first if it still runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot start.
+    pub fn restart(&mut self) -> Result<(), Error> {
+        self.process.kill();
+        let address = self.address.to_string();
+        let (process, address) = start(&self.program, &self.kind, &address, &self.flags)?;
+        self.process = process;
+        self.address = address;
+        self.starts += 1;
+        Ok(())
+    }
+
+    /// Returns a URL of the stand-in.
+    #[must_use]
+    pub fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+}
+
+fn start(
+    program: &[OsString],
+    kind: &str,
+    address: &str,
+    flags: &[String],
+) -> Result<(Process, SocketAddr), Error> {
+    let (first, rest) = program.split_first().ok_or_else(|| Error::Process {
+        program: kind.to_owned(),
+        reason: "no command given".to_owned(),
+    })?;
+    let mut command = Command::new(first);
+    command
+        .args(rest)
+        .args([kind, "--address", address, "--end-with-input"])
+        .args(flags)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped());
+    let mut process = Process::spawn_quiet(command)?;
+    let mut line = String::new();
+    if let Some(output) = process.child().stdout.take() {
+        // A process that ended early leaves the line empty, which is reported below.
+        drop(BufReader::new(output).read_line(&mut line));
+    }
+    let ready: Ready = serde_json::from_str(&line).map_err(|error| Error::Process {
+        program: kind.to_owned(),
+        reason: format!("did not say its address: {error}"),
+    })?;
+    Ok((process, ready.address))
+}
--- /dev/null
+++ b/standins/src/deployment/process.rs
@@ -0,0 +1,143 @@
+use std::fs::File;
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::Error;
+
+const EXIT_CHECK: Duration = Duration::from_millis(10);
+
+/// A child process that is ended by its id, at the latest when the handle is dropped.
+#[derive(Debug)]
+pub struct Process {
+    program: String,
+    child: Child,
+    ended: Option<ExitStatus>,
+}
+
+impl Process {
+    /// Starts a program; its standard error goes to `log`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started or the log cannot be written.
+    pub fn spawn(mut command: Command, log: &Path) -> Result<Self, Error> {
+        let program = command.get_program().to_string_lossy().into_owned();
+        let file = File::options().create(true).append(true).open(log);
+        let file = file.map_err(|cause| Error::File {
+            path: log.display().to_string(),
+            cause,
+        })?;
+        Self::start(command.stderr(Stdio::from(file)), program)
+    }
+
+    /// Starts a program that keeps this process's standard error.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started.
+    pub fn spawn_quiet(mut command: Command) -> Result<Self, Error> {
+        let program = command.get_program().to_string_lossy().into_owned();
+        Self::start(&mut command, program)
+    }
+
+    fn start(command: &mut Command, program: String) -> Result<Self, Error> {
+        let child = command.spawn().map_err(|error| Error::Process {
+            program: program.clone(),
+            reason: error.to_string(),
+        })?;
+        Ok(Self {
+            program,
+            child,
+            ended: None,
+        })
+    }
+
+    /// Returns the process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Gives access to the standard streams.
+    pub(super) fn child(&mut self) -> &mut Child {
+        &mut self.child
+    }
+
+    /// Returns how the process ended, or `None` while it runs.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        if self.ended.is_none() {
+            self.ended = self.child.try_wait().ok().flatten();
+        }
+        self.ended
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        if self.ended().is_some() {
+            return;
+        }
+        if let Err(error) = self.child.kill() {
+            log::error!("process {} cannot be killed: {error}", self.id());
+        }
+        self.ended = self.child.wait().ok();
+    }
+
+    /// Asks the process to end (SIGTERM).
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended.
+    pub fn terminate(&mut self) -> Result<(), Error> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Stops the process from running (SIGSTOP) until it is resumed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended.
+    pub fn pause(&mut self) -> Result<(), Error> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a paused process run on (SIGCONT).
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended.
+    pub fn resume(&mut self) -> Result<(), Error> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Waits until the process ends; `None` when it still runs after `timeout`.
+    pub fn wait(&mut self, timeout: Duration) -> Option<ExitStatus> {
+        let until = Instant::now() + timeout;
+        while self.ended().is_none() && Instant::now() < until {
+            thread::sleep(EXIT_CHECK);
+        }
+        self.ended
+    }
+
+    fn signal(&mut self, signal: Signal) -> Result<(), Error> {
+        let failed = |reason: String| Error::Process {
+            program: self.program.clone(),
+            reason,
+        };
+        // The id of a child that was waited for may belong to another process by now.
+        if let Some(status) = self.ended {
+            return Err(failed(format!("has ended with {status}")));
+        }
+        kill_process(Pid::from_child(&self.child), signal)
+            .map_err(|error| failed(error.to_string()))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/standins/src/deployment/programs.rs
@@ -0,0 +1,73 @@
+use std::env;
+use std::ffi::OsString;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+
+use crate::Error;
+
+/// Argument by which an example runs a stand-in instead of itself.
+pub(super) const STANDIN_ARGUMENT: &str = "standin";
+
+/// The programs of a deployment, built in the same profile as the running example.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The daemon.
+    pub daemon: PathBuf,
+    /// The operators' command.
+    pub operators: PathBuf,
+    /// Command that runs a stand-in: the running example with the argument `standin`.
+    pub standin: Vec<OsString>,
+}
+
+impl Programs {
+    /// Builds the programs with the Cargo that runs this example and returns their paths.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the build does.
+    pub fn build() -> Result<Self, Error> {
+        let example = env::current_exe().map_err(|cause| Error::File {
+            path: "path of the running example".to_owned(),
+            cause,
+        })?;
+        let profile = example
+            .parent()
+            .and_then(Path::parent)
+            .unwrap_or(Path::new("."));
+        if let Some(cargo) = env::var_os("CARGO") {
+            build(cargo, profile.ends_with("release"))?;
+        }
+        Ok(Self {
+            daemon: profile.join("ragwortgrade"),
+            operators: profile.join("ragwortctl"),
+            standin: vec![example.into_os_string(), STANDIN_ARGUMENT.into()],
+        })
+    }
+}
+
+fn build(cargo: OsString, is_release: bool) -> Result<(), Error> {
+    let failed = |reason: String| Error::Process {
+        program: "cargo build".to_owned(),
+        reason,
+    };
+    let mut command = Command::new(cargo);
+    command
+        .args([
+            "build",
+            "--quiet",
+            "--package",
+            "ragwortgrade-cli",
+            "--bins",
+        ])
+        .stdout(Stdio::null());
+    if is_release {
+        command.arg("--release");
+    }
+    let status = command
+        .status()
+        .map_err(|error| failed(error.to_string()))?;
+    if status.success() {
+        return Ok(());
+    }
+    Err(failed(format!("ended with {status}")))
+}
--- a/standins/src/error.rs
+++ b/standins/src/error.rs
@@ -35,4 +35,10 @@
         /// What the client reported.
         reason: String,
     },
+    /// The command line of a stand-in is wrong.
+    #[error("command line: {reason}")]
+    Usage {
+        /// What is wrong.
+        reason: String,
+    },
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,7 +3,9 @@
 //! Each stand-in speaks the published protocol of the system that it stands for, is bound with
 //! `bind(settings)` and returns a running handle with `address()` and `stop()`.
 
+mod caller;
 mod control_server;
+pub mod deployment;
 mod engine;
 mod error;
 mod http;
@@ -12,15 +14,18 @@
 mod plain;
 mod record_log;
 mod relay;
+mod standin;
 mod token_bucket;
 mod vm_list;
 mod weights;
 
+pub use caller::{Answer, Caller, End, PlainQuestion, Question, Refusal, Verdict};
 pub use engine::{Engine, EngineFault, EngineSettings, OrderRecord, Work, answer_token};
 pub use error::Error;
 pub use key_value::{Fault, KeyValue, KeyValueSettings};
 pub use plain::{Effect, Plain, PlainFault, PlainSettings};
 pub use relay::{Cut, Relay};
+pub use standin::run_standin;
 pub use vm_list::{VmList, VmListSettings};
 pub use weights::{Weights, WeightsSettings};
 
