operator: declare, check, render, compare and apply a configuration

Cause: operators need one typed place for what the fleet runs, and an apply whose outcome is certain although the platform can lose answers.

Ruled out: JSON or TOML as the reviewed text, since the document is INI by the design; a diff over the whole text, which grows with the fleet; stopping at the first problem, which costs an operator one run each.

Change: builders for every declaration, a check that lists all problems at once with the declaration, the value and what is accepted, deterministic text that reads back as the same configuration, a difference by sections, and an apply by compare-and-swap that tells by its apply identity whether a write took effect.

--- /dev/null
+++ b/operator/src/apply/applied.rs
@@ -0,0 +1,14 @@
+/// Outcome of an apply that succeeded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// The platform holds the new document.
+    Written {
+        /// Its revision.
+        revision: u64,
+    },
+    /// The platform already holds the same declarations; nothing was written.
+    Unchanged {
+        /// Revision of the document held.
+        revision: u64,
+    },
+}
--- /dev/null
+++ b/operator/src/check.rs
@@ -0,0 +1,99 @@
+//! Checks of declarations, each with the declaration's name, the value and what is accepted.
+
+mod checker;
+mod names;
+
+use std::collections::BTreeMap;
+
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::configuration as schema;
+
+use crate::render::{DOCUMENT_BYTES_MAX, HEADER_BYTES_RESERVED, render};
+use crate::{Declarations, Problem};
+
+use checker::Checker;
+
+/// Adds every problem of the declarations.
+pub(crate) fn all(declarations: &Declarations, problems: &mut Vec<Problem>) {
+    names::check(declarations, problems);
+    Checker::open(declarations, problems).check();
+}
+
+/// Adds a problem when the rendered document does not fit into one value of the platform.
+pub(crate) fn size(configuration: &schema::Configuration, problems: &mut Vec<Problem>) {
+    let bytes = render(configuration).len() + HEADER_BYTES_RESERVED;
+    if bytes > DOCUMENT_BYTES_MAX {
+        problems.push(Problem::of(
+            0,
+            "configuration",
+            format!("the rendered document has {bytes} bytes"),
+            &format!("at most {DOCUMENT_BYTES_MAX} bytes, the platform's limit for one value"),
+        ));
+    }
+}
+
+/// Turns declarations into the document's form; of two with one name the first is kept.
+pub(crate) fn build(declarations: &Declarations) -> schema::Configuration {
+    schema::Configuration {
+        header: schema::Header {
+            revision: declarations.revision,
+            apply_id: declarations.apply_id.clone(),
+            author: declarations.author.clone(),
+        },
+        models: by_name(declarations.models.iter().map(|model| {
+            let built = schema::Model {
+                versions: model.versions.clone(),
+                floor: model.floor,
+                weight_bytes: model.weight_bytes,
+            };
+            (&model.name, built)
+        })),
+        adapters: by_name(declarations.adapters.iter().map(|adapter| {
+            let built = schema::Adapter {
+                model: adapter.model.clone(),
+                version: adapter.version.clone(),
+            };
+            (&adapter.name, built)
+        })),
+        services: by_name(declarations.services.iter().map(|service| {
+            let built = schema::Service {
+                kind: service.kind,
+                model: service.model.clone(),
+                adapter: service.adapter.clone(),
+                share: service.share,
+                priority: service.priority,
+                deadline_ms: service.deadline_ms.unwrap_or_default(),
+                idempotent: service.idempotent,
+            };
+            (&service.name, built)
+        })),
+        workspaces: by_name(declarations.workspaces.iter().map(|workspace| {
+            let built = schema::Workspace {
+                services: workspace.services.clone(),
+                requests_per_second: workspace.requests_per_second,
+                tokens_per_second: workspace.tokens_per_second,
+            };
+            (&workspace.name, built)
+        })),
+        endpoints: by_name(declarations.endpoints.iter().map(|endpoint| {
+            let built = schema::Endpoint {
+                fencing: endpoint.fencing,
+                drain: endpoint.drain,
+                role: endpoint.role,
+            };
+            (&endpoint.name, built)
+        })),
+        policy: schema::Policy {
+            role_change_weight: declarations.policy.role_change_weight,
+            takeover: declarations.policy.takeover.clone(),
+        },
+    }
+}
+
+fn by_name<'a, D>(declarations: impl Iterator<Item = (&'a Name, D)>) -> BTreeMap<String, D> {
+    let mut by_name = BTreeMap::new();
+    for (name, declaration) in declarations {
+        by_name.entry(name.to_string()).or_insert(declaration);
+    }
+    by_name
+}
--- /dev/null
+++ b/operator/src/check/checker.rs
@@ -0,0 +1,278 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::configuration::ServiceKind;
+
+use super::names::is_name;
+use crate::{Adapter, Declarations, Model, Policy, Problem, Service, Workspace};
+
+const SHARE_PERCENT_MAX: f64 = 100.0;
+/// Sums of declared shares such as 33.3 + 66.7 may exceed 100 by a rounding error.
+const SHARE_ROUNDING: f64 = 1e-9;
+const DEADLINE_MS_MAX: u64 = 24 * 60 * 60 * 1000;
+const WEIGHT_MAX: f64 = 1e9;
+const RATE_MAX: f64 = 1e12;
+const ACCEPTED_NAMES_SHOWN: usize = 10;
+
+/// Checks what the declarations say about each other.
+pub(super) struct Checker<'a> {
+    declarations: &'a Declarations,
+    models: BTreeMap<&'a str, &'a Model>,
+    adapters: BTreeMap<&'a str, &'a Adapter>,
+    services: BTreeSet<&'a str>,
+    problems: &'a mut Vec<Problem>,
+}
+
+impl<'a> Checker<'a> {
+    pub(super) fn open(declarations: &'a Declarations, problems: &'a mut Vec<Problem>) -> Self {
+        let models = declarations.models.iter();
+        let adapters = declarations.adapters.iter();
+        let services = declarations.services.iter();
+        Self {
+            declarations,
+            models: models.map(|it| (it.name.as_str(), it)).collect(),
+            adapters: adapters.map(|it| (it.name.as_str(), it)).collect(),
+            services: services.map(|it| it.name.as_str()).collect(),
+            problems,
+        }
+    }
+
+    pub(super) fn check(&mut self) {
+        let declarations = self.declarations;
+        declarations.models.iter().for_each(|it| self.model(it));
+        declarations.adapters.iter().for_each(|it| self.adapter(it));
+        declarations.services.iter().for_each(|it| self.service(it));
+        self.shares(ServiceKind::Model, "model services");
+        self.shares(ServiceKind::Plain, "plain services");
+        declarations
+            .workspaces
+            .iter()
+            .for_each(|it| self.workspace(it));
+        self.policy(&declarations.policy);
+    }
+
+    fn model(&mut self, model: &Model) {
+        let title = format!("model `{}`", model.name);
+        if model.versions.is_empty() {
+            let found = "`versions` is empty".to_owned();
+            self.add(model.line, &title, found, "at least one version");
+        }
+        let mut seen = BTreeSet::new();
+        for version in &model.versions {
+            if !seen.insert(version) {
+                let found = format!("version `{version}` is listed more than once");
+                self.add(model.line, &title, found, "each version once");
+            }
+        }
+        if model.weight_bytes == 0 {
+            let versions = joined(model.versions.iter().map(Name::as_str));
+            self.add(
+                model.line,
+                &title,
+                format!("versions {versions} have no weights: `weight_bytes` is `0`"),
+                "the size of one version's weights in bytes, at least 1",
+            );
+        }
+    }
+
+    fn adapter(&mut self, adapter: &Adapter) {
+        let title = format!("adapter `{}`", adapter.name);
+        let Some(model) = self.models.get(adapter.model.as_str()).copied() else {
+            self.unknown(adapter.line, &title, "model", &adapter.model);
+            return;
+        };
+        if !model.versions.contains(&adapter.version) {
+            let versions = joined(model.versions.iter().map(Name::as_str));
+            self.add(
+                adapter.line,
+                &title,
+                format!(
+                    "`version` is `{}`, which model `{}` does not run",
+                    adapter.version, model.name
+                ),
+                &format!("one of {versions}"),
+            );
+        }
+    }
+
+    fn service(&mut self, service: &Service) {
+        let title = format!("service `{}`", service.name);
+        match service.kind {
+            ServiceKind::Model => self.model_service(service, &title),
+            ServiceKind::Plain => self.plain_service(service, &title),
+        }
+        self.number(
+            service.line,
+            &title,
+            "share",
+            service.share,
+            SHARE_PERCENT_MAX,
+        );
+        let deadline = service.deadline_ms;
+        if !deadline.is_some_and(|deadline| (1..=DEADLINE_MS_MAX).contains(&deadline)) {
+            let found = deadline.map_or("`deadline_ms` is missing".to_owned(), |deadline| {
+                format!("`deadline_ms` is `{deadline}`")
+            });
+            let accepted = format!("a whole number from 1 to {DEADLINE_MS_MAX}");
+            self.add(service.line, &title, found, &accepted);
+        }
+    }
+
+    fn model_service(&mut self, service: &Service, title: &str) {
+        match &service.model {
+            None => {
+                let accepted = self.known("model");
+                self.add(
+                    service.line,
+                    title,
+                    "`model` is missing".to_owned(),
+                    &accepted,
+                );
+            }
+            Some(model) if !self.models.contains_key(model.as_str()) => {
+                self.unknown(service.line, title, "model", model);
+            }
+            Some(_) => {}
+        }
+        let Some(name) = &service.adapter else { return };
+        match self.adapters.get(name.as_str()).copied() {
+            None => self.unknown(service.line, title, "adapter", name),
+            Some(adapter) if Some(&adapter.model) != service.model.as_ref() => {
+                let found = format!("adapter `{name}` belongs to model `{}`", adapter.model);
+                self.add(
+                    service.line,
+                    title,
+                    found,
+                    "an adapter of the service's model",
+                );
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn plain_service(&mut self, service: &Service, title: &str) {
+        for (key, value) in [("model", &service.model), ("adapter", &service.adapter)] {
+            if let Some(value) = value {
+                let found = format!("`{key}` is `{value}`, but the service is plain");
+                self.add(
+                    service.line,
+                    title,
+                    found,
+                    "neither model nor adapter for a plain service",
+                );
+            }
+        }
+    }
+
+    fn shares(&mut self, kind: ServiceKind, title: &str) {
+        let services = self.declarations.services.iter();
+        let total: f64 = services
+            .filter(|it| it.kind == kind)
+            .map(|it| it.share)
+            .sum();
+        if total > SHARE_PERCENT_MAX + SHARE_ROUNDING {
+            self.add(
+                0,
+                title,
+                format!("the shares add up to `{total}` percent"),
+                "a sum of at most 100 percent",
+            );
+        }
+    }
+
+    fn workspace(&mut self, workspace: &Workspace) {
+        let title = format!("workspace `{}`", workspace.name);
+        let mut seen = BTreeSet::new();
+        for service in &workspace.services {
+            if !self.services.contains(service.as_str()) {
+                self.unknown(workspace.line, &title, "service", service);
+            } else if !seen.insert(service) {
+                let found = format!("service `{service}` is listed more than once");
+                self.add(workspace.line, &title, found, "each service once");
+            }
+        }
+        let rates = [
+            ("requests_per_second", workspace.requests_per_second),
+            ("tokens_per_second", workspace.tokens_per_second),
+        ];
+        for (key, rate) in rates {
+            self.number(workspace.line, &title, key, rate, RATE_MAX);
+        }
+    }
+
+    fn policy(&mut self, policy: &Policy) {
+        let weight = policy.role_change_weight;
+        self.number(
+            policy.line,
+            "policy",
+            "role_change_weight",
+            weight,
+            WEIGHT_MAX,
+        );
+        let Some(takeover) = &policy.takeover else {
+            return;
+        };
+        let is_valid = takeover
+            .rsplit_once(':')
+            .is_some_and(|(daemon, incarnation)| {
+                is_name(daemon) && incarnation.parse::<u64>().is_ok()
+            });
+        if !is_valid {
+            let found = format!("`takeover` is `{}`", takeover.escape_debug());
+            self.add(
+                policy.line,
+                "policy",
+                found,
+                "`<daemon>:<incarnation>`, as `status` shows it",
+            );
+        }
+    }
+
+    fn number(&mut self, line: usize, title: &str, key: &str, value: f64, largest: f64) {
+        if !(0.0..=largest).contains(&value) {
+            let found = format!("`{key}` is `{value}`");
+            self.add(line, title, found, &format!("a number from 0 to {largest}"));
+        }
+    }
+
+    fn unknown(&mut self, line: usize, title: &str, kind: &str, name: &Name) {
+        let found = format!("{kind} `{}` is not declared", name.escape_debug());
+        let accepted = self.known(kind);
+        self.add(line, title, found, &accepted);
+    }
+
+    fn known(&self, kind: &str) -> String {
+        let names = match kind {
+            "model" => joined(self.models.keys().copied()),
+            "adapter" => joined(self.adapters.keys().copied()),
+            _ => joined(self.services.iter().copied()),
+        };
+        if names.is_empty() {
+            format!("a declared {kind}; none is declared")
+        } else {
+            format!("a declared {kind}: {names}")
+        }
+    }
+
+    fn add(&mut self, line: usize, title: &str, found: String, accepted: &str) {
+        self.problems
+            .push(Problem::of(line, title, found, accepted));
+    }
+}
+
+fn joined<'a>(names: impl Iterator<Item = &'a str>) -> String {
+    let names: Vec<String> = names
+        .map(|name| format!("`{}`", name.escape_debug()))
+        .collect();
+    let shown = names
+        .iter()
+        .take(ACCEPTED_NAMES_SHOWN)
+        .cloned()
+        .collect::<Vec<_>>();
+    let more = names.len() - shown.len();
+    if more == 0 {
+        shown.join(", ")
+    } else {
+        format!("{} and {more} more", shown.join(", "))
+    }
+}
--- /dev/null
+++ b/operator/src/check/names.rs
@@ -0,0 +1,91 @@
+use std::collections::HashMap;
+
+use ragwortgrade_schema::Name;
+
+use crate::{Declarations, Problem};
+
+const NAME_CHARACTERS_MAX: usize = 128;
+const NAME_RULE: &str =
+    "1 to 128 letters, digits, `.`, `_` or `-`, starting with a letter or digit";
+const AUTHOR_RULE: &str = "1 to 128 printable characters without white space at either end";
+
+/// Checks the forms of all names and that none is declared twice.
+pub(super) fn check(declarations: &Declarations, problems: &mut Vec<Problem>) {
+    check_author(&declarations.author, problems);
+    check_kind("model", problems, &declarations.models, |it| {
+        (&it.name, it.line)
+    });
+    check_kind("adapter", problems, &declarations.adapters, |it| {
+        (&it.name, it.line)
+    });
+    check_kind("service", problems, &declarations.services, |it| {
+        (&it.name, it.line)
+    });
+    check_kind("workspace", problems, &declarations.workspaces, |it| {
+        (&it.name, it.line)
+    });
+    check_kind("endpoint", problems, &declarations.endpoints, |it| {
+        (&it.name, it.line)
+    });
+    for model in &declarations.models {
+        for version in model.versions.iter().filter(|version| !is_name(version)) {
+            problems.push(Problem::of(
+                model.line,
+                &format!("model `{}`", model.name),
+                format!("a version is named `{version}`"),
+                NAME_RULE,
+            ));
+        }
+    }
+}
+
+/// Tells whether a name can stand in a heading, in a list of names and in a URL as it is.
+pub(super) fn is_name(name: &str) -> bool {
+    let is_inner = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+    name.len() <= NAME_CHARACTERS_MAX
+        && name
+            .bytes()
+            .next()
+            .is_some_and(|byte| byte.is_ascii_alphanumeric())
+        && name.bytes().all(is_inner)
+}
+
+fn check_author(author: &str, problems: &mut Vec<Problem>) {
+    let is_valid = !author.is_empty()
+        && author.chars().count() <= NAME_CHARACTERS_MAX
+        && author.trim() == author
+        && !author.chars().any(char::is_control);
+    if !is_valid {
+        problems.push(Problem::of(
+            0,
+            "configuration",
+            format!("`author` is `{}`", author.escape_debug()),
+            AUTHOR_RULE,
+        ));
+    }
+}
+
+fn check_kind<D>(
+    kind: &str,
+    problems: &mut Vec<Problem>,
+    declarations: &[D],
+    name_and_line: impl Fn(&D) -> (&Name, usize),
+) {
+    let mut first_lines = HashMap::new();
+    for declaration in declarations {
+        let (name, line) = name_and_line(declaration);
+        let title = format!("{kind} `{}`", name.escape_debug());
+        if !is_name(name) {
+            let found = "the name is not usable".to_owned();
+            problems.push(Problem::of(line, &title, found, NAME_RULE));
+        }
+        if first_lines.insert(name.clone(), line).is_some() {
+            problems.push(Problem::of(
+                line,
+                &title,
+                "the name is declared more than once".to_owned(),
+                &format!("each name once among the {kind} declarations"),
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/operator/src/difference.rs
@@ -0,0 +1,67 @@
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use ragwortgrade_schema::configuration::Configuration;
+use similar::TextDiff;
+
+use crate::render::render_sections;
+
+const CONTEXT_LINES: usize = 3;
+
+/// What changes between two configurations; revision, apply identity and author do not count.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Difference {
+    /// Headings of sections that only the new configuration has.
+    pub added: Vec<String>,
+    /// Headings of sections whose text differs.
+    pub changed: Vec<String>,
+    /// Headings of sections that only the old configuration has.
+    pub removed: Vec<String>,
+    /// Unified differences of the sections above, one after the other.
+    pub text: String,
+}
+
+impl Difference {
+    /// Compares two configurations; without an old one every section is added.
+    #[must_use]
+    pub fn between(old: Option<&Configuration>, new: &Configuration) -> Self {
+        let old = old.map(declarations).unwrap_or_default();
+        let new = declarations(new);
+        let mut difference = Self::default();
+        for (heading, text) in &new {
+            match old.get(heading) {
+                None => difference.added.push(heading.clone()),
+                Some(before) if before != text => difference.changed.push(heading.clone()),
+                Some(_) => continue,
+            }
+            difference.add_text(old.get(heading).map_or("", String::as_str), text);
+        }
+        for (heading, text) in &old {
+            if !new.contains_key(heading) {
+                difference.removed.push(heading.clone());
+                difference.add_text(text, "");
+            }
+        }
+        difference
+    }
+
+    /// Tells whether the configurations declare the same.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.text.is_empty()
+    }
+
+    fn add_text(&mut self, old: &str, new: &str) {
+        let lines = TextDiff::from_lines(old, new);
+        let hunks = lines
+            .unified_diff()
+            .context_radius(CONTEXT_LINES)
+            .to_string();
+        // Writing to a string cannot fail.
+        let _ = write!(self.text, "{hunks}");
+    }
+}
+
+fn declarations(configuration: &Configuration) -> BTreeMap<String, String> {
+    render_sections(configuration).into_iter().skip(1).collect()
+}
--- /dev/null
+++ b/operator/src/parse.rs
@@ -0,0 +1,149 @@
+//! Reads rendered declarations.
+
+mod reader;
+
+use ragwortgrade_schema::configuration::{Configuration, Header, ServiceKind};
+
+use crate::ini::{self, Section};
+use crate::{
+    Adapter, Declarations, Endpoint, Model, Policy, Problem, Problems, Service, Workspace,
+};
+
+use reader::Reader;
+
+const HEADINGS: &str = "`[configuration]`, `[model <name>]`, `[adapter <name>]`, \
+     `[service <name>]`, `[workspace <name>]`, `[endpoint <name>]` or `[policy]`";
+
+/// Reads and checks the text of a configuration.
+///
+/// `revision` and `apply_id` may be absent, since a reviewed file does not have them yet.
+///
+/// # Errors
+///
+/// Returns every problem at once, with its line.
+pub fn parse(text: &str) -> Result<Configuration, Problems> {
+    let (sections, faults) = ini::read(text);
+    let mut problems: Vec<Problem> = faults.into_iter().map(Problem::from).collect();
+    let mut declarations = Declarations::default();
+    for section in &sections {
+        read_section(section, &mut declarations, &mut problems);
+    }
+    declarations.check_after(problems)
+}
+
+/// Reads only the header, also of a text whose declarations are faulty or from a newer release.
+#[must_use]
+pub fn parse_header(text: &str) -> Option<Header> {
+    let (sections, _) = ini::read(text);
+    let section = sections.iter().find(|it| it.heading == "configuration")?;
+    let value = |key| section.get(key).map(|property| property.value.clone());
+    Some(Header {
+        revision: value("revision")?.parse().ok()?,
+        apply_id: value("apply_id")?,
+        author: value("author").unwrap_or_default(),
+    })
+}
+
+fn read_section(section: &Section, into: &mut Declarations, problems: &mut Vec<Problem>) {
+    let (kind, name) = match section.heading.split_once(' ') {
+        Some((kind, name)) => (kind, Some(name.trim())),
+        None => (section.heading.as_str(), None),
+    };
+    let reader = Reader::open(section, kind, name, problems);
+    match (kind, name) {
+        ("configuration", None) => read_header(reader, into),
+        ("policy", None) => into.policy = read_policy(reader),
+        ("model", Some(name)) => into.models.push(read_model(reader, name)),
+        ("adapter", Some(name)) => into.adapters.push(read_adapter(reader, name)),
+        ("service", Some(name)) => into.services.push(read_service(reader, name)),
+        ("workspace", Some(name)) => into.workspaces.push(read_workspace(reader, name)),
+        ("endpoint", Some(name)) => into.endpoints.push(read_endpoint(reader, name)),
+        _ => problems.push(Problem::of(
+            section.line,
+            "text",
+            format!("unknown section `[{}]`", section.heading),
+            HEADINGS,
+        )),
+    }
+}
+
+fn read_header(mut reader: Reader<'_>, into: &mut Declarations) {
+    into.revision = reader.number_or("revision", 0);
+    into.apply_id = reader.optional("apply_id").unwrap_or_default();
+    into.author = reader.required("author");
+    reader.finish();
+}
+
+fn read_policy(mut reader: Reader<'_>) -> Policy {
+    let policy = Policy {
+        line: reader.line(),
+        role_change_weight: reader.number("role_change_weight"),
+        takeover: reader.optional("takeover"),
+    };
+    reader.finish();
+    policy
+}
+
+fn read_model(mut reader: Reader<'_>, name: &str) -> Model {
+    let model = Model {
+        name: name.into(),
+        line: reader.line(),
+        versions: reader.names("versions"),
+        floor: reader.number("floor"),
+        weight_bytes: reader.number("weight_bytes"),
+    };
+    reader.finish();
+    model
+}
+
+fn read_adapter(mut reader: Reader<'_>, name: &str) -> Adapter {
+    let adapter = Adapter {
+        name: name.into(),
+        line: reader.line(),
+        model: reader.required("model").into(),
+        version: reader.required("version").into(),
+    };
+    reader.finish();
+    adapter
+}
+
+fn read_service(mut reader: Reader<'_>, name: &str) -> Service {
+    let service = Service {
+        name: name.into(),
+        line: reader.line(),
+        kind: reader.choice("kind", ServiceKind::Plain, "`model` or `plain`"),
+        model: reader.optional("model").map(Into::into),
+        adapter: reader.optional("adapter").map(Into::into),
+        share: reader.number("share"),
+        priority: reader.number("priority"),
+        deadline_ms: reader.maybe_number("deadline_ms"),
+        idempotent: reader.choice("idempotent", false, "`true` or `false`"),
+    };
+    reader.finish();
+    service
+}
+
+fn read_workspace(mut reader: Reader<'_>, name: &str) -> Workspace {
+    let workspace = Workspace {
+        name: name.into(),
+        line: reader.line(),
+        services: reader.names("services"),
+        requests_per_second: reader.number("requests_per_second"),
+        tokens_per_second: reader.number("tokens_per_second"),
+    };
+    reader.finish();
+    workspace
+}
+
+fn read_endpoint(mut reader: Reader<'_>, name: &str) -> Endpoint {
+    let fencing = ragwortgrade_schema::configuration::Fencing::Ignored;
+    let endpoint = Endpoint {
+        name: name.into(),
+        line: reader.line(),
+        fencing: reader.choice("fencing", fencing, "`checked` or `ignored`"),
+        drain: reader.choice("drain", false, "`true` or `false`"),
+        role: reader.maybe_choice("role", "`prefill`, `decode` or `mixed`"),
+    };
+    reader.finish();
+    endpoint
+}
--- /dev/null
+++ b/operator/src/parse/reader.rs
@@ -0,0 +1,124 @@
+use std::str::FromStr;
+
+use ragwortgrade_schema::Name;
+
+use crate::Problem;
+use crate::ini::{Property, Section};
+
+/// Takes the keys of one section and reports what is missing, unreadable or left over.
+///
+/// A faulty value is reported here and replaced by a default, so that reading goes on.
+pub(super) struct Reader<'a> {
+    section: &'a Section,
+    title: String,
+    taken: Vec<&'static str>,
+    problems: &'a mut Vec<Problem>,
+}
+
+impl<'a> Reader<'a> {
+    pub(super) fn open(
+        section: &'a Section,
+        kind: &str,
+        name: Option<&str>,
+        problems: &'a mut Vec<Problem>,
+    ) -> Self {
+        let title = name.map_or(kind.to_owned(), |name| format!("{kind} `{name}`"));
+        Self {
+            section,
+            title,
+            taken: Vec::new(),
+            problems,
+        }
+    }
+
+    pub(super) fn line(&self) -> usize {
+        self.section.line
+    }
+
+    pub(super) fn optional(&mut self, key: &'static str) -> Option<String> {
+        self.take(key).map(|property| property.value.clone())
+    }
+
+    pub(super) fn required(&mut self, key: &'static str) -> String {
+        if let Some(property) = self.take(key) {
+            property.value.clone()
+        } else {
+            self.missing(key, "a value");
+            String::new()
+        }
+    }
+
+    pub(super) fn names(&mut self, key: &'static str) -> Vec<Name> {
+        let names = self.required(key);
+        let names = names.split(',').map(str::trim);
+        names
+            .filter(|name| !name.is_empty())
+            .map(Name::from)
+            .collect()
+    }
+
+    pub(super) fn number<N: FromStr + Default>(&mut self, key: &'static str) -> N {
+        if self.section.get(key).is_none() {
+            self.missing(key, "a number");
+        }
+        self.number_or(key, N::default())
+    }
+
+    pub(super) fn number_or<N: FromStr>(&mut self, key: &'static str, other: N) -> N {
+        self.maybe_number(key).unwrap_or(other)
+    }
+
+    pub(super) fn maybe_number<N: FromStr>(&mut self, key: &'static str) -> Option<N> {
+        let accepted = format!("a number of type {}", std::any::type_name::<N>());
+        self.maybe_choice(key, &accepted)
+    }
+
+    pub(super) fn choice<C: FromStr>(&mut self, key: &'static str, other: C, accepted: &str) -> C {
+        if self.section.get(key).is_none() {
+            self.missing(key, accepted);
+        }
+        self.maybe_choice(key, accepted).unwrap_or(other)
+    }
+
+    pub(super) fn maybe_choice<C: FromStr>(
+        &mut self,
+        key: &'static str,
+        accepted: &str,
+    ) -> Option<C> {
+        let property = self.take(key)?;
+        let value = property.value.parse().ok();
+        if value.is_none() {
+            let found = format!("`{key}` is `{}`", property.value);
+            self.problems
+                .push(Problem::of(property.line, &self.title, found, accepted));
+        }
+        value
+    }
+
+    /// Reports the keys that were not taken.
+    pub(super) fn finish(self) {
+        for property in &self.section.properties {
+            if !self.taken.contains(&property.key.as_str()) {
+                self.problems.push(Problem::of(
+                    property.line,
+                    &self.title,
+                    format!("unknown key `{}`", property.key),
+                    &format!("`{}`", self.taken.join("`, `")),
+                ));
+            }
+        }
+    }
+
+    fn take(&mut self, key: &'static str) -> Option<&'a Property> {
+        if !self.taken.contains(&key) {
+            self.taken.push(key);
+        }
+        self.section.get(key)
+    }
+
+    fn missing(&mut self, key: &str, accepted: &str) {
+        let found = format!("`{key}` is missing");
+        self.problems
+            .push(Problem::of(self.section.line, &self.title, found, accepted));
+    }
+}
--- /dev/null
+++ b/operator/src/problem.rs
@@ -0,0 +1,51 @@
+use std::fmt;
+
+use crate::ini;
+
+/// One problem of a declaration.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Problem {
+    /// Line in the text, counted from 1; 0 when the declaration was built in Rust.
+    pub line: usize,
+    /// The declaration, such as ``service `stock` ``.
+    pub declaration: String,
+    /// What was found, with the value.
+    pub found: String,
+    /// What would be accepted.
+    pub accepted: String,
+}
+
+impl Problem {
+    pub(crate) fn of(line: usize, declaration: &str, found: String, accepted: &str) -> Self {
+        Self {
+            line,
+            declaration: declaration.to_owned(),
+            found,
+            accepted: accepted.to_owned(),
+        }
+    }
+}
+
+impl From<ini::Fault> for Problem {
+    fn from(fault: ini::Fault) -> Self {
+        Self::of(
+            fault.line,
+            "text",
+            fault.message,
+            "each section and key once, one declaration a line",
+        )
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.line > 0 {
+            write!(f, "line {}: ", self.line)?;
+        }
+        write!(
+            f,
+            "{}: {}; accepted: {}",
+            self.declaration, self.found, self.accepted
+        )
+    }
+}
--- /dev/null
+++ b/operator/src/problems.rs
@@ -0,0 +1,34 @@
+use std::fmt;
+
+use crate::Problem;
+
+/// Every problem of a set of declarations, one a line when displayed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub struct Problems {
+    problems: Vec<Problem>,
+}
+
+impl Problems {
+    pub(crate) fn new(mut problems: Vec<Problem>) -> Self {
+        problems.sort();
+        Self { problems }
+    }
+
+    /// Returns the problems in the order of their lines; there is at least one.
+    #[must_use]
+    pub fn as_slice(&self) -> &[Problem] {
+        &self.problems
+    }
+}
+
+impl fmt::Display for Problems {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, problem) in self.problems.iter().enumerate() {
+            if index > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{problem}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/operator/src/render.rs
@@ -0,0 +1,118 @@
+use std::fmt::{Display, Write as _};
+
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::configuration::Configuration;
+
+/// Largest value that the platform's key-value service holds.
+pub const DOCUMENT_BYTES_MAX: usize = 1_000_000;
+/// Room for the revision and apply identity that an apply adds to a checked document.
+pub(crate) const HEADER_BYTES_RESERVED: usize = 256;
+
+/// Renders a configuration as INI text.
+///
+/// Equal configurations give equal text: `[configuration]` comes first, then the sections in the
+/// byte order of their headings, each with its keys in a fixed order.
+#[must_use]
+pub fn render(configuration: &Configuration) -> String {
+    let sections = render_sections(configuration);
+    let texts: Vec<String> = sections.into_iter().map(|(_, text)| text).collect();
+    texts.join("\n")
+}
+
+/// Renders each section by itself, as heading and text, in the order of [`render`].
+#[must_use]
+pub fn render_sections(configuration: &Configuration) -> Vec<(String, String)> {
+    let mut sections: Vec<Section> = declarations(configuration).collect();
+    sections.sort_by(|left, right| left.heading.cmp(&right.heading));
+    sections.insert(0, header(configuration));
+    sections
+        .into_iter()
+        .map(|section| (section.heading, section.text))
+        .collect()
+}
+
+fn header(configuration: &Configuration) -> Section {
+    let header = &configuration.header;
+    let revision = (header.revision > 0).then_some(header.revision);
+    let apply_id = Some(&header.apply_id).filter(|apply_id| !apply_id.is_empty());
+    Section::open("configuration")
+        .maybe("revision", revision)
+        .maybe("apply_id", apply_id)
+        .pair("author", &header.author)
+}
+
+fn declarations(configuration: &Configuration) -> impl Iterator<Item = Section> {
+    let models = configuration.models.iter().map(|(name, model)| {
+        Section::open(&format!("model {name}"))
+            .pair("versions", names(&model.versions))
+            .pair("floor", model.floor)
+            .pair("weight_bytes", model.weight_bytes)
+    });
+    let adapters = configuration.adapters.iter().map(|(name, adapter)| {
+        Section::open(&format!("adapter {name}"))
+            .pair("model", &adapter.model)
+            .pair("version", &adapter.version)
+    });
+    let services = configuration.services.iter().map(|(name, service)| {
+        Section::open(&format!("service {name}"))
+            .pair("kind", service.kind)
+            .maybe("model", service.model.as_ref())
+            .maybe("adapter", service.adapter.as_ref())
+            .pair("share", service.share)
+            .pair("priority", service.priority)
+            .pair("deadline_ms", service.deadline_ms)
+            .pair("idempotent", service.idempotent)
+    });
+    let workspaces = configuration.workspaces.iter().map(|(name, workspace)| {
+        Section::open(&format!("workspace {name}"))
+            .pair("services", names(&workspace.services))
+            .pair("requests_per_second", workspace.requests_per_second)
+            .pair("tokens_per_second", workspace.tokens_per_second)
+    });
+    let endpoints = configuration.endpoints.iter().map(|(name, endpoint)| {
+        Section::open(&format!("endpoint {name}"))
+            .pair("fencing", endpoint.fencing)
+            .pair("drain", endpoint.drain)
+            .maybe("role", endpoint.role)
+    });
+    let policy = Section::open("policy")
+        .pair(
+            "role_change_weight",
+            configuration.policy.role_change_weight,
+        )
+        .maybe("takeover", configuration.policy.takeover.as_ref());
+    let declared = models.chain(adapters).chain(services);
+    declared.chain(workspaces).chain(endpoints).chain([policy])
+}
+
+fn names(names: &[Name]) -> String {
+    let names: Vec<&str> = names.iter().map(Name::as_str).collect();
+    names.join(", ")
+}
+
+struct Section {
+    heading: String,
+    text: String,
+}
+
+impl Section {
+    fn open(heading: &str) -> Self {
+        Self {
+            heading: heading.to_owned(),
+            text: format!("[{heading}]\n"),
+        }
+    }
+
+    fn pair(mut self, key: &str, value: impl Display) -> Self {
+        // Writing to a string cannot fail.
+        let _ = writeln!(self.text, "{key} = {value}");
+        self
+    }
+
+    fn maybe(self, key: &str, value: Option<impl Display>) -> Self {
+        match value {
+            Some(value) => self.pair(key, value),
+            None => self,
+        }
+    }
+}
