--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,6 +5,8 @@
 //! decisions come out, and random numbers come from a generator whose seed is passed in, so every
 //! decision can be repeated, measured and checked.
 
+/// Authority over the engines of a data centre.
+pub mod authority;
 /// What routing decides about a request.
 pub mod decision;
 /// What routing takes into account.
@@ -12,8 +14,10 @@
 /// What the planner takes into account.
 pub mod fleet;
 mod instant;
+pub mod membership;
 /// Roles and placement of the engines of a data centre.
 pub mod planner;
+pub mod rendezvous;
 mod request;
 mod router;
 
