admin: serve signed requests of operators

Cause: operators look at a daemon, watch it and drain it from a terminal.

Ruled out: a token in the request, which anyone who sees it can use again; the stoppable loop of rouille, which does not stop while requests keep coming.

Change: lib::admin serves /status, /watch and /drain after checking the code, the 30 s window and that the code was not seen before; a drain names the process, so a copied request drains no other daemon. The newest log lines are kept in memory for /watch. The messages are in the new schema file admin.json.

Conclusion: forged, changed, late and repeated requests are rejected; the tests include a request that passes as control for each.

--- /dev/null
+++ b/lib/src/admin/reply.rs
@@ -0,0 +1,22 @@
+use ragwortgrade_schema::admin::{AdminError, AdminRefusal};
+use rouille::Response;
+use serde::Serialize;
+
+const INTERNAL_ERROR: u16 = 500;
+
+/// Answers with JSON.
+pub(super) fn json(status: u16, body: &impl Serialize) -> Response {
+    match serde_json::to_string(body) {
+        Ok(text) => Response::from_data("application/json", text).with_status_code(status),
+        Err(_) => Response::text("").with_status_code(INTERNAL_ERROR),
+    }
+}
+
+/// Answers with an error code and what to do about it.
+pub(super) fn refusal(status: u16, code: &str, message: &str) -> Response {
+    let error = AdminError {
+        code: code.to_owned(),
+        message: message.to_owned(),
+    };
+    json(status, &AdminRefusal { error })
+}
--- /dev/null
+++ b/lib/src/admin/server.rs
@@ -0,0 +1,129 @@
+use std::io::Read as _;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ragwortgrade_schema::admin::{DrainAnswer, DrainRequest};
+use rouille::{Request, Response, Server};
+
+use super::reply::{json, refusal};
+use super::{AUTH_HEADER, Guard, Source};
+use crate::Clock;
+use crate::worker::Worker;
+
+const BODY_BYTES_MAX: u64 = 4_096;
+/// Operators are few; the pool bounds what a flood of requests can occupy.
+const THREADS: usize = 4;
+const POLL: Duration = Duration::from_millis(200);
+
+/// The running operators' interface; it stops when dropped.
+#[derive(Debug)]
+pub struct Admin {
+    address: SocketAddr,
+    _worker: Worker,
+}
+
+impl Admin {
+    /// Binds the interface and serves it from a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound or the thread cannot be started.
+    pub fn bind(address: &str, guard: Guard, source: Arc<dyn Source>) -> std::io::Result<Self> {
+        let desk = Desk {
+            guard,
+            source,
+            clock: Clock::start(),
+        };
+        let server = Server::new(address, move |request| desk.answer(request))
+            .map_err(|error| std::io::Error::other(error.to_string()))?
+            .pool_size(THREADS);
+        Ok(Self {
+            address: server.server_addr(),
+            _worker: Worker::spawn("admin", move || {
+                server.poll_timeout(POLL);
+                Duration::ZERO
+            })?,
+        })
+    }
+
+    /// Returns the address that is bound.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+struct Desk {
+    guard: Guard,
+    source: Arc<dyn Source>,
+    clock: Clock,
+}
+
+impl Desk {
+    fn answer(&self, request: &Request) -> Response {
+        let Some(body) = read_body(request) else {
+            return refusal(413, "too_large", "the body is at most 4096 bytes");
+        };
+        let checked = self.guard.check(
+            request.header(AUTH_HEADER),
+            request.method(),
+            request.raw_url(),
+            &body,
+            self.clock.unix_ms(),
+        );
+        let operator = match checked {
+            Ok(operator) => operator,
+            Err(rejection) => {
+                log::warn!(reason:% = rejection; "operator's request rejected");
+                return refusal(401, "unauthorized", &rejection.to_string());
+            }
+        };
+        match (request.method(), request.url().as_str()) {
+            ("GET", "/status") => json(200, &self.source.status()),
+            ("GET", "/watch") => self.watch(request),
+            ("POST", "/drain") => self.drain(&body, operator),
+            _ => refusal(404, "unknown_path", "known are /status, /watch and /drain"),
+        }
+    }
+
+    fn watch(&self, request: &Request) -> Response {
+        let after = request.get_param("after");
+        let Ok(after) = after.as_deref().unwrap_or("0").parse() else {
+            return refusal(400, "malformed", "`after` is the number of a line");
+        };
+        let mut lines = self.source.lines(after).join("\n");
+        if !lines.is_empty() {
+            lines.push('\n');
+        }
+        Response::from_data("application/x-ndjson", lines)
+    }
+
+    /// The body names the process, so that a request copied from the network cannot drain another
+    /// daemon, nor the same daemon after a restart.
+    fn drain(&self, body: &[u8], operator: &str) -> Response {
+        let Ok(request) = serde_json::from_slice::<DrainRequest>(body) else {
+            return refusal(
+                400,
+                "malformed",
+                "the body names `daemon` and `incarnation`",
+            );
+        };
+        let own = self.source.status().daemon;
+        if own.id != request.daemon || own.incarnation != request.incarnation {
+            return refusal(409, "other_daemon", "the request names another process");
+        }
+        log::info!(operator; "operator drains the daemon");
+        self.source.drain();
+        json(202, &DrainAnswer { draining: true })
+    }
+}
+
+/// Reads the body up to its limit; `None` when it is longer or was broken off.
+fn read_body(request: &Request) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    if let Some(data) = request.data() {
+        data.take(BODY_BYTES_MAX + 1).read_to_end(&mut body).ok()?;
+    }
+    (body.len() as u64 <= BODY_BYTES_MAX).then_some(body)
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon of ragwortgrade: a shell round the decisions of `ragwortgrade-policy`.
 
+pub mod admin;
 mod attempt;
 pub mod claims;
 mod clock;
--- a/lib/src/observe/logging.rs
+++ b/lib/src/observe/logging.rs
@@ -3,12 +3,13 @@
 use log::LevelFilter;
 use ragwortgrade_schema::settings::{Observe, ObserveLogLevel};
 
-use super::{Error, line};
+use super::{Error, line, recent};
 
 /// Libraries that log every connection at the daemon's own level.
 const CHATTY_TARGETS: [&str; 4] = ["tarpc", "ureq", "ureq_proto", "rouille"];
 
-/// Starts logging for the whole process as JSON lines, to a file or to standard error.
+/// Starts logging for the whole process as JSON lines, to a file or to standard error; the newest
+/// lines are also kept for operators who watch.
 ///
 /// # Errors
 ///
@@ -27,6 +28,9 @@
             cause,
         })?),
     };
+    let dispatch = dispatch.chain(fern::Output::call(|record| {
+        recent().record(&record.args().to_string());
+    }));
     dispatch
         .apply()
         .map_err(|_already_set| Error::LoggerInstalled)
--- /dev/null
+++ b/lib/tests/admin.rs
@@ -0,0 +1,209 @@
+//! Guards against operators' requests that are forged, repeated or sent on to another daemon.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use proptest::prelude::*;
+use ragwortgrade_lib::admin::{AUTH_HEADER, Admin, Credential, Guard, Rejection, Source};
+use ragwortgrade_lib::{Clock, observe};
+use ragwortgrade_schema::admin::{InForce, Instance, Status};
+use ragwortgrade_schema::settings::Keys;
+use ragwortgrade_testutil::named_cases;
+
+const SECRET: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+const NOW_MS: u64 = 1_700_000_000_000;
+
+fn guard() -> Guard {
+    let operator = BTreeMap::from([("maria".to_owned(), SECRET.to_owned())]);
+    Guard::open(&Keys {
+        operator,
+        peer: BTreeMap::new(),
+        peer_active: "one".into(),
+    })
+}
+
+fn sign(id: &str, secret: &str, path: &str, unix_ms: u64, body: &[u8]) -> String {
+    let credential = Credential::open(id, secret).expect("a key");
+    credential.sign("POST", path, unix_ms, body)
+}
+
+fn checks(header: Option<&str>, expected: Result<&str, Rejection>) {
+    assert_eq!(
+        guard().check(header, "POST", "/drain", b"{}", NOW_MS),
+        expected
+    );
+}
+
+named_cases! { checks:
+    signed_request_passes(Some(&sign("maria", SECRET, "/drain", NOW_MS, b"{}")), Ok("maria"));
+    absent_header(None, Err(Rejection::Malformed));
+    malformed_header(Some("maria:now:00"), Err(Rejection::Malformed));
+    unknown_key(Some(&sign("jorge", SECRET, "/drain", NOW_MS, b"{}")), Err(Rejection::Unsigned));
+    other_secret(Some(&sign("maria", "ff00", "/drain", NOW_MS, b"{}")), Err(Rejection::Unsigned));
+    other_path(Some(&sign("maria", SECRET, "/status", NOW_MS, b"{}")), Err(Rejection::Unsigned));
+    other_body(Some(&sign("maria", SECRET, "/drain", NOW_MS, b"[]")), Err(Rejection::Unsigned));
+    edge_of_the_window(Some(&sign("maria", SECRET, "/drain", NOW_MS - 30_000, b"{}")), Ok("maria"));
+    too_old(Some(&sign("maria", SECRET, "/drain", NOW_MS - 30_001, b"{}")), Err(Rejection::OutsideWindow));
+    too_new(Some(&sign("maria", SECRET, "/drain", NOW_MS + 30_001, b"{}")), Err(Rejection::OutsideWindow));
+}
+
+#[test]
+fn header_is_accepted_once_however_it_is_written() {
+    let guard = guard();
+    let header = sign("maria", SECRET, "/drain", NOW_MS, b"{}");
+    let (id, code) = header.rsplit_once(':').expect("a code");
+    let upper = format!("{id}:{}", code.to_uppercase());
+    let check = |header: &str| {
+        guard
+            .check(Some(header), "POST", "/drain", b"{}", NOW_MS)
+            .map(drop)
+    };
+    assert_eq!(check(&header), Ok(()));
+    assert_eq!(check(&header), Err(Rejection::Replayed));
+    assert_eq!(check(&upper), Err(Rejection::Replayed));
+    let control = sign("maria", SECRET, "/drain", NOW_MS + 1, b"{}");
+    assert_eq!(
+        check(&control),
+        Ok(()),
+        "negative control: another time is another request"
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever arrives without the secret is rejected and does not end the daemon.
+    #[test]
+    fn no_forged_header_passes(header in "(maria)?:?[0-9]{0,20}:?[0-9a-fA-F:]{0,64}", body: Vec<u8>) {
+        prop_assert!(guard().check(Some(&header), "POST", "/drain", &body, NOW_MS).is_err());
+    }
+
+    #[test]
+    fn changed_headers_do_not_pass(at in 0_usize..90, with in "[0-9a-f:]") {
+        let header = sign("maria", SECRET, "/drain", NOW_MS, b"{}");
+        let mut changed = header.clone();
+        let at = at.min(changed.len() - 1);
+        changed.replace_range(at..=at, &with);
+        let guard = guard();
+        let outcome = guard.check(Some(&changed), "POST", "/drain", b"{}", NOW_MS);
+        prop_assert_eq!(outcome.is_ok(), changed == header);
+    }
+}
+
+#[derive(Debug, Default)]
+struct Fake {
+    drains: AtomicU32,
+}
+
+impl Source for Fake {
+    fn status(&self) -> Status {
+        let daemon = Instance {
+            id: "entry-1".into(),
+            incarnation: 7,
+            data_centre: "a".into(),
+            region: "north".into(),
+            draining: false,
+        };
+        let configuration = InForce {
+            revision: 3,
+            apply_id: "ab".to_owned(),
+            author: "maria".to_owned(),
+            reader: None,
+            platform_reachable: None,
+            rejected: None,
+        };
+        Status {
+            daemon,
+            configuration,
+            open_requests: 0,
+            members: vec![],
+            endpoints: vec![],
+        }
+    }
+
+    fn drain(&self) {
+        self.drains.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn lines(&self, after: u64) -> Vec<String> {
+        vec![format!("{{\"sequence\":{}}}", after + 1)]
+    }
+}
+
+fn call(admin: &Admin, method: &str, path: &str, body: &str, signed_path: &str) -> (u16, String) {
+    let credential = Credential::open("maria", SECRET).expect("a key");
+    let header = credential.sign(
+        method,
+        signed_path,
+        Clock::start().unix_ms(),
+        body.as_bytes(),
+    );
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let url = format!("http://{}{path}", admin.address());
+    let answer = match method {
+        "GET" => agent.get(url).header(AUTH_HEADER, header).call(),
+        _ => agent.post(url).header(AUTH_HEADER, header).send(body),
+    };
+    let mut answer = answer.expect("an answer");
+    (
+        answer.status().as_u16(),
+        answer.body_mut().read_to_string().expect("a body"),
+    )
+}
+
+#[test]
+fn only_signed_requests_that_name_this_process_are_served() {
+    let source = Arc::new(Fake::default());
+    let admin = Admin::bind("127.0.0.1:0", guard(), Arc::<Fake>::clone(&source)).expect("bound");
+    let get = |path: &str| call(&admin, "GET", path, "", path);
+    let post = |body: &str| call(&admin, "POST", "/drain", body, "/drain").0;
+    assert!(get("/status").1.contains("\"revision\":3"));
+    assert_eq!(
+        get("/watch?after=4"),
+        (200, "{\"sequence\":5}\n".to_owned())
+    );
+    assert_eq!(get("/watch?after=x").0, 400);
+    assert_eq!(get("/keys").0, 404);
+    assert_eq!(
+        call(&admin, "GET", "/status", "", "/watch").0,
+        401,
+        "signed for another path"
+    );
+    assert_eq!(post("{}"), 400);
+    assert_eq!(post(r#"{"daemon":"entry-2","incarnation":7}"#), 409);
+    assert_eq!(post(r#"{"daemon":"entry-1","incarnation":6}"#), 409);
+    assert_eq!(post(&" ".repeat(5_000)), 413);
+    assert_eq!(
+        source.drains.load(Ordering::Relaxed),
+        0,
+        "a refused request drained the daemon"
+    );
+    assert_eq!(post(r#"{"daemon":"entry-1","incarnation":7}"#), 202);
+    assert_eq!(source.drains.load(Ordering::Relaxed), 1);
+}
+
+#[test]
+fn recent_lines_are_numbered_and_bounded() {
+    let recent = observe::Recent::new();
+    assert!(recent.after(0).is_empty());
+    for n in 0..3_000 {
+        recent.record(&format!("{{\"n\":{n}}}"));
+    }
+    assert_eq!(recent.after(2_999), ["{\"sequence\":3000,\"n\":2999}"]);
+    assert!(recent.after(u64::MAX).is_empty());
+    let kept = recent.after(0);
+    assert_eq!(
+        (kept.len(), kept[0].as_str()),
+        (2_048, "{\"sequence\":953,\"n\":952}")
+    );
+    recent.record(&"x".repeat(10_000));
+    let last = recent.after(3_000).pop().expect("a line");
+    assert!(
+        serde_json::from_str::<serde_json::Value>(&last).is_ok(),
+        "{last}"
+    );
+}
--- a/schema/examples/generate.rs
+++ b/schema/examples/generate.rs
@@ -7,7 +7,14 @@
 
 use typify::{TypeSpace, TypeSpaceSettings};
 
-const MODULES: [&str; 5] = ["configuration", "engine", "peer", "platform", "settings"];
+const MODULES: [&str; 6] = [
+    "admin",
+    "configuration",
+    "engine",
+    "peer",
+    "platform",
+    "settings",
+];
 
 fn main() -> Result<(), Box<dyn Error>> {
     let is_check = std::env::args().any(|argument| argument == "--check");
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -7,6 +7,8 @@
     reason = "the generator's output is not written for this workspace's lints"
 )]
 
+#[rustfmt::skip]
+pub mod admin;
 #[rustfmt::skip]
 pub mod configuration;
 #[rustfmt::skip]
--- a/schema/src/lib.rs
+++ b/schema/src/lib.rs
@@ -9,7 +9,7 @@
 mod row;
 
 pub use digest::Digest;
-pub use generated::{configuration, engine, peer, platform, settings};
+pub use generated::{admin, configuration, engine, peer, platform, settings};
 pub use name::Name;
 pub use row::Row;
 
