daemon: serve the operators' interface

Cause: status and drain of a daemon could not be asked for. Ruled out: a second way to drain beside the signal (two paths to prove). Change: the overview implements the admin source over node, membership and the callers' interface; an operator's drain raises SIGTERM in the process.

--- a/cli/src/bin/ragwortgrade.rs
+++ b/cli/src/bin/ragwortgrade.rs
@@ -109,7 +109,12 @@
     settings: Settings,
     wait_for_signal: impl FnOnce(),
 ) -> Result<(), Box<dyn std::error::Error>> {
-    let daemon = Daemon::spawn(settings)?;
+    // An operator's drain takes the same path as a signal.
+    let daemon = Daemon::spawn(settings, || {
+        if let Err(error) = signal_hook::low_level::raise(SIGTERM) {
+            log::error!(error:% = error; "drain could not be started");
+        }
+    })?;
     wait_for_signal();
     if daemon.drain() {
         return Ok(());
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -1,10 +1,12 @@
 //! One daemon, put together from its parts.
 
 mod error;
+mod overview;
 mod switchboard;
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -13,6 +15,7 @@
 use ragwortgrade_schema::peer::{Identity, Member, MemberState};
 use ragwortgrade_schema::settings::Settings;
 
+use crate::admin::{Admin, Guard};
 use crate::claims::Claims;
 use crate::endpoint::{HttpEngine, HttpPlain};
 use crate::front::{Front, Streams};
@@ -23,6 +26,7 @@
 use crate::platform::{HttpKeyValue, HttpVmList};
 use crate::trial::Trials;
 use crate::worker::Worker;
+use overview::Overview;
 use switchboard::Switchboard;
 
 /// Bits of the incarnation below the start time, filled at random: two processes started in the
@@ -34,6 +38,7 @@
     front: Front,
     network: Arc<Network>,
     // Workers stop when dropped, before the parts that they use.
+    _admin: Admin,
     _gossip: Worker,
     _observer: Observer,
     _lister: Lister,
@@ -49,13 +54,17 @@
 }
 
 impl Daemon {
-    /// Spawns a daemon with checked settings.
+    /// Spawns a daemon with checked settings; `on_drain` is called when an operator asks for the
+    /// daemon's drain.
     ///
     /// # Errors
     ///
     /// Fails when an address cannot be bound, a thread cannot be started, or no random numbers
     /// can be had.
-    pub fn spawn(settings: Settings) -> Result<Self, Error> {
+    pub fn spawn(
+        settings: Settings,
+        on_drain: impl Fn() + Send + Sync + 'static,
+    ) -> Result<Self, Error> {
         let incarnation = incarnation()?;
         let keyring = Keyring::open(&settings.keys).ok_or(Error::Keys)?;
         let roster = Arc::new(Mutex::new(Roster::open(
@@ -92,13 +101,27 @@
         network.serve(Arc::<Switchboard>::clone(&switchboard))?;
         let lister = Lister::spawn(Arc::clone(&node), Arc::clone(&table), Box::new(vm_list))?;
         let gossip = Gossiper::spawn(Arc::clone(switchboard.gossiper()))?;
-        let observer = Observer::spawn(Arc::clone(&node), table)?;
+        let observer = Observer::spawn(Arc::clone(&node), Arc::clone(&table))?;
         let peers = Arc::<Network>::clone(&network);
-        let front = Front::bind(node, peers, streams, trials)?;
+        let front = Front::bind(Arc::clone(&node), peers, streams, trials)?;
+        let overview = Overview {
+            node: Arc::clone(&node),
+            table,
+            front: Arc::clone(front.context()),
+            on_drain: Box::new(on_drain),
+            is_drain_asked: AtomicBool::new(false),
+        };
+        let guard = Guard::open(&node.settings.keys);
+        let admin = Admin::bind(
+            &node.settings.daemon.admin_address,
+            guard,
+            Arc::new(overview),
+        )?;
         log::info!(callers:% = front.address(), peers:% = network.address(); "daemon started");
         Ok(Self {
             front,
             network,
+            _admin: admin,
             _gossip: gossip,
             _observer: observer,
             _lister: lister,
--- /dev/null
+++ b/lib/src/daemon/overview.rs
@@ -0,0 +1,100 @@
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use ragwortgrade_schema::admin::{EndpointStatus, InForce, Instance, MemberStatus, Status};
+
+use crate::Node;
+use crate::admin::Source;
+use crate::front::Context;
+use crate::membership::Table;
+
+/// Shows operators the state of one daemon and passes on their wish to drain it.
+pub(super) struct Overview {
+    pub(super) node: Arc<Node>,
+    pub(super) table: Arc<Table>,
+    pub(super) front: Arc<Context>,
+    pub(super) on_drain: Box<dyn Fn() + Send + Sync>,
+    pub(super) is_drain_asked: AtomicBool,
+}
+
+impl fmt::Debug for Overview {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Overview")
+            .field("node", &self.node)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Overview {
+    fn instance(&self) -> Instance {
+        let daemon = &self.node.settings.daemon;
+        Instance {
+            id: daemon.id.clone(),
+            incarnation: self.node.incarnation,
+            data_centre: daemon.data_centre.clone(),
+            region: daemon.region.clone(),
+            draining: self.node.is_draining(),
+        }
+    }
+
+    fn in_force(&self) -> InForce {
+        let configuration = self.node.configuration.load();
+        let header = configuration
+            .as_ref()
+            .map(|configuration| &configuration.header);
+        InForce {
+            revision: header.map_or(0, |header| header.revision),
+            apply_id: header
+                .map(|header| header.apply_id.clone())
+                .unwrap_or_default(),
+            author: header
+                .map(|header| header.author.clone())
+                .unwrap_or_default(),
+            platform_reachable: None,
+            reader: None,
+            rejected: None,
+        }
+    }
+
+    fn members(&self) -> Vec<MemberStatus> {
+        let live = self.table.roster().live();
+        let status = |member: ragwortgrade_schema::peer::Member| MemberStatus {
+            id: member.identity.id,
+            incarnation: member.identity.incarnation,
+            data_centre: member.identity.data_centre,
+            draining: member.identity.draining,
+        };
+        live.into_iter().map(status).collect()
+    }
+
+    fn endpoints(&self) -> Vec<EndpointStatus> {
+        let endpoints = self.node.directory.all().into_iter();
+        endpoints
+            .map(|endpoint| EndpointStatus {
+                id: endpoint.id,
+                data_centre: endpoint.data_centre,
+                service: endpoint.service,
+                leaving: endpoint.leaving,
+            })
+            .collect()
+    }
+}
+
+impl Source for Overview {
+    fn status(&self) -> Status {
+        Status {
+            configuration: self.in_force(),
+            daemon: self.instance(),
+            endpoints: self.endpoints(),
+            members: self.members(),
+            open_requests: u64::from(self.front.open_requests()),
+        }
+    }
+
+    fn drain(&self) {
+        if !self.is_drain_asked.swap(true, Ordering::Relaxed) {
+            (self.on_drain)();
+        }
+    }
+}
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -77,6 +77,10 @@
         })
     }
 
+    pub(crate) fn context(&self) -> &Arc<Context> {
+        &self.context
+    }
+
     /// Returns the address on which callers are served.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
