standins: add soak with seeded failures and judgement from outside

Cause: the nine guarantees must hold under any mix of failures, so processes are killed, paused, cut off and drained while callers wait. Ruled out: judging by the daemons' own logs, which would repeat the daemons' errors. Change: example soak (16 kinds of failures by seed, callers that resume and retry, judgement from order logs, effect logs and answers), OrderJudgement in the library, tests of the stand-ins with an engine that ignores fencing tokens as the negative control.

--- /dev/null
+++ b/standins/examples/soak/ledger.rs
@@ -0,0 +1,86 @@
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+/// What callers saw; the judgement compares it with what the endpoints did.
+#[derive(Debug, Default)]
+pub(crate) struct Ledger {
+    pub(crate) sent: AtomicU64,
+    pub(crate) complete: AtomicU64,
+    pub(crate) refused_not_run: AtomicU64,
+    pub(crate) outcome_unknown: AtomicU64,
+    pub(crate) lost: AtomicU64,
+    pub(crate) crossed: AtomicU64,
+    pub(crate) resumed: AtomicU64,
+    pub(crate) crash_refusals: AtomicU64,
+    pub(crate) late_dispatch: AtomicU64,
+    pub(crate) config_reverts: AtomicU64,
+    open: AtomicU64,
+    orders: Mutex<BTreeMap<String, Order>>,
+    drains: Mutex<HashMap<SocketAddr, Instant>>,
+}
+
+/// One order as its caller saw it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Order {
+    /// Some answer was whole.
+    pub(crate) complete: bool,
+    /// Every submission was refused as not run.
+    pub(crate) all_not_run: bool,
+}
+
+/// Counts an open request until it is dropped.
+pub(crate) struct OpenRequest<'a>(&'a Ledger);
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Ledger {
+    /// Counts a request as sent and open.
+    pub(crate) fn open_request(&self) -> OpenRequest<'_> {
+        self.sent.fetch_add(1, Ordering::Relaxed);
+        self.open.fetch_add(1, Ordering::AcqRel);
+        OpenRequest(self)
+    }
+
+    pub(crate) fn has_open_requests(&self) -> bool {
+        self.open.load(Ordering::Acquire) > 0
+    }
+
+    pub(crate) fn record_order(&self, body: String, order: Order) {
+        lock(&self.orders).insert(body, order);
+    }
+
+    pub(crate) fn orders(&self) -> BTreeMap<String, Order> {
+        lock(&self.orders).clone()
+    }
+
+    /// Notes that the daemon at this address drains as planned, so that it may break no stream.
+    pub(crate) fn start_drain(&self, address: SocketAddr) {
+        lock(&self.drains).insert(address, Instant::now());
+    }
+
+    /// Notes that the daemon has ended or met another failure.
+    pub(crate) fn end_drain(&self, address: SocketAddr) {
+        lock(&self.drains).remove(&address);
+    }
+
+    /// Tells whether a daemon has been draining since before `started` was broken off.
+    pub(crate) fn is_draining(&self, address: SocketAddr) -> bool {
+        lock(&self.drains).contains_key(&address)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Counts one.
+pub(crate) fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
--- /dev/null
+++ b/standins/examples/soak/main.rs
@@ -0,0 +1,132 @@
+//! Runs a deployment under seeded random failures and judges it from outside.
+//!
+//! `cargo run --release -p ragwortgrade-standins --example soak -- --seed N --seconds S` ends with
+//! one JSON line; the exit status is 0 only if every count of violations is 0.
+
+mod callers;
+mod evidence;
+mod failures;
+mod heal;
+mod ledger;
+mod options;
+mod report;
+mod target;
+
+use std::env;
+use std::error::Error;
+use std::ffi::OsString;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ragwortgrade_standins::deployment::{Deployment, Plan, Programs};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::flag;
+
+use self::callers::{CRASH_MARKER, Callers};
+use self::failures::Failures;
+use self::ledger::Ledger;
+use self::options::Options;
+use self::report::Report;
+
+const DATA_CENTRES: usize = 3;
+const DRAIN_TIMEOUT_MS: u64 = 15_000;
+/// Time between looks at the deployment.
+const TICK: Duration = Duration::from_millis(50);
+
+fn main() -> ExitCode {
+    let mut arguments = env::args_os().skip(1).peekable();
+    if arguments.next_if(|first| first == "standin").is_some() {
+        return match ragwortgrade_standins::run_standin(arguments) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => fail(&error),
+        };
+    }
+    match run(arguments) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => fail(error.as_ref()),
+    }
+}
+
+fn fail(error: &dyn Error) -> ExitCode {
+    eprintln!("soak: {error}");
+    ExitCode::FAILURE
+}
+
+/// Runs the soak; tells whether the judgement is clean.
+fn run(arguments: impl Iterator<Item = OsString>) -> Result<bool, Box<dyn Error>> {
+    let options = Options::parse(arguments)?;
+    let stopping = Arc::new(AtomicBool::new(false));
+    let interrupted = Arc::new(AtomicBool::new(false));
+    for signal in [SIGINT, SIGTERM] {
+        flag::register(signal, Arc::clone(&interrupted))?;
+    }
+    let programs = Programs::build()?;
+    let mut directory = tempfile::Builder::new()
+        .prefix("ragwortgrade-soak-")
+        .tempdir()?;
+    directory.disable_cleanup(true);
+    eprintln!(
+        "starting; settings and logs are in {}",
+        directory.path().display()
+    );
+    let mut deployment = Deployment::spawn(&plan(&options, &programs, directory.path()))?;
+    let ledger = Ledger::default();
+    let callers = Callers::open(&deployment, &options, &ledger, &stopping);
+    callers.wait_for_first_answers()?;
+    let mut failures = Failures::open(&options, &ledger);
+    thread::scope(|scope| {
+        callers.spawn(scope);
+        let until = Instant::now() + options.duration;
+        while Instant::now() < until && !interrupted.load(Ordering::Relaxed) {
+            failures.tick(&mut deployment);
+            thread::sleep(TICK);
+        }
+        failures.heal_all(&mut deployment);
+        stopping.store(true, Ordering::Relaxed);
+        // Callers that still wait for an answer may meet an engine that crashes.
+        while ledger.has_open_requests() && !interrupted.load(Ordering::Relaxed) {
+            failures.heal_due(&mut deployment);
+            thread::sleep(TICK);
+        }
+    });
+    failures.heal_all(&mut deployment);
+    failures.judge_configuration(&deployment);
+    let report = Report::judge(&options, &ledger, &deployment, &failures.summary());
+    deployment.stop();
+    let is_clean = report.is_clean() && !interrupted.load(Ordering::Relaxed);
+    directory.disable_cleanup(!is_clean);
+    println!("{}", serde_json::to_string(&report)?);
+    Ok(is_clean)
+}
+
+fn plan(options: &Options, programs: &Programs, directory: &std::path::Path) -> Plan {
+    let engine_flags = [
+        "--crash-marker",
+        CRASH_MARKER,
+        "--step-us",
+        "5000",
+        "--role-change-ms",
+        "1500",
+        "--prefill-tokens-per-second",
+        "200000",
+        "--sequences-max",
+        "32",
+        "--kv-tokens-max",
+        "131072",
+    ];
+    Plan {
+        directory: directory.to_owned(),
+        daemon: programs.daemon.clone(),
+        standin: programs.standin.clone(),
+        data_centres: DATA_CENTRES,
+        daemons: options.daemons,
+        engines: options.engines,
+        has_relays: true,
+        engine_flags: engine_flags.map(str::to_owned).to_vec(),
+        drain_timeout_ms: DRAIN_TIMEOUT_MS,
+    }
+}
--- /dev/null
+++ b/standins/examples/soak/options.rs
@@ -0,0 +1,69 @@
+use std::error::Error;
+use std::ffi::OsString;
+use std::time::Duration;
+
+use lexopt::Parser;
+use lexopt::ValueExt as _;
+use lexopt::prelude::Long;
+
+use crate::target::Kind;
+
+const SECONDS: u64 = 60;
+const DAEMONS: usize = 2;
+const ENGINES: usize = 3;
+const CALLERS: usize = 16;
+
+/// The command line.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    /// Seed of the load and of the failures.
+    pub(crate) seed: u64,
+    /// Time during which failures are caused.
+    pub(crate) duration: Duration,
+    /// Daemons in each data centre.
+    pub(crate) daemons: usize,
+    /// Engines in each data centre.
+    pub(crate) engines: usize,
+    /// Callers that wait for answers at the same time.
+    pub(crate) callers: usize,
+    /// Kinds of failures that are caused.
+    pub(crate) kinds: Vec<Kind>,
+}
+
+impl Options {
+    /// Reads the arguments; `--only kind,kind` restricts the failures.
+    pub(crate) fn parse(arguments: impl Iterator<Item = OsString>) -> Result<Self, Box<dyn Error>> {
+        let mut options = Self {
+            seed: 1,
+            duration: Duration::from_secs(SECONDS),
+            daemons: DAEMONS,
+            engines: ENGINES,
+            callers: CALLERS,
+            kinds: Kind::ALL.to_vec(),
+        };
+        let mut parser = Parser::from_args(arguments);
+        while let Some(argument) = parser.next()? {
+            match argument {
+                Long("seed") => options.seed = parser.value()?.parse()?,
+                Long("seconds") => options.duration = Duration::from_secs(parser.value()?.parse()?),
+                Long("daemons") => options.daemons = parser.value()?.parse()?,
+                Long("engines") => options.engines = parser.value()?.parse()?,
+                Long("callers") => options.callers = parser.value()?.parse()?,
+                Long("only") => options.kinds = parse_kinds(&parser.value()?.string()?)?,
+                other => return Err(other.unexpected().into()),
+            }
+        }
+        Ok(options)
+    }
+}
+
+fn parse_kinds(text: &str) -> Result<Vec<Kind>, String> {
+    let words = text.split(',').filter(|word| !word.is_empty());
+    words
+        .map(|word| {
+            let mut all = Kind::ALL.into_iter();
+            all.find(|kind| kind.name() == word)
+                .ok_or_else(|| format!("unknown kind of failure {word}"))
+        })
+        .collect()
+}
--- /dev/null
+++ b/standins/examples/soak/report.rs
@@ -0,0 +1,91 @@
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use ragwortgrade_standins::deployment::Deployment;
+use serde::Serialize;
+
+use crate::evidence;
+use crate::ledger::Ledger;
+use crate::options::Options;
+
+/// The outcome; its JSON line is the last thing that the example prints.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Report {
+    seed: u64,
+    sent: u64,
+    complete: u64,
+    refused_not_run: u64,
+    outcome_unknown: u64,
+    lost: u64,
+    doubled: u64,
+    crossed: u64,
+    false_not_run: u64,
+    conflicting_orders: u64,
+    stale_orders: u64,
+    config_reverts: u64,
+    late_dispatch_to_leaving: u64,
+}
+
+impl Report {
+    /// Compares what callers saw with what the endpoints did.
+    pub(crate) fn judge(
+        options: &Options,
+        ledger: &Ledger,
+        deployment: &Deployment,
+        summary: &str,
+    ) -> Self {
+        let effects = evidence::effects(deployment.directory());
+        let orders = evidence::orders(deployment.directory());
+        let mut report = Self {
+            seed: options.seed,
+            sent: load(&ledger.sent),
+            complete: load(&ledger.complete),
+            refused_not_run: load(&ledger.refused_not_run),
+            outcome_unknown: load(&ledger.outcome_unknown),
+            lost: load(&ledger.lost),
+            doubled: 0,
+            crossed: load(&ledger.crossed),
+            false_not_run: 0,
+            conflicting_orders: orders.conflicting,
+            stale_orders: orders.stale,
+            config_reverts: load(&ledger.config_reverts),
+            late_dispatch_to_leaving: load(&ledger.late_dispatch),
+        };
+        for (body, order) in ledger.orders() {
+            let count = effects.get(&body).copied().unwrap_or(0);
+            report.doubled += u64::from(count > 1);
+            report.false_not_run += u64::from(order.all_not_run && count > 0);
+            report.lost += u64::from(order.complete && count == 0);
+            if count > 1 || (order.all_not_run && count > 0) || (order.complete && count == 0) {
+                eprintln!("{body}: {count} effects, {order:?}");
+            }
+        }
+        eprintln!(
+            "{summary}; resumed {}, crash refusals {}, orders accepted {}, streams broken by role \
+             changes {}",
+            load(&ledger.resumed),
+            load(&ledger.crash_refusals),
+            orders.accepted,
+            orders.interrupted
+        );
+        report
+    }
+
+    /// Tells whether every count of violations is 0.
+    pub(crate) fn is_clean(&self) -> bool {
+        let violations = [
+            self.lost,
+            self.doubled,
+            self.crossed,
+            self.false_not_run,
+            self.conflicting_orders,
+            self.stale_orders,
+            self.config_reverts,
+            self.late_dispatch_to_leaving,
+        ];
+        self.sent > 0 && violations.iter().all(|count| *count == 0)
+    }
+}
+
+fn load(counter: &AtomicU64) -> u64 {
+    counter.load(Ordering::Relaxed)
+}
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -14,11 +14,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use ragwortgrade_schema::platform::{Vms, Write};
+use ragwortgrade_schema::platform::{Entry, Vms, Write};
 
 pub use self::daemon::{DaemonProcess, DaemonSettings};
 pub use self::data_centre::DataCentre;
-pub use self::declaration::{Declaration, Workspace};
+pub use self::declaration::{Declaration, DeclaredEndpoint, Workspace};
 pub use self::endpoint::EndpointProcess;
 pub use self::plan::Plan;
 pub use self::process::Process;
@@ -109,14 +109,40 @@
     ///
     /// Fails when the service cannot be reached or another revision is in force.
     pub fn apply(&mut self) -> Result<(), Error> {
-        self.declaration.revision += 1;
-        let write = Write {
+        let mut next = self.declaration.clone();
+        next.revision += 1;
+        let write = self.write_of(&next);
+        self.configuration_revision = Caller::open().write(self.key_value.address, &write)?;
+        self.declaration = next;
+        Ok(())
+    }
+
+    /// Returns the write by which a declaration replaces the one in force.
+    #[must_use]
+    pub fn write_of(&self, declaration: &Declaration) -> Write {
+        Write {
             expect: self.configuration_revision,
             key: CONFIGURATION_KEY.to_owned(),
             lease: None,
-            value: Some(self.declaration.to_string()),
-        };
-        self.configuration_revision = Caller::open().write(self.key_value.address, &write)?;
+            value: Some(declaration.to_string()),
+        }
+    }
+
+    /// Reads the document's revisions again, after a write whose outcome is not known or after
+    /// the daemons wrote the newest document back.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the service cannot be reached or holds no readable document.
+    pub fn read_back(&mut self) -> Result<(), Error> {
+        let url = self.key_value.url("/kv/configuration");
+        let entry: Entry = Caller::open().get(&url)?;
+        let revision = entry.value.as_deref().and_then(revision_of);
+        self.declaration.revision = revision.ok_or_else(|| Error::Call {
+            url,
+            reason: "the document has no revision".to_owned(),
+        })?;
+        self.configuration_revision = entry.revision;
         Ok(())
     }
 
@@ -172,6 +198,13 @@
     }
 }
 
+/// Returns the revision in a rendered document.
+#[must_use]
+pub fn revision_of(document: &str) -> Option<u64> {
+    let line = document.lines().find(|line| line.starts_with("revision"))?;
+    line.split_once('=')?.1.trim().parse().ok()
+}
+
 /// Finds an address that nothing listens on.
 ///
 /// # Errors
--- a/standins/src/deployment/declaration.rs
+++ b/standins/src/deployment/declaration.rs
@@ -12,6 +12,19 @@
     pub requests_per_second: f64,
 }
 
+/// An endpoint of a declaration.
+#[derive(Clone, Debug)]
+pub struct DeclaredEndpoint {
+    /// Name of the endpoint.
+    pub name: String,
+    /// Whether it refuses orders with an old fencing token.
+    pub checks_fence: bool,
+    /// Whether it gets no new work.
+    pub drains: bool,
+    /// Fixed role of an engine.
+    pub role: Option<String>,
+}
+
 /// What operators declare for a test deployment, rendered as its INI document.
 #[derive(Clone, Debug)]
 pub struct Declaration {
@@ -21,8 +34,8 @@
     pub author: String,
     /// Workspaces.
     pub workspaces: Vec<Workspace>,
-    /// Engines and plain endpoints: name, whether fencing tokens are checked, whether it drains.
-    pub endpoints: Vec<(String, bool, bool)>,
+    /// Engines and plain endpoints.
+    pub endpoints: Vec<DeclaredEndpoint>,
     /// Requests in time that one role change must be worth.
     pub role_change_weight: f64,
 }
@@ -48,14 +61,22 @@
     pub fn declare_endpoints(&mut self, centres: &[DataCentre]) {
         for centre in centres {
             for (number, engine) in centre.engines.iter().enumerate() {
-                let checks = !ignores_fence(number);
-                self.endpoints.push((engine.name.clone(), checks, false));
+                self.declare(&engine.name, !ignores_fence(number));
             }
             for plain in &centre.plains {
-                self.endpoints.push((plain.name.clone(), true, false));
+                self.declare(&plain.name, true);
             }
         }
     }
+
+    fn declare(&mut self, name: &str, checks_fence: bool) {
+        self.endpoints.push(DeclaredEndpoint {
+            name: name.to_owned(),
+            checks_fence,
+            drains: false,
+            role: None,
+        });
+    }
 }
 
 impl fmt::Display for Declaration {
@@ -79,18 +100,28 @@
             writeln!(f, "requests_per_second = {}", workspace.requests_per_second)?;
             writeln!(f, "tokens_per_second = 100000000")?;
         }
-        for (name, checks, drains) in &self.endpoints {
-            let fencing = if *checks { "checked" } else { "ignored" };
-            writeln!(
-                f,
-                "\n[endpoint {name}]\nfencing = {fencing}\ndrain = {drains}"
-            )?;
+        for endpoint in &self.endpoints {
+            write_endpoint(f, endpoint)?;
         }
         writeln!(f, "\n[policy]")?;
         writeln!(f, "role_change_weight = {}", self.role_change_weight)
     }
 }
 
+fn write_endpoint(f: &mut fmt::Formatter<'_>, endpoint: &DeclaredEndpoint) -> fmt::Result {
+    let fencing = if endpoint.checks_fence {
+        "checked"
+    } else {
+        "ignored"
+    };
+    writeln!(f, "\n[endpoint {}]\nfencing = {fencing}", endpoint.name)?;
+    writeln!(f, "drain = {}", endpoint.drains)?;
+    match &endpoint.role {
+        Some(role) => writeln!(f, "role = {role}"),
+        None => Ok(()),
+    }
+}
+
 fn write_service(
     f: &mut fmt::Formatter<'_>,
     name: &str,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -20,7 +20,9 @@
 mod weights;
 
 pub use caller::{Answer, Caller, End, PlainQuestion, Question, Refusal, Verdict};
-pub use engine::{Engine, EngineFault, EngineSettings, OrderRecord, Work, answer_token};
+pub use engine::{
+    Engine, EngineFault, EngineSettings, OrderJudgement, OrderRecord, Work, answer_token,
+};
 pub use error::Error;
 pub use key_value::{Fault, KeyValue, KeyValueSettings};
 pub use plain::{Effect, Plain, PlainFault, PlainSettings};
--- /dev/null
+++ b/standins/tests/engine.rs
@@ -0,0 +1,160 @@
+//! The engine stand-in shows the faults that daemons must withstand.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::engine::{Load, Order, OrderAnswer, Role, Version, Want};
+use ragwortgrade_standins::{
+    Answer, Caller, End, Engine, EngineFault, EngineSettings, OrderJudgement, Question, Verdict,
+};
+use ragwortgrade_testutil::named_cases;
+
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(20);
+const CHANGE_CHECK: Duration = Duration::from_millis(10);
+
+fn engine(settings: EngineSettings) -> Engine {
+    Engine::bind(settings).expect("a loopback port is free")
+}
+
+fn ask(engine: &Engine, question: &Question) -> Answer {
+    Caller::open().ask_engine(engine.address(), question, "attempt-1")
+}
+
+fn order(engine: &Engine, fence: u64, issuer: &str, role: Role) -> OrderAnswer {
+    let order = Order {
+        fence,
+        issuer: Name::from(issuer),
+        order: format!("{issuer}-{fence}"),
+        want: Want {
+            adapters: Vec::new(),
+            models: vec![Version {
+                name: Name::from("base"),
+                version: Name::from("1"),
+            }],
+            role,
+        },
+    };
+    let url = format!("http://{}/orders", engine.address());
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let mut answer = agent
+        .post(url)
+        .send_json(&order)
+        .expect("the engine answers");
+    answer.body_mut().read_json().expect("the answer is JSON")
+}
+
+fn wait_until_changed(engine: &Engine) {
+    let url = format!("http://{}/state", engine.address());
+    let until = Instant::now() + CHANGE_TIMEOUT;
+    while Caller::open()
+        .get::<Load>(&url)
+        .expect("the engine answers")
+        .changing
+    {
+        assert!(Instant::now() < until, "the change takes too long");
+        thread::sleep(CHANGE_CHECK);
+    }
+}
+
+/// Guards against engines that disagree, with which no resumed answer could be judged.
+#[test]
+fn two_engines_give_the_same_answer() {
+    let engines = [
+        engine(EngineSettings::default()),
+        engine(EngineSettings::default()),
+    ];
+    let question = Question::streamed("weavers", "which stitch?", 20);
+    for engine in &engines {
+        let answer = ask(engine, &question);
+        assert_eq!(question.judge(&answer, 0), Verdict::Complete);
+    }
+}
+
+/// Guards against a judge that takes another question's answer for the right one.
+#[test]
+fn crossed_answer_is_found() {
+    let engine = engine(EngineSettings::default());
+    engine.set_fault(EngineFault {
+        crossed_answers: 1,
+        ..EngineFault::default()
+    });
+    let question = Question::streamed("weavers", "which stitch?", 20);
+    assert_eq!(
+        question.judge(&ask(&engine, &question), 0),
+        Verdict::Crossed
+    );
+    assert_eq!(
+        question.judge(&ask(&engine, &question), 0),
+        Verdict::Complete
+    );
+}
+
+fn stale_order_is_judged(checks_fence: bool, stale: u64) {
+    let engine = engine(EngineSettings {
+        checks_fence,
+        role_change_ms: 20,
+        ..EngineSettings::default()
+    });
+    assert!(order(&engine, 7, "new", Role::Decode).accepted);
+    wait_until_changed(&engine);
+    let accepted = order(&engine, 6, "old", Role::Mixed).accepted;
+    assert_eq!(accepted, !checks_fence);
+    assert_eq!(OrderJudgement::of(&engine.orders()).stale, stale);
+}
+
+// Guards against a fencing check that lets old tokens through; the engine that ignores tokens is
+// the negative control of the judgement.
+named_cases! { stale_order_is_judged:
+    stale_order_is_refused_by_a_checking_engine(true, 0);
+    stale_order_is_found_in_the_log_of_an_ignoring_engine(false, 1);
+}
+
+/// Guards against a judgement that overlooks two holders of one lease.
+#[test]
+fn two_issuers_with_one_token_conflict() {
+    let engine = engine(EngineSettings {
+        role_change_ms: 20,
+        ..EngineSettings::default()
+    });
+    assert!(order(&engine, 7, "first", Role::Decode).accepted);
+    wait_until_changed(&engine);
+    assert!(order(&engine, 7, "second", Role::Mixed).accepted);
+    assert_eq!(OrderJudgement::of(&engine.orders()).conflicting, 1);
+}
+
+fn crash_breaks_stream(prompt: &str, verdict: Verdict) {
+    let engine = engine(EngineSettings {
+        crash_marker: Some("BOOM".to_owned()),
+        ..EngineSettings::default()
+    });
+    let question = Question::streamed("weavers", prompt, 4);
+    assert_eq!(question.judge(&ask(&engine, &question), 0), verdict);
+}
+
+// Guards against a crash marker that does not crash, with which section 5.4 would go untested.
+named_cases! { crash_breaks_stream:
+    marked_prompt_crashes_the_engine("a BOOM here", Verdict::Lost);
+    other_prompt_is_answered("a stitch here", Verdict::Complete);
+}
+
+/// Guards against an engine that serves while it changes its role.
+#[test]
+fn changing_engine_refuses_new_work() {
+    let engine = engine(EngineSettings {
+        role_change_ms: 400,
+        ..EngineSettings::default()
+    });
+    assert!(order(&engine, 1, "holder", Role::Decode).accepted);
+    let question = Question::streamed("weavers", "which stitch?", 2);
+    let during = ask(&engine, &question);
+    assert!(matches!(during.end, End::Broken(_)), "{during:?}");
+    wait_until_changed(&engine);
+    assert_eq!(
+        question.judge(&ask(&engine, &question), 0),
+        Verdict::Complete
+    );
+}
