peer: bound frames and connections before the handshake

Cause: a peer that had proved nothing could make the daemon buffer 4 MB a connection, for any number of connections. Ruled out: a bound on all frames (a configuration of 1 MB must pass). Change: handshake frames are at most 4 KiB, 256 handshakes at a time. Figures: the new test sends a header of 1 MB and is cut off.

--- a/lib/src/peer/network.rs
+++ b/lib/src/peer/network.rs
@@ -19,6 +19,7 @@
 use tarpc::server::{BaseChannel, Channel as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
+use tokio::sync::Semaphore;
 use tokio_serde::formats::Json;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -35,6 +36,11 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 /// A whole configuration document is at most 1 MB; JSON may escape some of it.
 const FRAME_BYTES_MAX: usize = 4 << 20;
+/// Handshake frames hold names, nonces and codes; a peer that has proved nothing yet gets no more
+/// memory than that.
+const HANDSHAKE_FRAME_BYTES_MAX: usize = 4 << 10;
+/// Connections in a handshake at one time; a fleet of 400 daemons opens far fewer.
+const HANDSHAKES_MAX: usize = 256;
 /// Threads that only wait for sockets; handlers run on the blocking pool.
 const RUNTIME_THREADS: usize = 2;
 const BLOCKING_THREADS_MAX: usize = 64;
@@ -108,6 +114,7 @@
             own: self.own.clone(),
             keyring: self.keyring.clone(),
             bytes: Arc::clone(&self.bytes),
+            handshakes: Arc::new(Semaphore::new(HANDSHAKES_MAX)),
             server: Server { handler },
         };
         self.runtime.spawn(acceptor.accept(listener));
@@ -175,6 +182,7 @@
             .await
             .map_err(|_elapsed| "handshake timed out".to_owned())?
             .map_err(|error| error.to_string())?;
+        frames.codec_mut().set_max_frame_length(FRAME_BYTES_MAX);
         let transport = serde_transport::new(frames, Json::default());
         let client = ServiceClient::new(client::Config::default(), transport).spawn();
         lock(&self.clients).insert(address.to_owned(), client.clone());
@@ -247,6 +255,7 @@
     own: Name,
     keyring: Keyring,
     bytes: Arc<AtomicU64>,
+    handshakes: Arc<Semaphore>,
     server: Server,
 }
 
@@ -267,6 +276,9 @@
     }
 
     async fn serve(self, stream: TcpStream) {
+        let Ok(handshake) = Arc::clone(&self.handshakes).try_acquire_owned() else {
+            return;
+        };
         let Ok(mut frames) = frames(stream, Arc::clone(&self.bytes)) else {
             return;
         };
@@ -279,6 +291,8 @@
             }
             Err(_elapsed) => return,
         }
+        frames.codec_mut().set_max_frame_length(FRAME_BYTES_MAX);
+        drop(handshake);
         let transport = serde_transport::new(frames, Json::default());
         BaseChannel::with_defaults(transport)
             .execute(self.server.serve())
--- a/lib/tests/peer.rs
+++ b/lib/tests/peer.rs
@@ -141,3 +141,20 @@
     server.serve(Arc::new(Echo(identity("server")))).unwrap();
     assert_eq!(client.identity(&address).unwrap().incarnation, 3);
 }
+
+/// Guards against memory spent on a peer that has proved nothing: a frame above the handshake's
+/// bound ends the connection, and authenticated daemons are still served.
+#[test]
+fn large_frame_before_the_handshake_is_refused() {
+    use std::io::{Read as _, Write as _};
+
+    let server = network("server", keyring("k1", &[("k1", "a")]));
+    server.serve(Arc::new(Echo(identity("server")))).unwrap();
+    let mut stranger = std::net::TcpStream::connect(server.address()).unwrap();
+    stranger.write_all(&1_000_000_u32.to_be_bytes()).unwrap();
+    let mut answer = Vec::new();
+    stranger.read_to_end(&mut answer).unwrap();
+    assert!(answer.is_empty());
+    let client = network("client", keyring("k1", &[("k1", "a")]));
+    client.identity(&server.address().to_string()).unwrap();
+}
