--- /dev/null
+++ b/lib/src/front/handler.rs
@@ -0,0 +1,62 @@
+use std::io;
+
+use super::{Code, Context, Incoming, Refusal, Reply, chat, service};
+
+const TEXT: &str = "text/plain";
+const CHAT_PATH: &str = "/v1/chat/completions";
+const SERVICES_PATH: &str = "/services/";
+
+/// Serves one request of a caller.
+pub(super) fn serve(context: &Context, incoming: &Incoming, reply: &mut Reply) {
+    let answered = match incoming.path_only() {
+        "/healthz" => reply.whole(200, TEXT, b"ok"),
+        "/readyz" => ready(context, reply),
+        _ => admit(context, incoming, reply),
+    };
+    if let Err(error) = answered {
+        log::debug!("caller went away: {error}");
+    }
+}
+
+fn ready(context: &Context, reply: &mut Reply) -> io::Result<()> {
+    match unready(context) {
+        None => reply.whole(200, TEXT, b"ready"),
+        Some(refusal) => reply.refuse(&refusal),
+    }
+}
+
+fn unready(context: &Context) -> Option<Refusal> {
+    if context.node.is_draining() {
+        let message = "the daemon is about to stop";
+        return Some(Refusal::not_run(Code::Draining, message));
+    }
+    if context.node.configuration.load().is_none() {
+        let message = "the daemon has no configuration yet";
+        return Some(Refusal::not_run(Code::NotConfigured, message));
+    }
+    None
+}
+
+/// Counts the request as open before it looks at the draining state: a drain that starts in
+/// between either sees the request or is seen by it.
+fn admit(context: &Context, incoming: &Incoming, reply: &mut Reply) -> io::Result<()> {
+    let Some(_open) = context.enter() else {
+        let message = "too many requests are open";
+        return reply.refuse(&Refusal::not_run(Code::OverLimit, message));
+    };
+    match unready(context) {
+        Some(refusal) => reply.refuse(&refusal),
+        None => route(context, incoming, reply),
+    }
+}
+
+fn route(context: &Context, incoming: &Incoming, reply: &mut Reply) -> io::Result<()> {
+    let path = incoming.path_only();
+    if path == CHAT_PATH && incoming.method == "POST" {
+        return chat::serve(context, incoming, reply);
+    }
+    if path.starts_with(SERVICES_PATH) {
+        return service::serve(context, incoming, reply);
+    }
+    reply.refuse(&Refusal::not_run(Code::Malformed, "no such path"))
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 /// Authority over the engines of a data centre.
 pub mod authority;
+mod cost_model;
 /// What routing decides about a request.
 pub mod decision;
 /// What routing takes into account.
@@ -14,11 +15,17 @@
 /// What the planner takes into account.
 pub mod fleet;
 mod instant;
+pub mod limit;
+pub mod membership;
 /// Roles and placement of the engines of a data centre.
 pub mod planner;
+pub mod rendezvous;
 mod request;
+pub mod retry;
 mod router;
+pub mod suspect;
 
+pub use cost_model::CostModel;
 pub use fleet::Fleet;
 pub use instant::Instant;
 pub use planner::Planner;
