attempt: resume, retry and cancel attempts, and run suspects apart

Cause: an attempt that failed ended the request, retries were unbounded, and a request that crashes engines could take down one after another. Change: a completion goes on at another engine from the next token; calls of plain services are retried when they are known not to have run or may be repeated. Retries come out of a budget. Last-Event-ID resumes a stream from this daemon's replay buffer, the entry daemon's, or by running again from that index; a buffer answers only for the same content. The engine is told when the caller goes away. After a broken connection the endpoint is asked for its incarnation; a crash counts against the content, which then runs as a trial that the other daemons of the data centre confirm. Trials carry their strikes, so the other daemons know them before the next endpoint can crash. Split prefill falls back to the decode engine. Endpoints that cannot be reached are kept out until they answer. Workspaces' limits apply before a request is routed. Ruled out: asking all daemons for a replay buffer; instead the request's identity ends with a 16-bit tag of the entry daemon. Tests: 20 cases in lib/tests/attempt.rs pass; the control without strikes reaches further engines. Schema: Trial.strikes and StreamRequest.content, both optional.

--- a/lib/src/attempt/completion.rs
+++ b/lib/src/attempt/completion.rs
@@ -1,26 +1,25 @@
-use std::io;
+use std::time::Duration;
 
-use ragwortgrade_policy::decision::Dispatch;
+use ragwortgrade_policy::Request;
 use ragwortgrade_policy::event::Event;
-use ragwortgrade_schema::engine;
+use ragwortgrade_policy::suspect::Standing;
+use ragwortgrade_schema::engine::{self, KvExport, KvImport};
 
-use super::random_identity;
-use crate::endpoint::{Call, Error, TokenStream};
+use super::crash::{is_final, may_have_run};
+use super::{FAILURES_MAX, Placed, TokenSink, random_identity};
+use crate::endpoint::{Call, Error, Ran, TokenStream};
 use crate::front::{Code, Context, Refusal};
 
-/// Engines that one request is sent to before the daemon gives up.
-const ATTEMPTS_MAX: u32 = 4;
-
-/// Where the tokens of a completion go.
-pub(crate) trait TokenSink {
-    /// Takes the next token; an error means that the caller has gone away.
-    fn token(&mut self, index: u32, text: &str) -> io::Result<()>;
-}
+/// Time to find another engine for a stream that broke. The deadline counts to the first token
+/// and is over by then; a caller that has a part of an answer rather waits than begins again.
+const RESUME_PATIENCE: Duration = Duration::from_secs(20);
 
 /// A completion, run on one engine after another until it is whole.
+#[derive(Debug)]
 pub(crate) struct Completion<'a> {
     pub(crate) context: &'a Context,
-    pub(crate) routed: ragwortgrade_policy::Request,
+    pub(crate) routed: Request,
+    pub(crate) subject: u128,
     pub(crate) body: engine::Completion,
     pub(crate) next_index: u32,
 }
@@ -43,38 +42,59 @@
 
 impl Completion<'_> {
     /// Runs the completion, resuming on another engine when one breaks.
+    ///
+    /// A repeated run has no side effect, so attempts whose outcome is unknown are retried too.
     pub(crate) fn run(&mut self, sink: &mut dyn TokenSink) -> Result<Completed, Refusal> {
-        let mut attempts = 0;
+        let first = self.next_index;
+        let mut ran = Ran::No;
+        let mut failures = 0;
         loop {
-            let dispatch = self.context.place(&self.routed)?;
-            attempts += 1;
-            let first = self.next_index;
-            let ended = self.attempt(&dispatch, sink);
-            self.context
-                .finished(self.routed.id, self.next_index - first);
-            match ended {
-                Ended::Whole => return Ok(Completed::Whole),
-                Ended::CallerGone => return Ok(Completed::CallerGone),
-                Ended::Failed(error) if attempts >= ATTEMPTS_MAX => {
-                    return Err(give_up(&error));
+            let before = self.next_index;
+            let placed = Placed::find(self.context, &mut self.routed, self.subject, &|| {
+                sink.is_abandoned()
+            });
+            let mut placed = placed.map_err(|refusal| Refusal { ran, ..refusal })?;
+            let error = match self.attempt(&placed, sink) {
+                Ended::Whole => {
+                    self.context.trials.completed(self.subject);
+                    placed.output_tokens = self.next_index - before;
+                    return Ok(Completed::Whole);
                 }
-                Ended::Failed(_) => self.routed.avoid.push(dispatch.endpoint),
+                Ended::CallerGone => return Ok(Completed::CallerGone),
+                Ended::Failed(error) => error,
+            };
+            self.context.examine(&placed.endpoint, self.subject, &error);
+            if may_have_run(&error) {
+                ran = Ran::Unknown;
+                placed.crashed();
+            }
+            if self.next_index > before {
+                failures = 0;
+            }
+            failures += 1;
+            if failures >= FAILURES_MAX || is_final(&error) {
+                return Err(give_up(&error, ran));
+            }
+            self.routed.avoid.push(placed.endpoint.id.clone());
+            drop(placed);
+            if self.next_index > first {
+                self.routed.deadline = self.context.node.clock.now() + RESUME_PATIENCE;
+            }
+            if !self.context.take_retry(self.routed.deadline) {
+                return Err(give_up(&error, ran));
             }
         }
     }
 
-    fn attempt(&mut self, dispatch: &Dispatch, sink: &mut dyn TokenSink) -> Ended {
-        let Some(endpoint) = self.context.node.directory.get(&dispatch.endpoint) else {
-            let reason = "endpoint has left".to_owned();
+    fn attempt(&mut self, placed: &Placed<'_>, sink: &mut dyn TokenSink) -> Ended {
+        let Ok(attempt) = random_identity() else {
+            let reason = "no random numbers".to_owned();
             return Ended::Failed(Error::Unreachable { reason });
         };
-        let attempt = match random_identity() {
-            Ok(attempt) => attempt,
-            Err(error) => {
-                let reason = error.to_string();
-                return Ended::Failed(Error::Unreachable { reason });
-            }
-        };
+        if !self.prefill(placed, &attempt) {
+            const BUSY: u16 = 503;
+            return Ended::Failed(Error::Refused { status: BUSY });
+        }
         let call = Call {
             attempt,
             priority: self.routed.priority,
@@ -82,31 +102,73 @@
             resume_from: self.next_index,
             completion: self.body.clone(),
         };
+        let (engines, address) = (&self.context.node.engines, &placed.endpoint.address);
+        let ended = match engines.complete(address, &call) {
+            Ok(mut stream) => self.relay(stream.as_mut(), sink),
+            Err(error) => Ended::Failed(error),
+        };
+        let runs_on = match &ended {
+            Ended::Whole => false,
+            Ended::CallerGone => true,
+            Ended::Failed(error) => may_have_run(error),
+        };
+        if runs_on && let Err(error) = engines.cancel(address, &call.attempt) {
+            log::debug!(endpoint:% = placed.endpoint.id; "cancel failed: {error}");
+        }
+        ended
+    }
+
+    /// Computes the prompt on the prefill engine and moves its KV cache to the decode engine.
+    ///
+    /// When either fails, the decode engine computes the prompt itself. A trial uses one engine
+    /// only, so that a crash tells which content caused it. Returns `false` when the prefill
+    /// engine crashed, after which the request may run as a trial only.
+    fn prefill(&self, placed: &Placed<'_>, attempt: &str) -> bool {
+        let directory = &self.context.node.directory;
+        let Some(prefill) = placed
+            .dispatch
+            .prefill
+            .as_ref()
+            .filter(|_| !placed.is_trial())
+            .and_then(|prefill| directory.get(prefill))
+        else {
+            return true;
+        };
+        let export = KvExport {
+            attempt: attempt.to_owned(),
+            completion: self.body.clone(),
+            priority: self.routed.priority,
+        };
         let engines = &self.context.node.engines;
-        match engines.complete(&endpoint.address, &call) {
-            Ok(mut stream) => {
-                let ended = self.relay(stream.as_mut(), sink);
-                if !matches!(ended, Ended::Whole) {
-                    drop(stream);
-                    if let Err(error) = engines.cancel(&endpoint.address, &call.attempt) {
-                        log::debug!(endpoint = dispatch.endpoint.as_str(); "cancel failed: {error}");
-                    }
-                }
-                ended
+        self.context.trials.started(&prefill.id, self.subject);
+        let exported = engines.export(&prefill.address, &export);
+        self.context.trials.ended(&prefill.id, self.subject);
+        let handle = match exported {
+            Ok(handle) => handle,
+            Err(error) => {
+                self.context.examine(&prefill, self.subject, &error);
+                return self.context.trials.standing(self.subject) == Standing::Clear;
             }
-            Err(error) => Ended::Failed(error),
+        };
+        let import = KvImport {
+            attempt: attempt.to_owned(),
+            from: prefill.address,
+            handle: handle.handle,
+        };
+        if let Err(error) = engines.import(&placed.endpoint.address, &import) {
+            log::info!(endpoint:% = placed.endpoint.id; "KV cache was not imported: {error}");
         }
+        true
     }
 
     fn relay(&mut self, stream: &mut dyn TokenStream, sink: &mut dyn TokenSink) -> Ended {
-        let mut first = true;
+        let mut is_first = true;
         loop {
             match stream.next_token() {
                 Ok(Some(token)) => {
-                    if std::mem::take(&mut first) {
-                        self.context.node.observe(Event::FirstToken {
-                            request: self.routed.id,
-                        });
+                    if std::mem::take(&mut is_first) {
+                        let request = self.routed.id;
+                        self.context.node.observe(Event::FirstToken { request });
                     }
                     if sink.token(token.index, &token.token).is_err() {
                         return Ended::CallerGone;
@@ -120,8 +182,13 @@
     }
 }
 
-fn give_up(error: &Error) -> Refusal {
-    let mut refusal = Refusal::not_run(Code::EndpointFailed, "endpoints failed the request");
-    refusal.ran = error.ran();
-    refusal
+fn give_up(error: &Error, ran: Ran) -> Refusal {
+    let refusal = match error {
+        _ if is_final(error) => Refusal::not_run(Code::Malformed, "the engine refused the request"),
+        Error::Unreachable { .. } if ran == Ran::No => {
+            Refusal::not_run(Code::NoEndpoint, "no engine could be reached")
+        }
+        _ => Refusal::not_run(Code::EndpointFailed, "the engines failed the request"),
+    };
+    Refusal { ran, ..refusal }
 }
--- /dev/null
+++ b/lib/src/attempt/renewal.rs
@@ -0,0 +1,113 @@
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::peer::{Strike, Trial};
+
+use crate::Node;
+use crate::peer::Peers;
+use crate::trial::Trials;
+use crate::worker::Worker;
+
+/// Time for which one message reserves an endpoint (design section 5.4).
+const RESERVED: Duration = Duration::from_secs(10);
+const RENEWED_AFTER: Duration = Duration::from_secs(3);
+
+/// A trial's reservation of an endpoint at all reachable daemons of the data centre, renewed
+/// until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Renewal {
+    caller: Caller,
+    _worker: Worker,
+}
+
+#[derive(Clone, Debug)]
+struct Caller {
+    node: Arc<Node>,
+    peers: Arc<dyn Peers>,
+    trials: Arc<Trials>,
+    endpoint: Name,
+    holder: Name,
+}
+
+impl Renewal {
+    /// Reserves an endpoint; `None` when a daemon has a request with a strike there.
+    pub(crate) fn open(
+        node: &Arc<Node>,
+        peers: &Arc<dyn Peers>,
+        trials: &Arc<Trials>,
+        endpoint: &Name,
+        request: u64,
+        strikes: Vec<Strike>,
+    ) -> Option<Self> {
+        let caller = Caller {
+            node: Arc::clone(node),
+            peers: Arc::clone(peers),
+            trials: Arc::clone(trials),
+            endpoint: endpoint.clone(),
+            holder: Name::from(format!("{}/{request}", node.settings.daemon.id)),
+        };
+        if !caller.ask(RESERVED, strikes) {
+            caller.ask(Duration::ZERO, Vec::new());
+            return None;
+        }
+        let renewing = caller.clone();
+        let mut is_first = true;
+        let spawned = Worker::spawn("trial", move || {
+            if !std::mem::take(&mut is_first) && !renewing.ask(RESERVED, Vec::new()) {
+                log::warn!(endpoint:% = renewing.endpoint; "trial could not be renewed");
+            }
+            RENEWED_AFTER
+        });
+        match spawned {
+            Ok(worker) => Some(Self {
+                caller,
+                _worker: worker,
+            }),
+            Err(error) => {
+                log::warn!("no thread for a trial: {error}");
+                caller.ask(Duration::ZERO, Vec::new());
+                None
+            }
+        }
+    }
+
+    /// Tells all daemons of the data centre what the trial found, and ends the reservation.
+    pub(crate) fn close(self, strikes: Vec<Strike>) {
+        self.caller.ask(Duration::ZERO, strikes);
+    }
+}
+
+impl Caller {
+    /// Asks this daemon and the reachable others; one that does not answer is not waited for.
+    fn ask(&self, time: Duration, strikes: Vec<Strike>) -> bool {
+        let trial = Trial {
+            endpoint: self.endpoint.clone(),
+            for_ms: time.as_millis() as u64,
+            holder: self.holder.clone(),
+            strikes,
+        };
+        if !self.trials.reserve(&trial) {
+            return false;
+        }
+        let own = &self.node.settings.daemon;
+        let others: Vec<Name> = self
+            .peers
+            .members()
+            .into_iter()
+            .map(|member| member.identity)
+            .filter(|daemon| daemon.data_centre == own.data_centre && daemon.id != own.id)
+            .map(|daemon| daemon.id)
+            .collect();
+        thread::scope(|scope| {
+            let asked: Vec<_> = others
+                .iter()
+                .map(|daemon| scope.spawn(|| self.peers.reserve_trial(daemon, &trial)))
+                .collect();
+            asked
+                .into_iter()
+                .all(|answer| !matches!(answer.join(), Ok(Ok(false))))
+        })
+    }
+}
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -2,13 +2,16 @@
 
 mod acceptor;
 mod admission;
+mod answers;
 mod chat;
 mod code;
 mod connection;
 mod context;
+mod digest;
 mod handler;
 mod head;
 mod incoming;
+mod last_event;
 mod refusal;
 mod reply;
 mod service;
@@ -17,6 +20,7 @@
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -25,6 +29,7 @@
 pub(crate) use context::Context;
 pub use head::{Content, Head};
 pub use incoming::Incoming;
+pub use last_event::LastEvent;
 pub use refusal::Refusal;
 pub use reply::Reply;
 pub use streams::Streams;
@@ -32,9 +37,12 @@
 use crate::Node;
 use crate::peer::Peers;
 use crate::trial::Trials;
+use crate::worker::Worker;
 
 /// Time between two looks at the number of open requests during a drain.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time between two looks at the number of daemons that share the workspaces' limits.
+const LIMITS_PERIOD: Duration = Duration::from_secs(1);
 /// Time for the connection that wakes the accept loop of this process.
 const WAKE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -45,6 +53,7 @@
     context: Arc<Context>,
     acceptor: Arc<Acceptor>,
     thread: Option<JoinHandle<()>>,
+    _limits: Worker,
 }
 
 impl Front {
@@ -63,7 +72,14 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(&node.settings.daemon.callers_address)?;
         let address = listener.local_addr()?;
-        let context = Arc::new(Context::new(node, peers, streams, trials));
+        let context = Arc::new(Context::open(node, peers, streams, trials)?);
+        let limits = Worker::spawn("limits", {
+            let context = Arc::clone(&context);
+            move || {
+                context.refresh_limits();
+                LIMITS_PERIOD
+            }
+        })?;
         let acceptor = Acceptor::open(Arc::clone(&context));
         let thread = thread::Builder::new().name("front".to_owned()).spawn({
             let acceptor = Arc::clone(&acceptor);
@@ -74,6 +90,7 @@
             context,
             acceptor,
             thread: Some(thread),
+            _limits: limits,
         })
     }
 
@@ -83,6 +100,12 @@
         self.address
     }
 
+    /// Returns how many answers bore the identity of another attempt and were dropped.
+    #[must_use]
+    pub fn crossed_answers(&self) -> u64 {
+        self.context.crossed.load(Ordering::Relaxed)
+    }
+
     /// Refuses new requests and waits for the open ones, at most the drain timeout.
     ///
     /// Returns whether all of them ended.
--- a/lib/src/front/admission.rs
+++ b/lib/src/front/admission.rs
@@ -14,7 +14,6 @@
     pub(crate) service: Name,
     pub(crate) priority: u8,
     pub(crate) deadline_ms: u64,
-    #[expect(dead_code, reason = "read once claims are used")]
     pub(crate) idempotent: bool,
 }
 
@@ -23,6 +22,7 @@
     context: &Context,
     incoming: &Incoming,
     body: &engine::Completion,
+    prompt_tokens: u32,
 ) -> Result<Admitted, Refusal> {
     let configuration = configuration(context)?;
     let (workspace, rights) = workspace(&configuration, incoming)?;
@@ -41,6 +41,7 @@
     if !(fits || by_model) || !allowed(rights, name) {
         return Err(unknown_service());
     }
+    context.admit(&workspace, rights, prompt_tokens)?;
     Ok(admitted(workspace, name, declared))
 }
 
@@ -54,6 +55,7 @@
     let (workspace, rights) = workspace(&configuration, incoming)?;
     match configuration.services.get(name) {
         Some(service) if service.kind == ServiceKind::Plain && allowed(rights, name) => {
+            context.admit(&workspace, rights, 0)?;
             Ok(admitted(workspace, name, Some(service)))
         }
         _ => Err(unknown_service()),
--- /dev/null
+++ b/lib/src/front/answers.rs
@@ -0,0 +1,121 @@
+use std::io;
+
+use ragwortgrade_schema::peer::StreamAnswer;
+use serde_json::json;
+
+use super::{Context, Refusal, Reply};
+use crate::attempt::TokenSink;
+
+/// Sends each token as an event of its own and holds it for a caller that connects again.
+pub(super) struct Events<'a> {
+    context: &'a Context,
+    reply: &'a mut Reply,
+    identity: String,
+    model: String,
+    created: u64,
+}
+
+impl<'a> Events<'a> {
+    pub(super) fn open(
+        context: &'a Context,
+        reply: &'a mut Reply,
+        identity: &str,
+        model: String,
+    ) -> Self {
+        Self {
+            context,
+            reply,
+            identity: identity.to_owned(),
+            model,
+            created: context.node.clock.unix_ms() / 1_000,
+        }
+    }
+
+    /// Sends the tokens that a daemon still held; returns whether the stream is complete.
+    pub(super) fn replay(
+        &mut self,
+        next_index: &mut u32,
+        held: Option<StreamAnswer>,
+    ) -> io::Result<bool> {
+        let Some(held) = held else {
+            return Ok(false);
+        };
+        for token in &held.tokens {
+            self.token(*next_index, token)?;
+            *next_index += 1;
+        }
+        Ok(held.finished)
+    }
+
+    pub(super) fn finish(mut self) -> io::Result<()> {
+        self.start()?;
+        self.reply.done()
+    }
+
+    /// Ends with a refusal; the stream does not count as finished.
+    pub(super) fn refuse(self, refusal: &Refusal) -> io::Result<()> {
+        self.reply.refuse(refusal)?;
+        Err(io::Error::other("stream was refused"))
+    }
+
+    fn start(&mut self) -> io::Result<()> {
+        if self.reply.started() {
+            return Ok(());
+        }
+        self.reply.start_events()
+    }
+}
+
+impl TokenSink for Events<'_> {
+    fn token(&mut self, index: u32, text: &str) -> io::Result<()> {
+        let kept = self.context.node.settings.limits.stream_replay_bytes;
+        self.context.streams.push(&self.identity, text, kept);
+        self.start()?;
+        let chunk = json!({
+            "id": self.identity,
+            "object": "chat.completion.chunk",
+            "created": self.created,
+            "model": self.model,
+            "choices": [{"index": 0, "delta": {"content": text}, "finish_reason": null}],
+        });
+        self.reply
+            .event(&format!("{}.{index}", self.identity), &chunk.to_string())
+    }
+
+    fn is_abandoned(&self) -> bool {
+        self.reply.is_abandoned()
+    }
+}
+
+/// Collects the tokens of a whole answer.
+pub(super) struct Text<'a> {
+    reply: &'a Reply,
+    text: String,
+}
+
+impl<'a> Text<'a> {
+    pub(super) fn open(reply: &'a Reply) -> Self {
+        Self {
+            reply,
+            text: String::new(),
+        }
+    }
+
+    pub(super) fn into_text(self) -> String {
+        self.text
+    }
+}
+
+impl TokenSink for Text<'_> {
+    fn token(&mut self, _index: u32, text: &str) -> io::Result<()> {
+        self.text.push_str(text);
+        if self.is_abandoned() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+
+    fn is_abandoned(&self) -> bool {
+        self.reply.is_abandoned()
+    }
+}
--- a/lib/src/front/chat.rs
+++ b/lib/src/front/chat.rs
@@ -2,155 +2,224 @@
 use std::time::Duration;
 
 use ragwortgrade_policy::Request;
+use ragwortgrade_policy::suspect::content_text;
 use ragwortgrade_schema::engine;
+use ragwortgrade_schema::peer::{StreamAnswer, StreamRequest};
 use serde_json::json;
+use xxhash_rust::xxh3::Xxh3;
 
 use super::admission::{self, Admitted};
-use super::{Code, Context, Incoming, Refusal, Reply};
-use crate::attempt::{Completed, Completion, TokenSink, random_identity};
+use super::answers::{Events, Text};
+use super::digest::digest;
+use super::{Code, Context, Incoming, LastEvent, Refusal, Reply};
+use crate::attempt::{Completed, Completion, daemon_tag, request_identity};
 
 const JSON: &str = "application/json";
-/// Rough length of a token in English text; only routing uses the estimate.
+/// Rough length of a token in English text; only routing and limits use the estimate.
 const BYTES_PER_TOKEN: usize = 4;
 
+/// A chat completion that was admitted.
+struct Chat<'a> {
+    completion: Completion<'a>,
+    /// The caller wants events rather than a whole answer.
+    is_streamed: bool,
+    /// Identity of the request, towards the caller.
+    identity: String,
+    last_event: Option<LastEvent>,
+}
+
 /// Serves a chat completion, streamed or whole.
 pub(super) fn serve(context: &Context, incoming: &Incoming, reply: &mut Reply) -> io::Result<()> {
-    match prepare(context, incoming) {
-        Ok((mut completion, identity)) => {
-            if completion.body.stream {
-                streamed(&mut completion, identity, reply)
+    match Chat::admit(context, incoming) {
+        Ok(mut chat) => {
+            let workspace = chat.completion.routed.workspace.clone();
+            let served = if chat.is_streamed {
+                chat.stream(reply)
             } else {
-                whole(&mut completion, &identity, reply)
-            }
+                chat.answer(reply)
+            };
+            context.charge(&workspace, chat.completion.next_index);
+            served
         }
         Err(refusal) => reply.refuse(&refusal),
     }
 }
 
-fn prepare<'a>(
-    context: &'a Context,
-    incoming: &Incoming,
-) -> Result<(Completion<'a>, String), Refusal> {
-    let body: engine::Completion = serde_json::from_slice(&incoming.body)
-        .map_err(|error| Refusal::not_run(Code::Malformed, format!("body: {error}")))?;
-    let admitted = admission::model(context, incoming, &body)?;
-    let identity =
-        random_identity().map_err(|error| Refusal::not_run(Code::NoEndpoint, error.to_string()))?;
-    let completion = Completion {
-        context,
-        routed: routed(context, &body, admitted),
-        body,
-        next_index: 0,
-    };
-    Ok((completion, identity))
-}
+impl<'a> Chat<'a> {
+    fn admit(context: &'a Context, incoming: &Incoming) -> Result<Self, Refusal> {
+        let body: engine::Completion = serde_json::from_slice(&incoming.body)
+            .map_err(|error| Refusal::not_run(Code::Malformed, format!("body: {error}")))?;
+        let last_event = incoming
+            .header("Last-Event-ID")
+            .filter(|_| body.stream)
+            .map(LastEvent::parse)
+            .transpose()?;
+        let admitted = admission::model(context, incoming, &body, tokens(&body.messages))?;
+        let identity = match &last_event {
+            Some(last) => last.request.clone(),
+            None => request_identity(&context.node.settings.daemon.id)
+                .map_err(|error| Refusal::not_run(Code::NoEndpoint, error.to_string()))?,
+        };
+        let subject = digest(&[
+            admitted.workspace.as_bytes(),
+            admitted.service.as_bytes(),
+            &incoming.body,
+        ]);
+        let routed = routed(context, &body, admitted);
+        Ok(Self {
+            is_streamed: body.stream,
+            completion: Completion {
+                context,
+                routed,
+                subject,
+                // The daemon reads every answer as a stream, also one that goes out whole.
+                body: engine::Completion {
+                    stream: true,
+                    ..body
+                },
+                next_index: 0,
+            },
+            identity,
+            last_event,
+        })
+    }
 
-fn routed(context: &Context, body: &engine::Completion, admitted: Admitted) -> Request {
-    let arrived = context.node.clock.now();
-    let tokens = |message: &engine::Message| message.content.len().div_ceil(BYTES_PER_TOKEN);
-    let prompt_tokens: usize = body.messages.iter().map(tokens).sum();
-    Request {
-        id: context.next_request(),
-        service: admitted.service,
-        workspace: admitted.workspace,
-        model: Some(body.model.clone()),
-        priority: body.priority.unwrap_or(admitted.priority),
-        prompt_tokens: prompt_tokens as u32,
-        prefix: None,
-        prefix_tokens: 0,
-        max_output_tokens: body.max_tokens,
-        arrived,
-        deadline: arrived + Duration::from_millis(body.deadline_ms.unwrap_or(admitted.deadline_ms)),
-        avoid: Vec::new(),
+    fn stream(&mut self, reply: &mut Reply) -> io::Result<()> {
+        let context = self.completion.context;
+        let subject = content_text(self.completion.subject);
+        let model = self.completion.body.model.to_string();
+        let held = self.last_event.take().map(|last| {
+            self.completion.next_index = last.index + 1;
+            held(context, last, &subject)
+        });
+        let first = self.completion.next_index;
+        context.streams.begin(&self.identity, &subject, first);
+        let mut events = Events::open(context, reply, &self.identity, model);
+        let served = match events.replay(&mut self.completion.next_index, held) {
+            Ok(true) => events.finish(),
+            Ok(false) => self.completion_events(events),
+            Err(gone) => Err(gone),
+        };
+        context.streams.end(&self.identity, served.is_ok());
+        served
     }
-}
 
-fn streamed(
-    completion: &mut Completion<'_>,
-    identity: String,
-    reply: &mut Reply,
-) -> io::Result<()> {
-    let model = completion.body.model.to_string();
-    let mut events = Events {
-        reply,
-        identity,
-        model,
-    };
-    match completion.run(&mut events) {
-        Ok(Completed::CallerGone) => Ok(()),
-        Ok(Completed::Whole) => {
-            events.start()?;
-            reply.done()
+    fn completion_events(&mut self, mut events: Events<'_>) -> io::Result<()> {
+        match self.completion.run(&mut events) {
+            Ok(Completed::Whole) => events.finish(),
+            Ok(Completed::CallerGone) => Err(io::ErrorKind::ConnectionAborted.into()),
+            Err(refusal) => events.refuse(&refusal),
         }
-        Err(refusal) => reply.refuse(&refusal),
     }
-}
 
-fn whole(completion: &mut Completion<'_>, identity: &str, reply: &mut Reply) -> io::Result<()> {
-    let mut text = Text::default();
-    match completion.run(&mut text) {
-        Ok(_) => {
-            let answer = json!({
-                "id": identity,
-                "object": "chat.completion",
-                "model": completion.body.model,
-                "choices": [{
-                    "index": 0,
-                    "message": {"role": "assistant", "content": text.text},
-                    "finish_reason": "stop",
-                }],
-                "usage": {
-                    "prompt_tokens": completion.routed.prompt_tokens,
-                    "completion_tokens": text.tokens,
-                },
-            });
-            reply.whole(200, JSON, answer.to_string().as_bytes())
+    fn answer(&mut self, reply: &mut Reply) -> io::Result<()> {
+        let mut text = Text::open(reply);
+        let completed = self.completion.run(&mut text);
+        let text = text.into_text();
+        match completed {
+            Ok(Completed::CallerGone) => Err(io::ErrorKind::ConnectionAborted.into()),
+            Ok(Completed::Whole) => {
+                let body = self.whole_body(&text).to_string();
+                reply.whole(200, JSON, body.as_bytes())
+            }
+            Err(refusal) => reply.refuse(&refusal),
         }
-        Err(refusal) => reply.refuse(&refusal),
     }
-}
 
-/// Sends each token as an event of its own.
-struct Events<'a> {
-    reply: &'a mut Reply,
-    identity: String,
-    model: String,
+    fn whole_body(&self, text: &str) -> serde_json::Value {
+        let (prompt, output) = (
+            self.completion.routed.prompt_tokens,
+            self.completion.next_index,
+        );
+        json!({
+            "id": self.identity,
+            "object": "chat.completion",
+            "created": self.completion.context.node.clock.unix_ms() / 1_000,
+            "model": self.completion.body.model,
+            "choices": [{
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": "stop",
+            }],
+            "usage": {
+                "prompt_tokens": prompt,
+                "completion_tokens": output,
+                "total_tokens": prompt + output,
+            },
+        })
+    }
 }
 
-impl Events<'_> {
-    fn start(&mut self) -> io::Result<()> {
-        if self.reply.started() {
-            return Ok(());
+/// Returns what this daemon or the entry daemon still holds of a stream.
+fn held(context: &Context, last: LastEvent, subject: &str) -> StreamAnswer {
+    let tag = last.daemon_tag();
+    let request = StreamRequest {
+        after: last.index,
+        content: Some(subject.to_owned()),
+        request: last.request,
+    };
+    let own = context.streams.answer(&request);
+    if own.known {
+        return own;
+    }
+    let members = context.peers.members().into_iter();
+    let others = members
+        .map(|member| member.identity.id)
+        .filter(|id| *id != context.node.settings.daemon.id && daemon_tag(id) == tag);
+    for daemon in others {
+        match context.peers.stream(&daemon, &request) {
+            Ok(answer) if answer.known => return answer,
+            Ok(_) => {}
+            Err(error) => log::debug!("entry daemon of a stream was not asked: {error}"),
         }
-        self.reply.start_events()
     }
+    own
 }
 
-impl TokenSink for Events<'_> {
-    fn token(&mut self, index: u32, text: &str) -> io::Result<()> {
-        self.start()?;
-        let chunk = json!({
-            "id": self.identity,
-            "object": "chat.completion.chunk",
-            "model": self.model,
-            "choices": [{"index": 0, "delta": {"content": text}, "finish_reason": null}],
-        });
-        self.reply
-            .event(&format!("{}.{index}", self.identity), &chunk.to_string())
-    }
+fn tokens(messages: &[engine::Message]) -> u32 {
+    let count = |message: &engine::Message| message.content.len().div_ceil(BYTES_PER_TOKEN);
+    messages.iter().map(count).sum::<usize>() as u32
 }
 
-/// Collects the tokens of a whole answer.
-#[derive(Default)]
-struct Text {
-    text: String,
-    tokens: u32,
+fn routed(context: &Context, body: &engine::Completion, admitted: Admitted) -> Request {
+    let arrived = context.node.clock.now();
+    let deadline_ms = body.deadline_ms.unwrap_or(admitted.deadline_ms);
+    let prefix = shared_prefix(&admitted, body);
+    Request {
+        id: context.next_request(),
+        service: admitted.service,
+        workspace: admitted.workspace,
+        model: Some(body.model.clone()),
+        priority: body.priority.unwrap_or(admitted.priority),
+        prompt_tokens: tokens(&body.messages),
+        prefix: prefix.map(|(hash, _)| hash),
+        prefix_tokens: prefix.map_or(0, |(_, tokens)| tokens),
+        max_output_tokens: body.max_tokens,
+        arrived,
+        deadline: arrived + Duration::from_millis(deadline_ms),
+        avoid: Vec::new(),
+    }
 }
 
-impl TokenSink for Text {
-    fn token(&mut self, _index: u32, text: &str) -> io::Result<()> {
-        self.text.push_str(text);
-        self.tokens += 1;
-        Ok(())
+/// Hashes the messages before the last one, which conversations and instructions share.
+///
+/// The workspace is a part of the hash: whether a prefix is cached must not tell one workspace
+/// what another asked.
+fn shared_prefix(admitted: &Admitted, body: &engine::Completion) -> Option<(u64, u32)> {
+    let (_, shared) = body.messages.split_last()?;
+    if shared.is_empty() {
+        return None;
+    }
+    let mut hash = Xxh3::new();
+    let mut add = |text: &str| {
+        hash.update(&(text.len() as u64).to_be_bytes());
+        hash.update(text.as_bytes());
+    };
+    add(&admitted.workspace);
+    add(&body.model);
+    for message in shared {
+        add(&message.role);
+        add(&message.content);
     }
+    Some((hash.digest(), tokens(shared)))
 }
--- a/lib/src/front/context.rs
+++ b/lib/src/front/context.rs
@@ -1,12 +1,19 @@
+use std::io;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
 
-use ragwortgrade_policy::Request;
 use ragwortgrade_policy::decision::{Decision, Dispatch};
 use ragwortgrade_policy::event::Event;
+use ragwortgrade_policy::limit::Limiter;
+use ragwortgrade_policy::retry::Budget;
+use ragwortgrade_policy::{Instant, Request};
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::configuration::Workspace;
 
 use super::{Code, Refusal, Streams};
 use crate::Node;
+use crate::attempt::Prober;
 use crate::peer::Peers;
 use crate::trial::Trials;
 
@@ -14,15 +21,14 @@
 #[derive(Debug)]
 pub(crate) struct Context {
     pub(crate) node: Arc<Node>,
-    #[expect(
-        dead_code,
-        reason = "claims and resumed streams are asked of peers next"
-    )]
     pub(crate) peers: Arc<dyn Peers>,
-    #[expect(dead_code, reason = "streams are kept for resumption next")]
     pub(crate) streams: Arc<Streams>,
-    #[expect(dead_code, reason = "strikes are recorded next")]
     pub(crate) trials: Arc<Trials>,
+    pub(crate) prober: Prober,
+    /// Answers with the identity of another attempt, which were dropped.
+    pub(crate) crossed: AtomicU64,
+    limiter: Mutex<Limiter>,
+    budget: Mutex<Budget>,
     open: AtomicU32,
     next_request: AtomicU64,
     freed: Mutex<u64>,
@@ -30,21 +36,69 @@
 }
 
 impl Context {
-    pub(crate) fn new(
+    pub(crate) fn open(
         node: Arc<Node>,
         peers: Arc<dyn Peers>,
         streams: Arc<Streams>,
         trials: Arc<Trials>,
-    ) -> Self {
-        Self {
+    ) -> io::Result<Self> {
+        Ok(Self {
+            prober: Prober::spawn(Arc::clone(&node))?,
+            limiter: Mutex::new(Limiter::open(peers.members().len() as u32)),
             node,
             peers,
             streams,
             trials,
+            crossed: AtomicU64::new(0),
+            budget: Mutex::default(),
             open: AtomicU32::new(0),
             next_request: AtomicU64::new(1),
             freed: Mutex::new(0),
             freed_changed: Condvar::new(),
+        })
+    }
+
+    /// Counts a request against its workspace's limits and for the retry budget.
+    pub(crate) fn admit(
+        &self,
+        name: &Name,
+        workspace: &Workspace,
+        prompt_tokens: u32,
+    ) -> Result<(), Refusal> {
+        let now = self.node.clock.now();
+        lock(&self.budget).request(now);
+        let admitted = lock(&self.limiter).admit(name, workspace, prompt_tokens, now);
+        admitted.map_err(|wait| {
+            let message = "the workspace's limit is used up";
+            Refusal::not_run(Code::OverLimit, message).after(Some(wait))
+        })
+    }
+
+    /// Counts the output of a request against its workspace's limits.
+    pub(crate) fn charge(&self, workspace: &Name, output_tokens: u32) {
+        lock(&self.limiter).charge(workspace, output_tokens);
+    }
+
+    /// Adjusts this daemon's share of the limits to the live daemons and the configuration.
+    pub(crate) fn refresh_limits(&self) {
+        let daemons = self.peers.members().len() as u32;
+        let mut limiter = lock(&self.limiter);
+        limiter.set_daemons(daemons);
+        if let Some(configuration) = self.node.configuration.load_full() {
+            limiter.retain(|name| configuration.workspaces.contains_key(name.as_str()));
+        }
+    }
+
+    /// Takes a retry out of the budget, waiting for it until `deadline`; `false` when none came.
+    pub(crate) fn take_retry(&self, deadline: Instant) -> bool {
+        loop {
+            let now = self.node.clock.now();
+            let taken = lock(&self.budget).retry(now);
+            match taken {
+                Ok(()) => return true,
+                Err(again) if again >= deadline => return false,
+                Err(again) => thread::sleep(again.since(now)),
+            }
         }
     }
 
@@ -68,9 +122,13 @@
     }
 
     /// Chooses an endpoint, waiting in the daemon's queue while the router says so.
-    pub(crate) fn place(&self, request: &Request) -> Result<Dispatch, Refusal> {
+    pub(crate) fn place(
+        &self,
+        request: &Request,
+        is_abandoned: &dyn Fn() -> bool,
+    ) -> Result<Dispatch, Refusal> {
         loop {
-            let freed_before = *self.freed.lock().unwrap_or_else(PoisonError::into_inner);
+            let freed_before = *lock(&self.freed);
             let now = self.node.clock.now();
             let decision = self.node.router().route(request, now);
             match decision {
@@ -79,7 +137,7 @@
                     return Ok(dispatch);
                 }
                 Decision::Refuse(refusal) => return Err(Refusal::routing(&refusal)),
-                Decision::Wait { .. } if now >= request.deadline => {
+                Decision::Wait { .. } if now >= request.deadline || is_abandoned() => {
                     let message = "the deadline passed in the queue";
                     return Err(Refusal::not_run(Code::DeadlineUnreachable, message));
                 }
@@ -97,12 +155,12 @@
             request,
             output_tokens,
         });
-        *self.freed.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+        *lock(&self.freed) += 1;
         self.freed_changed.notify_all();
     }
 
     fn wait_for_endpoint(&self, freed_before: u64, time: std::time::Duration) {
-        let freed = self.freed.lock().unwrap_or_else(PoisonError::into_inner);
+        let freed = lock(&self.freed);
         let unchanged = |freed: &mut u64| *freed == freed_before;
         drop(
             self.freed_changed
@@ -112,6 +170,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A request that counts as open; also a panic of its thread ends the count.
 #[derive(Debug)]
 pub(crate) struct OpenRequest<'a> {
--- a/lib/src/front/service.rs
+++ b/lib/src/front/service.rs
@@ -4,15 +4,16 @@
 use ragwortgrade_policy::Request;
 
 use super::admission::{self, Admitted};
+use super::digest::digest;
 use super::{Code, Context, Incoming, Refusal, Reply};
-use crate::attempt::random_identity;
-use crate::endpoint::{PlainAnswer, PlainCall, Ran};
+use crate::attempt::{PlainRun, random_identity};
+use crate::endpoint::{PlainAnswer, PlainCall};
 
 const BYTES: &str = "application/octet-stream";
 
 /// Serves a call of a plain service.
 pub(super) fn serve(context: &Context, incoming: &Incoming, reply: &mut Reply) -> io::Result<()> {
-    match call(context, incoming) {
+    match call(context, incoming, &|| reply.is_abandoned()) {
         Ok(answer) => {
             let content_type = answer.content_type.as_deref().unwrap_or(BYTES);
             reply.whole(answer.status, content_type, &answer.body)
@@ -21,41 +22,39 @@
     }
 }
 
-fn call(context: &Context, incoming: &Incoming) -> Result<PlainAnswer, Refusal> {
-    let (service, path) = split(&incoming.path)?;
-    let admitted = admission::plain(context, incoming, service)?;
-    let request = routed(context, admitted);
-    let dispatch = context.place(&request)?;
-    let answer = send(context, incoming, path, &request, &dispatch.endpoint);
-    context.finished(request.id, 0);
-    answer
-}
-
-fn send(
+fn call(
     context: &Context,
     incoming: &Incoming,
-    path: &str,
-    request: &Request,
-    endpoint: &ragwortgrade_schema::Name,
+    is_abandoned: &dyn Fn() -> bool,
 ) -> Result<PlainAnswer, Refusal> {
-    let unavailable = |reason: String| Refusal::not_run(Code::NoEndpoint, reason);
-    let Some(endpoint) = context.node.directory.get(endpoint) else {
-        return Err(unavailable("the endpoint has left".to_owned()));
-    };
-    let call = PlainCall {
-        attempt: random_identity().map_err(|error| unavailable(error.to_string()))?,
-        method: incoming.method.clone(),
-        path: path.to_owned(),
-        content_type: incoming.header("Content-Type").map(ToOwned::to_owned),
-        request_key: random_identity().map_err(|error| unavailable(error.to_string()))?,
-        body: incoming.body.clone(),
-        timeout: request.deadline.since(context.node.clock.now()),
+    let (service, path) = split(&incoming.path)?;
+    let admitted = admission::plain(context, incoming, service)?;
+    let identity =
+        || random_identity().map_err(|error| Refusal::not_run(Code::NoEndpoint, error.to_string()));
+    let subject = digest(&[
+        admitted.workspace.as_bytes(),
+        admitted.service.as_bytes(),
+        incoming.method.as_bytes(),
+        path.as_bytes(),
+        &incoming.body,
+    ]);
+    let idempotent = admitted.idempotent;
+    let mut run = PlainRun {
+        context,
+        routed: routed(context, admitted),
+        subject,
+        call: PlainCall {
+            attempt: identity()?,
+            method: incoming.method.clone(),
+            path: path.to_owned(),
+            content_type: incoming.header("Content-Type").map(ToOwned::to_owned),
+            request_key: identity()?,
+            body: incoming.body.clone(),
+            timeout: Duration::ZERO,
+        },
+        idempotent,
     };
-    let answer = context.node.plains.call(&endpoint.address, &call);
-    answer.map_err(|error| match error.ran() {
-        Ran::No => unavailable("the endpoint cannot be reached".to_owned()),
-        Ran::Unknown => Refusal::may_have_run(Code::OutcomeUnknown, "the answer was lost"),
-    })
+    run.run(is_abandoned)
 }
 
 /// Splits `/services/<service>/<path>` into the service and the path with its query.
@@ -67,7 +66,7 @@
     if service.is_empty() {
         return Err(malformed());
     }
-    Ok((service, if path.is_empty() { "/" } else { path }))
+    Ok((service, path))
 }
 
 fn routed(context: &Context, admitted: Admitted) -> Request {
--- a/lib/src/trial.rs
+++ b/lib/src/trial.rs
@@ -1,24 +1,101 @@
-//! Requests that crashed an endpoint and the endpoints reserved for trying them again.
+//! Requests that crashed an endpoint, and the endpoints reserved for trying them again.
 
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ragwortgrade_policy::suspect::{Content, Ledger, Reservations, Standing};
+use ragwortgrade_schema::Name;
 use ragwortgrade_schema::peer::{Strike, Trial};
 
-/// Strikes known to this daemon and trials that it confirmed.
+use crate::Clock;
+
+/// Strikes known to this daemon and the trials that it runs or confirmed.
+#[derive(Debug)]
+pub struct Trials {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
 #[derive(Debug, Default)]
-pub struct Trials {}
+struct State {
+    ledger: Ledger,
+    reservations: Reservations,
+}
+
+impl Default for Trials {
+    fn default() -> Self {
+        Self {
+            clock: Clock::start(),
+            state: Mutex::default(),
+        }
+    }
+}
 
 impl Trials {
-    /// Confirms that this daemon sends no other request with a strike to the endpoint.
+    /// Confirms that this daemon sends no other request with a strike to the endpoint, and takes
+    /// in the strikes that come with the trial; a time of zero ends the reservation.
     #[must_use]
-    pub fn reserve(&self, _trial: &Trial) -> bool {
-        true
+    pub fn reserve(&self, trial: &Trial) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.ledger.absorb(&trial.strikes, now);
+        if trial.for_ms == 0 {
+            state.reservations.release(&trial.endpoint, &trial.holder);
+            return true;
+        }
+        let time = Duration::from_millis(trial.for_ms);
+        let State {
+            ledger,
+            reservations,
+        } = &mut *state;
+        reservations.reserve(&trial.endpoint, &trial.holder, time, ledger, now)
     }
 
     /// Returns the strikes for gossip.
     #[must_use]
     pub fn strikes(&self) -> Vec<Strike> {
-        Vec::new()
+        let now = self.clock.now();
+        self.lock().ledger.gossip(now)
     }
 
     /// Takes in strikes from gossip.
-    pub fn absorb(&self, _strikes: &[Strike]) {}
+    pub fn absorb(&self, strikes: &[Strike]) {
+        let now = self.clock.now();
+        self.lock().ledger.absorb(strikes, now);
+    }
+
+    pub(crate) fn standing(&self, content: Content) -> Standing {
+        let now = self.clock.now();
+        self.lock().ledger.standing(content, now)
+    }
+
+    pub(crate) fn against(&self, content: Content) -> Vec<Strike> {
+        let now = self.clock.now();
+        self.lock().ledger.against(content, now)
+    }
+
+    pub(crate) fn completed(&self, content: Content) {
+        self.lock().ledger.completed(content);
+    }
+
+    pub(crate) fn crashed(&self, content: Content, endpoint: &Name, incarnation: u64) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let alone = state.reservations.running(endpoint) <= 1;
+        state
+            .ledger
+            .crashed(content, endpoint, incarnation, alone, now);
+    }
+
+    pub(crate) fn started(&self, endpoint: &Name, content: Content) {
+        self.lock().reservations.started(endpoint, content);
+    }
+
+    pub(crate) fn ended(&self, endpoint: &Name, content: Content) {
+        self.lock().reservations.ended(endpoint, content);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- /dev/null
+++ b/lib/tests/attempt.rs
@@ -0,0 +1,234 @@
+//! Attempts at endpoints that break, crash or answer for another attempt.
+
+mod fakes;
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use fakes::{Outcome, Script, Stage};
+use ragwortgrade_schema::peer::{StreamAnswer, StreamRequest};
+use ragwortgrade_testutil::named_cases;
+
+/// Streams an answer whose first attempt fails, at two engines.
+fn streams_whole(script: &Script, resumed_at: u32) {
+    // Guards against tokens that are lost or repeated when an engine fails.
+    let stage = Stage::open();
+    stage.engine("e1").engine("e2");
+    stage.engines.script("e1", script.clone());
+    stage.engines.script("e2", script.clone());
+    let mut caller = stage.caller();
+    assert_eq!(caller.chat(true, "").head().0, 200);
+    assert_eq!(caller.events(), ((0..6).collect(), true));
+    let calls = stage.engines.calls();
+    let resumes: Vec<u32> = calls.iter().map(|(_, from)| *from).collect();
+    assert_eq!(resumes, vec![0, resumed_at, resumed_at]);
+    let attempts = stage.engines.attempts.lock().unwrap().clone();
+    let distinct: HashSet<_> = attempts.iter().collect();
+    assert_eq!(distinct.len(), 3, "each attempt has its own identity");
+}
+
+named_cases! { streams_whole:
+    a_break_before_the_first_token(&Script::Break(0), 0);
+    a_break_in_the_middle(&Script::Break(3), 3);
+    a_break_after_the_last_token(&Script::Break(6), 6);
+    an_unreachable_engine(&Script::Unreachable, 0);
+    a_crossed_answer(&Script::Crossed, 0);
+}
+
+#[test]
+fn crossed_answers_are_counted() {
+    let stage = Stage::open();
+    stage.engine("e1");
+    stage.engines.script("e1", Script::Crossed);
+    assert_eq!(stage.caller().chat(false, "").answer().status, 200);
+    assert_eq!(stage.front.crossed_answers(), 1);
+}
+
+#[test]
+fn a_request_is_given_up_after_four_failures() {
+    // Guards against a request that occupies the fleet for ever.
+    let stage = Stage::open();
+    stage.engine("e1");
+    for _ in 0..10 {
+        stage.engines.script("e1", Script::Break(0));
+    }
+    let refusal = stage.caller().chat(false, "").answer().refusal();
+    let expected = (502, "endpoint_failed".to_owned(), "unknown".to_owned());
+    assert_eq!(refusal, expected);
+    assert_eq!(stage.engines.calls().len(), 4);
+}
+
+fn the_engine_stops_when_the_caller_goes_away(stream: bool) {
+    // Guards against engines that go on for callers that are no longer there.
+    let stage = Stage::open();
+    stage.engine("e1");
+    stage.engines.script("e1", Script::Endless);
+    let mut caller = stage.caller();
+    caller.chat(stream, "");
+    while stage.engines.calls().is_empty() {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    drop(caller);
+    assert!(stage.front.drain(), "request ends");
+    let attempts = stage.engines.attempts.lock().unwrap().clone();
+    let cancelled = stage.engines.cancelled.lock().unwrap().clone();
+    assert_eq!(cancelled, attempts);
+}
+
+named_cases! { the_engine_stops_when_the_caller_goes_away:
+    of_a_stream(true);
+    of_a_whole_answer(false);
+}
+
+/// Reads a stream up to `index`, then connects again with `Last-Event-ID`.
+fn reconnect(stage: &Stage, index: u32, held: bool) -> (Vec<u32>, bool) {
+    let mut caller = stage.caller();
+    caller.chat(true, "").head();
+    let line = caller.event_line();
+    let id = line.strip_prefix("id: ").unwrap();
+    let (request, _) = id.split_once('.').unwrap();
+    caller.events();
+    let request = if held {
+        request.to_owned()
+    } else {
+        "0".repeat(32)
+    };
+    let mut again = stage.caller();
+    let header = format!("Last-Event-ID: {request}.{index}\r\n");
+    assert_eq!(again.chat(true, &header).head().0, 200);
+    again.events()
+}
+
+#[test]
+fn a_caller_resumes_from_the_replay_buffer() {
+    let stage = Stage::open();
+    stage.engine("e1");
+    assert_eq!(reconnect(&stage, 2, true), (vec![3, 4, 5], true));
+    assert_eq!(stage.engines.calls().len(), 1, "nothing ran again");
+}
+
+#[test]
+fn a_caller_resumes_a_stream_that_no_daemon_knows() {
+    // Guards against streams that end with the daemon that they entered through.
+    let stage = Stage::open();
+    stage.engine("e1");
+    assert_eq!(reconnect(&stage, 2, false), (vec![3, 4, 5], true));
+    assert_eq!(stage.engines.calls()[1], ("e1".to_owned(), 3));
+}
+
+#[test]
+fn a_replay_buffer_answers_only_for_its_own_content() {
+    // Guards against a workspace that reads another's stream with a guessed identity.
+    let stage = Stage::open();
+    stage.engine("e1");
+    let mut caller = stage.caller();
+    caller.chat(true, "").head();
+    let line = caller.event_line();
+    let (request, _) = line.strip_prefix("id: ").unwrap().split_once('.').unwrap();
+    let known = |content: Option<&str>| {
+        let request = StreamRequest {
+            after: 0,
+            content: content.map(ToOwned::to_owned),
+            request: request.to_owned(),
+        };
+        stage.streams.answer(&request).known
+    };
+    caller.events();
+    assert!(!known(None));
+    assert!(!known(Some(&"0".repeat(32))));
+}
+
+#[test]
+fn a_caller_resumes_from_the_entry_daemon() {
+    let stage = Stage::open();
+    stage.engine("e1");
+    stage.peers.join("d2");
+    let tag = xxhash_rust::xxh3::xxh3_64(b"d2") as u16;
+    let request = format!("{:032x}", (7_u128 << 16) | u128::from(tag));
+    let held = StreamAnswer {
+        known: true,
+        tokens: vec!["t3".to_owned(), "t4".to_owned()],
+        finished: false,
+    };
+    *stage.peers.held.lock().unwrap() = Some((request.clone(), held));
+    let mut caller = stage.caller();
+    caller.chat(true, &format!("Last-Event-ID: {request}.2\r\n"));
+    assert_eq!(caller.head().0, 200);
+    assert_eq!(caller.events(), (vec![3, 4, 5], true));
+    assert_eq!(stage.engines.calls(), vec![("e1".to_owned(), 5)]);
+}
+
+#[test]
+fn a_request_crashes_two_engines_at_most() {
+    // Guards against a request that takes down one engine after another.
+    let stage = Stage::open();
+    for engine in ["e1", "e2", "e3", "e4"] {
+        stage.engine(engine);
+        stage.engines.script(engine, Script::Crash(1));
+    }
+    for _ in 0..3 {
+        let mut caller = stage.caller();
+        let refusal = caller.chat(false, "").answer().refusal();
+        assert_eq!((refusal.0, refusal.1.as_str()), (422, "crashes_endpoints"));
+    }
+    assert_eq!(stage.engines.calls().len(), 2);
+}
+
+#[test]
+fn without_strikes_a_request_crashes_further_engines() {
+    // Negative control: breaks that are no crashes leave no strike and stop nothing.
+    let stage = Stage::open();
+    for engine in ["e1", "e2", "e3", "e4"] {
+        stage.engine(engine);
+        stage.engines.script(engine, Script::Break(1));
+    }
+    stage.caller().chat(false, "").answer();
+    assert!(stage.engines.calls().len() > 2);
+}
+
+#[test]
+fn a_trial_needs_the_confirmation_of_the_other_daemons() {
+    let stage = Stage::open();
+    stage.engine("e1").engine("e2").engine("e3");
+    stage.peers.join("d2");
+    for engine in ["e1", "e2", "e3"] {
+        stage.engines.script(engine, Script::Crash(1));
+    }
+    *stage.peers.confirms_trials.lock().unwrap() = false;
+    let body = r#"{"model":"weave","deadline_ms":300,"messages":[]}"#;
+    let mut caller = stage.caller();
+    caller.post("/v1/chat/completions", "X-Workspace: lab\r\n", body);
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(stage.engines.calls().len(), 1, "no second engine is tried");
+    assert!(!stage.peers.trials.lock().unwrap().is_empty());
+}
+
+/// Calls a plain service whose first attempt has `outcome`.
+fn calls(service: &str, outcome: Outcome, status: u16, runs: usize) {
+    let stage = Stage::open();
+    stage
+        .endpoint("p1", Some(service))
+        .endpoint("p2", Some(service));
+    stage.plains.script("p1", outcome);
+    stage.plains.script("p2", outcome);
+    let path = format!("/services/{service}/a/b?c=d");
+    let answer = stage
+        .caller()
+        .post(&path, "X-Workspace: lab\r\n", "")
+        .answer();
+    assert_eq!((answer.status, stage.plains.runs()), (status, runs));
+    for (_, path) in stage.plains.runs.lock().unwrap().iter() {
+        assert_eq!(path, "/a/b?c=d");
+    }
+    if status == 504 {
+        let expected = (504, "outcome_unknown".to_owned(), "unknown".to_owned());
+        assert_eq!(answer.refusal(), expected);
+    }
+}
+
+named_cases! { calls:
+    an_answer_is_passed_on("stock", Outcome::Answer, 200, 1);
+    a_call_that_did_not_run_is_retried("order", Outcome::Unreachable, 200, 1);
+    an_idempotent_call_is_retried("stock", Outcome::Lost, 200, 3);
+    another_call_never_runs_twice("order", Outcome::Lost, 504, 1);
+}
