--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -10,6 +10,7 @@
 mod cost_model;
 /// What routing decides about a request.
 pub mod decision;
+mod demand_meter;
 /// What routing takes into account.
 pub mod event;
 /// What the planner takes into account.
@@ -20,6 +21,11 @@
 /// Roles and placement of the engines of a data centre.
 pub mod planner;
 pub mod rendezvous;
+mod output_estimate;
+/// Roles and placement of the engines of a data centre.
+pub mod planner;
+mod prefix_index;
+mod rate;
 mod request;
 pub mod retry;
 mod router;
