control: hold the lease of a data centre and issue its orders

Cause: the state machines of policy::authority need a shell that calls the platform and the engines.

Change: Control::spawn runs three threads: the lease, the evidence about former holders, and the orders. The lease is checked immediately before each order. An engine that is not declared is taken to ignore fencing tokens. A new holder first makes its token known to the engines that check it by orders that change nothing, so that an old order is refused from then on. The parts that others write are behind two traits, Site and Plan.

Ruled out: asking all candidates to watch the lock record, since every waiting watch counts as a call; only the two daemons with the highest rendezvous weight read it, once per TTL.

--- /dev/null
+++ b/lib/src/control/lease_duty.rs
@@ -0,0 +1,83 @@
+//! The thread that acquires, renews and gives back the lease.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ragwortgrade_policy::authority::{Takeover, is_candidate};
+
+use super::call;
+use super::shared::Shared;
+use crate::worker::Worker;
+
+pub(super) fn spawn(shared: Arc<Shared>) -> io::Result<Worker> {
+    let mut fence = None;
+    Worker::spawn("lease", move || {
+        let pause = step(&shared);
+        note_change(&shared, &mut fence);
+        pause
+    })
+}
+
+/// Makes the call that is due, if any; returns the time until the next look.
+fn step(shared: &Shared) -> Duration {
+    let is_campaigning = is_campaigning(shared);
+    let is_listed = is_listed(shared);
+    let now = shared.now();
+    let due = {
+        let mut state = shared.lock();
+        state.lease.set_candidate(is_campaigning);
+        state.lease.set_listed(is_listed);
+        if shared.is_stopping() && state.lease.is_held(now) && !state.orders.are_under_way() {
+            state.lease.release();
+        }
+        state.lease.call(now)
+    };
+    let Some(call) = due else {
+        return shared.pace();
+    };
+    let answer = call::perform(&shared.node, &call, shared.terms.ttl);
+    log::debug!(call:? = call, answer:? = answer; "lease call ended");
+    let now = shared.now();
+    shared.lock().lease.answer(answer, now);
+    Duration::ZERO
+}
+
+fn is_campaigning(shared: &Shared) -> bool {
+    if shared.is_stopping() {
+        return false;
+    }
+    let daemon = &shared.node.settings.daemon;
+    let mut members = shared.peers.members();
+    members.retain(|member| {
+        member.identity.data_centre == daemon.data_centre && !member.identity.draining
+    });
+    let live = members.iter().map(|member| &member.identity.id);
+    is_candidate(&daemon.data_centre, &daemon.id, live)
+}
+
+fn is_listed(shared: &Shared) -> bool {
+    let own = &shared.node.settings.daemon.id;
+    shared.site.entry_vms().is_some_and(|vms| vms.contains(own))
+}
+
+/// Opens the takeover of a new tenure and logs the begin and end of authority.
+fn note_change(shared: &Shared, known: &mut Option<u64>) {
+    let now = shared.now();
+    let mut state = shared.lock();
+    let tenure = state.lease.tenure(now).cloned();
+    let fence = tenure.as_ref().map(|tenure| tenure.fence);
+    if fence == *known {
+        return;
+    }
+    if let Some(fence) = *known {
+        log::info!(fence; "control lease ended");
+    }
+    if let Some(tenure) = tenure {
+        let takeover = Takeover::open(shared.terms, &tenure, now.monotonic);
+        let former_holders = tenure.formers.len();
+        log::info!(fence = tenure.fence, former_holders; "control lease acquired");
+        state.takeover = Some((tenure.fence, takeover));
+    }
+    *known = fence;
+}
--- /dev/null
+++ b/lib/src/control/order_duty.rs
@@ -0,0 +1,269 @@
+//! The thread that turns the planner's changes into orders and follows each to its outcome.
+
+use std::io;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use ragwortgrade_policy::authority::{Conclusion, Sent, Step, Tenure};
+use ragwortgrade_policy::fleet::{Fleet, Member};
+use ragwortgrade_policy::planner::Change;
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::configuration::Fencing;
+use ragwortgrade_schema::engine::{Load, Rejection, Want};
+use ragwortgrade_schema::peer::Departure;
+
+use super::call;
+use super::shared::Shared;
+use super::{Outcome, Plan, Record};
+use crate::endpoint::Error;
+use crate::worker::Worker;
+
+/// A mark ends by itself after 30 s without renewal.
+const MARK_RENEWAL: Duration = Duration::from_secs(5);
+const TOKEN_REASON: &str = "makes the fencing token known";
+
+pub(super) fn spawn(shared: Arc<Shared>, mut plan: Box<dyn Plan>) -> io::Result<Worker> {
+    Worker::spawn("orders", move || {
+        step(&shared, &mut *plan);
+        shared.pace()
+    })
+}
+
+fn step(shared: &Shared, plan: &mut dyn Plan) {
+    let now = shared.now();
+    let tenure = shared.lock().lease.tenure(now).cloned();
+    match tenure {
+        Some(tenure) if !shared.is_stopping() => decide(shared, plan, &tenure),
+        _ => give_up(shared),
+    }
+    let steps = shared.lock().orders.steps(now.monotonic);
+    // Side by side, so that an engine that hangs does not delay the orders of the others.
+    thread::scope(|scope| {
+        for (engine, step) in steps {
+            scope.spawn(move || match step {
+                Step::Read => read(shared, &engine),
+                Step::Send => send(shared, &engine),
+            });
+        }
+    });
+    renew_marks(shared);
+}
+
+fn decide(shared: &Shared, plan: &mut dyn Plan, tenure: &Tenure) {
+    let Some(configuration) = shared.node.configuration.load_full() else {
+        return;
+    };
+    let members = members(shared);
+    let mut changes = token_changes(shared, tenure, &members);
+    let fleet = Fleet {
+        engines: members,
+        demand: shared.site.demand(),
+        configuration: &configuration,
+    };
+    changes.extend(plan.plan(&fleet, shared.now().monotonic));
+    // Engines without any model recover first.
+    let is_equipped = |change: &Change| {
+        let member = fleet
+            .engines
+            .iter()
+            .find(|member| member.load.engine == change.engine);
+        member.is_some_and(|member| !member.load.models.is_empty())
+    };
+    changes.sort_by_key(is_equipped);
+    for change in changes {
+        let member = fleet
+            .engines
+            .iter()
+            .find(|member| member.load.engine == change.engine);
+        if let Some(member) = member {
+            take_up(shared, change, &member.load, tenure);
+        }
+    }
+}
+
+fn members(shared: &Shared) -> Vec<Member> {
+    let endpoints = call::engines(&shared.node);
+    let state = shared.lock();
+    let member = |endpoint: &crate::membership::Endpoint| {
+        let ordered = state.orders.contains(&endpoint.id);
+        let reachable = shared.site.is_reachable(&endpoint.id);
+        Some(Member {
+            load: shared.site.load(&endpoint.id)?,
+            // The mark of this daemon's own order does not make an engine unavailable.
+            unavailable: !reachable || (endpoint.leaving && !ordered),
+            ordered,
+        })
+    };
+    endpoints.iter().filter_map(member).collect()
+}
+
+/// Returns orders that change nothing but make the token known to engines that check it, so that
+/// an order of a former holder is refused from then on.
+fn token_changes(shared: &Shared, tenure: &Tenure, members: &[Member]) -> Vec<Change> {
+    let state = shared.lock();
+    let is_due = |member: &&Member| {
+        let load = &member.load;
+        let known = (load.incarnation, tenure.fence);
+        let is_informed = state.informed.get(&load.engine) == Some(&known);
+        let is_free = !member.unavailable && !member.ordered && !load.changing && !load.draining;
+        is_free
+            && !is_informed
+            && load.last_fence < tenure.fence
+            && shared.fencing(&load.engine) == Fencing::Checked
+    };
+    let change = |member: &Member| Change {
+        engine: member.load.engine.clone(),
+        want: state_of(&member.load),
+        reason: TOKEN_REASON.to_owned(),
+    };
+    members.iter().filter(is_due).map(change).collect()
+}
+
+fn state_of(load: &Load) -> Want {
+    Want {
+        role: load.role,
+        models: load.models.clone(),
+        adapters: load.adapters.clone(),
+    }
+}
+
+fn take_up(shared: &Shared, change: Change, load: &Load, tenure: &Tenure) {
+    let now = shared.now();
+    let mut state = shared.lock();
+    let fencing = shared.fencing(&change.engine);
+    if state.permitted(fencing, now).is_none() {
+        return;
+    }
+    if !state
+        .orders
+        .take_up(change.clone(), load, tenure, now.monotonic)
+    {
+        return;
+    }
+    let record = Record {
+        at_ms: now.unix_ms,
+        engine: change.engine,
+        from: state_of(load),
+        to: change.want,
+        reason: change.reason,
+        fence: tenure.fence,
+        outcome: Outcome::Open,
+    };
+    log::info!(
+        engine:% = record.engine, from:? = record.from, to:? = record.to,
+        reason = record.reason.as_str(), fence = record.fence;
+        "engine change decided"
+    );
+    state.history.begin(record);
+}
+
+fn give_up(shared: &Shared) {
+    let engines = shared.lock().orders.give_up();
+    for engine in engines {
+        conclude(shared, &engine, Conclusion::GivenUp);
+    }
+}
+
+fn read(shared: &Shared, engine: &Name) {
+    let Some(endpoint) = shared.node.directory.get(engine) else {
+        let now = shared.now().monotonic;
+        if shared.lock().orders.drop_gone(engine, now) {
+            conclude(shared, engine, Conclusion::GivenUp);
+        }
+        return;
+    };
+    // Another engine may have taken over the address.
+    let load = shared.node.engines.state(&endpoint.address).ok();
+    let load = load.filter(|load| load.engine == *engine);
+    let now = shared.now().monotonic;
+    let conclusion = shared.lock().orders.read(engine, load.as_ref(), now);
+    if let Some(conclusion) = conclusion {
+        if let Some(load) = load.filter(|_| conclusion == Conclusion::Carried) {
+            let known = (load.incarnation, load.last_fence);
+            shared.lock().informed.insert(engine.clone(), known);
+        }
+        conclude(shared, engine, conclusion);
+    }
+}
+
+fn send(shared: &Shared, engine: &Name) {
+    let Some(endpoint) = shared.node.directory.get(engine) else {
+        return read(shared, engine);
+    };
+    let fencing = shared.fencing(engine);
+    let order = {
+        let mut state = shared.lock();
+        let now = shared.now();
+        let Some(fence) = state.permitted(fencing, now).map(|tenure| tenure.fence) else {
+            return;
+        };
+        state.orders.begin(engine, fence, now.monotonic)
+    };
+    let Some(order) = order else {
+        return;
+    };
+    let answer = shared.node.engines.order(&endpoint.address, &order);
+    log::debug!(engine:% = engine, order = order.order.as_str(), answer:? = answer; "order sent");
+    let sent = if matches!(answer, Err(Error::Unreachable { .. })) {
+        Sent::Not
+    } else {
+        Sent::Maybe
+    };
+    let is_superseded = answer.is_ok_and(|answer| answer.reason == Some(Rejection::StaleFence));
+    let now = shared.now();
+    let mut state = shared.lock();
+    if is_superseded {
+        state.lease.step_down(now);
+    }
+    let conclusion = state.orders.sent(engine, sent, now.monotonic);
+    drop(state);
+    if let Some(conclusion) = conclusion {
+        conclude(shared, engine, conclusion);
+    }
+}
+
+fn conclude(shared: &Shared, engine: &Name, conclusion: Conclusion) {
+    log::info!(engine:% = engine, conclusion:? = conclusion; "engine change ended");
+    let now = shared.now();
+    let mut state = shared.lock();
+    state.history.end(engine, conclusion);
+    if conclusion == Conclusion::Superseded {
+        state.lease.step_down(now);
+    }
+    let was_marked = state.marked.remove(engine).is_some();
+    drop(state);
+    if was_marked {
+        mark(shared, engine, false);
+    }
+}
+
+/// Marks engines that run empty or change, so that no daemon sends them new work.
+fn renew_marks(shared: &Shared) {
+    let now = shared.now().monotonic;
+    let due: Vec<Name> = {
+        let state = shared.lock();
+        let is_due = |engine: &&Name| {
+            let marked = state.marked.get(*engine);
+            marked.is_none_or(|marked| now.since(*marked) >= MARK_RENEWAL)
+        };
+        state.orders.draining().filter(is_due).cloned().collect()
+    };
+    for engine in due {
+        shared.lock().marked.insert(engine.clone(), now);
+        mark(shared, &engine, true);
+    }
+}
+
+fn mark(shared: &Shared, engine: &Name, leaving: bool) {
+    let Some(endpoint) = shared.node.directory.get(engine) else {
+        return;
+    };
+    shared.site.mark(Departure {
+        endpoint: engine.clone(),
+        incarnation: endpoint.incarnation,
+        leaving,
+        // Time orders the marks of one holder and of its successors.
+        sequence: shared.now().unix_ms,
+    });
+}
--- /dev/null
+++ b/lib/src/control/shared.rs
@@ -0,0 +1,130 @@
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::authority::{Holder, Lease, Moment, Orders, Takeover, Tenure, Terms};
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::configuration::Fencing;
+
+use super::{History, Site};
+use crate::Node;
+use crate::peer::Peers;
+
+/// What the threads of the control duty share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) node: Arc<Node>,
+    pub(super) peers: Arc<dyn Peers>,
+    pub(super) site: Arc<dyn Site>,
+    pub(super) terms: Terms,
+    is_stopping: AtomicBool,
+    state: Mutex<State>,
+}
+
+/// The state machines of `policy` and what operators see of them.
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) lease: Lease,
+    pub(super) takeover: Option<(u64, Takeover)>,
+    pub(super) orders: Orders,
+    pub(super) history: History,
+    /// Incarnation and token for which an engine is known to have accepted the token.
+    pub(super) informed: BTreeMap<Name, (u64, u64)>,
+    /// When an engine was last marked as taking no new work.
+    pub(super) marked: BTreeMap<Name, Instant>,
+}
+
+impl Shared {
+    pub(super) fn open(
+        node: Arc<Node>,
+        peers: Arc<dyn Peers>,
+        site: Arc<dyn Site>,
+        terms: Terms,
+        jitter: u32,
+    ) -> Self {
+        let daemon = &node.settings.daemon;
+        let own = Holder {
+            daemon: daemon.id.clone(),
+            incarnation: node.incarnation,
+            address: daemon.peers_address.clone(),
+            listed: false,
+        };
+        // Up to a quarter of the TTL keeps two candidates from calling in step.
+        let share = f64::from(jitter) / f64::from(u32::MAX);
+        let jitter = (terms.ttl / 4).mul_f64(share);
+        let state = State {
+            lease: Lease::open(terms, own.clone(), jitter),
+            takeover: None,
+            orders: Orders::open(terms, own),
+            history: History::default(),
+            informed: BTreeMap::new(),
+            marked: BTreeMap::new(),
+        };
+        Self {
+            node,
+            peers,
+            site,
+            terms,
+            is_stopping: AtomicBool::new(false),
+            state: Mutex::new(state),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads both clocks.
+    pub(super) fn now(&self) -> Moment {
+        Moment {
+            monotonic: self.node.clock.now(),
+            unix_ms: self.node.clock.unix_ms(),
+        }
+    }
+
+    /// Returns how often the threads look for something to do.
+    pub(super) fn pace(&self) -> Duration {
+        self.terms.poll / 4
+    }
+
+    pub(super) fn stop_campaigning(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed) || self.node.is_draining()
+    }
+
+    pub(super) fn fence(&self) -> Option<u64> {
+        let now = self.now();
+        self.lock().lease.tenure(now).map(|tenure| tenure.fence)
+    }
+
+    pub(super) fn waits_for(&self) -> Vec<String> {
+        let state = self.lock();
+        let takeover = state.takeover.as_ref();
+        let formers = takeover.map_or(&[][..], |(_, takeover)| takeover.formers());
+        formers.iter().map(ToString::to_string).collect()
+    }
+
+    /// Returns an engine's declaration; one that is not declared is taken to ignore tokens.
+    pub(super) fn fencing(&self, engine: &Name) -> Fencing {
+        let configuration = self.node.configuration.load();
+        let declared = configuration
+            .as_ref()
+            .and_then(|configuration| configuration.endpoints.get(engine.as_str()));
+        declared.map_or(Fencing::Ignored, |endpoint| endpoint.fencing)
+    }
+}
+
+impl State {
+    /// Returns the tenure under which an engine with this declaration may be ordered now.
+    pub(super) fn permitted(&self, fencing: Fencing, now: Moment) -> Option<&Tenure> {
+        let tenure = self.lease.tenure(now)?;
+        let (fence, takeover) = self.takeover.as_ref()?;
+        let permits = *fence == tenure.fence && takeover.permits(fencing, now.monotonic);
+        permits.then_some(tenure)
+    }
+}
--- /dev/null
+++ b/lib/src/control/takeover_duty.rs
@@ -0,0 +1,74 @@
+//! The thread that finds out whether former holders are gone.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ragwortgrade_policy::authority::{Evidence, Holder};
+
+use super::shared::Shared;
+use crate::worker::Worker;
+
+pub(super) fn spawn(shared: Arc<Shared>) -> io::Result<Worker> {
+    Worker::spawn("takeover", move || step(&shared))
+}
+
+fn step(shared: &Shared) -> Duration {
+    let now = shared.now();
+    let formers = {
+        let state = shared.lock();
+        let takeover = state.takeover.as_ref().filter(|_| state.lease.is_held(now));
+        takeover.map_or_else(Vec::new, |(_, takeover)| takeover.formers().to_vec())
+    };
+    if !formers.is_empty() {
+        for evidence in gather(shared, &formers) {
+            learn(shared, &evidence);
+        }
+    }
+    shared.terms.poll
+}
+
+fn gather(shared: &Shared, formers: &[Holder]) -> Vec<Evidence> {
+    let mut found = Vec::new();
+    if let Some(gone) = declared(shared) {
+        found.push(Evidence::Declared(gone));
+    }
+    found.extend(shared.site.entry_vms().map(Evidence::Listed));
+    for former in formers {
+        if let Ok(identity) = shared.peers.identity(&former.address) {
+            found.push(Evidence::Answers {
+                address: former.address.clone(),
+                incarnation: identity.incarnation,
+            });
+        }
+    }
+    found
+}
+
+/// Returns the former holder that the operators declare gone.
+fn declared(shared: &Shared) -> Option<Holder> {
+    let configuration = shared.node.configuration.load();
+    let takeover = configuration.as_ref()?.policy.takeover.clone()?;
+    match takeover.parse() {
+        Ok(holder) => Some(holder),
+        Err(error) => {
+            log::warn!(takeover, error:% = error; "declared takeover is not understood");
+            None
+        }
+    }
+}
+
+fn learn(shared: &Shared, evidence: &Evidence) {
+    let now = shared.now();
+    let mut state = shared.lock();
+    let Some((_, takeover)) = &mut state.takeover else {
+        return;
+    };
+    let gone = takeover.learn(evidence, now.monotonic);
+    for former in &gone {
+        log::info!(former:% = former, evidence:? = evidence; "former holder is gone");
+    }
+    if !gone.is_empty() {
+        state.lease.forget(&gone);
+    }
+}
--- a/policy/src/authority.rs
+++ b/policy/src/authority.rs
@@ -5,6 +5,7 @@
 //! fencing tokens may be ordered, and [`Orders`] keeps at most one order under way per engine.
 
 mod call;
+mod candidates;
 mod command;
 mod held;
 mod holder;
@@ -12,19 +13,18 @@
 mod lock;
 mod moment;
 mod orders;
-mod rendezvous;
 mod takeover;
 mod tenure;
 mod terms;
 
 pub use call::{Answer, Call};
+pub use candidates::{CANDIDATES, is_candidate};
 pub use command::{Command, Conclusion, Observation, Phase, Sent, Step};
 pub use holder::{Holder, ParseError};
 pub use lease::Lease;
 pub use lock::Lock;
 pub use moment::Moment;
 pub use orders::Orders;
-pub use rendezvous::{CANDIDATES, is_candidate};
 pub use takeover::{Evidence, Takeover};
 pub use tenure::Tenure;
 pub use terms::Terms;
--- a/policy/src/authority/held.rs
+++ b/policy/src/authority/held.rs
@@ -22,6 +22,8 @@
     pub(super) change: Option<Tenure>,
     /// The answer to the last write of the tenure record was lost.
     pub(super) record_unknown: bool,
+    /// When the tenure record is tried again after a failed call.
+    pub(super) record_at: Instant,
 }
 
 impl Held {
@@ -32,6 +34,9 @@
         if now.monotonic >= self.renew_at {
             return Some(Call::KeepAlive(self.grant.lease));
         }
+        if now.monotonic < self.record_at {
+            return None;
+        }
         if self.record_unknown {
             return Some(Call::ReadTenure);
         }
--- a/policy/src/authority/lease.rs
+++ b/policy/src/authority/lease.rs
@@ -244,6 +244,7 @@
         answer: Answer,
         now: Moment,
     ) -> Stage {
+        let answer_is_open = matches!(answer, Answer::Lost | Answer::Conflict);
         match (call, answer) {
             (Call::KeepAlive(_), Answer::Done) => held.unverified = Some(sent),
             (Call::KeepAlive(_), Answer::Failed | Answer::Lost) => {
@@ -261,15 +262,20 @@
             (Call::Record { tenure, .. }, Answer::Written(revision)) => {
                 held.recorded(tenure, revision);
             }
-            (Call::Record { .. }, Answer::Lost | Answer::Conflict) => held.record_unknown = true,
+            // A change of the record can wait, so a busy platform does not end the tenure.
+            (Call::Record { .. }, Answer::Failed | Answer::Lost | Answer::Conflict) => {
+                held.record_unknown |= answer_is_open;
+                held.record_at = now.monotonic + self.terms.renewal / 4;
+            }
+            (Call::ReadTenure, Answer::Failed | Answer::Lost) => {
+                held.record_at = now.monotonic + self.terms.renewal / 4;
+            }
             (Call::ReadTenure, Answer::Tenure(Some((found, revision))))
                 if found.holder == held.tenure.holder && found.fence == held.tenure.fence =>
             {
                 held.record_unknown = false;
                 held.recorded(&found, revision);
             }
-            // A change of the record can wait, so a busy platform does not end the tenure.
-            (Call::Record { .. } | Call::ReadTenure, Answer::Failed | Answer::Lost) => {}
             _ => return self.waiting(now),
         }
         if held.tenure.released {
@@ -287,6 +293,7 @@
             unverified: None,
             change: None,
             record_unknown: false,
+            record_at: Instant::default(),
         }))
     }
 
--- a/policy/src/authority/orders.rs
+++ b/policy/src/authority/orders.rs
@@ -7,7 +7,7 @@
 use crate::planner::Change;
 
 use super::command::Observation;
-use super::{Command, Conclusion, Holder, Sent, Step, Tenure, Terms};
+use super::{Command, Conclusion, Holder, Phase, Sent, Step, Tenure, Terms};
 
 /// The orders of one holder that are not settled: at most one for each engine.
 ///
@@ -57,6 +57,11 @@
         self.open.values().any(|open| open.command.is_under_way())
     }
 
+    /// Returns the engines with an order that is not settled.
+    pub fn engines(&self) -> impl Iterator<Item = &Name> {
+        self.open.keys()
+    }
+
     /// Returns the engines with an order that is not settled and takes them out of service.
     pub fn draining(&self) -> impl Iterator<Item = &Name> {
         let draining = self.open.iter().filter(|(_, open)| open.drains);
@@ -129,14 +134,22 @@
 
     /// Takes the engine's current state; `None` when it could not be read.
     pub fn read(&mut self, engine: &Name, load: Option<&Load>, now: Instant) -> Option<Conclusion> {
-        let command = &mut self.open.get_mut(engine)?.command;
+        let open = self.open.get_mut(engine)?;
         let conclusion = match load {
-            Some(load) => command.observed(&observation(load), now),
-            None => command.unreadable(now),
+            Some(load) if open.is_needless(load) => Some(Conclusion::Carried),
+            Some(load) => open.command.observed(&observation(load), now),
+            None => open.command.unreadable(now),
         };
         self.settle(engine, conclusion)
     }
 
+    /// Drops the order for an engine that the platform does not have any more, unless it can still
+    /// arrive; returns whether it was dropped.
+    pub fn drop_gone(&mut self, engine: &Name, now: Instant) -> bool {
+        let is_over = |open: &Open| open.command.step(now).is_some();
+        self.open.get(engine).is_some_and(is_over) && self.open.remove(engine).is_some()
+    }
+
     /// Drops the orders that were not sent, since authority has ended; returns their engines.
     pub fn give_up(&mut self) -> Vec<Name> {
         let is_unsent = |_: &Name, open: &mut Open| open.command.give_up().is_some();
@@ -162,6 +175,16 @@
     }
 }
 
+impl Open {
+    /// The decision was made on a lagging report; the engine may be as wanted already.
+    fn is_needless(&self, load: &Load) -> bool {
+        let is_settled = !load.changing && load.last_fence >= self.command.fence();
+        self.command.phase() == Phase::Preparing
+            && is_settled
+            && is_reached(load, &self.change.want)
+    }
+}
+
 fn observation(load: &Load) -> Observation<'_> {
     Observation {
         incarnation: load.incarnation,
