--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -18,14 +18,12 @@
 mod instant;
 pub mod limit;
 pub mod membership;
-/// Roles and placement of the engines of a data centre.
-pub mod planner;
-pub mod rendezvous;
 mod output_estimate;
 /// Roles and placement of the engines of a data centre.
 pub mod planner;
 mod prefix_index;
 mod rate;
+pub mod rendezvous;
 mod request;
 pub mod retry;
 mod router;
