daemon: run the control duty with the data centre's demand

Cause: leases, orders and the planner were not part of a running daemon. Ruled out: the demand of one daemon times their number alone (noisy at few requests a second); it serves for daemons that were not heard of. Change: gossip within a data centre carries each daemon's demand, the site of the control duty reads membership, loads, demand and the VM list, a drain gives the lease back.

--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -1,5 +1,6 @@
 //! One daemon, put together from its parts.
 
+mod data_centre;
 mod error;
 mod overview;
 mod switchboard;
@@ -8,36 +9,45 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 pub use error::Error;
+use ragwortgrade_policy::Planner;
+use ragwortgrade_policy::authority::Terms;
 use ragwortgrade_policy::membership::Roster;
 use ragwortgrade_schema::peer::{Identity, Member, MemberState};
 use ragwortgrade_schema::settings::Settings;
 
 use crate::admin::{Admin, Guard};
 use crate::claims::Claims;
+use crate::control::Control;
 use crate::endpoint::{HttpEngine, HttpPlain};
 use crate::front::{Front, Streams};
 use crate::gossip::Gossiper;
 use crate::membership::{CacheReader, Lister, Observer, Table};
 use crate::node::{Interfaces, Node};
 use crate::peer::{Keyring, Network};
-use crate::platform::{HttpKeyValue, HttpVmList};
+use crate::platform::{HttpKeyValue, HttpVmList, VmList};
 use crate::trial::Trials;
 use crate::worker::Worker;
+use data_centre::DataCentre;
 use overview::Overview;
 use switchboard::Switchboard;
 
 /// Bits of the incarnation below the start time, filled at random: two processes started in the
 /// same second are told apart.
 const INCARNATION_RANDOM_BITS: u32 = 32;
+/// An order under way takes at most 5 s.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(6);
+/// An engine that changed its role keeps it at least this long.
+const ROLE_CHANGE_PAUSE: Duration = Duration::from_secs(30);
 
 /// A running daemon; dropping it stops its threads without waiting for requests.
 pub struct Daemon {
     front: Front,
     network: Arc<Network>,
     // Workers stop when dropped, before the parts that they use.
+    control: Control,
     _admin: Admin,
     _gossip: Worker,
     _observer: Observer,
@@ -80,7 +90,7 @@
             Arc::clone(&roster),
         )?;
         let network = Arc::new(network);
-        let vm_list = HttpVmList::open(&settings.platform.vm_list);
+        let vm_list: Arc<dyn VmList> = Arc::new(HttpVmList::open(&settings.platform.vm_list));
         let interfaces = Interfaces {
             key_value: Arc::new(HttpKeyValue::open(&settings.platform.key_value)),
             engines: Arc::new(HttpEngine::open()),
@@ -100,11 +110,19 @@
             Arc::clone(&trials),
         ));
         network.serve(Arc::<Switchboard>::clone(&switchboard))?;
-        let lister = Lister::spawn(Arc::clone(&node), Arc::clone(&table), Box::new(vm_list))?;
+        let lister = Lister::spawn(Arc::clone(&node), Arc::clone(&table), Arc::clone(&vm_list))?;
         let cache_reader = CacheReader::spawn(Arc::clone(&node))?;
         let gossip = Gossiper::spawn(Arc::clone(switchboard.gossiper()))?;
         let observer = Observer::spawn(Arc::clone(&node), Arc::clone(&table))?;
         let peers = Arc::<Network>::clone(&network);
+        let site = DataCentre::open(Arc::clone(&node), Arc::clone(&table), vm_list);
+        let control = Control::spawn(
+            Arc::clone(&node),
+            Arc::<Network>::clone(&network),
+            Arc::new(site),
+            Box::new(Planner::open(ROLE_CHANGE_PAUSE)),
+            Terms::default(),
+        )?;
         let front = Front::bind(Arc::clone(&node), peers, streams, trials)?;
         let overview = Overview {
             node: Arc::clone(&node),
@@ -123,6 +141,7 @@
         Ok(Self {
             front,
             network,
+            control,
             _admin: admin,
             _gossip: gossip,
             _observer: observer,
@@ -143,6 +162,9 @@
     pub fn drain(mut self) -> bool {
         log::info!("daemon drains");
         let is_complete = self.front.drain();
+        if !self.control.release(RELEASE_TIMEOUT) {
+            log::warn!("the control lease was not released; it lapses by itself");
+        }
         self.front.stop();
         log::info!(is_complete; "daemon drained");
         is_complete
--- /dev/null
+++ b/lib/src/daemon/data_centre.rs
@@ -0,0 +1,83 @@
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::fleet::Demand;
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::engine::Load;
+use ragwortgrade_schema::peer::Departure;
+use ragwortgrade_schema::platform::VmKind;
+
+use crate::Node;
+use crate::control::Site;
+use crate::membership::Table;
+use crate::platform::VmList;
+
+/// A takeover asks for the entry VMs again and again; the list is read at most this often.
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+
+/// What the control duty sees of its data centre: membership, loads, demand and the VM list.
+#[derive(Debug)]
+pub(super) struct DataCentre {
+    node: Arc<Node>,
+    table: Arc<Table>,
+    list: Arc<dyn VmList>,
+    read: Mutex<Option<Read>>,
+}
+
+#[derive(Debug)]
+struct Read {
+    at: Instant,
+    entry_vms: Option<Vec<Name>>,
+}
+
+impl DataCentre {
+    pub(super) fn open(node: Arc<Node>, table: Arc<Table>, list: Arc<dyn VmList>) -> Self {
+        Self {
+            node,
+            table,
+            list,
+            read: Mutex::default(),
+        }
+    }
+
+    fn read_entry_vms(&self) -> Option<Vec<Name>> {
+        let vms = self.list.vms().ok()?;
+        let entry_vms = vms.into_iter().filter(|vm| vm.kind == VmKind::Entry);
+        Some(entry_vms.map(|vm| vm.id).collect())
+    }
+}
+
+impl Site for DataCentre {
+    fn load(&self, engine: &Name) -> Option<Load> {
+        self.table.load(engine)
+    }
+
+    fn is_reachable(&self, engine: &Name) -> bool {
+        self.table.is_reported(engine)
+    }
+
+    fn demand(&self) -> Vec<Demand> {
+        self.table.demand()
+    }
+
+    fn mark(&self, departure: Departure) {
+        self.table.mark(&[departure]);
+    }
+
+    fn entry_vms(&self) -> Option<Vec<Name>> {
+        let now = self.node.clock.now();
+        let mut read = self.read.lock().unwrap_or_else(PoisonError::into_inner);
+        match &*read {
+            Some(known) if now.since(known.at) < LIST_PERIOD => known.entry_vms.clone(),
+            _ => {
+                let entry_vms = self.read_entry_vms();
+                *read = Some(Read {
+                    at: now,
+                    entry_vms: entry_vms.clone(),
+                });
+                entry_vms
+            }
+        }
+    }
+}
--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -159,6 +159,7 @@
             sender: self.identity(),
             configuration: 0,
             members: Vec::new(),
+            demand: Vec::new(),
             digests: Vec::new(),
             departures: Vec::new(),
             endpoints: Vec::new(),
--- /dev/null
+++ b/lib/src/membership/demands.rs
@@ -0,0 +1,95 @@
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::fleet::Demand;
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::peer;
+
+/// With 50 daemons and two exchanges each a second, a daemon hears of each other one within about
+/// 12 s on average.
+const HEARD_MAX_AGE: Duration = Duration::from_secs(30);
+
+/// What the daemons of this data centre said of the demand that they see.
+#[derive(Debug, Default)]
+pub struct Demands {
+    heard: Mutex<BTreeMap<Name, Heard>>,
+}
+
+#[derive(Debug)]
+struct Heard {
+    at: Instant,
+    demand: Vec<Demand>,
+}
+
+impl Demands {
+    /// Takes in what a daemon of this data centre said at `now`.
+    pub fn absorb(&self, daemon: &Name, demand: &[peer::Demand], now: Instant) {
+        let demand = demand.iter().map(from_wire).collect();
+        self.lock()
+            .insert(daemon.clone(), Heard { at: now, demand });
+    }
+
+    /// Estimates the demand of the data centre from that of this daemon and of those heard of.
+    ///
+    /// The balancer spreads requests evenly, so the daemons that were not heard of lately are
+    /// taken to see as much as the others.
+    #[must_use]
+    pub fn total(&self, own: Vec<Demand>, daemons: usize, now: Instant) -> Vec<Demand> {
+        let mut heard = self.lock();
+        heard.retain(|_, heard| now.since(heard.at) <= HEARD_MAX_AGE);
+        let sources = 1 + heard.len();
+        let mut total: BTreeMap<Name, Demand> = BTreeMap::new();
+        let parts = heard
+            .values()
+            .flat_map(|heard| heard.demand.iter().cloned());
+        for part in own.into_iter().chain(parts) {
+            match total.get_mut(&part.model) {
+                Some(sum) => sum.add(&part),
+                None => drop(total.insert(part.model.clone(), part)),
+            }
+        }
+        let scale = daemons.max(sources) as f64 / sources as f64;
+        total
+            .into_values()
+            .map(|demand| scaled(demand, scale))
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, Heard>> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Brings a daemon's own demand into the form in which it is gossiped.
+#[must_use]
+pub(crate) fn to_wire(demand: Demand) -> peer::Demand {
+    peer::Demand {
+        model: demand.model,
+        prefill_tokens: demand.prefill_tokens_per_second,
+        output_tokens: demand.output_tokens_per_second,
+        requests: demand.requests_per_second,
+        missed: demand.missed_per_second,
+    }
+}
+
+fn from_wire(demand: &peer::Demand) -> Demand {
+    Demand {
+        model: demand.model.clone(),
+        prefill_tokens_per_second: demand.prefill_tokens,
+        output_tokens_per_second: demand.output_tokens,
+        requests_per_second: demand.requests,
+        missed_per_second: demand.missed,
+    }
+}
+
+fn scaled(demand: Demand, scale: f64) -> Demand {
+    Demand {
+        model: demand.model,
+        prefill_tokens_per_second: demand.prefill_tokens_per_second * scale,
+        output_tokens_per_second: demand.output_tokens_per_second * scale,
+        requests_per_second: demand.requests_per_second * scale,
+        missed_per_second: demand.missed_per_second * scale,
+    }
+}
--- a/lib/src/membership/lister.rs
+++ b/lib/src/membership/lister.rs
@@ -26,7 +26,7 @@
     /// # Errors
     ///
     /// Fails when the thread cannot be started.
-    pub fn spawn(node: Arc<Node>, table: Arc<Table>, list: Box<dyn VmList>) -> io::Result<Self> {
+    pub fn spawn(node: Arc<Node>, table: Arc<Table>, list: Arc<dyn VmList>) -> io::Result<Self> {
         let mut periods_left = 0;
         let worker = Worker::spawn("lister", move || {
             if periods_left == 0 || is_reader(&node, &table) {
--- a/lib/src/membership/table.rs
+++ b/lib/src/membership/table.rs
@@ -1,18 +1,23 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use ragwortgrade_policy::event::{self, Event};
+use ragwortgrade_policy::fleet::Demand;
 use ragwortgrade_policy::membership::{Departures, Loads, Register, Roster, Sighting, Target};
 use ragwortgrade_schema::Name;
 use ragwortgrade_schema::engine::Load;
 use ragwortgrade_schema::peer::{Departure, EndpointNews, EndpointState, Gossip, Member};
 use ragwortgrade_schema::platform::Vm;
 
-use super::Endpoint;
+use super::demands::to_wire;
+use super::{Demands, Endpoint};
 use crate::Node;
 
 const THOUSAND: u64 = 1_000;
 const PIECE_TOKENS: u64 = 2_048;
+/// Observers report once a second, and gossip takes a few rounds.
+const REPORT_MAX_AGE: Duration = Duration::from_secs(8);
 
 /// What one daemon knows of daemons, endpoints and loads; every change is told to the router.
 #[derive(Debug)]
@@ -23,6 +28,7 @@
     departures: Mutex<Departures>,
     loads: Mutex<Loads>,
     descriptions: Mutex<HashMap<u32, Load>>,
+    demands: Demands,
 }
 
 impl Table {
@@ -36,6 +42,7 @@
             departures: Mutex::default(),
             loads: Mutex::default(),
             descriptions: Mutex::default(),
+            demands: Demands::default(),
         }
     }
 
@@ -72,6 +79,9 @@
         self.apply_endpoints(&changed);
         self.mark(&gossip.departures);
         let is_local = gossip.sender.data_centre == self.node.settings.daemon.data_centre;
+        if is_local && !gossip.demand.is_empty() {
+            self.demands.absorb(&gossip.sender.id, &gossip.demand, now);
+        }
         let mut undescribed = Vec::new();
         for digest in &gossip.digests {
             let sightings = lock(&self.loads).absorb(digest, is_local, now);
@@ -116,6 +126,22 @@
         }))
     }
 
+    /// Tells whether a recent report of an engine is known, which an unreachable one lacks.
+    #[must_use]
+    pub fn is_reported(&self, engine: &Name) -> bool {
+        let now = self.node.clock.now();
+        let sighting = lock(&self.loads).get(engine);
+        sighting.is_some_and(|sighting| now.since(sighting.observed) <= REPORT_MAX_AGE)
+    }
+
+    /// Estimates the recent demand of this data centre.
+    #[must_use]
+    pub fn demand(&self) -> Vec<Demand> {
+        let now = self.node.clock.now();
+        let own = self.node.router().demand(now);
+        self.demands.total(own, self.local_daemons().len(), now)
+    }
+
     /// Lets suspects die and marks end, and applies a drain that the configuration declares.
     pub fn tick(&self) {
         let now = self.node.clock.now();
@@ -143,6 +169,10 @@
         gossip.members = self.roster().news();
         gossip.endpoints = lock(&self.register).news();
         gossip.departures = lock(&self.departures).news();
+        if !is_remote {
+            let demand = self.node.router().demand(now);
+            gossip.demand = demand.into_iter().map(to_wire).collect();
+        }
         let loads = lock(&self.loads);
         if is_remote || loads.is_due(round) {
             gossip.digests.push(loads.digest(now));
