--- a/standins/examples/soak/callers.rs
+++ b/standins/examples/soak/callers.rs
@@ -147,7 +147,8 @@
                 Verdict::Complete => return verdict,
                 Verdict::NotRun if is_first => return verdict,
                 Verdict::Crossed => {
-                    eprintln!("crossed answer of {entrance} from token {received}: {answer:?}");
+                    let first = answer.tokens.first();
+                    eprintln!("crossed answer of {entrance} at token {received}: {first:?}");
                     return verdict;
                 }
                 _ if Instant::now() > give_up => {
