control: compare an order with the engine's current state before sending

Cause: a decision rests on a lagging report. An order that only makes the token known, built from such a report, could turn an engine back; a change from which no interruption was expected could interrupt requests.

Change: the state read before the sending decides whether the engine must run empty first, and is the end state of an order that changes nothing. The state is read again when the order could not go out within a second.

--- a/lib/src/control/order_duty.rs
+++ b/lib/src/control/order_duty.rs
@@ -21,7 +21,6 @@
 
 /// A mark ends by itself after 30 s without renewal.
 const MARK_RENEWAL: Duration = Duration::from_secs(5);
-const TOKEN_REASON: &str = "makes the fencing token known";
 
 pub(super) fn spawn(shared: Arc<Shared>, mut plan: Box<dyn Plan>) -> io::Result<Worker> {
     Worker::spawn("orders", move || {
@@ -33,9 +32,10 @@
 fn step(shared: &Shared, plan: &mut dyn Plan) {
     let now = shared.now();
     let tenure = shared.lock().lease.tenure(now).cloned();
-    match tenure {
-        Some(tenure) if !shared.is_stopping() => decide(shared, plan, &tenure),
-        _ => give_up(shared),
+    let tenure = tenure.filter(|_| !shared.is_stopping());
+    give_up(shared, tenure.as_ref().map(|tenure| tenure.fence));
+    if let Some(tenure) = tenure {
+        decide(shared, plan, &tenure);
     }
     let steps = shared.lock().orders.steps(now.monotonic);
     // Side by side, so that an engine that hangs does not delay the orders of the others.
@@ -55,13 +55,15 @@
         return;
     };
     let members = members(shared);
-    let mut changes = token_changes(shared, tenure, &members);
+    for member in &members {
+        make_token_known(shared, tenure, member);
+    }
     let fleet = Fleet {
         engines: members,
         demand: shared.site.demand(),
         configuration: &configuration,
     };
-    changes.extend(plan.plan(&fleet, shared.now().monotonic));
+    let mut changes = plan.plan(&fleet, shared.now().monotonic);
     // Engines without any model recover first.
     let is_equipped = |change: &Change| {
         let member = fleet
@@ -98,26 +100,20 @@
     endpoints.iter().filter_map(member).collect()
 }
 
-/// Returns orders that change nothing but make the token known to engines that check it, so that
-/// an order of a former holder is refused from then on.
-fn token_changes(shared: &Shared, tenure: &Tenure, members: &[Member]) -> Vec<Change> {
-    let state = shared.lock();
-    let is_due = |member: &&Member| {
-        let load = &member.load;
-        let known = (load.incarnation, tenure.fence);
-        let is_informed = state.informed.get(&load.engine) == Some(&known);
-        let is_free = !member.unavailable && !member.ordered && !load.changing && !load.draining;
-        is_free
-            && !is_informed
-            && load.last_fence < tenure.fence
-            && shared.fencing(&load.engine) == Fencing::Checked
-    };
-    let change = |member: &Member| Change {
-        engine: member.load.engine.clone(),
-        want: state_of(&member.load),
-        reason: TOKEN_REASON.to_owned(),
-    };
-    members.iter().filter(is_due).map(change).collect()
+/// Orders nothing but makes the token known to an engine that checks it, so that an order of a
+/// former holder is refused from then on.
+fn make_token_known(shared: &Shared, tenure: &Tenure, member: &Member) {
+    let load = &member.load;
+    let is_free = !member.unavailable && !member.ordered && !load.changing && !load.draining;
+    if !is_free || shared.fencing(&load.engine) != Fencing::Checked {
+        return;
+    }
+    let now = shared.now().monotonic;
+    let mut state = shared.lock();
+    let known = (load.incarnation, tenure.fence);
+    if state.informed.get(&load.engine) != Some(&known) {
+        state.orders.make_known(load, tenure, now);
+    }
 }
 
 fn state_of(load: &Load) -> Want {
@@ -158,8 +154,8 @@
     state.history.begin(record);
 }
 
-fn give_up(shared: &Shared) {
-    let engines = shared.lock().orders.give_up();
+fn give_up(shared: &Shared, kept: Option<u64>) {
+    let engines = shared.lock().orders.give_up(kept);
     for engine in engines {
         conclude(shared, &engine, Conclusion::GivenUp);
     }
@@ -184,6 +180,12 @@
             shared.lock().informed.insert(engine.clone(), known);
         }
         conclude(shared, engine, conclusion);
+        return;
+    }
+    // The state just read says that the order may go out; it must not grow old.
+    let is_ready = shared.lock().orders.is_ready(engine, now);
+    if is_ready {
+        send(shared, engine);
     }
 }
 
--- a/policy/src/authority/command.rs
+++ b/policy/src/authority/command.rs
@@ -13,7 +13,7 @@
     order: String,
     fence: u64,
     incarnation: u64,
-    drains: bool,
+    draining_since: Option<Instant>,
     opened: Instant,
     poll_at: Instant,
     phase: Phase,
@@ -82,6 +82,8 @@
     pub changing: bool,
     /// It has requests running or waiting.
     pub busy: bool,
+    /// The order would interrupt requests that run.
+    pub interrupts: bool,
 }
 
 impl Command {
@@ -101,7 +103,7 @@
             order,
             fence,
             incarnation,
-            drains,
+            draining_since: drains.then_some(now),
             opened: now,
             poll_at: now,
             phase: Phase::Preparing,
@@ -137,7 +139,9 @@
     pub fn step(&self, now: Instant) -> Option<Step> {
         match self.phase {
             Phase::Preparing => (now >= self.poll_at).then_some(Step::Read),
-            Phase::Ready => Some(Step::Send),
+            // The state that was read must not grow old before the order goes out.
+            Phase::Ready if now < self.poll_at => Some(Step::Send),
+            Phase::Ready => Some(Step::Read),
             Phase::Sending => None,
             Phase::Delivering { until } => {
                 (now >= until && now >= self.poll_at).then_some(Step::Read)
@@ -167,6 +171,9 @@
     /// Notes that the engine's state could not be read.
     pub fn unreadable(&mut self, now: Instant) -> Option<Conclusion> {
         self.poll_at = now + self.terms.poll;
+        if self.phase == Phase::Ready {
+            self.phase = Phase::Preparing;
+        }
         self.preparing_too_long(now)
     }
 
@@ -174,9 +181,9 @@
     pub fn observed(&mut self, state: &Observation<'_>, now: Instant) -> Option<Conclusion> {
         self.poll_at = now + self.terms.poll;
         match self.phase {
-            Phase::Preparing => self.prepared(state, now),
+            Phase::Preparing | Phase::Ready => self.prepared(state, now),
             Phase::Delivering { until } if now >= until => self.read_back(state),
-            Phase::Ready | Phase::Sending | Phase::Delivering { .. } => None,
+            Phase::Sending | Phase::Delivering { .. } => None,
         }
     }
 
@@ -193,8 +200,13 @@
         if state.incarnation != self.incarnation {
             return Some(Conclusion::Restarted);
         }
-        let empty = !state.busy && now >= self.opened + self.terms.notice;
-        if !state.changing && (empty || !self.drains) {
+        self.phase = Phase::Preparing;
+        // The decision may rest on a lagging report from which no interruption was expected.
+        if state.interrupts {
+            self.draining_since.get_or_insert(now);
+        }
+        let is_empty = |since| !state.busy && now >= since + self.terms.notice;
+        if !state.changing && self.draining_since.is_none_or(is_empty) {
             self.phase = Phase::Ready;
             return None;
         }
--- a/policy/src/authority/orders.rs
+++ b/policy/src/authority/orders.rs
@@ -7,7 +7,7 @@
 use crate::planner::Change;
 
 use super::command::Observation;
-use super::{Command, Conclusion, Holder, Phase, Sent, Step, Tenure, Terms};
+use super::{Command, Conclusion, Holder, Sent, Step, Tenure, Terms};
 
 /// The orders of one holder that are not settled: at most one for each engine.
 ///
@@ -23,6 +23,8 @@
 #[derive(Clone, Debug)]
 struct Open {
     change: Change,
+    /// The order asks for the engine's own state, only to make the fencing token known.
+    is_token_only: bool,
     drains: bool,
     loads: bool,
     command: Command,
@@ -80,12 +82,10 @@
             return false;
         }
         let drains = interrupts(load, &change.want);
-        let order = format!("{}:{:x}:{}", self.own, tenure.fence, self.next_number);
-        self.next_number += 1;
-        let incarnation = load.incarnation;
-        let command = Command::open(self.terms, order, tenure.fence, incarnation, drains, now);
+        let command = self.command(load, tenure, drains, now);
         let open = Open {
             change,
+            is_token_only: false,
             drains,
             loads,
             command,
@@ -94,6 +94,39 @@
         true
     }
 
+    /// Takes up an order that changes nothing but makes the tenure's token known to an engine.
+    pub fn make_known(&mut self, load: &Load, tenure: &Tenure, now: Instant) -> bool {
+        if self.contains(&load.engine) || load.last_fence >= tenure.fence {
+            return false;
+        }
+        let open = Open {
+            change: Change {
+                engine: load.engine.clone(),
+                want: state_of(load),
+                reason: String::new(),
+            },
+            is_token_only: true,
+            drains: false,
+            loads: false,
+            command: self.command(load, tenure, false, now),
+        };
+        self.open.insert(load.engine.clone(), open);
+        true
+    }
+
+    fn command(&mut self, load: &Load, tenure: &Tenure, drains: bool, now: Instant) -> Command {
+        let order = format!("{}:{:x}:{}", self.own, tenure.fence, self.next_number);
+        self.next_number += 1;
+        Command::open(
+            self.terms,
+            order,
+            tenure.fence,
+            load.incarnation,
+            drains,
+            now,
+        )
+    }
+
     /// Returns the steps that are due at `now`.
     #[must_use]
     pub fn steps(&self, now: Instant) -> Vec<(Name, Step)> {
@@ -104,17 +137,21 @@
         due.collect()
     }
 
-    /// Returns the order for `engine` and notes that its call begins.
-    ///
-    /// Returns `None` when no order is ready, or when it was decided under another token than
-    /// `fence`; the order is then dropped.
+    /// Tells whether the order for `engine` may be sent.
+    #[must_use]
+    pub fn is_ready(&self, engine: &Name, now: Instant) -> bool {
+        let step = self
+            .open
+            .get(engine)
+            .and_then(|open| open.command.step(now));
+        step == Some(Step::Send)
+    }
+
+    /// Returns the order for `engine` and notes that its call begins; `None` when no order is ready
+    /// or when it was decided under another token than `fence`.
     pub fn begin(&mut self, engine: &Name, fence: u64, now: Instant) -> Option<Order> {
         let open = self.open.get_mut(engine)?;
-        if open.command.step(now) != Some(Step::Send) {
-            return None;
-        }
-        if open.command.fence() != fence {
-            self.open.remove(engine);
+        if open.command.step(now) != Some(Step::Send) || open.command.fence() != fence {
             return None;
         }
         open.command.sending();
@@ -135,9 +172,12 @@
     /// Takes the engine's current state; `None` when it could not be read.
     pub fn read(&mut self, engine: &Name, load: Option<&Load>, now: Instant) -> Option<Conclusion> {
         let open = self.open.get_mut(engine)?;
+        if let Some(load) = load.filter(|_| !open.command.is_under_way()) {
+            open.refresh(load);
+        }
         let conclusion = match load {
             Some(load) if open.is_needless(load) => Some(Conclusion::Carried),
-            Some(load) => open.command.observed(&observation(load), now),
+            Some(load) => open.command.observed(&observation(load, open.drains), now),
             None => open.command.unreadable(now),
         };
         self.settle(engine, conclusion)
@@ -150,11 +190,14 @@
         self.open.get(engine).is_some_and(is_over) && self.open.remove(engine).is_some()
     }
 
-    /// Drops the orders that were not sent, since authority has ended; returns their engines.
-    pub fn give_up(&mut self) -> Vec<Name> {
-        let is_unsent = |_: &Name, open: &mut Open| open.command.give_up().is_some();
-        let unsent = self.open.extract_if(.., is_unsent);
-        unsent.map(|(engine, _)| engine).collect()
+    /// Drops the orders that were not sent, except those under the token `kept`; returns their
+    /// engines.
+    pub fn give_up(&mut self, kept: Option<u64>) -> Vec<Name> {
+        let is_over = |_: &Name, open: &mut Open| {
+            kept != Some(open.command.fence()) && open.command.give_up().is_some()
+        };
+        let over = self.open.extract_if(.., is_over);
+        over.map(|(engine, _)| engine).collect()
     }
 
     fn settle(&mut self, engine: &Name, conclusion: Option<Conclusion>) -> Option<Conclusion> {
@@ -176,22 +219,38 @@
 }
 
 impl Open {
+    /// Compares the change with the engine's current state; the decision rests on a lagging one.
+    fn refresh(&mut self, load: &Load) {
+        if self.is_token_only {
+            self.change.want = state_of(load);
+        }
+        self.drains |= interrupts(load, &self.change.want);
+    }
+
     /// The decision was made on a lagging report; the engine may be as wanted already.
     fn is_needless(&self, load: &Load) -> bool {
         let is_settled = !load.changing && load.last_fence >= self.command.fence();
-        self.command.phase() == Phase::Preparing
-            && is_settled
-            && is_reached(load, &self.change.want)
+        !self.command.is_under_way() && is_settled && is_reached(load, &self.change.want)
+    }
+}
+
+/// Returns what an order must ask for to change nothing.
+fn state_of(load: &Load) -> Want {
+    Want {
+        role: load.role,
+        models: load.models.clone(),
+        adapters: load.adapters.clone(),
     }
 }
 
-fn observation(load: &Load) -> Observation<'_> {
+fn observation(load: &Load, interrupts: bool) -> Observation<'_> {
     Observation {
         incarnation: load.incarnation,
         last_fence: load.last_fence,
         last_order: &load.last_order,
         changing: load.changing,
         busy: load.sequences > 0 || load.queued_prefill_tokens > 0,
+        interrupts,
     }
 }
 
--- a/spec/src/authority/engine.rs
+++ b/spec/src/authority/engine.rs
@@ -49,6 +49,7 @@
             last_order: self.last.as_ref().map_or("", |order| &order.id),
             changing: false,
             busy: false,
+            interrupts: false,
         }
     }
 
--- a/spec/src/authority/setup.rs
+++ b/spec/src/authority/setup.rs
@@ -234,7 +234,7 @@
             renewal: Duration::from_secs(1),
             under_way: Duration::from_secs(self.under_way),
             notice: Duration::ZERO,
-            poll: Duration::ZERO,
+            poll: Duration::from_secs(1),
             drain: Duration::from_hours(1),
         }
     }
