standins: measure what serving costs a daemon

Cause: docs/CAPACITY.md needs the cost of a token, a request and a stream. Change: example relay_cost over one daemon and engine stand-ins. Ruled out: figures of a profiler (the page needs whole-process cost).

--- /dev/null
+++ b/standins/examples/relay_cost/usage.rs
@@ -0,0 +1,47 @@
+use std::fs;
+use std::io;
+
+/// Clock ticks a second in `/proc/<pid>/stat`; fixed at 100 on Linux.
+const TICKS_PER_SECOND: f64 = 100.0;
+/// Fields after the command name in `/proc/<pid>/stat`, counted from the state.
+const USER_TICKS: usize = 11;
+const SYSTEM_TICKS: usize = 12;
+
+/// What a process has used up to a point in time.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage {
+    /// Processor time.
+    pub cpu_seconds: f64,
+    /// Resident memory.
+    pub resident_kib: u64,
+}
+
+impl Usage {
+    /// Reads the usage of a process that this example started.
+    pub fn read(process: u32) -> io::Result<Self> {
+        let stat = fs::read_to_string(format!("/proc/{process}/stat"))?;
+        let after_name = stat.rsplit(')').next().unwrap_or_default();
+        let fields: Vec<&str> = after_name.split_whitespace().collect();
+        let ticks = |index: usize| {
+            fields
+                .get(index)
+                .and_then(|field| field.parse::<f64>().ok())
+        };
+        let total = ticks(USER_TICKS).unwrap_or_default() + ticks(SYSTEM_TICKS).unwrap_or_default();
+        let status = fs::read_to_string(format!("/proc/{process}/status"))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let resident = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        Ok(Self {
+            cpu_seconds: total / TICKS_PER_SECOND,
+            resident_kib: resident.unwrap_or_default(),
+        })
+    }
+
+    /// Returns this usage with the larger memory of the two.
+    pub fn max_memory(self, other: Self) -> Self {
+        Self {
+            resident_kib: self.resident_kib.max(other.resident_kib),
+            ..self
+        }
+    }
+}
