policy: fuzz authority against the engines' order logs

Cause: the model check covers few seconds and one engine; long sequences of pauses, outages, lost answers, crashes and overrides need random runs.

Change: a proptest state machine over three daemons and two engines with the real times; the oracle is the order log of each engine. Three fixed seeds of 256 sequences; three negative controls. Tests of the parts one by one.

Ruled out: a lease check that is judged by conflicts alone. Without it the fencing tokens and the wait for former holders still prevent conflicts, so the oracle judges an order sent without a lock record by itself.

--- /dev/null
+++ b/policy/tests/authority/main.rs
@@ -0,0 +1,92 @@
+//! Authority over engines under random faults, judged by the engines' order logs.
+
+mod machine;
+mod parts;
+mod simulation;
+
+use machine::{Deployment, Happening, Happenings, replay};
+use proptest::prelude::*;
+use proptest::strategy::ValueTree as _;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRng, TestRunner};
+use proptest_state_machine::{ReferenceStateMachine as _, StateMachineTest as _};
+use ragwortgrade_testutil::named_cases;
+use simulation::{Violation, Without};
+
+const CASES: u32 = 256;
+const LENGTH: std::ops::Range<usize> = 10..50;
+
+/// Guards against a sequence of pauses, outages, lost answers, crashes and overrides after which
+/// an order of a former holder takes effect or two orders for one engine are under way.
+fn no_violation(seed: u64) {
+    let config = Config {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new(config.clone());
+    let result = runner.run(
+        &Happenings::sequential_strategy(LENGTH),
+        |(state, happenings, seen)| {
+            Deployment::test_sequential(config.clone(), state, happenings, seen);
+            Ok(())
+        },
+    );
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+named_cases! { no_violation:
+    random_faults_of_seed_1(1);
+    random_faults_of_seed_2(2);
+    random_faults_of_seed_3(3);
+}
+
+/// Guards against an oracle that sees nothing: random faults reveal the missing mechanism.
+fn is_revealed(without: Without) {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(Config::default(), rng);
+    let strategy = Happenings::sequential_strategy(LENGTH);
+    let is_found = (0..4 * CASES).any(|_| {
+        let ((), happenings, _) = strategy.new_tree(&mut runner).expect("tree").current();
+        replay(without, &happenings).0.is_some()
+    });
+    assert!(is_found, "{without:?} is not revealed");
+}
+
+named_cases! { is_revealed:
+    missing_fence_check_is_revealed(Without::FenceCheck);
+    missing_wait_for_former_holder_is_revealed(Without::FormerFate);
+    missing_lease_check_is_revealed(Without::LeaseCheck);
+}
+
+/// The holder is paused between its check and the sending of an order, for longer than its lease.
+fn paused_holder() -> Vec<Happening> {
+    vec![
+        Happening::PauseInSend {
+            daemon: 0,
+            engine: 0,
+        },
+        Happening::Advance(40_000),
+        Happening::Delay(4_000),
+        Happening::Resume(0),
+        Happening::Advance(6_000),
+    ]
+}
+
+/// Guards against a takeover that ends before the paused holder is known to be gone.
+#[test]
+fn paused_holder_is_harmless() {
+    let (violation, accepted) = replay(Without::Nothing, &paused_holder());
+    assert_eq!(violation, None);
+    assert!(
+        accepted > 0,
+        "successor orders the engine that checks tokens"
+    );
+    let (violation, _) = replay(Without::FenceCheck, &paused_holder());
+    assert!(
+        matches!(violation, Some(Violation::Stale(_))),
+        "{violation:?}"
+    );
+}
--- /dev/null
+++ b/policy/tests/authority/parts.rs
@@ -0,0 +1,322 @@
+//! The parts of authority one by one.
+
+use std::time::Duration;
+
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::authority::{
+    Answer, CANDIDATES, Call, Conclusion, Evidence, Holder, Lease, Moment, Orders, Sent, Step,
+    Takeover, Tenure, Terms, is_candidate,
+};
+use ragwortgrade_policy::planner::Change;
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::configuration::Fencing;
+use ragwortgrade_schema::engine::{Load, Role};
+use ragwortgrade_testutil::named_cases;
+
+use super::simulation::want;
+
+fn at(monotonic_ms: u64, unix_ms: u64) -> Moment {
+    Moment {
+        monotonic: Instant::from_millis(monotonic_ms),
+        unix_ms,
+    }
+}
+
+fn holder(name: &str, incarnation: u64) -> Holder {
+    Holder {
+        daemon: Name::from(name),
+        incarnation,
+        address: name.to_owned(),
+        listed: true,
+    }
+}
+
+fn tenure(of: &Holder, formers: &[Holder]) -> Tenure {
+    Tenure {
+        holder: of.clone(),
+        fence: 1 << 16,
+        released: false,
+        formers: formers.to_vec(),
+    }
+}
+
+/// Takes the lease through an acquisition that begins at `now`.
+fn acquired(now: Moment) -> Lease {
+    let mut lease = Lease::open(Terms::default(), holder("a", 1), Duration::ZERO);
+    lease.set_candidate(true);
+    while let Some(call) = lease.call(now) {
+        let answer = match call {
+            Call::ReadLock => Answer::Lock(None),
+            Call::Grant => Answer::Granted(5),
+            Call::ReadTenure => Answer::Tenure(None),
+            Call::Survey => Answer::Surveyed(0),
+            _ => Answer::Written(1),
+        };
+        lease.answer(answer, now);
+    }
+    lease
+}
+
+/// Guards against a lease that outlives its time by one of the two clocks.
+fn lease_lasts(now: Moment, is_held: bool) {
+    assert_eq!(acquired(at(1_000, 50_000)).is_held(now), is_held);
+}
+
+named_cases! { lease_lasts:
+    lease_is_held_before_its_margin(at(8_999, 57_999), true);
+    lease_ends_by_the_monotonic_clock(at(9_000, 50_000), false);
+    lease_ends_by_the_system_clock(at(1_000, 58_000), false);
+    system_clock_that_was_set_back_does_not_prolong_it(at(9_000, 10), false);
+}
+
+/// Guards against a renewal that counts although its answer was lost or its record is gone.
+fn renewal(keep_alive: Answer, verified: Option<bool>, is_held: bool) {
+    let mut lease = acquired(at(1_000, 1_000));
+    let renewed = at(4_000, 4_000);
+    let own = lease.call(renewed);
+    assert_eq!(own, Some(Call::KeepAlive(5)));
+    lease.answer(keep_alive, renewed);
+    if let Some(is_there) = verified {
+        assert_eq!(lease.call(renewed), Some(Call::ReadLock));
+        let lock = ragwortgrade_policy::authority::Lock {
+            holder: holder("a", 1),
+            lease: 5,
+        };
+        lease.answer(Answer::Lock(is_there.then_some((lock, 1))), renewed);
+    }
+    assert_eq!(lease.is_held(at(10_000, 10_000)), is_held);
+}
+
+named_cases! { renewal:
+    verified_renewal_counts_from_its_sending(Answer::Done, Some(true), true);
+    renewal_without_a_record_ends_the_lease(Answer::Done, Some(false), false);
+    lost_renewal_does_not_count(Answer::Lost, None, false);
+    ended_lease_ends_at_once(Answer::Ended, None, false);
+}
+
+/// Guards against a released lease that is used on, and against a release without its record.
+#[test]
+fn release_is_recorded_before_the_lease_ends() {
+    let now = at(1_000, 1_000);
+    let mut lease = acquired(now);
+    lease.release();
+    assert!(!lease.is_held(now));
+    let call = lease.call(now);
+    assert!(
+        matches!(&call, Some(Call::Record { tenure, .. }) if tenure.released),
+        "{call:?}"
+    );
+    lease.answer(Answer::Written(2), now);
+    assert_eq!(lease.call(now), Some(Call::Revoke(5)));
+    lease.answer(Answer::Done, now);
+    assert!(lease.is_idle());
+    assert_eq!(lease.call(at(60_000, 60_000)), None);
+}
+
+/// Guards against a waiting candidate whose calls grow with time: one read for each TTL.
+#[test]
+fn waiting_candidate_reads_once_a_ttl() {
+    let mut lease = Lease::open(Terms::default(), holder("b", 1), Duration::ZERO);
+    lease.set_candidate(true);
+    let lock = ragwortgrade_policy::authority::Lock {
+        holder: holder("a", 1),
+        lease: 5,
+    };
+    let mut calls = 0;
+    for ms in (0..100_000).step_by(100) {
+        while lease.call(at(ms, ms)) == Some(Call::ReadLock) {
+            calls += 1;
+            lease.answer(Answer::Lock(Some((lock.clone(), 1))), at(ms, ms));
+        }
+    }
+    assert_eq!(calls, 10);
+}
+
+/// Guards against a token that is not above all that the platform and the engines know.
+fn token(previous: u64, revision: u64, seen: u64) {
+    let mut last = tenure(&holder("a", 1), &[]);
+    last.fence = previous;
+    let [b, c] = ["b", "c"].map(|name| holder(name, name.len() as u64 + u64::from(name == "c")));
+    let next = |own| Tenure::after(Some(&last), own, revision, seen).fence;
+    assert!(next(&b) > previous.max(revision).max(seen));
+    assert_ne!(
+        next(&b),
+        next(&c),
+        "daemons that start from equal data have different tokens"
+    );
+}
+
+named_cases! { token:
+    token_is_above_the_previous(1 << 40, 3, 5);
+    token_is_above_the_revision(3, 1 << 40, 5);
+    token_is_above_what_engines_know(3, 5, 1 << 40);
+}
+
+/// Guards against a takeover that accepts what proves nothing.
+fn takeover(evidence: &Evidence, is_gone: bool) {
+    let former = holder("a", 1);
+    let mut takeover = Takeover::open(
+        Terms::default(),
+        &tenure(&holder("b", 1), std::slice::from_ref(&former)),
+        Instant::default(),
+    );
+    let learned = Instant::from_millis(60_000);
+    assert!(takeover.permits(Fencing::Checked, Instant::default()));
+    assert!(!takeover.permits(Fencing::Ignored, learned));
+    assert_eq!(!takeover.learn(evidence, learned).is_empty(), is_gone);
+    assert!(!takeover.permits(Fencing::Ignored, Instant::from_millis(64_999)));
+    assert_eq!(
+        takeover.permits(Fencing::Ignored, Instant::from_millis(65_000)),
+        is_gone
+    );
+}
+
+fn answers(address: &str, incarnation: u64) -> Evidence {
+    Evidence::Answers {
+        address: address.to_owned(),
+        incarnation,
+    }
+}
+
+named_cases! { takeover:
+    new_incarnation_proves_it_gone(&answers("a", 2), true);
+    same_incarnation_proves_nothing(&answers("a", 1), false);
+    other_address_proves_nothing(&answers("c", 2), false);
+    absence_from_the_list_proves_it_gone(&Evidence::Listed(vec![Name::from("b")]), true);
+    presence_on_the_list_proves_nothing(&Evidence::Listed(vec![Name::from("a")]), false);
+    operator_declares_it_gone(&Evidence::Declared("a:1".parse().expect("holder")), true);
+    operator_declares_another_run(&Evidence::Declared("a:2".parse().expect("holder")), false);
+}
+
+/// Guards against an absence from the lagging list that is taken as proof for a VM never on it.
+#[test]
+fn holder_that_was_never_listed_is_not_gone_by_absence() {
+    let mut former = holder("a", 1);
+    former.listed = false;
+    let mut takeover = Takeover::open(
+        Terms::default(),
+        &tenure(&holder("b", 1), &[former]),
+        Instant::default(),
+    );
+    assert!(
+        takeover
+            .learn(&Evidence::Listed(Vec::new()), Instant::default())
+            .is_empty()
+    );
+}
+
+/// Guards against platform calls that grow with the daemons of a data centre.
+#[test]
+fn two_of_fifty_daemons_campaign() {
+    let daemons: Vec<Name> = (0..50)
+        .map(|index| Name::from(format!("d{index}")))
+        .collect();
+    let data_centre = Name::from("dc");
+    let campaigns = |daemon: &&Name| is_candidate(&data_centre, daemon, &daemons);
+    assert_eq!(daemons.iter().filter(campaigns).count(), CANDIDATES);
+}
+
+fn load(role: Role) -> Load {
+    let want = want(Role::Mixed);
+    Load {
+        engine: Name::from("e"),
+        incarnation: 1,
+        at_ms: 0,
+        role,
+        sequences: 0,
+        queued_prefill_tokens: 0,
+        kv_tokens: 0,
+        draining: false,
+        changing: false,
+        last_fence: 0,
+        last_order: String::new(),
+        models: want.models,
+        adapters: want.adapters,
+    }
+}
+
+fn change(engine: &str, role: Role) -> Change {
+    Change {
+        engine: Name::from(engine),
+        want: want(role),
+        reason: String::new(),
+    }
+}
+
+/// Guards against a second order before the first is settled, and an order to a busy engine.
+#[test]
+fn order_waits_for_running_requests_and_for_the_one_before() {
+    let (own, engine) = (holder("a", 1), Name::from("e"));
+    let own_tenure = tenure(&own, &[]);
+    let mut orders = Orders::open(Terms::default(), own);
+    let ms = Instant::from_millis;
+    let mixed = load(Role::Mixed);
+    assert!(orders.take_up(change("e", Role::Prefill), &mixed, &own_tenure, ms(0)));
+    assert!(!orders.take_up(change("e", Role::Decode), &mixed, &own_tenure, ms(0)));
+    let busy = Load {
+        sequences: 1,
+        ..mixed.clone()
+    };
+    assert_eq!(orders.read(&engine, Some(&busy), ms(60_000)), None);
+    assert_eq!(orders.begin(&engine, own_tenure.fence, ms(60_100)), None);
+    orders.read(&engine, Some(&mixed), ms(61_000));
+    let order = orders
+        .begin(&engine, own_tenure.fence, ms(61_100))
+        .expect("engine is empty");
+    orders.sent(&engine, Sent::Maybe, ms(61_200));
+    assert!(
+        orders.steps(ms(66_199)).is_empty(),
+        "the order can still arrive"
+    );
+    assert_eq!(orders.steps(ms(66_200)), [(engine.clone(), Step::Read)]);
+    let carried = Load {
+        last_order: order.order,
+        last_fence: order.fence,
+        role: Role::Prefill,
+        ..mixed
+    };
+    let changing = Load {
+        changing: true,
+        ..carried.clone()
+    };
+    assert_eq!(orders.read(&engine, Some(&changing), ms(66_200)), None);
+    let conclusion = orders.read(&engine, Some(&carried), ms(68_000));
+    assert_eq!(conclusion, Some(Conclusion::Carried));
+}
+
+/// Guards against a lagging report from which an order turns an engine back.
+#[test]
+fn order_that_makes_the_token_known_asks_for_the_current_state() {
+    let (own, engine) = (holder("a", 1), Name::from("e"));
+    let own_tenure = tenure(&own, &[]);
+    let mut orders = Orders::open(Terms::default(), own);
+    assert!(orders.make_known(&load(Role::Mixed), &own_tenure, Instant::default()));
+    orders.read(&engine, Some(&load(Role::Decode)), Instant::default());
+    let order = orders.begin(&engine, own_tenure.fence, Instant::default());
+    assert_eq!(order.map(|order| order.want.role), Some(Role::Decode));
+}
+
+/// Guards against placement changes that use up the weight store while an engine recovers.
+#[test]
+fn weight_loads_leave_room_for_a_recovery() {
+    let own = holder("a", 1);
+    let own_tenure = tenure(&own, &[]);
+    let mut orders = Orders::open(Terms::default(), own);
+    let mut taken = 0;
+    for index in 0..Orders::LOADS {
+        let mut placed = load(Role::Mixed);
+        placed.models[0].version = Name::from("0");
+        placed.engine = Name::from(format!("e{index}"));
+        let change = change(&placed.engine, Role::Mixed);
+        taken += usize::from(orders.take_up(change, &placed, &own_tenure, Instant::default()));
+    }
+    assert_eq!(taken, Orders::LOADS - 1);
+    let mut empty = load(Role::Mixed);
+    empty.models.clear();
+    assert!(orders.take_up(
+        change("e", Role::Mixed),
+        &empty,
+        &own_tenure,
+        Instant::default()
+    ));
+}
--- /dev/null
+++ b/policy/tests/authority/simulation.rs
@@ -0,0 +1,509 @@
+//! A small deployment in virtual time: daemons that run the state machines of authority, a
+//! platform, a network and engines that keep a log of the orders that they accepted.
+
+use std::time::Duration;
+
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::authority::{
+    Answer, Call, Conclusion, Evidence, Holder, Lease, Lock, Moment, Orders, Sent, Step, Takeover,
+    Tenure, Terms,
+};
+use ragwortgrade_policy::planner::Change;
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::configuration::Fencing;
+use ragwortgrade_schema::engine::{Load, Order, Role, Version, Want};
+
+pub const DAEMONS: usize = 3;
+pub const ENGINES: usize = 2;
+pub const STEP_MS: u64 = 250;
+
+/// Mechanisms that a negative control switches off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Without {
+    Nothing,
+    /// Engines do not compare fencing tokens.
+    FenceCheck,
+    /// A new holder does not wait until former holders are gone.
+    FormerFate,
+    /// A holder does not check its lease before it sends an order.
+    LeaseCheck,
+}
+
+/// What the engines' logs prove.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Violation {
+    Stale(String),
+    SharedToken(String),
+    Conflicting(String),
+    WithoutLease(String),
+}
+
+struct InFlight {
+    engine: usize,
+    order: Order,
+    arrives_ms: u64,
+    ends_ms: u64,
+}
+
+pub struct Engine {
+    pub name: Name,
+    pub fencing: Fencing,
+    incarnation: u64,
+    highest: u64,
+    last: Option<Order>,
+    role: Role,
+}
+
+pub struct Daemon {
+    pub holder: Holder,
+    pub is_up: bool,
+    pub is_paused: bool,
+    /// Pause in the middle of the next order to this engine, after the check.
+    pub pause_in_send: Option<usize>,
+    lease: Lease,
+    takeover: Option<(u64, Takeover)>,
+    orders: Orders,
+    /// An order that passed the check, for an engine.
+    outbox: Option<(usize, Order)>,
+}
+
+pub struct Simulation {
+    pub now_ms: u64,
+    pub daemons: Vec<Daemon>,
+    pub engines: Vec<Engine>,
+    pub is_platform_down: bool,
+    pub lose_answers: u32,
+    /// Delay of the next orders in the network.
+    pub delay_ms: u64,
+    pub has_rolled_back: bool,
+    pub accepted: u32,
+    pub violation: Option<Violation>,
+    without: Without,
+    declared: Vec<Holder>,
+    network: Vec<InFlight>,
+    lock: Option<(Lock, u64)>,
+    tenure: Option<(Tenure, u64)>,
+    leases: Vec<u64>,
+    revision: u64,
+}
+
+impl Simulation {
+    pub fn new(without: Without) -> Self {
+        let engine = |(index, fencing)| Engine {
+            name: Name::from(format!("e{index}")),
+            fencing,
+            incarnation: 1,
+            highest: 0,
+            last: None,
+            role: Role::Mixed,
+        };
+        let fencing = [Fencing::Checked, Fencing::Ignored];
+        Self {
+            now_ms: 0,
+            daemons: (0..DAEMONS).map(|index| daemon(index, 1)).collect(),
+            engines: fencing.into_iter().enumerate().map(engine).collect(),
+            is_platform_down: false,
+            lose_answers: 0,
+            delay_ms: 0,
+            has_rolled_back: false,
+            accepted: 0,
+            violation: None,
+            without,
+            declared: Vec::new(),
+            network: Vec::new(),
+            lock: None,
+            tenure: None,
+            leases: Vec::new(),
+            revision: 0,
+        }
+    }
+
+    /// Lets time pass; every daemon that runs acts in each step of time.
+    pub fn advance(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(STEP_MS) {
+            self.now_ms += STEP_MS;
+            self.lapse();
+            self.deliver();
+            for index in 0..DAEMONS {
+                if self.daemons[index].is_up && !self.daemons[index].is_paused {
+                    self.run(index);
+                }
+            }
+        }
+    }
+
+    pub fn crash(&mut self, index: usize) {
+        let incarnation = self.daemons[index].holder.incarnation;
+        self.daemons[index] = daemon(index, incarnation);
+        self.daemons[index].is_up = false;
+    }
+
+    pub fn restart(&mut self, index: usize) {
+        self.daemons[index] = daemon(index, self.daemons[index].holder.incarnation + 1);
+    }
+
+    pub fn resume(&mut self, index: usize) {
+        self.daemons[index].is_paused = false;
+        self.daemons[index].pause_in_send = None;
+        self.send(index);
+    }
+
+    /// An operator, who knows that the daemon does not run, declares it gone.
+    pub fn declare_gone(&mut self, index: usize) {
+        if !self.daemons[index].is_up {
+            let holder = self.daemons[index].holder.clone();
+            self.declared.push(holder);
+        }
+    }
+
+    pub fn crash_engine(&mut self, index: usize) {
+        let engine = &mut self.engines[index];
+        engine.incarnation += 1;
+        engine.highest = 0;
+        engine.last = None;
+    }
+
+    pub fn roll_back(&mut self) {
+        self.lock = None;
+        self.tenure = None;
+        self.revision = 0;
+        self.has_rolled_back = true;
+    }
+
+    pub fn holders(&self) -> usize {
+        let now = self.now();
+        let holds = |daemon: &&Daemon| daemon.is_up && daemon.lease.is_held(now);
+        self.daemons.iter().filter(holds).count()
+    }
+
+    fn now(&self) -> Moment {
+        Moment {
+            monotonic: Instant::from_millis(self.now_ms),
+            unix_ms: self.now_ms,
+        }
+    }
+
+    fn run(&mut self, index: usize) {
+        let now = self.now();
+        for _ in 0..8 {
+            let Some(call) = self.daemons[index].lease.call(now) else {
+                break;
+            };
+            let answer = self.answer(&call);
+            self.daemons[index].lease.answer(answer, now);
+        }
+        self.take_over(index, now);
+        self.decide(index, now);
+        for (engine, step) in self.daemons[index].orders.steps(now.monotonic) {
+            let number = self.engine_named(&engine);
+            match step {
+                Step::Read => self.read(index, number),
+                Step::Send => self.check_and_send(index, number),
+            }
+        }
+    }
+
+    fn take_over(&mut self, index: usize, now: Moment) {
+        let evidence = self.evidence();
+        let without = self.without;
+        let daemon = &mut self.daemons[index];
+        let Some(tenure) = daemon.lease.tenure(now) else {
+            return;
+        };
+        if daemon.takeover.as_ref().map(|(fence, _)| *fence) != Some(tenure.fence) {
+            let mut tenure = tenure.clone();
+            if without == Without::FormerFate {
+                tenure.formers.clear();
+            }
+            let takeover = Takeover::open(Terms::default(), &tenure, now.monotonic);
+            daemon.takeover = Some((tenure.fence, takeover));
+        }
+        let Some((_, takeover)) = &mut daemon.takeover else {
+            return;
+        };
+        for evidence in &evidence {
+            let gone = takeover.learn(evidence, now.monotonic);
+            if !gone.is_empty() {
+                daemon.lease.forget(&gone);
+            }
+        }
+    }
+
+    fn evidence(&self) -> Vec<Evidence> {
+        let runs = |daemon: &&Daemon| daemon.is_up && !daemon.is_paused;
+        let answers = self
+            .daemons
+            .iter()
+            .filter(runs)
+            .map(|daemon| Evidence::Answers {
+                address: daemon.holder.address.clone(),
+                incarnation: daemon.holder.incarnation,
+            });
+        let declared = self.declared.iter().cloned().map(Evidence::Declared);
+        answers.chain(declared).collect()
+    }
+
+    /// Changes the role of each engine again and again.
+    fn decide(&mut self, index: usize, now: Moment) {
+        let loads: Vec<Load> = self.engines.iter().map(Engine::load).collect();
+        let daemon = &mut self.daemons[index];
+        let Some(tenure) = daemon.lease.tenure(now).cloned() else {
+            if self.without != Without::LeaseCheck {
+                daemon.orders.give_up(None);
+            }
+            return;
+        };
+        daemon.orders.give_up(Some(tenure.fence));
+        for load in loads {
+            let role = match load.role {
+                Role::Mixed => Role::Prefill,
+                Role::Prefill => Role::Decode,
+                Role::Decode => Role::Mixed,
+            };
+            let change = Change {
+                engine: load.engine.clone(),
+                want: want(role),
+                reason: String::new(),
+            };
+            daemon.orders.take_up(change, &load, &tenure, now.monotonic);
+        }
+    }
+
+    fn read(&mut self, index: usize, engine: usize) {
+        let now = self.now();
+        let load = self.engines[engine].load();
+        let daemon = &mut self.daemons[index];
+        let conclusion = daemon.orders.read(&load.engine, Some(&load), now.monotonic);
+        if conclusion == Some(Conclusion::Superseded) {
+            daemon.lease.step_down(now);
+        }
+    }
+
+    fn check_and_send(&mut self, index: usize, engine: usize) {
+        let now = self.now();
+        let (name, fencing) = (
+            self.engines[engine].name.clone(),
+            self.engines[engine].fencing,
+        );
+        let daemon = &mut self.daemons[index];
+        let Some((fence, takeover)) = &daemon.takeover else {
+            return;
+        };
+        let is_held = daemon.lease.is_held(now) || self.without == Without::LeaseCheck;
+        if daemon.outbox.is_some() || !is_held || !takeover.permits(fencing, now.monotonic) {
+            return;
+        }
+        let order = daemon.orders.begin(&name, *fence, now.monotonic);
+        let Some(order) = order else {
+            return;
+        };
+        let has_lock = self
+            .lock
+            .as_ref()
+            .is_some_and(|(lock, _)| lock.holder == daemon.holder);
+        if !has_lock && !self.has_rolled_back {
+            let order = order.order.clone();
+            self.violation.get_or_insert(Violation::WithoutLease(order));
+        }
+        daemon.outbox = Some((engine, order));
+        if daemon.pause_in_send == Some(engine) {
+            daemon.is_paused = true;
+            return;
+        }
+        self.send(index);
+    }
+
+    fn send(&mut self, index: usize) {
+        let now = self.now();
+        let Some((engine, order)) = self.daemons[index].outbox.take() else {
+            return;
+        };
+        let name = self.engines[engine].name.clone();
+        let under_way = Terms::default().under_way.as_millis() as u64;
+        let in_flight = InFlight {
+            engine,
+            order,
+            arrives_ms: self.now_ms + self.delay_ms.min(under_way - STEP_MS),
+            ends_ms: self.now_ms + under_way,
+        };
+        self.judge_sending(&in_flight);
+        self.network.push(in_flight);
+        let orders = &mut self.daemons[index].orders;
+        orders.sent(&name, Sent::Maybe, now.monotonic);
+    }
+
+    fn judge_sending(&mut self, sent: &InFlight) {
+        let ignores =
+            self.engines[sent.engine].fencing == Fencing::Ignored && !self.has_rolled_back;
+        let conflicts = |other: &InFlight| {
+            let is_one_holder = other.order.fence == sent.order.fence;
+            other.engine == sent.engine && (is_one_holder || ignores)
+        };
+        if self.network.iter().any(conflicts) {
+            let order = sent.order.order.clone();
+            self.violation.get_or_insert(Violation::Conflicting(order));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now_ms = self.now_ms;
+        self.network.retain(|order| now_ms < order.ends_ms);
+        let arrived: Vec<usize> = (0..self.network.len())
+            .filter(|position| self.network[*position].arrives_ms <= now_ms)
+            .collect();
+        for position in arrived.into_iter().rev() {
+            let InFlight { engine, order, .. } = self.network.remove(position);
+            self.arrive(engine, order);
+        }
+    }
+
+    fn arrive(&mut self, index: usize, order: Order) {
+        let engine = &mut self.engines[index];
+        let checks = engine.fencing == Fencing::Checked && self.without != Without::FenceCheck;
+        let is_old = order.fence < engine.highest;
+        if checks && is_old {
+            return;
+        }
+        let shares = engine
+            .last
+            .as_ref()
+            .is_some_and(|last| last.fence == order.fence && last.issuer != order.issuer);
+        let is_judged = engine.fencing == Fencing::Checked || !self.has_rolled_back;
+        if is_judged && is_old {
+            self.violation
+                .get_or_insert(Violation::Stale(order.order.clone()));
+        }
+        if shares {
+            self.violation
+                .get_or_insert(Violation::SharedToken(order.order.clone()));
+        }
+        self.accepted += 1;
+        engine.highest = engine.highest.max(order.fence);
+        engine.role = order.want.role;
+        engine.last = Some(order);
+    }
+
+    fn answer(&mut self, call: &Call) -> Answer {
+        if *call == Call::Survey {
+            let tokens = self.engines.iter().map(|engine| engine.highest);
+            return Answer::Surveyed(tokens.max().unwrap_or(0));
+        }
+        if self.is_platform_down {
+            return Answer::Failed;
+        }
+        let answer = self.perform(call);
+        if self.lose_answers > 0 {
+            self.lose_answers -= 1;
+            return Answer::Lost;
+        }
+        answer
+    }
+
+    fn perform(&mut self, call: &Call) -> Answer {
+        let ends_ms = self.now_ms + Terms::default().ttl.as_millis() as u64;
+        let is_live = |lease: u64| self.leases[lease as usize - 1] > self.now_ms;
+        match call {
+            Call::ReadLock => Answer::Lock(self.lock.clone()),
+            Call::ReadTenure => Answer::Tenure(self.tenure.clone()),
+            Call::Survey => Answer::Failed,
+            Call::Grant => {
+                self.leases.push(ends_ms);
+                Answer::Granted(self.leases.len() as u64)
+            }
+            Call::Lock(lock) if self.lock.is_none() && is_live(lock.lease) => {
+                self.revision += 1;
+                self.lock = Some((lock.clone(), self.revision));
+                Answer::Written(self.revision)
+            }
+            Call::Record { expect, tenure } if *expect == self.tenure_revision() => {
+                self.revision += 1;
+                self.tenure = Some((tenure.clone(), self.revision));
+                Answer::Written(self.revision)
+            }
+            Call::Lock(_) | Call::Record { .. } => Answer::Conflict,
+            Call::KeepAlive(lease) if is_live(*lease) => {
+                self.leases[*lease as usize - 1] = ends_ms;
+                Answer::Done
+            }
+            Call::KeepAlive(_) => Answer::Ended,
+            Call::Revoke(lease) => {
+                self.leases[*lease as usize - 1] = 0;
+                self.lapse();
+                Answer::Done
+            }
+        }
+    }
+
+    fn tenure_revision(&self) -> u64 {
+        self.tenure.as_ref().map_or(0, |(_, revision)| *revision)
+    }
+
+    fn lapse(&mut self) {
+        let (leases, now_ms) = (&self.leases, self.now_ms);
+        self.lock
+            .take_if(|(lock, _)| leases[lock.lease as usize - 1] <= now_ms);
+    }
+
+    fn engine_named(&self, name: &Name) -> usize {
+        let found = self.engines.iter().position(|engine| engine.name == *name);
+        found.expect("engine exists")
+    }
+}
+
+impl Engine {
+    fn load(&self) -> Load {
+        let want = want(self.role);
+        Load {
+            engine: self.name.clone(),
+            incarnation: self.incarnation,
+            at_ms: 0,
+            role: self.role,
+            sequences: 0,
+            queued_prefill_tokens: 0,
+            kv_tokens: 0,
+            draining: false,
+            changing: false,
+            last_fence: self.highest,
+            last_order: self
+                .last
+                .as_ref()
+                .map(|order| order.order.clone())
+                .unwrap_or_default(),
+            models: want.models,
+            adapters: want.adapters,
+        }
+    }
+}
+
+fn daemon(index: usize, incarnation: u64) -> Daemon {
+    let holder = Holder {
+        daemon: Name::from(format!("d{index}")),
+        incarnation,
+        address: format!("d{index}"),
+        listed: true,
+    };
+    let jitter = Duration::from_millis(STEP_MS * index as u64);
+    let mut lease = Lease::open(Terms::default(), holder.clone(), jitter);
+    lease.set_candidate(true);
+    Daemon {
+        orders: Orders::open(Terms::default(), holder.clone()),
+        holder,
+        is_up: true,
+        is_paused: false,
+        pause_in_send: None,
+        lease,
+        takeover: None,
+        outbox: None,
+    }
+}
+
+pub fn want(role: Role) -> Want {
+    Want {
+        role,
+        models: vec![Version {
+            name: Name::from("weave"),
+            version: Name::from("1"),
+        }],
+        adapters: Vec::new(),
+    }
+}
