policy: order configurations by revision and repair a platform with older data

Cause: the platform can come back with older data, and operators can write on top of it before anyone notices; an accepted configuration must not revert.

Ruled out: believing the platform (reverts), a second store, and a plain write-back of a document whose revision the platform reused, which leaves daemons with different documents of one revision for good.

Change: policy::revision with a ledger that only goes up, changes by section with a checksum, a write-back under the next revision where the platform reused one, an inquiry of peers before a reader accepts, a rule for two accepted documents of one revision, and the duty of reading for a data centre.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod planner;
 pub mod rendezvous;
 mod request;
+pub mod revision;
 mod router;
 
 pub use fleet::Fleet;
--- /dev/null
+++ b/policy/src/revision/error.rs
@@ -0,0 +1,25 @@
+/// Why a document or a change is not usable.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The document has no `[configuration]` section with `revision` and `apply_id`.
+    #[error("document has no section [configuration] with `revision` above 0 and `apply_id`")]
+    NoHeader,
+    /// A line stands before the first section.
+    #[error("line {line} stands before the first section")]
+    OutsideSection {
+        /// Line, counted from 1.
+        line: usize,
+    },
+    /// A section occurs twice.
+    #[error("section [{heading}] occurs twice")]
+    Duplicate {
+        /// The section.
+        heading: String,
+    },
+    /// A change does not lead to the document that its sender holds.
+    #[error("change to revision {revision} does not fit the document held here")]
+    Checksum {
+        /// Revision of the sender's document.
+        revision: u64,
+    },
+}
--- /dev/null
+++ b/policy/tests/revision.rs
@@ -0,0 +1,338 @@
+//! Guards against a configuration that reverts, forks for good or differs between daemons.
+
+#[path = "revision/world.rs"]
+mod world;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::revision::{Document, Duty, Error, Ledger, Proposal, Verdict};
+use ragwortgrade_schema::peer::{ConfigurationAnswer, Reader};
+use ragwortgrade_testutil::named_cases;
+use world::{Mechanism, Step, World, document, step};
+
+fn ledger(revisions: &[(u64, &str)]) -> Ledger {
+    let mut ledger = Ledger::default();
+    for (revision, apply_id) in revisions {
+        assert!(ledger.accept(document(*revision, apply_id, &[("policy", *revision)])));
+    }
+    ledger
+}
+
+fn written_back(verdict: Verdict) -> (u64, String) {
+    match verdict {
+        Verdict::WriteBack(document) => (document.revision(), document.apply_id().to_owned()),
+        other => panic!("nothing is written back: {other:?}"),
+    }
+}
+
+#[test]
+fn platform_with_an_older_document_is_corrected() {
+    let mut ledger = ledger(&[(3, "a"), (4, "b")]);
+    let older = document(3, "a", &[("policy", 3)]);
+    assert_eq!(
+        written_back(ledger.judge(Some(&older))),
+        (4, "b".to_owned())
+    );
+    assert_eq!(written_back(ledger.judge(None)), (4, "b".to_owned()));
+    assert_eq!(
+        ledger.judge(Some(&document(5, "c", &[]))),
+        Verdict::Newer,
+        "negative control"
+    );
+}
+
+#[test]
+fn document_in_the_place_of_an_accepted_one_is_replaced_under_a_higher_revision() {
+    let mut ledger = ledger(&[(4, "b")]);
+    let other = document(4, "x", &[("policy", 9)]);
+    assert_eq!(
+        written_back(ledger.judge(Some(&other))),
+        (5, "b".to_owned())
+    );
+    let same = document(4, "b", &[("policy", 4)]);
+    assert_eq!(ledger.judge(Some(&same)), Verdict::Same, "negative control");
+}
+
+#[test]
+fn lower_or_equal_revision_is_never_accepted() {
+    let mut ledger = ledger(&[(4, "b")]);
+    assert!(!ledger.accept(document(3, "a", &[])));
+    assert!(!ledger.accept(document(4, "x", &[])));
+    assert_eq!(
+        ledger.held().map(|held| held.apply_id().to_owned()),
+        Some("b".to_owned())
+    );
+    assert!(ledger.accept(document(5, "c", &[])), "negative control");
+}
+
+#[test]
+fn peer_gets_only_the_changed_and_removed_sections() {
+    let mut source = Ledger::default();
+    source.accept(document(
+        1,
+        "a",
+        &[("model m", 1), ("service s", 1), ("workspace w", 1)],
+    ));
+    let mut follower = Ledger::default();
+    let whole = source.answer(0);
+    assert!(whole.whole);
+    let Ok(Proposal::Newer(first)) = follower.propose(&whole) else {
+        panic!("{whole:?}")
+    };
+    assert!(follower.accept(*first));
+    source.accept(document(
+        2,
+        "b",
+        &[("model m", 2), ("service s", 1), ("workspace w", 1)],
+    ));
+    source.accept(document(
+        3,
+        "c",
+        &[("model m", 2), ("workspace w", 1), ("workspace x", 1)],
+    ));
+    let answer = source.answer(1);
+    assert!(!answer.whole);
+    assert_eq!(answer.removed, ["service s"]);
+    assert_eq!(
+        answer.changed.len(),
+        3,
+        "header, changed model and new workspace: {answer:?}"
+    );
+    let Ok(Proposal::Newer(next)) = follower.propose(&answer) else {
+        panic!("{answer:?}")
+    };
+    assert_eq!(Some(&*next), source.held().map(|held| &**held));
+}
+
+#[test]
+fn change_that_does_not_fit_is_refused_and_the_whole_document_taken() {
+    let mut source = ledger(&[(4, "b")]);
+    source.accept(document(5, "c", &[("policy", 4), ("workspace w", 5)]));
+    let mut forked = Ledger::default();
+    forked.accept(document(4, "x", &[("policy", 7)]));
+    let answer = source.answer(4);
+    assert_eq!(
+        forked.propose(&answer),
+        Err(Error::Checksum { revision: 5 })
+    );
+    assert!(matches!(
+        forked.propose(&source.answer(0)),
+        Ok(Proposal::Newer(_))
+    ));
+    let mut control = ledger(&[(4, "b")]);
+    assert!(
+        matches!(control.propose(&answer), Ok(Proposal::Newer(_))),
+        "negative control"
+    );
+}
+
+#[test]
+fn history_is_bounded_and_older_peers_get_the_whole_document() {
+    let mut ledger = Ledger::default();
+    for revision in 1..=200 {
+        ledger.accept(document(revision, "a", &[("policy", revision)]));
+    }
+    assert!(ledger.answer(1).whole);
+    assert!(!ledger.answer(190).whole, "negative control");
+}
+
+#[test]
+fn two_documents_of_one_revision_are_noticed_and_the_platform_decides() {
+    let mut odd = ledger(&[(4, "x")]);
+    let others = document(4, "b", &[("policy", 9)]);
+    let mut peer = Ledger::default();
+    peer.accept(others.clone());
+    assert_eq!(
+        written_back(odd.judge(Some(&others))),
+        (5, "x".to_owned()),
+        "negative control"
+    );
+    assert_eq!(odd.propose(&peer.answer(4)), Ok(Proposal::Contested));
+    assert_eq!(written_back(odd.judge(Some(&others))), (5, "b".to_owned()));
+}
+
+fn refuses(text: &str, error: &Error) {
+    assert_eq!(Document::parse(text).as_ref(), Err(error));
+}
+
+named_cases! { refuses:
+    empty_text("", &Error::NoHeader);
+    revision_zero("[configuration]\nrevision = 0\napply_id = a\n", &Error::NoHeader);
+    header_without_identity("[configuration]\nrevision = 1\n", &Error::NoHeader);
+    line_before_a_section("# c\nx = 1\n", &Error::OutsideSection { line: 2 });
+    repeated_section("[a]\n[a]\n", &Error::Duplicate { heading: "a".to_owned() });
+}
+
+#[test]
+fn comments_and_order_of_sections_do_not_count() {
+    let one = "# c\n[b]\nx = 1\n\n[configuration]\nrevision = 2\napply_id = z\n[a]\ny = 2\n";
+    let other = "[configuration]\nrevision = 2\napply_id = z\n[a]\ny = 2\n; c\n[b]\nx = 1";
+    let parse = |text| Document::parse(text).expect("a document");
+    assert_eq!(parse(one), parse(other));
+    assert_eq!(
+        parse(one).text(),
+        "[configuration]\nrevision = 2\napply_id = z\n\n[a]\ny = 2\n\n[b]\nx = 1\n"
+    );
+}
+
+const NOW: Instant = Instant::from_millis(100_000);
+
+fn reader(daemon: &str, holds_lease: bool, age_ms: u64) -> Reader {
+    Reader {
+        daemon: daemon.into(),
+        holds_lease,
+        age_ms,
+    }
+}
+
+#[test]
+fn daemon_reads_after_silence_and_gives_way_to_a_preferred_reader() {
+    let mut duty = Duty::open("m".into(), 1, NOW);
+    assert!(!duty.is_reader(NOW + Duration::from_millis(2_900)));
+    let later = NOW + Duration::from_millis(5_100);
+    assert!(duty.is_reader(later));
+    duty.hear(&reader("z", false, 0), later);
+    assert!(
+        duty.is_reader(later),
+        "a reader of a higher name gives way itself"
+    );
+    duty.hear(&reader("b", false, 0), later);
+    assert!(!duty.is_reader(later));
+    assert_eq!(duty.reader(later).map(|it| it.daemon), Some("b".into()));
+}
+
+#[test]
+fn holder_of_the_lease_is_preferred_whatever_its_name() {
+    let mut duty = Duty::open("a".into(), 1, NOW);
+    let later = NOW + Duration::from_secs(6);
+    assert!(duty.is_reader(later));
+    duty.hear(&reader("z", true, 0), later);
+    assert!(!duty.is_reader(later));
+    duty.hold_lease(true);
+    assert!(
+        duty.is_reader(later),
+        "negative control: of two holders the lower name reads"
+    );
+}
+
+#[test]
+fn news_that_is_too_old_does_not_keep_a_daemon_from_reading() {
+    let mut duty = Duty::open("m".into(), 1, NOW);
+    let later = NOW + Duration::from_secs(6);
+    duty.hear(&reader("b", false, 4_000), later);
+    assert!(duty.is_reader(later));
+    let mut control = Duty::open("m".into(), 1, NOW);
+    control.hear(&reader("b", false, 1_000), later);
+    assert!(!control.is_reader(later), "negative control");
+}
+
+const SEED: u64 = 9;
+
+struct Machine;
+
+impl ReferenceStateMachine for Machine {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<Step> {
+        step().boxed()
+    }
+
+    fn apply((): (), _transition: &Step) {}
+}
+
+impl StateMachineTest for Machine {
+    type SystemUnderTest = World;
+    type Reference = Self;
+
+    fn init_test(_ref_state: &()) -> World {
+        World::open(Mechanism::All)
+    }
+
+    fn apply(mut state: World, _ref_state: &(), transition: Step) -> World {
+        state.run(&transition);
+        state
+    }
+
+    fn check_invariants(state: &World, _ref_state: &()) {
+        assert_eq!(state.violation(), None);
+    }
+
+    fn teardown(state: World, _ref_state: ()) {
+        assert_eq!(state.settle(), None);
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config { cases: 400, failure_persistence: None, max_shrink_iters: 2_000, rng_seed: RngSeed::Fixed(SEED), ..Config::default() })]
+
+    /// Random applies, reads, write-backs, lost messages, restarts and rollbacks of the platform.
+    #[test]
+    fn daemons_never_revert_and_converge(sequential 1..80 => Machine);
+}
+
+/// Searches with the same steps and checks for a violation.
+fn search(mechanism: Mechanism) -> Result<(), String> {
+    let config = Config {
+        cases: 400,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new(config);
+    let steps = prop::collection::vec(step(), 1..80);
+    let outcome = runner.run(&steps, |steps| {
+        let mut world = World::open(mechanism);
+        for step in &steps {
+            world.run(step);
+            prop_assert_eq!(world.violation(), None);
+        }
+        prop_assert_eq!(world.settle(), None);
+        Ok(())
+    });
+    outcome.map_err(|error| error.to_string())
+}
+
+fn finds(mechanism: Mechanism, expected: Option<&str>) {
+    let outcome = search(mechanism);
+    match expected {
+        None => assert_eq!(outcome, Ok(())),
+        Some(part) => {
+            let error = outcome.expect_err("the check does not find the missing mechanism");
+            assert!(error.contains(part), "{error}");
+        }
+    }
+}
+
+named_cases! { finds:
+    no_violation_with_all_mechanisms(Mechanism::All, None);
+    reverts_without_the_order_of_revisions(Mechanism::NoOrder, Some("reverted"));
+    forgotten_configuration_without_write_back(Mechanism::NoWriteBack, Some("platform holds"));
+    accepted_configuration_replaced_without_asking_peers(Mechanism::NoInquiry, Some("replaced the accepted"));
+    daemons_that_differ_without_peers(Mechanism::NoPeers, Some("differ"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(9), ..ProptestConfig::default() })]
+
+    /// Answers come from other daemons, perhaps of another release; none may end this one.
+    #[test]
+    fn no_answer_makes_the_ledger_panic(
+        revision in 0_u64..6, whole: bool, checksum: Option<u64>,
+        changed in prop::collection::vec("(\\[[a-z]{0,3}\\]?\n)?[ -~\n]{0,12}", 0..3),
+        removed in prop::collection::vec("[a-z]{0,13}", 0..3),
+    ) {
+        let mut ledger = ledger(&[(3, "a")]);
+        let answer = ConfigurationAnswer { revision, whole, changed, removed, checksum };
+        let accepted = ledger.propose(&answer);
+        let is_newer = matches!(accepted, Ok(Proposal::Newer(_)));
+        prop_assert!(!is_newer, "accepted without the right checksum");
+    }
+}
--- /dev/null
+++ b/policy/tests/revision/world.rs
@@ -0,0 +1,294 @@
+//! A few daemons and a platform that step through random faults.
+
+use std::fmt::Write as _;
+
+use proptest::prelude::*;
+use ragwortgrade_policy::revision::{Document, Ledger, Proposal, Verdict};
+
+const DAEMONS: usize = 3;
+const ROUNDS: usize = 8;
+
+/// What is switched off, as a negative control.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mechanism {
+    All,
+    /// Whatever the platform holds is accepted.
+    NoOrder,
+    NoWriteBack,
+    NoPeers,
+    /// A newer document of the platform is accepted without asking peers.
+    NoInquiry,
+}
+
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// An operator changes a section, or removes it, by compare-and-swap.
+    Apply {
+        section: usize,
+        value: Option<u64>,
+    },
+    Snapshot,
+    Rollback,
+    /// A daemon reads the platform and may write back later; its questions to peers may be lost.
+    Read {
+        daemon: usize,
+        is_lost: bool,
+    },
+    WriteBack {
+        daemon: usize,
+    },
+    /// A daemon asks another one; the answer may be lost.
+    Pull {
+        from: usize,
+        to: usize,
+        is_lost: bool,
+    },
+    Restart {
+        daemon: usize,
+    },
+}
+
+pub fn step() -> impl Strategy<Value = Step> {
+    let daemon = 0..DAEMONS;
+    prop_oneof![
+        3 => (0..4_usize, prop::option::weighted(0.8, 0..3_u64))
+            .prop_map(|(section, value)| Step::Apply { section, value }),
+        1 => Just(Step::Snapshot),
+        1 => Just(Step::Rollback),
+        4 => (daemon.clone(), prop::bool::weighted(0.2))
+            .prop_map(|(daemon, is_lost)| Step::Read { daemon, is_lost }),
+        2 => daemon.clone().prop_map(|daemon| Step::WriteBack { daemon }),
+        4 => (daemon.clone(), daemon.clone(), prop::bool::weighted(0.3))
+            .prop_map(|(from, to, is_lost)| Step::Pull { from, to, is_lost }),
+        1 => daemon.prop_map(|daemon| Step::Restart { daemon }),
+    ]
+}
+
+/// Builds a document of sections with one value each.
+pub fn document(revision: u64, apply_id: &str, sections: &[(&str, u64)]) -> Document {
+    let mut text = format!("[configuration]\nrevision = {revision}\napply_id = {apply_id}\n");
+    for (heading, value) in sections {
+        // Writing to a string cannot fail.
+        let _ = write!(text, "[{heading}]\nvalue = {value}\n");
+    }
+    Document::parse(&text).expect("a document")
+}
+
+#[derive(Clone, Debug, Default)]
+struct Store {
+    held: Option<Document>,
+    revision: u64,
+}
+
+#[derive(Debug, Default)]
+struct Daemon {
+    ledger: Ledger,
+    /// Document to write and the platform's revision that it replaces.
+    pending: Option<(Document, u64)>,
+}
+
+#[derive(Debug)]
+pub struct World {
+    mechanism: Mechanism,
+    store: Store,
+    snapshot: Store,
+    daemons: Vec<Daemon>,
+    applies: u64,
+    violation: Option<String>,
+}
+
+impl World {
+    pub fn open(mechanism: Mechanism) -> Self {
+        Self {
+            mechanism,
+            store: Store::default(),
+            snapshot: Store::default(),
+            daemons: (0..DAEMONS).map(|_| Daemon::default()).collect(),
+            applies: 0,
+            violation: None,
+        }
+    }
+
+    pub fn violation(&self) -> Option<&String> {
+        self.violation.as_ref()
+    }
+
+    pub fn run(&mut self, step: &Step) {
+        match *step {
+            Step::Apply { section, value } => self.apply(section, value),
+            Step::Snapshot => self.snapshot = self.store.clone(),
+            Step::Rollback => self.store = self.snapshot.clone(),
+            Step::Read { daemon, is_lost } => self.read(daemon, is_lost),
+            Step::WriteBack { daemon } => self.write_back(daemon),
+            Step::Pull { from, to, is_lost } => {
+                if !is_lost {
+                    self.pull(from, to);
+                }
+            }
+            Step::Restart { daemon } => self.daemons[daemon] = Daemon::default(),
+        }
+    }
+
+    /// Ends all faults and lets the daemons work; returns what is wrong afterwards.
+    pub fn settle(mut self) -> Option<String> {
+        let (newest, candidates) = self.newest();
+        for _ in 0..ROUNDS {
+            self.read(0, false);
+            self.write_back(0);
+            for from in 0..DAEMONS {
+                for to in 0..DAEMONS {
+                    self.pull(from, to);
+                }
+            }
+        }
+        self.check_end(newest, &candidates)
+    }
+
+    /// Returns the highest revision held anywhere and the applies that it may stem from. What only
+    /// the platform holds counts only when no daemon accepted a document of that revision.
+    fn newest(&self) -> (u64, Vec<String>) {
+        let held = self.daemons.iter().filter_map(|it| it.ledger.held());
+        let mut all: Vec<&Document> = held.map(|held| &**held).collect();
+        let newest = all.iter().map(|it| it.revision()).max().unwrap_or(0);
+        let platform = self.store.held.as_ref();
+        all.extend(platform.filter(|it| it.revision() > newest));
+        let newest = all.iter().map(|it| it.revision()).max().unwrap_or(0);
+        all.retain(|it| it.revision() == newest);
+        (
+            newest,
+            all.iter().map(|it| it.apply_id().to_owned()).collect(),
+        )
+    }
+
+    fn check_end(self, newest: u64, candidates: &[String]) -> Option<String> {
+        if self.violation.is_some() {
+            return self.violation;
+        }
+        let held = self.daemons[0].ledger.held().cloned();
+        let revision = held.as_ref().map_or(0, |held| held.revision());
+        if revision < newest {
+            return Some(format!("revision {newest} was reverted to {revision}"));
+        }
+        let apply_id = held.as_ref().map(|held| held.apply_id().to_owned());
+        if apply_id.as_ref().is_some_and(|it| !candidates.contains(it)) {
+            return Some(format!(
+                "{candidates:?} was reverted: {apply_id:?} replaced the accepted one"
+            ));
+        }
+        let platform = &self.store.held;
+        if platform.as_ref() != held.as_deref() {
+            return Some(format!("platform holds {platform:?}, daemon {held:?}"));
+        }
+        let is_odd = |daemon: &&Daemon| daemon.ledger.held() != held.as_ref();
+        let odd = self.daemons.iter().find(is_odd);
+        odd.map(|odd| format!("daemons differ: {:?} and {held:?}", odd.ledger.held()))
+    }
+
+    fn apply(&mut self, section: usize, value: Option<u64>) {
+        let base = self.store.held.as_ref();
+        let text = base.map_or(String::new(), Document::text);
+        let mut sections: Vec<(String, u64)> = Vec::new();
+        for part in text.split("\n[").skip(1) {
+            let (heading, rest) = part.split_once(']').expect("a heading");
+            let value = rest.trim().trim_start_matches("value = ");
+            sections.push((heading.to_owned(), value.parse().expect("a value")));
+        }
+        let heading = format!("s{section}");
+        sections.retain(|(other, _)| *other != heading);
+        if let Some(value) = value {
+            sections.push((heading, value));
+        }
+        let sections: Vec<(&str, u64)> =
+            sections.iter().map(|(it, value)| (&**it, *value)).collect();
+        let revision = base.map_or(0, Document::revision) + 1;
+        self.applies += 1;
+        let apply_id = format!("apply-{}", self.applies);
+        self.write(document(revision, &apply_id, &sections));
+    }
+
+    fn write(&mut self, document: Document) {
+        self.store.held = Some(document);
+        self.store.revision += 1;
+    }
+
+    fn read(&mut self, at: usize, is_lost: bool) {
+        let platform = self.store.held.clone();
+        let daemon = &mut self.daemons[at];
+        if self.mechanism == Mechanism::NoOrder {
+            let before = daemon.ledger.revision();
+            daemon.ledger = Ledger::default();
+            if let Some(platform) = platform {
+                daemon.ledger.accept(platform);
+            }
+            let after = self.daemons[at].ledger.revision();
+            return self.check_order(before, after);
+        }
+        match (daemon.ledger.judge(platform.as_ref()), platform) {
+            (Verdict::WriteBack(newest), _) if self.mechanism != Mechanism::NoWriteBack => {
+                daemon.pending = Some((newest, self.store.revision));
+            }
+            (Verdict::Newer, Some(document)) => {
+                let inquires = !is_lost && self.mechanism != Mechanism::NoInquiry;
+                match self.find_superseding(&document).filter(|_| inquires) {
+                    Some(peer) => self.pull(peer, at),
+                    None => self.accept(at, document),
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn find_superseding(&self, document: &Document) -> Option<usize> {
+        let answers = self
+            .daemons
+            .iter()
+            .map(|it| it.ledger.answer(document.revision()));
+        answers
+            .into_iter()
+            .position(|answer| document.is_superseded(&answer))
+    }
+
+    fn write_back(&mut self, at: usize) {
+        if let Some((document, expect)) = self.daemons[at].pending.take()
+            && self.store.revision == expect
+        {
+            self.write(document);
+        }
+    }
+
+    fn pull(&mut self, from: usize, to: usize) {
+        if self.mechanism == Mechanism::NoPeers {
+            return;
+        }
+        let since = self.daemons[to].ledger.revision();
+        let answer = self.daemons[from].ledger.answer(since);
+        let mut proposal = self.daemons[to].ledger.propose(&answer);
+        if proposal.is_err() {
+            let whole = self.daemons[from].ledger.answer(0);
+            proposal = self.daemons[to].ledger.propose(&whole);
+        }
+        match proposal {
+            Ok(Proposal::Newer(document)) => self.accept(to, *document),
+            Ok(Proposal::Contested) => {
+                self.read(to, false);
+                self.write_back(to);
+            }
+            Ok(Proposal::Nothing) => {}
+            Err(error) => self.violation = Some(format!("whole document refused: {error}")),
+        }
+    }
+
+    fn accept(&mut self, at: usize, document: Document) {
+        let ledger = &mut self.daemons[at].ledger;
+        let before = ledger.revision();
+        ledger.accept(document);
+        let after = ledger.revision();
+        self.check_order(before, after);
+    }
+
+    fn check_order(&mut self, before: u64, after: u64) {
+        if after < before {
+            self.violation = Some(format!("revision {before} was reverted to {after}"));
+        }
+    }
+}
