--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -1,42 +1,58 @@
 //! One daemon, put together from its parts.
 
+mod data_centre;
 mod error;
+mod overview;
 mod switchboard;
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 pub use error::Error;
+use ragwortgrade_policy::Planner;
+use ragwortgrade_policy::authority::Terms;
 use ragwortgrade_policy::membership::Roster;
 use ragwortgrade_schema::peer::{Identity, Member, MemberState};
 use ragwortgrade_schema::settings::Settings;
 
+use crate::admin::{Admin, Guard};
 use crate::claims::Claims;
+use crate::control::Control;
 use crate::endpoint::{HttpEngine, HttpPlain};
 use crate::front::{Front, Streams};
 use crate::gossip::Gossiper;
-use crate::membership::{Lister, Observer, Table};
+use crate::membership::{CacheReader, Lister, Observer, Table};
 use crate::node::{Interfaces, Node};
 use crate::peer::{Keyring, Network};
-use crate::platform::{HttpKeyValue, HttpVmList};
+use crate::platform::{HttpKeyValue, HttpVmList, VmList};
 use crate::trial::Trials;
 use crate::worker::Worker;
+use data_centre::DataCentre;
+use overview::Overview;
 use switchboard::Switchboard;
 
 /// Bits of the incarnation below the start time, filled at random: two processes started in the
 /// same second are told apart.
 const INCARNATION_RANDOM_BITS: u32 = 32;
+/// An order under way takes at most 5 s.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(6);
+/// An engine that changed its role keeps it at least this long.
+const ROLE_CHANGE_PAUSE: Duration = Duration::from_secs(30);
 
 /// A running daemon; dropping it stops its threads without waiting for requests.
 pub struct Daemon {
     front: Front,
     network: Arc<Network>,
     // Workers stop when dropped, before the parts that they use.
+    control: Control,
+    _admin: Admin,
     _gossip: Worker,
     _observer: Observer,
     _lister: Lister,
+    _cache_reader: CacheReader,
 }
 
 impl fmt::Debug for Daemon {
@@ -49,13 +65,17 @@
 }
 
 impl Daemon {
-    /// Spawns a daemon with checked settings.
+    /// Spawns a daemon with checked settings; `on_drain` is called when an operator asks for the
+    /// daemon's drain.
     ///
     /// # Errors
     ///
     /// Fails when an address cannot be bound, a thread cannot be started, or no random numbers
     /// can be had.
-    pub fn spawn(settings: Settings) -> Result<Self, Error> {
+    pub fn spawn(
+        settings: Settings,
+        on_drain: impl Fn() + Send + Sync + 'static,
+    ) -> Result<Self, Error> {
         let incarnation = incarnation()?;
         let keyring = Keyring::open(&settings.keys).ok_or(Error::Keys)?;
         let roster = Arc::new(Mutex::new(Roster::open(
@@ -70,7 +90,7 @@
             Arc::clone(&roster),
         )?;
         let network = Arc::new(network);
-        let vm_list = HttpVmList::open(&settings.platform.vm_list);
+        let vm_list: Arc<dyn VmList> = Arc::new(HttpVmList::open(&settings.platform.vm_list));
         let interfaces = Interfaces {
             key_value: Arc::new(HttpKeyValue::open(&settings.platform.key_value)),
             engines: Arc::new(HttpEngine::open()),
@@ -90,18 +110,43 @@
             Arc::clone(&trials),
         ));
         network.serve(Arc::<Switchboard>::clone(&switchboard))?;
-        let lister = Lister::spawn(Arc::clone(&node), Arc::clone(&table), Box::new(vm_list))?;
+        let lister = Lister::spawn(Arc::clone(&node), Arc::clone(&table), Arc::clone(&vm_list))?;
+        let cache_reader = CacheReader::spawn(Arc::clone(&node))?;
         let gossip = Gossiper::spawn(Arc::clone(switchboard.gossiper()))?;
-        let observer = Observer::spawn(Arc::clone(&node), table)?;
+        let observer = Observer::spawn(Arc::clone(&node), Arc::clone(&table))?;
         let peers = Arc::<Network>::clone(&network);
-        let front = Front::bind(node, peers, streams, trials)?;
+        let site = DataCentre::open(Arc::clone(&node), Arc::clone(&table), vm_list);
+        let control = Control::spawn(
+            Arc::clone(&node),
+            Arc::<Network>::clone(&network),
+            Arc::new(site),
+            Box::new(Planner::open(ROLE_CHANGE_PAUSE)),
+            Terms::default(),
+        )?;
+        let front = Front::bind(Arc::clone(&node), peers, streams, trials)?;
+        let overview = Overview {
+            node: Arc::clone(&node),
+            table,
+            front: Arc::clone(front.context()),
+            on_drain: Box::new(on_drain),
+            is_drain_asked: AtomicBool::new(false),
+        };
+        let guard = Guard::open(&node.settings.keys);
+        let admin = Admin::bind(
+            &node.settings.daemon.admin_address,
+            guard,
+            Arc::new(overview),
+        )?;
         log::info!(callers:% = front.address(), peers:% = network.address(); "daemon started");
         Ok(Self {
             front,
             network,
+            control,
+            _admin: admin,
             _gossip: gossip,
             _observer: observer,
             _lister: lister,
+            _cache_reader: cache_reader,
         })
     }
 
@@ -117,6 +162,9 @@
     pub fn drain(mut self) -> bool {
         log::info!("daemon drains");
         let is_complete = self.front.drain();
+        if !self.control.release(RELEASE_TIMEOUT) {
+            log::warn!("the control lease was not released; it lapses by itself");
+        }
         self.front.stop();
         log::info!(is_complete; "daemon drained");
         is_complete
--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -104,22 +104,33 @@
 
     fn run(&self, round: u64) {
         self.table.tick();
-        let targets = self.table.roster().targets();
+        let targets = self.table.targets();
         // Side by side, so that daemons that hang do not delay the news to the others.
         thread::scope(|scope| {
             for target in &targets {
-                scope.spawn(|| self.contact(target));
+                scope.spawn(|| self.contact(target, round));
             }
         });
         if targets.is_empty() || round.is_multiple_of(SEED_PERIOD) {
             self.contact_seeds();
         }
         self.ask_descriptions();
+        self.report();
     }
 
-    fn contact(&self, target: &Target) {
+    fn report(&self) {
+        let live = self.table.roster().live().len();
+        self.node.metrics.gauge("peer.bytes", self.network.bytes());
+        self.node.metrics.gauge("peer.live", live as u64);
+        self.node
+            .metrics
+            .gauge("endpoints", self.node.directory.all().len() as u64);
+        self.node.metrics.flush();
+    }
+
+    fn contact(&self, target: &Target, round: u64) {
         let mut message = self.message();
-        self.table.fill(&mut message, target.is_remote);
+        self.table.fill(&mut message, round, target.is_remote);
         let answer = self.network.exchange(&target.address, message);
         let now = self.node.clock.now();
         self.table.roster().probed(&target.id, answer.is_ok(), now);
@@ -148,6 +159,7 @@
             sender: self.identity(),
             configuration: 0,
             members: Vec::new(),
+            demand: Vec::new(),
             digests: Vec::new(),
             departures: Vec::new(),
             endpoints: Vec::new(),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod claims;
 mod clock;
 pub mod configuration;
+pub mod control;
 pub mod daemon;
 pub mod endpoint;
 pub mod front;
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -7,21 +7,30 @@
 
 /// Authority over the engines of a data centre.
 pub mod authority;
+mod cost_model;
 /// What routing decides about a request.
 pub mod decision;
+mod demand_meter;
 /// What routing takes into account.
 pub mod event;
 /// What the planner takes into account.
 pub mod fleet;
 mod instant;
+pub mod limit;
 pub mod membership;
+mod output_estimate;
 /// Roles and placement of the engines of a data centre.
 pub mod planner;
+mod prefix_index;
+mod rate;
 pub mod rendezvous;
 mod request;
 pub mod revision;
+pub mod retry;
 mod router;
+pub mod suspect;
 
+pub use cost_model::CostModel;
 pub use fleet::Fleet;
 pub use instant::Instant;
 pub use planner::Planner;
