--- a/lib/tests/configuration.rs
+++ b/lib/tests/configuration.rs
@@ -260,6 +260,7 @@
         sender: identity(&sender.into()),
         configuration: 0,
         members: vec![],
+        demand: vec![],
         digests: vec![],
         departures: vec![],
         endpoints: vec![],
