daemon: hold the configuration in force and serve the whole path

Cause: the daemon had no configuration, so every request was refused. Change: the keeper of the configuration is part of the daemon, answers peers, takes part in gossip and learns who holds the control lease. Ruled out: a configuration file beside the settings (two truths).

--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -20,6 +20,7 @@
 
 use crate::admin::{Admin, Guard};
 use crate::claims::Claims;
+use crate::configuration::{Keeper, KeeperThreads};
 use crate::control::Control;
 use crate::endpoint::{HttpEngine, HttpPlain};
 use crate::front::{Front, Streams};
@@ -39,6 +40,7 @@
 const INCARNATION_RANDOM_BITS: u32 = 32;
 /// An order under way takes at most 5 s.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(6);
+const DUTIES_PERIOD: Duration = Duration::from_secs(1);
 /// An engine that changed its role keeps it at least this long.
 const ROLE_CHANGE_PAUSE: Duration = Duration::from_secs(30);
 
@@ -47,11 +49,13 @@
     front: Front,
     network: Arc<Network>,
     // Workers stop when dropped, before the parts that they use.
-    control: Control,
+    control: Arc<Control>,
+    _duties: Worker,
     _admin: Admin,
     _gossip: Worker,
     _observer: Observer,
     _lister: Lister,
+    _keeper: KeeperThreads,
     _cache_reader: CacheReader,
 }
 
@@ -101,6 +105,7 @@
         let claims = Claims::open(Arc::clone(&node));
         let streams = Arc::new(Streams::default());
         let trials = Arc::new(Trials::default());
+        let keeper = Keeper::open(Arc::clone(&node), Arc::<Network>::clone(&network));
         let switchboard = Arc::new(Switchboard::open(
             Arc::clone(&node),
             Arc::clone(&table),
@@ -108,26 +113,30 @@
             claims,
             Arc::clone(&streams),
             Arc::clone(&trials),
+            Arc::clone(&keeper),
         ));
         network.serve(Arc::<Switchboard>::clone(&switchboard))?;
         let lister = Lister::spawn(Arc::clone(&node), Arc::clone(&table), Arc::clone(&vm_list))?;
+        let keeper_threads = Keeper::spawn(&keeper)?;
         let cache_reader = CacheReader::spawn(Arc::clone(&node))?;
         let gossip = Gossiper::spawn(Arc::clone(switchboard.gossiper()))?;
         let observer = Observer::spawn(Arc::clone(&node), Arc::clone(&table))?;
         let peers = Arc::<Network>::clone(&network);
         let site = DataCentre::open(Arc::clone(&node), Arc::clone(&table), vm_list);
-        let control = Control::spawn(
+        let control = Arc::new(Control::spawn(
             Arc::clone(&node),
             Arc::<Network>::clone(&network),
             Arc::new(site),
             Box::new(Planner::open(ROLE_CHANGE_PAUSE)),
             Terms::default(),
-        )?;
+        )?);
+        let duties = spawn_duties(&keeper, &control)?;
         let front = Front::bind(Arc::clone(&node), peers, streams, trials)?;
         let overview = Overview {
             node: Arc::clone(&node),
             table,
             front: Arc::clone(front.context()),
+            keeper,
             on_drain: Box::new(on_drain),
             is_drain_asked: AtomicBool::new(false),
         };
@@ -142,10 +151,12 @@
             front,
             network,
             control,
+            _duties: duties,
             _admin: admin,
             _gossip: gossip,
             _observer: observer,
             _lister: lister,
+            _keeper: keeper_threads,
             _cache_reader: cache_reader,
         })
     }
@@ -171,6 +182,15 @@
     }
 }
 
+/// Tells the keeper of the configuration whether this daemon holds the control lease.
+fn spawn_duties(keeper: &Arc<Keeper>, control: &Arc<Control>) -> std::io::Result<Worker> {
+    let (keeper, control) = (Arc::clone(keeper), Arc::clone(control));
+    Worker::spawn("duties", move || {
+        keeper.hold_lease(control.is_holder());
+        DUTIES_PERIOD
+    })
+}
+
 fn own_member(settings: &Settings, incarnation: u64) -> Member {
     let daemon = &settings.daemon;
     Member {
--- a/lib/src/daemon/overview.rs
+++ b/lib/src/daemon/overview.rs
@@ -2,10 +2,11 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use ragwortgrade_schema::admin::{EndpointStatus, InForce, Instance, MemberStatus, Status};
+use ragwortgrade_schema::admin::{EndpointStatus, Instance, MemberStatus, Status};
 
 use crate::Node;
 use crate::admin::Source;
+use crate::configuration::Keeper;
 use crate::front::Context;
 use crate::membership::Table;
 
@@ -14,6 +15,7 @@
     pub(super) node: Arc<Node>,
     pub(super) table: Arc<Table>,
     pub(super) front: Arc<Context>,
+    pub(super) keeper: Arc<Keeper>,
     pub(super) on_drain: Box<dyn Fn() + Send + Sync>,
     pub(super) is_drain_asked: AtomicBool,
 }
@@ -38,25 +40,6 @@
         }
     }
 
-    fn in_force(&self) -> InForce {
-        let configuration = self.node.configuration.load();
-        let header = configuration
-            .as_ref()
-            .map(|configuration| &configuration.header);
-        InForce {
-            revision: header.map_or(0, |header| header.revision),
-            apply_id: header
-                .map(|header| header.apply_id.clone())
-                .unwrap_or_default(),
-            author: header
-                .map(|header| header.author.clone())
-                .unwrap_or_default(),
-            platform_reachable: None,
-            reader: None,
-            rejected: None,
-        }
-    }
-
     fn members(&self) -> Vec<MemberStatus> {
         let live = self.table.roster().live();
         let status = |member: ragwortgrade_schema::peer::Member| MemberStatus {
@@ -84,7 +67,7 @@
 impl Source for Overview {
     fn status(&self) -> Status {
         Status {
-            configuration: self.in_force(),
+            configuration: self.keeper.in_force(),
             daemon: self.instance(),
             endpoints: self.endpoints(),
             members: self.members(),
--- a/lib/src/daemon/switchboard.rs
+++ b/lib/src/daemon/switchboard.rs
@@ -7,8 +7,9 @@
 
 use crate::Node;
 use crate::claims::Claims;
+use crate::configuration::Keeper;
 use crate::front::Streams;
-use crate::gossip::{Gossiper, Hooks};
+use crate::gossip::Gossiper;
 use crate::membership::Table;
 use crate::peer::{Handler, Network};
 use crate::trial::Trials;
@@ -20,6 +21,7 @@
     claims: Arc<Claims>,
     streams: Arc<Streams>,
     trials: Arc<Trials>,
+    keeper: Arc<Keeper>,
 }
 
 impl Switchboard {
@@ -30,14 +32,16 @@
         claims: Arc<Claims>,
         streams: Arc<Streams>,
         trials: Arc<Trials>,
+        keeper: Arc<Keeper>,
     ) -> Self {
-        let hooks = Arc::new(NoHooks);
+        let hooks = Arc::<Keeper>::clone(&keeper);
         let gossiper = Gossiper::open(node, table, network, Arc::clone(&trials), hooks);
         Self {
             gossiper: Arc::new(gossiper),
             claims,
             streams,
             trials,
+            keeper,
         }
     }
 
@@ -72,21 +76,6 @@
     }
 
     fn configuration(&self, since: u64) -> ConfigurationAnswer {
-        ConfigurationAnswer {
-            revision: since,
-            whole: false,
-            changed: Vec::new(),
-            removed: Vec::new(),
-            checksum: None,
-        }
+        self.keeper.answer(since)
     }
 }
-
-#[derive(Debug)]
-struct NoHooks;
-
-impl Hooks for NoHooks {
-    fn complete(&self, _gossip: &mut Gossip) {}
-
-    fn learn(&self, _received: &Gossip) {}
-}
