policy: check the readers of a data centre of full size

Cause: the reader is known by gossip alone, so several daemons can read at once. Change: a test with the duties of 50 daemons that exchange gossip with two others a second, and with the reader taken away.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -25,8 +25,8 @@
 mod rate;
 pub mod rendezvous;
 mod request;
-pub mod revision;
 pub mod retry;
+pub mod revision;
 mod router;
 pub mod suspect;
 
--- a/policy/tests/revision.rs
+++ b/policy/tests/revision.rs
@@ -12,6 +12,8 @@
 use ragwortgrade_policy::revision::{Document, Duty, Error, Ledger, Proposal, Verdict};
 use ragwortgrade_schema::peer::{ConfigurationAnswer, Reader};
 use ragwortgrade_testutil::named_cases;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng as _;
 use world::{Mechanism, Step, World, document, step};
 
 fn ledger(revisions: &[(u64, &str)]) -> Ledger {
@@ -336,3 +338,59 @@
         prop_assert!(!is_newer, "accepted without the right checksum");
     }
 }
+
+/// Runs the duties of one data centre, each exchanging gossip with two others a second, and
+/// returns the number of readers at the end of each second.
+fn readers(duties: &mut [Duty], seconds: std::ops::Range<u64>, are_talking: bool) -> Vec<usize> {
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    let mut counts = Vec::new();
+    for second in seconds {
+        let now = NOW + Duration::from_secs(second);
+        for at in 0..duties.len() * 2 {
+            let (one, other) = (at / 2, random.random_range(0..duties.len()));
+            let news = [duties[one].reader(now), duties[other].reader(now)];
+            let [from_one, from_other] = news.map(|news| news.filter(|_| are_talking));
+            if let Some(news) = from_one {
+                duties[other].hear(&news, now);
+            }
+            if let Some(news) = from_other {
+                duties[one].hear(&news, now);
+            }
+        }
+        counts.push(
+            duties
+                .iter_mut()
+                .filter_map(|duty| duty.is_reader(now).then_some(()))
+                .count(),
+        );
+    }
+    counts
+}
+
+#[test]
+fn data_centre_of_full_size_has_a_reader_and_few_of_them() {
+    let open = |n: u64| Duty::open(format!("entry-{n:02}").as_str().into(), n, NOW);
+    let mut duties: Vec<Duty> = (0..50).map(open).collect();
+    let counts = readers(&mut duties, 0..60, true);
+    let settled = &counts[10..];
+    assert!(
+        settled.iter().all(|count| (1..=3).contains(count)),
+        "{counts:?}"
+    );
+    let first = duties
+        .iter_mut()
+        .position(|duty| duty.is_reader(NOW + Duration::from_secs(59)));
+    duties.remove(first.expect("a reader"));
+    let counts = readers(&mut duties, 60..90, true);
+    assert!(
+        counts[8..].iter().all(|count| (1..=3).contains(count)),
+        "{counts:?}"
+    );
+    let mut apart: Vec<Duty> = (0..50).map(open).collect();
+    let control = readers(&mut apart, 0..60, false);
+    assert_eq!(
+        control.last(),
+        Some(&50),
+        "negative control: without gossip all of them read"
+    );
+}
