cli: run the configuration's path with real daemons

Cause: the parts were tested apart; nothing showed that real daemons take a change, keep it through an outage and repair the platform. Change: a process test with three data centres on loopback: apply, an outage with a daemon that starts in it, a store that goes back, two racing operators, and a drain.

--- /dev/null
+++ b/cli/tests/ctl_daemons.rs
@@ -0,0 +1,233 @@
+//! Guards against a configuration that does not reach real daemons, is lost in an outage of the
+//! platform, reverts when the platform comes back with older data, or is overwritten by the slower
+//! of two operators.
+
+use std::fs;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ragwortgrade_standins::{Fault, KeyValue, KeyValueSettings, VmList, VmListSettings};
+use serde_json::Value;
+
+/// Far above the 11 s within which a change is in force; never reached when all is well.
+const DEADLINE: Duration = Duration::from_mins(2);
+const POLL: Duration = Duration::from_millis(100);
+const SECRET: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+fn text(weight: u64) -> String {
+    format!("[configuration]\nauthor = maria\n[policy]\nrole_change_weight = {weight}\n")
+}
+
+/// A port that the system chose and that is free again.
+fn address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address").to_string()
+}
+
+struct Daemon {
+    child: Child,
+    peers: String,
+    admin: String,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+struct Site {
+    directory: tempfile::TempDir,
+    key_value: KeyValue,
+    vm_list: VmList,
+}
+
+impl Site {
+    fn open() -> Self {
+        Self {
+            directory: tempfile::tempdir().expect("a directory"),
+            key_value: KeyValue::bind(&KeyValueSettings::default()).expect("a platform"),
+            vm_list: VmList::bind(VmListSettings::default()).expect("a list"),
+        }
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.directory.path().join(name)
+    }
+
+    fn start(&self, id: &str, data_centre: &str, seeds: &[&Daemon]) -> Daemon {
+        let (peers, admin) = (address(), address());
+        let seeds: Vec<&str> = seeds.iter().map(|daemon| daemon.peers.as_str()).collect();
+        let settings = format!(
+            "[daemon]\nid = {id}\ndata_centre = {data_centre}\nregion = r\n\
+             callers_address = 127.0.0.1:0\npeers_address = {peers}\nadmin_address = {admin}\n\
+             [platform]\nkey_value = http://{}\nvm_list = http://{}\n[peers]\nseeds = {}\n\
+             [keys]\npeer.k = {SECRET}\npeer_active = k\noperator.maria = {SECRET}\n\
+             [observe]\nlog_file = {}\n",
+            self.key_value.address(),
+            self.vm_list.address(),
+            seeds.join(","),
+            self.path(&format!("{id}.log")).display(),
+        );
+        let path = self.path(&format!("{id}.ini"));
+        fs::write(&path, settings).expect("settings");
+        let child = Command::new(env!("CARGO_BIN_EXE_ragwortgrade"))
+            .arg("--settings")
+            .arg(&path)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        let daemon = Daemon {
+            child,
+            peers,
+            admin,
+        };
+        wait_for("the daemon to answer", || status(&daemon).is_some());
+        daemon
+    }
+
+    fn apply(&self, weight: u64, more: &[&str], daemons: &[&Daemon]) -> Child {
+        let file = self.path(&format!("fleet-{weight}.ini"));
+        fs::write(&file, text(weight)).expect("a file");
+        let mut command = ctl();
+        command
+            .arg("apply")
+            .arg(&file)
+            .args(["--json", "--timeout", "110"])
+            .args(more);
+        command
+            .arg("--platform")
+            .arg(format!("http://{}", self.key_value.address()));
+        for daemon in daemons {
+            command.args(["--admin", &daemon.admin]);
+        }
+        command
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts")
+    }
+}
+
+fn ctl() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ragwortctl"));
+    command.env("RAGWORTCTL_KEY", format!("maria:{SECRET}"));
+    command
+}
+
+fn exit_code(child: Child) -> Option<i32> {
+    child.wait_with_output().expect("an end").status.code()
+}
+
+fn status(daemon: &Daemon) -> Option<Value> {
+    let output = ctl()
+        .args(["status", "--json", "--admin", &daemon.admin])
+        .output()
+        .ok()?;
+    let value: Value = serde_json::from_slice(&output.stdout).ok()?;
+    value["daemons"][0]["status"]["configuration"]
+        .is_object()
+        .then(|| value["daemons"][0]["status"].clone())
+}
+
+fn revision(daemon: &Daemon) -> Option<u64> {
+    status(daemon)?["configuration"]["revision"].as_u64()
+}
+
+fn wait_for(what: &str, condition: impl Fn() -> bool) {
+    let end = Instant::now() + DEADLINE;
+    while !condition() {
+        assert!(Instant::now() < end, "waited in vain for {what}");
+        thread::sleep(POLL);
+    }
+}
+
+fn log_contains(path: &Path, part: &str) -> bool {
+    fs::read_to_string(path).is_ok_and(|log| log.contains(part))
+}
+
+#[test]
+fn real_daemons_take_keep_and_repair_the_configuration() {
+    let site = Site::open();
+    let first = site.start("entry-1", "a", &[]);
+    let second = site.start("entry-2", "b", &[&first]);
+    let third = site.start("entry-3", "a", &[&first]);
+    let started = Instant::now();
+    let all = [&first, &second, &third];
+    assert_eq!(exit_code(site.apply(1, &[], &all)), Some(0));
+    println!(
+        "first revision in force at three daemons after {:?}",
+        started.elapsed()
+    );
+    let started = Instant::now();
+    assert_eq!(exit_code(site.apply(2, &[], &all)), Some(0));
+    println!(
+        "second revision in force at three daemons after {:?}",
+        started.elapsed()
+    );
+
+    site.key_value.set_fault(Fault::Outage);
+    drop(third);
+    let fresh = site.start("entry-4", "b", &[&first, &second]);
+    wait_for("a daemon that started in the outage", || {
+        revision(&fresh) == Some(2)
+    });
+    let alone = site.start("entry-5", "c", &[]);
+    assert_eq!(
+        revision(&alone),
+        Some(0),
+        "negative control: without peers nothing is known"
+    );
+    drop(alone);
+
+    // The store goes back to its state at the start, which is empty.
+    site.key_value.set_fault(Fault::Rollback);
+    site.key_value.set_fault(Fault::None);
+    wait_for("the write-back", || {
+        site.key_value.value("configuration").is_some()
+    });
+    let stored = site.key_value.value("configuration").unwrap_or_default();
+    assert!(stored.contains("revision = 2\n"), "{stored}");
+    for daemon in [&first, &second, &fresh] {
+        assert_eq!(revision(daemon), Some(2), "the configuration was reverted");
+    }
+
+    let races = [3, 4].map(|weight| site.apply(weight, &["--base", "2"], &[&first]));
+    let mut codes = races.map(exit_code);
+    codes.sort_unstable();
+    assert_eq!(
+        codes,
+        [Some(0), Some(4)],
+        "of two racing operators one succeeds"
+    );
+    wait_for("the change everywhere", || {
+        [&first, &second, &fresh]
+            .into_iter()
+            .all(|daemon| revision(daemon) == Some(3))
+    });
+}
+
+#[test]
+fn drained_daemon_ends_well_and_its_log_tells_who_asked() {
+    let site = Site::open();
+    let mut daemon = site.start("entry-1", "a", &[]);
+    let drained = ctl()
+        .args(["drain", "--admin", &daemon.admin])
+        .output()
+        .expect("an end");
+    assert_eq!(
+        drained.status.code(),
+        Some(0),
+        "{}",
+        String::from_utf8_lossy(&drained.stderr)
+    );
+    assert_eq!(daemon.child.wait().expect("an end").code(), Some(0));
+    let log = site.path("entry-1.log");
+    assert!(log_contains(&log, "operator drains the daemon"));
+    assert!(log_contains(&log, "\"operator\":\"maria\""));
+    assert!(!log_contains(&log, SECRET), "a secret is in the log");
+}
