--- a/policy/tests/authority/main.rs
+++ b/policy/tests/authority/main.rs
@@ -1,7 +1,9 @@
 //! Authority over engines under random faults, judged by the engines' order logs.
 
+mod engine;
 mod machine;
 mod parts;
+mod platform;
 mod simulation;
 
 use machine::{Deployment, Happening, Happenings, replay};
--- a/policy/tests/authority/parts.rs
+++ b/policy/tests/authority/parts.rs
@@ -13,7 +13,7 @@
 use ragwortgrade_schema::engine::{Load, Role};
 use ragwortgrade_testutil::named_cases;
 
-use super::simulation::want;
+use super::engine::want;
 
 fn at(monotonic_ms: u64, unix_ms: u64) -> Moment {
     Moment {
--- a/policy/tests/authority/simulation.rs
+++ b/policy/tests/authority/simulation.rs
@@ -5,13 +5,14 @@
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::authority::{
-    Answer, Call, Conclusion, Evidence, Holder, Lease, Lock, Moment, Orders, Sent, Step, Takeover,
-    Tenure, Terms,
+    Conclusion, Evidence, Holder, Lease, Lock, Moment, Orders, Sent, Step, Takeover, Tenure, Terms,
 };
 use ragwortgrade_policy::planner::Change;
 use ragwortgrade_schema::Name;
 use ragwortgrade_schema::configuration::Fencing;
-use ragwortgrade_schema::engine::{Load, Order, Role, Version, Want};
+use ragwortgrade_schema::engine::{Load, Order, Role};
+
+use super::engine::{Engine, want};
 
 pub const DAEMONS: usize = 3;
 pub const ENGINES: usize = 2;
@@ -45,15 +46,6 @@
     ends_ms: u64,
 }
 
-pub struct Engine {
-    pub name: Name,
-    pub fencing: Fencing,
-    incarnation: u64,
-    highest: u64,
-    last: Option<Order>,
-    role: Role,
-}
-
 pub struct Daemon {
     pub holder: Holder,
     pub is_up: bool,
@@ -81,10 +73,10 @@
     without: Without,
     declared: Vec<Holder>,
     network: Vec<InFlight>,
-    lock: Option<(Lock, u64)>,
-    tenure: Option<(Tenure, u64)>,
-    leases: Vec<u64>,
-    revision: u64,
+    pub lock: Option<(Lock, u64)>,
+    pub tenure: Option<(Tenure, u64)>,
+    pub leases: Vec<u64>,
+    pub revision: u64,
 }
 
 impl Simulation {
@@ -383,98 +375,12 @@
         engine.last = Some(order);
     }
 
-    fn answer(&mut self, call: &Call) -> Answer {
-        if *call == Call::Survey {
-            let tokens = self.engines.iter().map(|engine| engine.highest);
-            return Answer::Surveyed(tokens.max().unwrap_or(0));
-        }
-        if self.is_platform_down {
-            return Answer::Failed;
-        }
-        let answer = self.perform(call);
-        if self.lose_answers > 0 {
-            self.lose_answers -= 1;
-            return Answer::Lost;
-        }
-        answer
-    }
-
-    fn perform(&mut self, call: &Call) -> Answer {
-        let ends_ms = self.now_ms + Terms::default().ttl.as_millis() as u64;
-        let is_live = |lease: u64| self.leases[lease as usize - 1] > self.now_ms;
-        match call {
-            Call::ReadLock => Answer::Lock(self.lock.clone()),
-            Call::ReadTenure => Answer::Tenure(self.tenure.clone()),
-            Call::Survey => Answer::Failed,
-            Call::Grant => {
-                self.leases.push(ends_ms);
-                Answer::Granted(self.leases.len() as u64)
-            }
-            Call::Lock(lock) if self.lock.is_none() && is_live(lock.lease) => {
-                self.revision += 1;
-                self.lock = Some((lock.clone(), self.revision));
-                Answer::Written(self.revision)
-            }
-            Call::Record { expect, tenure } if *expect == self.tenure_revision() => {
-                self.revision += 1;
-                self.tenure = Some((tenure.clone(), self.revision));
-                Answer::Written(self.revision)
-            }
-            Call::Lock(_) | Call::Record { .. } => Answer::Conflict,
-            Call::KeepAlive(lease) if is_live(*lease) => {
-                self.leases[*lease as usize - 1] = ends_ms;
-                Answer::Done
-            }
-            Call::KeepAlive(_) => Answer::Ended,
-            Call::Revoke(lease) => {
-                self.leases[*lease as usize - 1] = 0;
-                self.lapse();
-                Answer::Done
-            }
-        }
-    }
-
-    fn tenure_revision(&self) -> u64 {
-        self.tenure.as_ref().map_or(0, |(_, revision)| *revision)
-    }
-
-    fn lapse(&mut self) {
-        let (leases, now_ms) = (&self.leases, self.now_ms);
-        self.lock
-            .take_if(|(lock, _)| leases[lock.lease as usize - 1] <= now_ms);
-    }
-
     fn engine_named(&self, name: &Name) -> usize {
         let found = self.engines.iter().position(|engine| engine.name == *name);
         found.expect("engine exists")
     }
 }
 
-impl Engine {
-    fn load(&self) -> Load {
-        let want = want(self.role);
-        Load {
-            engine: self.name.clone(),
-            incarnation: self.incarnation,
-            at_ms: 0,
-            role: self.role,
-            sequences: 0,
-            queued_prefill_tokens: 0,
-            kv_tokens: 0,
-            draining: false,
-            changing: false,
-            last_fence: self.highest,
-            last_order: self
-                .last
-                .as_ref()
-                .map(|order| order.order.clone())
-                .unwrap_or_default(),
-            models: want.models,
-            adapters: want.adapters,
-        }
-    }
-}
-
 fn daemon(index: usize, incarnation: u64) -> Daemon {
     let holder = Holder {
         daemon: Name::from(format!("d{index}")),
@@ -496,14 +402,3 @@
         outbox: None,
     }
 }
-
-pub fn want(role: Role) -> Want {
-    Want {
-        role,
-        models: vec![Version {
-            name: Name::from("weave"),
-            version: Name::from("1"),
-        }],
-        adapters: Vec::new(),
-    }
-}
