--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -1,5 +1,6 @@
 //! One daemon, put together from its parts.
 
+mod data_centre;
 mod error;
 mod overview;
 mod switchboard;
@@ -8,40 +9,53 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 pub use error::Error;
+use ragwortgrade_policy::Planner;
+use ragwortgrade_policy::authority::Terms;
 use ragwortgrade_policy::membership::Roster;
 use ragwortgrade_schema::peer::{Identity, Member, MemberState};
 use ragwortgrade_schema::settings::Settings;
 
 use crate::admin::{Admin, Guard};
 use crate::claims::Claims;
+use crate::configuration::{Keeper, KeeperThreads};
+use crate::control::Control;
 use crate::endpoint::{HttpEngine, HttpPlain};
 use crate::front::{Front, Streams};
 use crate::gossip::Gossiper;
 use crate::membership::{CacheReader, Lister, Observer, Table};
 use crate::node::{Interfaces, Node};
 use crate::peer::{Keyring, Network};
-use crate::platform::{HttpKeyValue, HttpVmList};
+use crate::platform::{HttpKeyValue, HttpVmList, VmList};
 use crate::trial::Trials;
 use crate::worker::Worker;
+use data_centre::DataCentre;
 use overview::Overview;
 use switchboard::Switchboard;
 
 /// Bits of the incarnation below the start time, filled at random: two processes started in the
 /// same second are told apart.
 const INCARNATION_RANDOM_BITS: u32 = 32;
+/// An order under way takes at most 5 s.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(6);
+const DUTIES_PERIOD: Duration = Duration::from_secs(1);
+/// An engine that changed its role keeps it at least this long.
+const ROLE_CHANGE_PAUSE: Duration = Duration::from_secs(30);
 
 /// A running daemon; dropping it stops its threads without waiting for requests.
 pub struct Daemon {
     front: Front,
     network: Arc<Network>,
     // Workers stop when dropped, before the parts that they use.
+    control: Arc<Control>,
+    _duties: Worker,
     _admin: Admin,
     _gossip: Worker,
     _observer: Observer,
     _lister: Lister,
+    _keeper: KeeperThreads,
     _cache_reader: CacheReader,
 }
 
@@ -80,7 +94,7 @@
             Arc::clone(&roster),
         )?;
         let network = Arc::new(network);
-        let vm_list = HttpVmList::open(&settings.platform.vm_list);
+        let vm_list: Arc<dyn VmList> = Arc::new(HttpVmList::open(&settings.platform.vm_list));
         let interfaces = Interfaces {
             key_value: Arc::new(HttpKeyValue::open(&settings.platform.key_value)),
             engines: Arc::new(HttpEngine::open()),
@@ -91,6 +105,7 @@
         let claims = Claims::open(Arc::clone(&node));
         let streams = Arc::new(Streams::default());
         let trials = Arc::new(Trials::default());
+        let keeper = Keeper::open(Arc::clone(&node), Arc::<Network>::clone(&network));
         let switchboard = Arc::new(Switchboard::open(
             Arc::clone(&node),
             Arc::clone(&table),
@@ -98,18 +113,30 @@
             claims,
             Arc::clone(&streams),
             Arc::clone(&trials),
+            Arc::clone(&keeper),
         ));
         network.serve(Arc::<Switchboard>::clone(&switchboard))?;
-        let lister = Lister::spawn(Arc::clone(&node), Arc::clone(&table), Box::new(vm_list))?;
+        let lister = Lister::spawn(Arc::clone(&node), Arc::clone(&table), Arc::clone(&vm_list))?;
+        let keeper_threads = Keeper::spawn(&keeper)?;
         let cache_reader = CacheReader::spawn(Arc::clone(&node))?;
         let gossip = Gossiper::spawn(Arc::clone(switchboard.gossiper()))?;
         let observer = Observer::spawn(Arc::clone(&node), Arc::clone(&table))?;
         let peers = Arc::<Network>::clone(&network);
+        let site = DataCentre::open(Arc::clone(&node), Arc::clone(&table), vm_list);
+        let control = Arc::new(Control::spawn(
+            Arc::clone(&node),
+            Arc::<Network>::clone(&network),
+            Arc::new(site),
+            Box::new(Planner::open(ROLE_CHANGE_PAUSE)),
+            Terms::default(),
+        )?);
+        let duties = spawn_duties(&keeper, &control)?;
         let front = Front::bind(Arc::clone(&node), peers, streams, trials)?;
         let overview = Overview {
             node: Arc::clone(&node),
             table,
             front: Arc::clone(front.context()),
+            keeper,
             on_drain: Box::new(on_drain),
             is_drain_asked: AtomicBool::new(false),
         };
@@ -123,10 +150,13 @@
         Ok(Self {
             front,
             network,
+            control,
+            _duties: duties,
             _admin: admin,
             _gossip: gossip,
             _observer: observer,
             _lister: lister,
+            _keeper: keeper_threads,
             _cache_reader: cache_reader,
         })
     }
@@ -143,12 +173,24 @@
     pub fn drain(mut self) -> bool {
         log::info!("daemon drains");
         let is_complete = self.front.drain();
+        if !self.control.release(RELEASE_TIMEOUT) {
+            log::warn!("the control lease was not released; it lapses by itself");
+        }
         self.front.stop();
         log::info!(is_complete; "daemon drained");
         is_complete
     }
 }
 
+/// Tells the keeper of the configuration whether this daemon holds the control lease.
+fn spawn_duties(keeper: &Arc<Keeper>, control: &Arc<Control>) -> std::io::Result<Worker> {
+    let (keeper, control) = (Arc::clone(keeper), Arc::clone(control));
+    Worker::spawn("duties", move || {
+        keeper.hold_lease(control.is_holder());
+        DUTIES_PERIOD
+    })
+}
+
 fn own_member(settings: &Settings, incarnation: u64) -> Member {
     let daemon = &settings.daemon;
     Member {
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -10,6 +10,7 @@
 mod cost_model;
 /// What routing decides about a request.
 pub mod decision;
+mod demand_meter;
 /// What routing takes into account.
 pub mod event;
 /// What the planner takes into account.
@@ -17,11 +18,15 @@
 mod instant;
 pub mod limit;
 pub mod membership;
+mod output_estimate;
 /// Roles and placement of the engines of a data centre.
 pub mod planner;
+mod prefix_index;
+mod rate;
 pub mod rendezvous;
 mod request;
 pub mod retry;
+pub mod revision;
 mod router;
 pub mod suspect;
 
