--- a/lib/src/control/shared.rs
+++ b/lib/src/control/shared.rs
@@ -11,6 +11,7 @@
 use super::{History, Site};
 use crate::Node;
 use crate::peer::Peers;
+use crate::settings::public_address;
 
 /// What the threads of the control duty share.
 #[derive(Debug)]
@@ -48,7 +49,7 @@
         let own = Holder {
             daemon: daemon.id.clone(),
             incarnation: node.incarnation,
-            address: daemon.peers_address.clone(),
+            address: public_address(daemon).to_owned(),
             listed: false,
         };
         // Up to a quarter of the TTL keeps two candidates from calling in step.
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::node::{Interfaces, Node};
 use crate::peer::{Keyring, Network};
 use crate::platform::{HttpKeyValue, HttpVmList};
+use crate::settings::public_address;
 use crate::trial::Trials;
 use crate::worker::Worker;
 use overview::Overview;
@@ -158,7 +159,7 @@
             data_centre: daemon.data_centre.clone(),
             draining: false,
         },
-        address: daemon.peers_address.clone(),
+        address: public_address(daemon).to_owned(),
         heartbeat: 1,
         state: MemberState::Alive,
     }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -13,7 +13,7 @@
 use std::path::Path;
 
 use ragwortgrade_operator::ini::{self, Section};
-use ragwortgrade_schema::settings::Settings;
+use ragwortgrade_schema::settings::{Daemon, Settings};
 
 use shape::Shape;
 
@@ -54,6 +54,12 @@
     Err(Faults::new(path, faults))
 }
 
+/// Returns the address under which other daemons reach this one.
+pub(crate) fn public_address(daemon: &Daemon) -> &str {
+    let public = daemon.peers_public_address.as_deref();
+    public.unwrap_or(&daemon.peers_address)
+}
+
 fn check_forms(sections: &[Section], faults: &mut Vec<Fault>) {
     address::check(sections, faults);
     keys::check(sections, faults);
--- a/lib/src/settings/address.rs
+++ b/lib/src/settings/address.rs
@@ -19,7 +19,7 @@
                 }
                 ("platform", _) => check_url(property, faults),
                 ("peers", "seeds") => check_seeds(property, faults),
-                ("observe", "metrics_address") => {
+                ("daemon", "peers_public_address") | ("observe", "metrics_address") => {
                     check_remote(property, &property.value, faults);
                 }
                 _ => {}
--- a/standins/examples/soak/failures.rs
+++ b/standins/examples/soak/failures.rs
@@ -97,7 +97,7 @@
             Kind::KillDaemon => Ok(self.kill_daemon(deployment)),
             Kind::PauseDaemon => self.pause_daemon(deployment),
             Kind::DrainDaemon => self.drain_daemon(deployment),
-            Kind::CutPlatform => Ok(self.cut_platform(deployment)),
+            Kind::CutPlatform | Kind::CutDataCentre => Ok(self.cut_off(kind, deployment)),
             Kind::CutEndpoint => Ok(self.cut_endpoint(deployment)),
             Kind::KeyValueOutage | Kind::KeyValueLostAnswers => {
                 self.break_key_value(kind, deployment)
@@ -195,7 +195,7 @@
         cuts[self.random.random_range(0..cuts.len())]
     }
 
-    fn cut_platform(&mut self, deployment: &Deployment) -> bool {
+    fn cut_off(&mut self, kind: Kind, deployment: &Deployment) -> bool {
         let centre = self.random.random_range(0..deployment.data_centres.len());
         let after = self.duration(LONG_MS);
         let cut = self.some_cut();
@@ -203,6 +203,9 @@
             return false;
         }
         deployment.data_centres[centre].cut_platform(cut);
+        if kind == Kind::CutDataCentre {
+            deployment.cut_data_centre(centre, cut);
+        }
         true
     }
 
--- a/standins/examples/soak/failures/healing.rs
+++ b/standins/examples/soak/failures/healing.rs
@@ -104,7 +104,10 @@
             Target::Engine(centre, number) => {
                 self.cure_engine(&heal.cure, centre, number, deployment)?;
             }
-            Target::Platform(centre) => deployment.data_centres[centre].cut_platform(Cut::None),
+            Target::Platform(centre) => {
+                deployment.data_centres[centre].cut_platform(Cut::None);
+                deployment.cut_data_centre(centre, Cut::None);
+            }
             Target::KeyValue if heal.cure == Cure::RollBack => {
                 self.set_key_value_fault(deployment, &Fault::Rollback)?;
             }
--- a/standins/examples/soak/target.rs
+++ b/standins/examples/soak/target.rs
@@ -9,6 +9,8 @@
     DrainDaemon,
     /// A data centre's way to the key-value service is cut.
     CutPlatform,
+    /// A data centre is cut off from the other data centres and from the platform.
+    CutDataCentre,
     /// The way to an endpoint is cut.
     CutEndpoint,
     /// The key-value service refuses or holds every call, or is slow.
@@ -37,11 +39,12 @@
 
 impl Kind {
     /// Every kind.
-    pub(crate) const ALL: [Self; 16] = [
+    pub(crate) const ALL: [Self; 17] = [
         Self::KillDaemon,
         Self::PauseDaemon,
         Self::DrainDaemon,
         Self::CutPlatform,
+        Self::CutDataCentre,
         Self::CutEndpoint,
         Self::KeyValueOutage,
         Self::KeyValueLostAnswers,
@@ -63,6 +66,7 @@
             Self::PauseDaemon => "pause-daemon",
             Self::DrainDaemon => "drain-daemon",
             Self::CutPlatform => "cut-platform",
+            Self::CutDataCentre => "cut-data-centre",
             Self::CutEndpoint => "cut-endpoint",
             Self::KeyValueOutage => "key-value-outage",
             Self::KeyValueLostAnswers => "key-value-lost-answers",
@@ -88,7 +92,7 @@
     Engine(usize, usize),
     /// A plain endpoint, by data centre and number.
     Plain(usize, usize),
-    /// A data centre's way to the platform.
+    /// A data centre's way to the platform and to other data centres.
     Platform(usize),
     /// The key-value service.
     KeyValue,
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -4,6 +4,7 @@
 mod data_centre;
 mod declaration;
 mod endpoint;
+mod peer_link;
 mod plan;
 mod process;
 mod programs;
@@ -20,10 +21,11 @@
 pub use self::data_centre::DataCentre;
 pub use self::declaration::{Declaration, DeclaredEndpoint, Workspace};
 pub use self::endpoint::EndpointProcess;
+pub use self::peer_link::PeerLink;
 pub use self::plan::Plan;
 pub use self::process::Process;
 pub use self::programs::Programs;
-use crate::{Caller, Error};
+use crate::{Caller, Cut, Error};
 
 /// Key under which daemons look for the configuration.
 const CONFIGURATION_KEY: &str = "configuration";
@@ -68,9 +70,11 @@
             configuration_revision: 0,
         };
         deployment.write_operator_key()?;
-        let seeds = plan.peers_addresses()?;
+        let mut links = plan.peer_links()?;
+        let seeds: Vec<SocketAddr> = links.iter().map(PeerLink::reachable_at).collect();
         for index in 0..plan.data_centres {
-            let centre = DataCentre::spawn(plan, index, &seeds, &deployment)?;
+            let own = links.drain(..plan.daemons).collect();
+            let centre = DataCentre::spawn(plan, index, own, &seeds, &deployment)?;
             deployment.data_centres.push(centre);
         }
         deployment
@@ -157,6 +161,24 @@
         Caller::open().post(&url, &Vms { vms })
     }
 
+    /// Cuts or heals every connection between the daemons of one data centre and the others.
+    ///
+    /// `Cut::ToTarget` loses what the data centre sends, `Cut::FromTarget` what it would receive.
+    pub fn cut_data_centre(&self, index: usize, cut: Cut) {
+        let inwards = match cut {
+            Cut::ToTarget => Cut::FromTarget,
+            Cut::FromTarget => Cut::ToTarget,
+            other => other,
+        };
+        let own = &self.data_centres[index];
+        for other in &self.data_centres {
+            if other.name != own.name {
+                own.cut_from(other, inwards);
+                other.cut_from(own, cut);
+            }
+        }
+    }
+
     /// Returns the callers' addresses of all daemons that run.
     #[must_use]
     pub fn entrances(&self) -> Vec<SocketAddr> {
--- a/standins/src/deployment/daemon.rs
+++ b/standins/src/deployment/daemon.rs
@@ -25,6 +25,8 @@
     pub callers: SocketAddr,
     /// Address for other daemons.
     pub peers: SocketAddr,
+    /// Address of a relay to `peers`, under which other daemons know this one.
+    pub peers_public: Option<SocketAddr>,
     /// Address for operators.
     pub admin: SocketAddr,
     /// Address of the key-value service, or of a relay to it.
@@ -39,7 +41,10 @@
 
 impl fmt::Display for DaemonSettings {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let seeds = self.seeds.iter().filter(|seed| **seed != self.peers);
+        let seeds = self
+            .seeds
+            .iter()
+            .filter(|seed| **seed != self.reachable_at());
         let seeds: Vec<String> = seeds.map(ToString::to_string).collect();
         writeln!(f, "[daemon]")?;
         writeln!(f, "id = {}", self.id)?;
@@ -47,6 +52,9 @@
         writeln!(f, "region = region-1")?;
         writeln!(f, "callers_address = {}", self.callers)?;
         writeln!(f, "peers_address = {}", self.peers)?;
+        if let Some(public) = self.peers_public {
+            writeln!(f, "peers_public_address = {public}")?;
+        }
         writeln!(f, "admin_address = {}", self.admin)?;
         writeln!(f, "\n[platform]")?;
         writeln!(f, "key_value = http://{}", self.key_value)?;
@@ -64,6 +72,14 @@
     }
 }
 
+impl DaemonSettings {
+    /// Returns the address under which other daemons reach this one.
+    #[must_use]
+    pub fn reachable_at(&self) -> SocketAddr {
+        self.peers_public.unwrap_or(self.peers)
+    }
+}
+
 /// A daemon that runs as a process.
 #[derive(Debug)]
 pub struct DaemonProcess {
--- a/standins/src/deployment/data_centre.rs
+++ b/standins/src/deployment/data_centre.rs
@@ -4,7 +4,9 @@
 use ragwortgrade_schema::Name;
 use ragwortgrade_schema::platform::{Vm, VmKind, VmState};
 
-use super::{DaemonProcess, DaemonSettings, Deployment, EndpointProcess, Plan, free_address};
+use super::{
+    DaemonProcess, DaemonSettings, Deployment, EndpointProcess, PeerLink, Plan, free_address,
+};
 use crate::{Cut, Error, Relay};
 
 /// Plain services that run in each data centre.
@@ -27,6 +29,8 @@
     pub plains: Vec<EndpointProcess>,
     /// Relay to the key-value service, if the plan has relays.
     pub platform_relay: Option<Relay>,
+    /// How other daemons reach each daemon, in their order.
+    pub peer_links: Vec<PeerLink>,
     /// Relays to the engines and then to the plain endpoints, in their order.
     pub endpoint_relays: Vec<Relay>,
 }
@@ -35,6 +39,7 @@
     pub(super) fn spawn(
         plan: &Plan,
         index: usize,
+        peer_links: Vec<PeerLink>,
         seeds: &[SocketAddr],
         deployment: &Deployment,
     ) -> Result<Self, Error> {
@@ -44,6 +49,7 @@
             engines: Vec::new(),
             plains: Vec::new(),
             platform_relay: None,
+            peer_links,
             endpoint_relays: Vec::new(),
         };
         if plan.has_relays {
@@ -58,9 +64,8 @@
             centre.spawn_plain(plan, service)?;
         }
         centre.spawn_relays(plan)?;
-        let own = &seeds[index * plan.daemons..][..plan.daemons];
-        for (number, peers) in own.iter().enumerate() {
-            centre.spawn_daemon(plan, number, *peers, seeds, deployment)?;
+        for number in 0..centre.peer_links.len() {
+            centre.spawn_daemon(plan, number, seeds, deployment)?;
         }
         Ok(centre)
     }
@@ -114,7 +119,6 @@
         &mut self,
         plan: &Plan,
         number: usize,
-        peers: SocketAddr,
         seeds: &[SocketAddr],
         deployment: &Deployment,
     ) -> Result<(), Error> {
@@ -122,11 +126,13 @@
             .platform_relay
             .as_ref()
             .map_or(deployment.key_value.address, Relay::address);
+        let link = &self.peer_links[number];
         let settings = DaemonSettings {
-            id: format!("daemon-{}-{}", self.name, number + 1),
+            id: format!("{}{}", daemon_prefix(&self.name), number + 1),
             data_centre: self.name.clone(),
             callers: free_address()?,
-            peers,
+            peers: link.listens_on,
+            peers_public: link.relay.as_ref().map(Relay::address),
             admin: free_address()?,
             key_value,
             vm_list: deployment.vm_list.address,
@@ -151,6 +157,18 @@
         }
     }
 
+    /// Cuts or heals the connections that another data centre's daemons open to this one's.
+    pub(super) fn cut_from(&self, other: &Self, cut: Cut) {
+        let prefix = daemon_prefix(&other.name);
+        for relay in self
+            .peer_links
+            .iter()
+            .filter_map(|link| link.relay.as_ref())
+        {
+            relay.set_cut_from(&prefix, cut);
+        }
+    }
+
     /// Returns the VMs of this data centre.
     #[must_use]
     pub fn vms(&self) -> Vec<Vm> {
@@ -189,7 +207,7 @@
             id: Name::from(daemon.settings.id.as_str()),
             incarnation: daemon.starts,
             kind: VmKind::Entry,
-            peers_address: Some(daemon.settings.peers.to_string()),
+            peers_address: Some(daemon.settings.reachable_at().to_string()),
             service: None,
             state: VmState::Live,
         }
@@ -215,6 +233,11 @@
     }
 }
 
+/// Returns how the names of a data centre's daemons start.
+fn daemon_prefix(data_centre: &str) -> String {
+    format!("daemon-{data_centre}-")
+}
+
 /// Tells whether the engine with this number ignores fencing tokens.
 pub(super) fn ignores_fence(number: usize) -> bool {
     number % IGNORES_FENCE_EVERY == IGNORES_FENCE_EVERY - 1
--- a/standins/src/deployment/plan.rs
+++ b/standins/src/deployment/plan.rs
@@ -1,8 +1,7 @@
 use std::ffi::OsString;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use super::free_address;
+use super::peer_link::PeerLink;
 use crate::Error;
 
 /// What a deployment comprises.
@@ -29,10 +28,10 @@
 }
 
 impl Plan {
-    /// Chooses addresses for the daemons' connections to each other.
-    pub(super) fn peers_addresses(&self) -> Result<Vec<SocketAddr>, Error> {
+    /// Chooses how the daemons reach each other, data centre by data centre.
+    pub(super) fn peer_links(&self) -> Result<Vec<PeerLink>, Error> {
         (0..self.data_centres * self.daemons)
-            .map(|_| free_address())
+            .map(|_| PeerLink::open(self.has_relays))
             .collect()
     }
 }
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -2,16 +2,19 @@
 
 mod cut;
 
+use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 pub use self::cut::Cut;
 use crate::Error;
 
+/// Start of a daemon's name in the first frame of a connection between daemons.
+const NAME_START: &str = "\"id\":\"";
 const BUFFER_BYTES: usize = 64 << 10;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often a blocked read or wait looks whether the relay is stopping.
@@ -30,7 +33,8 @@
 #[derive(Debug)]
 struct Shared {
     target: Mutex<SocketAddr>,
-    cut: Mutex<Cut>,
+    /// The cut of each group of sources; the empty prefix stands for all.
+    cuts: Mutex<HashMap<String, Cut>>,
     healed: Condvar,
     stopping: AtomicBool,
 }
@@ -56,7 +60,7 @@
         let local = listener.local_addr().map_err(|error| failed(&error))?;
         let shared = Arc::new(Shared {
             target: Mutex::new(target),
-            cut: Mutex::new(Cut::None),
+            cuts: Mutex::new(HashMap::new()),
             healed: Condvar::new(),
             stopping: AtomicBool::new(false),
         });
@@ -82,7 +86,15 @@
 
     /// Cuts the directions named and heals the others.
     pub fn set_cut(&self, cut: Cut) {
-        *lock(&self.shared.cut) = cut;
+        self.set_cut_from("", cut);
+    }
+
+    /// Cuts or heals the connections of daemons whose name starts with `prefix`.
+    ///
+    /// Daemons say their name in the first frame between them, so this works only for a relay of
+    /// their connections to each other.
+    pub fn set_cut_from(&self, prefix: &str, cut: Cut) {
+        lock(&self.shared.cuts).insert(prefix.to_owned(), cut);
         self.shared.healed.notify_all();
     }
 
@@ -115,13 +127,19 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Waits while the direction is cut.
-    fn wait_until_open(&self, direction: Direction) {
-        let mut cut = lock(&self.cut);
-        while cut.holds(direction) && !self.is_stopping() {
-            cut = self
+    /// Waits while the direction is cut for this source.
+    fn wait_until_open(&self, direction: Direction, source: &str) {
+        let mut cuts = lock(&self.cuts);
+        let holds = |cuts: &HashMap<String, Cut>| {
+            let mut matching = cuts
+                .iter()
+                .filter(|(prefix, _)| source.starts_with(*prefix));
+            matching.any(|(_, cut)| cut.holds(direction))
+        };
+        while holds(&cuts) && !self.is_stopping() {
+            cuts = self
                 .healed
-                .wait_timeout(cut, STOP_CHECK)
+                .wait_timeout(cuts, STOP_CHECK)
                 .unwrap_or_else(PoisonError::into_inner)
                 .0;
         }
@@ -160,7 +178,8 @@
 
 /// Relays both directions of one connection until either side ends it.
 fn relay(caller: &TcpStream, shared: &Arc<Shared>) -> io::Result<()> {
-    shared.wait_until_open(Direction::ToTarget);
+    shared.wait_until_open(Direction::ToTarget, "");
+    let source = Arc::new(OnceLock::new());
     let target = *lock(&shared.target);
     let target = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT)?;
     for stream in [caller, &target] {
@@ -168,18 +187,25 @@
         stream.set_read_timeout(Some(STOP_CHECK))?;
     }
     let (back_from, back_to) = (target.try_clone()?, caller.try_clone()?);
-    let back_shared = Arc::clone(shared);
+    let (back_shared, back_source) = (Arc::clone(shared), Arc::clone(&source));
     let back = thread::spawn(move || {
-        copy(&back_from, &back_to, Direction::FromTarget, &back_shared);
+        let direction = Direction::FromTarget;
+        copy(&back_from, &back_to, direction, &back_shared, &back_source);
     });
-    copy(caller, &target, Direction::ToTarget, shared);
+    copy(caller, &target, Direction::ToTarget, shared, &source);
     if back.join().is_err() {
         log::error!("a relay thread panicked");
     }
     Ok(())
 }
 
-fn copy(mut from: &TcpStream, mut to: &TcpStream, direction: Direction, shared: &Shared) {
+fn copy(
+    mut from: &TcpStream,
+    mut to: &TcpStream,
+    direction: Direction,
+    shared: &Shared,
+    source: &OnceLock<String>,
+) {
     let mut buffer = vec![0; BUFFER_BYTES];
     while !shared.is_stopping() {
         let read = match from.read(&mut buffer) {
@@ -187,7 +213,11 @@
             Err(error) if is_timeout(&error) => continue,
             Err(_) => 0,
         };
-        shared.wait_until_open(direction);
+        if matches!(direction, Direction::ToTarget) {
+            source.get_or_init(|| daemon_name(&buffer[..read]));
+        }
+        let name = source.get().map_or("", String::as_str);
+        shared.wait_until_open(direction, name);
         if read == 0 || to.write_all(&buffer[..read]).is_err() {
             break;
         }
@@ -197,6 +227,15 @@
     drop(to.shutdown(Shutdown::Both));
 }
 
+/// Returns the name that a daemon says in its first frame, empty for other connections.
+fn daemon_name(bytes: &[u8]) -> String {
+    let text = String::from_utf8_lossy(bytes);
+    let name = text
+        .split_once(NAME_START)
+        .and_then(|(_, rest)| rest.split_once('"'));
+    name.map_or_else(String::new, |(name, _)| name.to_owned())
+}
+
 fn is_timeout(error: &io::Error) -> bool {
     matches!(
         error.kind(),
