--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -25,6 +25,7 @@
 mod rate;
 pub mod rendezvous;
 mod request;
+pub mod revision;
 pub mod retry;
 mod router;
 pub mod suspect;
