--- a/standins/examples/soak/failures/healing.rs
+++ b/standins/examples/soak/failures/healing.rs
@@ -67,23 +67,26 @@
     }
 
     fn find_crashed_engines(&mut self, deployment: &mut Deployment) {
+        let mut crashed = Vec::new();
         for (centre, data_centre) in deployment.data_centres.iter_mut().enumerate() {
             for (number, engine) in data_centre.engines.iter_mut().enumerate() {
                 let target = Target::Engine(centre, number);
                 if engine.process.ended().is_some() && !self.held.contains(&target) {
-                    self.engine_crashes += 1;
-                    self.held.insert(target);
-                    let at = Instant::now() + ENGINE_RESTART;
-                    let cure = Cure::Start;
-                    self.heals.push(Heal { at, target, cure });
+                    crashed.push(target);
                 }
             }
         }
+        for target in crashed {
+            self.note("engine crashed");
+            self.engine_crashes += 1;
+            self.hold(target, ENGINE_RESTART.as_millis() as u64, Cure::Start);
+        }
     }
 
     fn apply(&mut self, heal: &Heal, deployment: &mut Deployment) {
         match self.cure(heal, deployment) {
             Ok(true) => {
+                self.note(&format!("healed {:?}", heal.target));
                 self.held.remove(&heal.target);
             }
             Ok(false) => self.heals.push(Heal {
--- a/standins/examples/soak/main.rs
+++ b/standins/examples/soak/main.rs
@@ -77,7 +77,7 @@
     let ledger = Ledger::default();
     let callers = Callers::open(&deployment, &options, &ledger, &stopping);
     callers.wait_for_first_answers()?;
-    let mut failures = Failures::open(&options, &ledger);
+    let mut failures = Failures::open(&options, &ledger, directory.path())?;
     thread::scope(|scope| {
         callers.spawn(scope);
         let until = Instant::now() + options.duration;
