endpoint: use small buffers for each connection, and wait for loads before ready

Cause: an open stream cost 0.82 MB (example relay_cost, 25 to 100 streams: 20.9 to 82.2 MB), mostly the client library's buffers of 128 KiB in each direction; and a daemon said ready before it had read any load, so its first second of requests was refused with no_endpoint (0 of 75 complete). Ruled out: a limit on streams (264 a daemon are needed at the target size). Change: buffers of 16 KiB; readiness waits for the first reports.

--- a/lib/src/endpoint/http.rs
+++ b/lib/src/endpoint/http.rs
@@ -9,6 +9,9 @@
 
 use super::Error;
 
+/// Buffer of one connection in each direction; tokens are short, and the library's default of
+/// 128 KiB is paid for each open stream.
+const BUFFER_BYTES: usize = 16 << 10;
 /// Header with the identity of an attempt, in requests and answers.
 pub(super) const ATTEMPT_HEADER: &str = "X-Attempt-Id";
 
@@ -30,6 +33,8 @@
         .max_redirects(0)
         .max_redirects_will_error(false)
         .proxy(None)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
         .max_idle_connections(IDLE_CONNECTIONS)
         .max_idle_connections_per_host(IDLE_CONNECTIONS_PER_ENDPOINT)
 }
--- a/lib/src/front/handler.rs
+++ b/lib/src/front/handler.rs
@@ -20,6 +20,11 @@
 
 fn ready(context: &Context, reply: &mut Reply) -> io::Result<()> {
     match unready(context) {
+        // The balancer sends no callers before requests can be routed.
+        None if !context.node.is_surveyed() => {
+            let message = "the daemon has read no endpoint yet";
+            reply.refuse(&Refusal::not_run(Code::NoEndpoint, message))
+        }
         None => reply.whole(200, TEXT, b"ready"),
         Some(refusal) => reply.refuse(&refusal),
     }
--- a/lib/src/membership/observer.rs
+++ b/lib/src/membership/observer.rs
@@ -17,6 +17,8 @@
 const OBSERVERS: usize = 2;
 /// One lost answer says little; two in a row keep new work away.
 const FAILURES_TO_UNREACHABLE: u32 = 2;
+/// A daemon to which no endpoint falls learns the loads from gossip within a few passes.
+const PASSES_TO_READY: u32 = 5;
 
 /// Reads the loads of the endpoints that fall to this daemon, once a second.
 #[derive(Debug)]
@@ -32,15 +34,21 @@
     /// Fails when the thread cannot be started.
     pub fn spawn(node: Arc<Node>, table: Arc<Table>) -> io::Result<Self> {
         let mut failures = HashMap::new();
+        let mut passes = 0;
         let worker = Worker::spawn("observer", move || {
-            observe(&node, &table, &mut failures);
+            let has_read = observe(&node, &table, &mut failures);
+            passes += 1;
+            if has_read || passes >= PASSES_TO_READY {
+                node.note_survey();
+            }
             PERIOD
         })?;
         Ok(Self { _worker: worker })
     }
 }
 
-fn observe(node: &Node, table: &Table, failures: &mut HashMap<Name, u32>) {
+/// Reads the endpoints once; tells whether any answered.
+fn observe(node: &Node, table: &Table, failures: &mut HashMap<Name, u32>) -> bool {
     let daemons = table.local_daemons();
     let daemon = &node.settings.daemon;
     node.observe(Event::Daemons {
@@ -67,7 +75,7 @@
             .map(|read| read.join().unwrap_or(false))
             .collect()
     });
-    for (endpoint, answered) in mine.iter().zip(answered) {
+    for (endpoint, &answered) in mine.iter().zip(&answered) {
         let count = failures.entry(endpoint.id.clone()).or_default();
         let before = *count;
         *count = if answered { 0 } else { before + 1 };
@@ -82,6 +90,7 @@
             });
         }
     }
+    answered.contains(&true)
 }
 
 fn read(node: &Node, table: &Table, endpoint: &Endpoint) -> bool {
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -38,6 +38,7 @@
     pub metrics: Metrics,
     pub(crate) router: Mutex<Router>,
     pub(crate) draining: AtomicBool,
+    pub(crate) surveyed: AtomicBool,
 }
 
 /// Interfaces to the outside that a [`Node`] is opened with.
@@ -80,6 +81,7 @@
             metrics,
             router: Mutex::new(router),
             draining: AtomicBool::new(false),
+            surveyed: AtomicBool::new(false),
         }
     }
 
@@ -99,6 +101,17 @@
         self.router().observe(event, now);
     }
 
+    /// Notes that the loads of endpoints have been read, so that requests can be routed.
+    pub fn note_survey(&self) {
+        self.surveyed.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether requests can be routed: loads of endpoints are known.
+    #[must_use]
+    pub fn is_surveyed(&self) -> bool {
+        self.surveyed.load(Ordering::Relaxed)
+    }
+
     /// Tells whether the daemon is on its way to a planned stop.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/standins/examples/relay_cost/main.rs
+++ b/standins/examples/relay_cost/main.rs
@@ -101,6 +101,9 @@
     let is_complete = |round: &usize| {
         let question = Question::streamed(WORKSPACE, &format!("pattern {caller} {round}"), tokens);
         let answer = client.ask(address, &question, None);
+        if answer.end != End::Whole {
+            eprintln!("caller {caller}: {:?}", answer.end);
+        }
         answer.end == End::Whole && answer.tokens == question.expected()
     };
     (0..ROUNDS).filter(is_complete).count()
