configuration: pass the reading on when a daemon is cut off or drains

Cause: a reader that could not reach the platform, or that drained for minutes, still said that it read, so its data centre got no changes from the platform while others could have read it. Ruled out: not announcing a reader whose reads fail, since in an outage all daemons would then ask the platform at once. Change: a reader that fails for 3 s pauses for 6 s, so that another daemon takes over; a daemon that drains gives the duty up. Conclusion: a test covers both, with one failure as the control.

--- a/lib/src/configuration/reader.rs
+++ b/lib/src/configuration/reader.rs
@@ -51,7 +51,10 @@
             Err(error) => Err(error),
         };
         let is_reachable = outcome.is_ok();
-        self.keeper.state().platform_reachable = Some(is_reachable);
+        let mut state = self.keeper.state();
+        state.platform_reachable = Some(is_reachable);
+        state.duty.report(is_reachable, node.clock.now());
+        drop(state);
         match outcome {
             Ok(pause) => {
                 self.failures = 0;
@@ -64,7 +67,10 @@
     fn is_due(&self) -> bool {
         let now = self.keeper.node.clock.now();
         let mut state = self.keeper.state();
-        let is_reader = state.duty.is_reader(now) && !self.keeper.node.is_draining();
+        if self.keeper.node.is_draining() {
+            state.duty.resign();
+        }
+        let is_reader = state.duty.is_reader(now);
         let is_settling = std::mem::take(&mut state.is_settling);
         if !is_reader {
             state.platform_reachable = None;
--- a/policy/src/revision/duty.rs
+++ b/policy/src/revision/duty.rs
@@ -13,10 +13,17 @@
 /// Spreads the daemons that notice the same silence, so that mostly one of them takes over.
 const JITTER_MAX_MS: u64 = 2_000;
 
+/// A reader that cannot reach the platform for this long lets another daemon try.
+const FAILURE_MAX: Duration = Duration::from_secs(3);
+/// Long enough for another daemon to notice the silence and to take over.
+const PAUSE: Duration = Duration::from_secs(6);
+
 /// Decides whether this daemon reads the platform for its data centre.
 ///
 /// Readers are known by gossip alone. Two may read for a while, which costs one more watch; a
-/// reader gives way to the holder of the control lease, or else to the lower name.
+/// reader gives way to the holder of the control lease, or else to the lower name. A reader that is
+/// cut off from the platform pauses, so that one that is not takes over; in an outage the duty goes
+/// round, and the platform is not asked by all daemons at once.
 #[derive(Debug)]
 pub struct Duty {
     own: Name,
@@ -26,6 +33,9 @@
     heard: Option<Heard>,
     silent_since: Instant,
     patience: Duration,
+    failing_since: Option<Instant>,
+    paused_until: Instant,
+    has_resigned: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -47,6 +57,9 @@
             heard: None,
             silent_since: now,
             patience: SILENCE,
+            failing_since: None,
+            paused_until: now,
+            has_resigned: false,
         };
         duty.draw_patience();
         duty
@@ -57,6 +70,27 @@
         self.holds_lease = holds_lease;
     }
 
+    /// Gives the duty up for good, for a daemon that drains.
+    pub fn resign(&mut self) {
+        self.has_resigned = true;
+        self.is_reading = false;
+    }
+
+    /// Takes in whether a read of the platform succeeded.
+    pub fn report(&mut self, is_success: bool, now: Instant) {
+        if is_success {
+            self.failing_since = None;
+            return;
+        }
+        let since = *self.failing_since.get_or_insert(now);
+        if now.since(since) >= FAILURE_MAX {
+            self.failing_since = None;
+            self.paused_until = now + PAUSE;
+            self.is_reading = false;
+            self.draw_patience();
+        }
+    }
+
     /// Takes in what a peer of the same data centre says about the reader.
     pub fn hear(&mut self, reader: &Reader, now: Instant) {
         if reader.daemon == self.own {
@@ -83,6 +117,9 @@
 
     /// Tells whether this daemon reads the platform now.
     pub fn is_reader(&mut self, now: Instant) -> bool {
+        if self.has_resigned || now < self.paused_until {
+            return false;
+        }
         let heard = self.heard.as_ref().filter(|heard| is_fresh(heard, now));
         let own = (!self.holds_lease, &self.own);
         let gives_way = heard.is_some_and(|heard| rank(heard) < own);
--- a/policy/tests/revision.rs
+++ b/policy/tests/revision.rs
@@ -221,6 +221,29 @@
     );
 }
 
+#[test]
+fn reader_that_is_cut_off_or_drains_lets_another_one_read() {
+    let mut duty = Duty::open("m".into(), 1, NOW);
+    let at = |seconds| NOW + Duration::from_secs(seconds);
+    duty.hold_lease(true);
+    duty.report(false, at(6));
+    assert!(
+        duty.is_reader(at(8)),
+        "negative control: one failure is no reason"
+    );
+    duty.report(false, at(9));
+    assert!(!duty.is_reader(at(10)));
+    assert_eq!(
+        duty.reader(at(10)),
+        None,
+        "a daemon that does not read says that it reads"
+    );
+    assert!(duty.is_reader(at(16)), "the duty comes round again");
+    duty.resign();
+    assert!(!duty.is_reader(at(17)));
+    assert_eq!(duty.reader(at(17)), None);
+}
+
 #[test]
 fn news_that_is_too_old_does_not_keep_a_daemon_from_reading() {
     let mut duty = Duty::open("m".into(), 1, NOW);
