--- a/lib/src/configuration/keeper.rs
+++ b/lib/src/configuration/keeper.rs
@@ -150,6 +150,7 @@
                 .configuration
                 .store(Some(Arc::clone(&configuration)));
             self.node.observe(Event::Configured(configuration));
+            self.node.metrics.gauge("configuration.revision", revision);
             log::info!(revision, source; "configuration in force");
         }
     }
