settings: check the names of the daemon and of the keys

Cause: names become parts of the platform's keys, of headers and of `takeover = <daemon>:<incarnation>`; a slash or a colon in them breaks these. Ruled out: escaping at each use. Change: the rule of the operators' library holds for settings as well. The apply tests get a control: a retry on the newest revision is counted as two effects. Conclusion: faulty names are listed with their lines.

--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -7,6 +7,7 @@
 mod fault;
 mod faults;
 mod keys;
+mod names;
 mod shape;
 
 use std::fs;
@@ -57,4 +58,5 @@
 fn check_forms(sections: &[Section], faults: &mut Vec<Fault>) {
     address::check(sections, faults);
     keys::check(sections, faults);
+    names::check(sections, faults);
 }
--- a/lib/tests/settings.rs
+++ b/lib/tests/settings.rs
@@ -58,6 +58,8 @@
     number_out_of_range("[peers]", "[limits]\nheader_count = 7\n[peers]", "from 8 to 1024");
     word_as_number("[peers]", "[limits]\nopen_requests = many\n[peers]", "`open_requests` is `many`");
     unknown_log_level("[peers]", "[observe]\nlog_level = loud\n[peers]", "one of error, warn, info");
+    daemon_name_that_is_no_part_of_a_key("id = entry-1", "id = entry/1", "daemon.ini:2: `id` contains the name `entry/1`");
+    key_name_with_a_comma("operator.maria", "operator.ma,ria", "`operator.ma,ria` contains the name");
     short_key("peer.one = 0011", "peer.one = 11", "`peer.one` has 31 bytes");
     key_that_is_not_hexadecimal("peer.one = 00", "peer.one = xx", "`peer.one` is not an even number");
     active_key_that_is_absent("peer_active = one", "peer_active = two", "no key `peer.two`");
--- a/operator/src/check.rs
+++ b/operator/src/check.rs
@@ -12,6 +12,7 @@
 use crate::{Declarations, Problem};
 
 use checker::Checker;
+pub use names::{NAME_RULE, is_name};
 
 /// Adds every problem of the declarations.
 pub(crate) fn all(declarations: &Declarations, problems: &mut Vec<Problem>) {
--- a/operator/src/check/names.rs
+++ b/operator/src/check/names.rs
@@ -5,7 +5,8 @@
 use crate::{Declarations, Problem};
 
 const NAME_CHARACTERS_MAX: usize = 128;
-const NAME_RULE: &str =
+/// What a name may look like, for messages.
+pub const NAME_RULE: &str =
     "1 to 128 letters, digits, `.`, `_` or `-`, starting with a letter or digit";
 const AUTHOR_RULE: &str = "1 to 128 printable characters without white space at either end";
 
@@ -39,8 +40,9 @@
     }
 }
 
-/// Tells whether a name can stand in a heading, in a list of names and in a URL as it is.
-pub(super) fn is_name(name: &str) -> bool {
+/// Tells whether a name can stand in a heading, in a list of names, in a key and in a URL as it is.
+#[must_use]
+pub fn is_name(name: &str) -> bool {
     let is_inner = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
     name.len() <= NAME_CHARACTERS_MAX
         && name
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -28,6 +28,7 @@
 mod render;
 
 pub use apply::{Applied, Applier, ApplyError, Retry, Store, StoreError, Stored, backoff};
+pub use check::{NAME_RULE, is_name};
 pub use declaration::{Adapter, Endpoint, Model, Policy, Service, Workspace};
 pub use declarations::Declarations;
 pub use difference::Difference;
--- a/operator/tests/apply.rs
+++ b/operator/tests/apply.rs
@@ -159,6 +159,24 @@
     assert_eq!(store.effects.get(), 1, "the apply took effect twice");
 }
 
+#[test]
+fn retry_on_the_revision_read_last_would_apply_twice() {
+    let store = FakeStore::with(&[Fate::LosesAnswer]);
+    let text = render(&configuration());
+    assert!(store.write(&text, 0).is_err());
+    let newest = store
+        .read()
+        .expect("an answer")
+        .expect("a document")
+        .revision;
+    assert!(store.write(&text, newest).is_ok());
+    assert_eq!(
+        store.effects.get(),
+        2,
+        "negative control: the check counts both effects"
+    );
+}
+
 #[test]
 fn slow_platform_is_asked_again() {
     let store = FakeStore::with(&[Fate::Fails, Fate::Fails]);
