cli: do not report an overtaken change as in force

Cause: an apply that waited for daemons took any higher revision for its own success, but a repair of a platform with older data is a higher revision too. Ruled out: comparing with the identity in force before, which a daemon that was not asked may not share. Change: a higher revision with another apply identity ends with exit code 5 and the code `overtaken`; a change that a daemon reports as rejected is told first. Conclusion: a test with a daemon that moves on covers it.

--- a/cli/src/bin/ragwortctl/apply.rs
+++ b/cli/src/bin/ragwortctl/apply.rs
@@ -8,7 +8,7 @@
 
 use crate::admin_client::AdminClient;
 use crate::declarations::load;
-use crate::failure::{EXIT_CONFLICT, EXIT_INCOMPLETE, EXIT_NO_ANSWER, Failure};
+use crate::failure::{EXIT_CONFLICT, EXIT_INCOMPLETE, EXIT_NO_ANSWER, EXIT_UNKNOWN, Failure};
 use crate::options::Options;
 use crate::output::Output;
 use crate::patience::Patience;
@@ -136,7 +136,7 @@
 
 /// Tells whether a daemon took over the apply, or fails when it never will.
 fn is_in_force(held: &InForce, revision: u64, apply_id: &str) -> Result<bool, Failure> {
-    if held.apply_id == apply_id || held.revision > revision {
+    if held.apply_id == apply_id {
         return Ok(true);
     }
     let rejected = held.rejected.as_ref();
@@ -151,6 +151,15 @@
         );
         return Err(Failure::new(EXIT_CONFLICT, "not_accepted", message));
     }
+    if held.revision > revision {
+        // The later revision builds on this one, or repairs a platform that had older data.
+        let message = format!(
+            "revision {} by {} followed before revision {revision} was seen in force; \
+             `plan` shows what of your change is missing",
+            held.revision, held.author
+        );
+        return Err(Failure::new(EXIT_UNKNOWN, "overtaken", message));
+    }
     Ok(false)
 }
 
--- a/cli/src/bin/ragwortctl/help.rs
+++ b/cli/src/bin/ragwortctl/help.rs
@@ -34,7 +34,7 @@
   2  wrong command line, or no usable key
   3  the declarations have problems
   4  conflict with another operator, or the daemons did not accept the change
-  5  the outcome is unknown; the message names the apply identity to look for
+  5  the outcome is unknown, or another revision followed before it was seen in force
   6  the platform or a daemon did not answer in time; nothing was changed
   7  a daemon refused the request
   8  written, but not in force at every given daemon in time, or not drained in time
--- a/cli/tests/ctl.rs
+++ b/cli/tests/ctl.rs
@@ -199,22 +199,28 @@
     assert_eq!(bench.platform.value("configuration"), None);
 }
 
-/// A daemon that holds one revision and is gone after a drain.
+/// A daemon that holds revision 9 from a given status on and is gone after a drain.
 #[derive(Debug)]
-struct Fake(AtomicU64);
+struct Fake {
+    incarnation: AtomicU64,
+    statuses_before: AtomicU64,
+}
 
 impl Source for Fake {
     fn status(&self) -> Status {
         let daemon = Instance {
             id: "entry-1".into(),
             // A new incarnation stands for the end of the drained process.
-            incarnation: self.0.load(Ordering::Relaxed),
+            incarnation: self.incarnation.load(Ordering::Relaxed),
             data_centre: "a".into(),
             region: "north".into(),
             draining: false,
         };
+        let before = self.statuses_before.load(Ordering::Relaxed);
+        self.statuses_before
+            .store(before.saturating_sub(1), Ordering::Relaxed);
         let configuration = InForce {
-            revision: 9,
+            revision: if before == 0 { 9 } else { 0 },
             apply_id: "ab".to_owned(),
             author: "jorge".to_owned(),
             reader: None,
@@ -231,7 +237,7 @@
     }
 
     fn drain(&self) {
-        self.0.fetch_add(1, Ordering::Relaxed);
+        self.incarnation.fetch_add(1, Ordering::Relaxed);
     }
 
     fn lines(&self, after: u64) -> Vec<String> {
@@ -243,13 +249,20 @@
 }
 
 fn daemon() -> (Admin, String) {
+    daemon_after(0)
+}
+
+fn daemon_after(statuses: u64) -> (Admin, String) {
     let operator = [("maria".to_owned(), SECRET.to_owned())].into();
     let keys = Keys {
         operator,
         peer: [].into(),
         peer_active: "one".into(),
     };
-    let source = Arc::new(Fake(AtomicU64::new(7)));
+    let source = Arc::new(Fake {
+        incarnation: AtomicU64::new(7),
+        statuses_before: AtomicU64::new(statuses),
+    });
     let admin = Admin::bind("127.0.0.1:0", Guard::open(&keys), source).expect("bound");
     let address = admin.address().to_string();
     (admin, address)
@@ -285,6 +298,14 @@
     );
 }
 
+#[test]
+fn change_that_was_overtaken_is_not_reported_as_in_force() {
+    let (_admin, address) = daemon_after(1);
+    let bench = Bench::open();
+    let (status, value) = bench.apply(TEXT, &["--admin", &address]);
+    assert_eq!((status, &value["error"]["code"]), (5, &"overtaken".into()));
+}
+
 #[test]
 fn wrong_key_is_refused() {
     let (_admin, address) = daemon();
