--- a/cli/src/bin/ragwortctl/apply.rs
+++ b/cli/src/bin/ragwortctl/apply.rs
@@ -11,8 +11,8 @@
 use crate::failure::{EXIT_CONFLICT, EXIT_INCOMPLETE, EXIT_NO_ANSWER, EXIT_UNKNOWN, Failure};
 use crate::options::Options;
 use crate::output::Output;
-use crate::patience::Patience;
 use crate::platform_store::PlatformStore;
+use crate::timed_retry::TimedRetry;
 
 const APPLY_ID_BYTES: usize = 16;
 const IN_FORCE_POLL: Duration = Duration::from_millis(250);
@@ -20,8 +20,8 @@
 /// Shows what an apply would change.
 pub(crate) fn plan(options: &Options, output: Output) -> Result<(), Failure> {
     let wanted = load(options)?;
-    let mut patience = Patience::open(options.timeout, output);
-    let held = read_held(&open_store(options)?, &mut patience)?;
+    let mut retry = TimedRetry::open(options.timeout, output);
+    let held = read_held(&open_store(options)?, &mut retry)?;
     let header = held.as_ref().and_then(|held| parse_header(&held.text));
     let revision = header.map_or(0, |header| header.revision);
     let held = held.and_then(|held| parse(&held.text).ok());
@@ -49,8 +49,8 @@
     let store = open_store(options)?;
     let daemons = open_daemons(options)?;
     let apply_id = new_apply_id()?;
-    let patience = Patience::open(options.timeout, output);
-    let mut applier = Applier::open(&store, patience, &apply_id).in_force(highest(&daemons));
+    let retry = TimedRetry::open(options.timeout, output);
+    let mut applier = Applier::open(&store, retry, &apply_id).in_force(highest(&daemons));
     if let Some(base) = options.base {
         applier = applier.on_base(base);
     }
@@ -61,9 +61,9 @@
     };
     if matches!(outcome, Applied::Written { .. }) {
         output.progress(&format!("revision {revision} written as {apply_id}"));
-        let patience = Patience::open(options.timeout, output);
+        let retry = TimedRetry::open(options.timeout, output);
         for daemon in &daemons {
-            wait_in_force(daemon, revision, &apply_id, &patience)?;
+            wait_in_force(daemon, revision, &apply_id, &retry)?;
         }
     }
     let json = json!({
@@ -89,14 +89,14 @@
     AdminClient::open_all(options)
 }
 
-fn read_held(store: &PlatformStore, patience: &mut Patience) -> Result<Option<Stored>, Failure> {
+fn read_held(store: &PlatformStore, retry: &mut TimedRetry) -> Result<Option<Stored>, Failure> {
     let mut failures = 0;
     loop {
         match store.read() {
             Ok(held) => return Ok(held),
             Err(cause) => {
                 failures += 1;
-                if !patience.wait(failures, &cause) {
+                if !retry.wait(failures, &cause) {
                     return Err(Failure::new(EXIT_NO_ANSWER, "platform_unavailable", cause));
                 }
             }
@@ -116,7 +116,7 @@
     daemon: &AdminClient,
     revision: u64,
     apply_id: &str,
-    patience: &Patience,
+    retry: &TimedRetry,
 ) -> Result<(), Failure> {
     loop {
         let reason = match daemon.status() {
@@ -127,7 +127,7 @@
             ),
             Err(failure) => failure.message,
         };
-        if !patience.pause(IN_FORCE_POLL, &reason) {
+        if !retry.pause(IN_FORCE_POLL, &reason) {
             let message = format!("revision {revision} is written, but {reason}");
             return Err(Failure::new(EXIT_INCOMPLETE, "not_in_force", message));
         }
--- a/cli/src/bin/ragwortctl/drain.rs
+++ b/cli/src/bin/ragwortctl/drain.rs
@@ -7,7 +7,7 @@
 use crate::failure::{EXIT_INCOMPLETE, EXIT_NO_ANSWER, Failure};
 use crate::options::Options;
 use crate::output::Output;
-use crate::patience::Patience;
+use crate::timed_retry::TimedRetry;
 
 const POLL: Duration = Duration::from_secs(1);
 
@@ -20,7 +20,11 @@
         incarnation: target.incarnation,
     };
     daemon.drain(&request)?;
-    wait_for_end(&daemon, &request, &Patience::open(options.timeout, output))?;
+    wait_for_end(
+        &daemon,
+        &request,
+        &TimedRetry::open(options.timeout, output),
+    )?;
     let text = format!("{} is drained\n", target.id);
     output.result(
         &text,
@@ -32,7 +36,7 @@
 fn wait_for_end(
     daemon: &AdminClient,
     request: &DrainRequest,
-    patience: &Patience,
+    retry: &TimedRetry,
 ) -> Result<(), Failure> {
     loop {
         let reason = match daemon.status() {
@@ -46,7 +50,7 @@
             Err(failure) if failure.exit == EXIT_NO_ANSWER => failure.message,
             Err(failure) => return Err(failure),
         };
-        if !patience.pause(POLL, &reason) {
+        if !retry.pause(POLL, &reason) {
             return Err(Failure::new(EXIT_INCOMPLETE, "not_drained", reason));
         }
     }
--- a/cli/src/bin/ragwortctl/main.rs
+++ b/cli/src/bin/ragwortctl/main.rs
@@ -9,9 +9,9 @@
 mod help;
 mod options;
 mod output;
-mod patience;
 mod platform_store;
 mod status;
+mod timed_retry;
 mod watch;
 
 use std::process::ExitCode;
--- a/cli/src/bin/ragwortctl/patience.rs
+++ b/cli/src/bin/ragwortctl/timed_retry.rs
@@ -7,12 +7,12 @@
 
 /// Retries with growing pauses until the time of the command line is over.
 #[derive(Debug)]
-pub(crate) struct Patience {
+pub(crate) struct TimedRetry {
     until: Instant,
     output: Output,
 }
 
-impl Patience {
+impl TimedRetry {
     pub(crate) fn open(timeout: Duration, output: Output) -> Self {
         Self {
             until: Instant::now() + timeout,
@@ -33,7 +33,7 @@
     }
 }
 
-impl Retry for Patience {
+impl Retry for TimedRetry {
     fn wait(&mut self, failures: u32, cause: &StoreError) -> bool {
         self.pause(backoff(failures), &cause.to_string())
     }
--- a/cli/src/bin/ragwortctl/watch.rs
+++ b/cli/src/bin/ragwortctl/watch.rs
@@ -8,7 +8,7 @@
 use crate::failure::{EXIT_NO_ANSWER, Failure};
 use crate::options::Options;
 use crate::output::{Output, print};
-use crate::patience::Patience;
+use crate::timed_retry::TimedRetry;
 
 const POLL: Duration = Duration::from_secs(1);
 
@@ -16,18 +16,18 @@
 pub(crate) fn watch(options: &Options, output: Output) -> Result<(), Failure> {
     let daemon = AdminClient::open_one(options)?;
     let mut after = options.after;
-    let mut patience = Patience::open(options.timeout, output);
+    let mut retry = TimedRetry::open(options.timeout, output);
     loop {
         match daemon.watch(after) {
             Ok(lines) => {
                 after = show(&lines, after, output);
-                patience = Patience::open(options.timeout, output);
+                retry = TimedRetry::open(options.timeout, output);
             }
             Err(failure) if failure.exit != EXIT_NO_ANSWER || options.is_once => {
                 return Err(failure);
             }
             Err(failure) => {
-                if !patience.pause(POLL, &failure.message) {
+                if !retry.pause(POLL, &failure.message) {
                     return Err(failure);
                 }
             }
--- a/cli/tests/ctl.rs
+++ b/cli/tests/ctl.rs
@@ -37,12 +37,12 @@
 tokens_per_second = 1000
 ";
 
-struct Bench {
+struct Fixture {
     directory: TempDir,
     platform: KeyValue,
 }
 
-impl Bench {
+impl Fixture {
     fn open() -> Self {
         let platform = KeyValue::bind(&KeyValueSettings::default()).expect("a platform");
         Self {
@@ -93,13 +93,13 @@
 
 #[test]
 fn check_lists_the_problems_of_all_files_with_their_lines() {
-    let bench = Bench::open();
-    let good = bench.file("good.ini", TEXT);
-    let bad = bench.file(
+    let fixture = Fixture::open();
+    let good = fixture.file("good.ini", TEXT);
+    let bad = fixture.file(
         "bad.ini",
         &TEXT.replace("services = stitch", "services = stork"),
     );
-    let broken = bench.file("broken.ini", "nonsense\n");
+    let broken = fixture.file("broken.ini", "nonsense\n");
     assert_eq!(
         ctl(&["check", &good]).status.code(),
         Some(0),
@@ -125,11 +125,11 @@
 
 #[test]
 fn render_is_canonical_and_stable() {
-    let bench = Bench::open();
-    let first = ctl(&["render", &bench.file("a.ini", TEXT)]).stdout;
+    let fixture = Fixture::open();
+    let first = ctl(&["render", &fixture.file("a.ini", TEXT)]).stdout;
     let again = ctl(&[
         "render",
-        &bench.file("b.ini", &String::from_utf8_lossy(&first)),
+        &fixture.file("b.ini", &String::from_utf8_lossy(&first)),
     ])
     .stdout;
     assert!(first.starts_with(b"[configuration]\nauthor = maria\n\n[model pattern]\n"));
@@ -138,15 +138,21 @@
 
 #[test]
 fn plan_shows_the_difference_and_apply_puts_exactly_it_in_place() {
-    let bench = Bench::open();
-    let (status, value) = bench.apply(TEXT, &[]);
+    let fixture = Fixture::open();
+    let (status, value) = fixture.apply(TEXT, &[]);
     assert_eq!(
         (status, &value["outcome"], &value["revision"]),
         (0, &"written".into(), &1.into())
     );
     let changed = TEXT.replace("share = 60", "share = 70");
-    let file = bench.file("changed.ini", &changed);
-    let (_, plan) = json(&ctl(&["plan", &file, "--platform", &bench.url(), "--json"]));
+    let file = fixture.file("changed.ini", &changed);
+    let (_, plan) = json(&ctl(&[
+        "plan",
+        &file,
+        "--platform",
+        &fixture.url(),
+        "--json",
+    ]));
     assert_eq!(
         (&plan["base"], &plan["changed"][0]),
         (&1.into(), &"service stitch".into())
@@ -156,8 +162,8 @@
             .as_str()
             .is_some_and(|diff| diff.contains("-share = 60\n+share = 70\n"))
     );
-    assert_eq!(bench.apply(&changed, &["--base", "1"]).0, 0);
-    let (status, value) = bench.apply(&changed, &[]);
+    assert_eq!(fixture.apply(&changed, &["--base", "1"]).0, 0);
+    let (status, value) = fixture.apply(&changed, &[]);
     assert_eq!(
         (status, &value["outcome"], &value["revision"]),
         (0, &"unchanged".into(), &2.into())
@@ -166,10 +172,11 @@
 
 #[test]
 fn apply_on_an_outdated_review_gets_the_conflict_with_the_difference() {
-    let bench = Bench::open();
-    bench.apply(TEXT, &[]);
-    bench.apply(&TEXT.replace("share = 60", "share = 70"), &[]);
-    let (status, value) = bench.apply(&TEXT.replace("share = 60", "share = 80"), &["--base", "1"]);
+    let fixture = Fixture::open();
+    fixture.apply(TEXT, &[]);
+    fixture.apply(&TEXT.replace("share = 60", "share = 70"), &[]);
+    let (status, value) =
+        fixture.apply(&TEXT.replace("share = 60", "share = 80"), &["--base", "1"]);
     assert_eq!((status, &value["error"]["code"]), (4, &"conflict".into()));
     let diff = value["error"]["details"]["diff"]
         .as_str()
@@ -179,24 +186,24 @@
 
 #[test]
 fn apply_whose_answer_is_lost_takes_effect_once() {
-    let bench = Bench::open();
-    bench.platform.set_fault(Fault::LostAnswers { count: 1 });
-    let (status, value) = bench.apply(TEXT, &[]);
+    let fixture = Fixture::open();
+    fixture.platform.set_fault(Fault::LostAnswers { count: 1 });
+    let (status, value) = fixture.apply(TEXT, &[]);
     assert_eq!((status, &value["revision"]), (0, &1.into()), "{value}");
-    let stored = bench.platform.value("configuration").expect("a document");
+    let stored = fixture.platform.value("configuration").expect("a document");
     assert!(stored.contains(value["apply_id"].as_str().expect("an apply identity")));
 }
 
 #[test]
 fn apply_without_the_platform_fails_clearly_and_changes_nothing() {
-    let bench = Bench::open();
-    bench.platform.set_fault(Fault::Outage);
-    let (status, value) = bench.apply(TEXT, &[]);
+    let fixture = Fixture::open();
+    fixture.platform.set_fault(Fault::Outage);
+    let (status, value) = fixture.apply(TEXT, &[]);
     assert_eq!(
         (status, &value["error"]["code"]),
         (6, &"platform_unavailable".into())
     );
-    assert_eq!(bench.platform.value("configuration"), None);
+    assert_eq!(fixture.platform.value("configuration"), None);
 }
 
 /// A daemon that holds revision 9 from a given status on and is gone after a drain.
@@ -285,14 +292,14 @@
 #[test]
 fn platform_that_came_back_with_older_data_gets_no_apply() {
     let (_admin, address) = daemon();
-    let bench = Bench::open();
-    let (status, value) = bench.apply(TEXT, &["--admin", &address]);
+    let fixture = Fixture::open();
+    let (status, value) = fixture.apply(TEXT, &["--admin", &address]);
     assert_eq!(
         (status, &value["error"]["code"]),
         (6, &"platform_behind".into())
     );
     assert_eq!(
-        bench.apply(TEXT, &[]).0,
+        fixture.apply(TEXT, &[]).0,
         0,
         "negative control: without the check it is written"
     );
@@ -301,16 +308,16 @@
 #[test]
 fn change_that_was_overtaken_is_not_reported_as_in_force() {
     let (_admin, address) = daemon_after(1);
-    let bench = Bench::open();
-    let (status, value) = bench.apply(TEXT, &["--admin", &address]);
+    let fixture = Fixture::open();
+    let (status, value) = fixture.apply(TEXT, &["--admin", &address]);
     assert_eq!((status, &value["error"]["code"]), (5, &"overtaken".into()));
 }
 
 #[test]
 fn wrong_key_is_refused() {
     let (_admin, address) = daemon();
-    let bench = Bench::open();
-    let key = bench.file("key", &format!("maria:{}", "11".repeat(32)));
+    let fixture = Fixture::open();
+    let key = fixture.file("key", &format!("maria:{}", "11".repeat(32)));
     let (status, value) = json(&ctl(&[
         "drain",
         "--admin",
--- a/lib/src/admin/server.rs
+++ b/lib/src/admin/server.rs
@@ -30,12 +30,12 @@
     ///
     /// Fails when the address cannot be bound or the thread cannot be started.
     pub fn bind(address: &str, guard: Guard, source: Arc<dyn Source>) -> std::io::Result<Self> {
-        let desk = Desk {
+        let handler = Handler {
             guard,
             source,
             clock: Clock::start(),
         };
-        let server = Server::new(address, move |request| desk.answer(request))
+        let server = Server::new(address, move |request| handler.answer(request))
             .map_err(|error| std::io::Error::other(error.to_string()))?
             .pool_size(THREADS);
         Ok(Self {
@@ -54,13 +54,13 @@
     }
 }
 
-struct Desk {
+struct Handler {
     guard: Guard,
     source: Arc<dyn Source>,
     clock: Clock,
 }
 
-impl Desk {
+impl Handler {
     fn answer(&self, request: &Request) -> Response {
         let Some(body) = read_body(request) else {
             return refusal(413, "too_large", "the body is at most 4096 bytes");
--- a/lib/tests/configuration.rs
+++ b/lib/tests/configuration.rs
@@ -1,20 +1,20 @@
 //! Guards against a daemon that reverts its configuration, misses a change, or runs without one
 //! while its peers know it.
 
-#[path = "configuration/town.rs"]
-mod town;
+#[path = "configuration/fakes.rs"]
+mod fakes;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use fakes::{FakePeers, FakeStore, identity};
 use ragwortgrade_lib::configuration::{KEY, Keeper, Reader};
 use ragwortgrade_lib::gossip::Hooks as _;
 use ragwortgrade_lib::platform::{HttpKeyValue, KeyValue as _};
 use ragwortgrade_schema::peer::Gossip;
 use ragwortgrade_schema::platform::Write;
 use ragwortgrade_standins::{Fault, KeyValueSettings};
-use town::{FakeStore, Town, identity};
 
 /// Ten times the time within which a change is in force everywhere; never reached when all is well.
 const DEADLINE: Duration = Duration::from_secs(110);
@@ -27,8 +27,8 @@
 }
 
 /// A keeper that reads the platform in each step, as the holder of the lease does.
-fn reading(town: &Arc<Town>, id: &str, store: &Arc<FakeStore>) -> (Arc<Keeper>, Reader) {
-    let keeper = town.add(id, Arc::<FakeStore>::clone(store));
+fn reading(peers: &Arc<FakePeers>, id: &str, store: &Arc<FakeStore>) -> (Arc<Keeper>, Reader) {
+    let keeper = peers.add(id, Arc::<FakeStore>::clone(store));
     keeper.hold_lease(true);
     let mut reader = Reader::open(Arc::clone(&keeper));
     reader.step();
@@ -133,11 +133,11 @@
 
 #[test]
 fn daemon_that_starts_during_an_outage_learns_from_its_peers() {
-    let town = Arc::<Town>::default();
+    let peers = Arc::<FakePeers>::default();
     let store = FakeStore::holding(&text(2, "b", 1));
-    let (_old, _) = reading(&town, "d1", &store);
+    let (_old, _) = reading(&peers, "d1", &store);
     store.set(|stored| stored.is_down = true);
-    let (fresh, _) = reading(&town, "d2", &store);
+    let (fresh, _) = reading(&peers, "d2", &store);
     assert_eq!(fresh.in_force().platform_reachable, Some(false));
     assert_eq!(
         held(&fresh).0,
@@ -150,17 +150,17 @@
 
 #[test]
 fn slow_peer_does_not_keep_a_change_from_a_daemon() {
-    let town = Arc::<Town>::default();
+    let peers = Arc::<FakePeers>::default();
     let store = FakeStore::holding(&text(2, "b", 1));
-    let (first, mut reader) = reading(&town, "d1", &store);
-    let (second, mut other) = reading(&town, "d2", &store);
-    let follower = town.add("d3", Arc::<FakeStore>::clone(&store));
+    let (first, mut reader) = reading(&peers, "d1", &store);
+    let (second, mut other) = reading(&peers, "d2", &store);
+    let follower = peers.add("d3", Arc::<FakeStore>::clone(&store));
     follower.pull();
     store.put(&text(3, "c", 2));
     steps(&mut reader);
     steps(&mut other);
     // The last of equally advanced peers is asked first.
-    town.silence("d2");
+    peers.silence("d2");
     tell(&follower, "d1", &first);
     tell(&follower, "d2", &second);
     follower.pull();
@@ -175,14 +175,14 @@
 
 #[test]
 fn answer_that_lacks_changes_is_noticed_and_the_whole_document_had() {
-    let town = Arc::<Town>::default();
+    let peers = Arc::<FakePeers>::default();
     let store = FakeStore::holding(&text(2, "b", 1));
-    let (source, mut reader) = reading(&town, "d1", &store);
-    let follower = town.add("d2", Arc::<FakeStore>::clone(&store));
+    let (source, mut reader) = reading(&peers, "d1", &store);
+    let follower = peers.add("d2", Arc::<FakeStore>::clone(&store));
     follower.pull();
     store.put(&text(3, "c", 2));
     steps(&mut reader);
-    town.gives_no_changes.store(true, Ordering::Relaxed);
+    peers.gives_no_changes.store(true, Ordering::Relaxed);
     tell(&follower, "d1", &source);
     follower.pull();
     assert_eq!(held(&follower), (3, "c".to_owned()));
@@ -190,11 +190,11 @@
 
 #[test]
 fn reader_that_missed_a_revision_asks_peers_before_it_takes_another_one() {
-    let town = Arc::<Town>::default();
+    let peers = Arc::<FakePeers>::default();
     let store = FakeStore::holding(&text(2, "accepted", 1));
-    let (_old, _) = reading(&town, "d1", &store);
+    let (_old, _) = reading(&peers, "d1", &store);
     store.put(&text(2, "late", 9));
-    let (fresh, mut reader) = reading(&town, "d2", &store);
+    let (fresh, mut reader) = reading(&peers, "d2", &store);
     steps(&mut reader);
     assert_eq!(held(&fresh).1, "accepted");
     assert!(store.text().contains("apply_id = accepted"));
@@ -215,8 +215,8 @@
     let platform = platform.expect("a platform");
     let url = format!("http://{}", platform.address());
     let operator = HttpKeyValue::open(&url);
-    let town = Arc::<Town>::default();
-    let open = |id| town.add(id, Arc::new(HttpKeyValue::open(&url)));
+    let peers = Arc::<FakePeers>::default();
+    let open = |id| peers.add(id, Arc::new(HttpKeyValue::open(&url)));
     let keepers = ["d1", "d2", "d3"].map(open);
     keepers[0].hold_lease(true);
     let threads = keepers
--- a/lib/tests/configuration/town.rs
+++ b/lib/tests/configuration/fakes.rs
@@ -125,7 +125,7 @@
 
 /// Keepers that reach each other by function calls; some may not answer.
 #[derive(Debug, Default)]
-pub struct Town {
+pub struct FakePeers {
     pub keepers: Mutex<BTreeMap<Name, Arc<Keeper>>>,
     pub silent: Mutex<Vec<Name>>,
     pub gives_no_changes: AtomicBool,
@@ -137,7 +137,7 @@
     })
 }
 
-impl Peers for Town {
+impl Peers for FakePeers {
     fn members(&self) -> Vec<Member> {
         let keepers = self.keepers.lock().expect("a lock");
         let members = keepers.keys().map(|id| Member {
@@ -197,7 +197,7 @@
     }
 }
 
-impl Town {
+impl FakePeers {
     pub fn add(self: &Arc<Self>, id: &str, store: Arc<dyn KeyValue>) -> Arc<Keeper> {
         let secret = "00".repeat(32);
         let text = format!(
--- a/policy/src/revision/duty.rs
+++ b/policy/src/revision/duty.rs
@@ -32,7 +32,7 @@
     is_reading: bool,
     heard: Option<Heard>,
     silent_since: Instant,
-    patience: Duration,
+    silence_max: Duration,
     failing_since: Option<Instant>,
     paused_until: Instant,
     has_resigned: bool,
@@ -56,12 +56,12 @@
             is_reading: false,
             heard: None,
             silent_since: now,
-            patience: SILENCE,
+            silence_max: SILENCE,
             failing_since: None,
             paused_until: now,
             has_resigned: false,
         };
-        duty.draw_patience();
+        duty.draw_silence_max();
         duty
     }
 
@@ -87,7 +87,7 @@
             self.failing_since = None;
             self.paused_until = now + PAUSE;
             self.is_reading = false;
-            self.draw_patience();
+            self.draw_silence_max();
         }
     }
 
@@ -127,10 +127,10 @@
         self.is_reading = match heard {
             _ if self.holds_lease => !gives_way,
             Some(_) => self.is_reading && !gives_way,
-            None => self.is_reading || now.since(self.silent_since) >= self.patience,
+            None => self.is_reading || now.since(self.silent_since) >= self.silence_max,
         };
         if was_reading && !self.is_reading {
-            self.draw_patience();
+            self.draw_silence_max();
         }
         self.is_reading
     }
@@ -153,9 +153,9 @@
         })
     }
 
-    fn draw_patience(&mut self) {
+    fn draw_silence_max(&mut self) {
         let jitter = self.random.random_range(0..JITTER_MAX_MS);
-        self.patience = SILENCE + Duration::from_millis(jitter);
+        self.silence_max = SILENCE + Duration::from_millis(jitter);
     }
 }
 
