--- a/standins/examples/soak/failures.rs
+++ b/standins/examples/soak/failures.rs
@@ -14,7 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::heal::{Cure, Heal};
-use crate::ledger::{Ledger, count};
+use crate::ledger::Ledger;
 use crate::options::Options;
 use crate::target::{Kind, Target};
 
