cli: test whole daemons as processes

Cause: streams, drains, outages and leaving endpoints must be judged over the real binaries. Ruled out: stand-ins as processes here; inside the test process their logs are read directly and only daemons have to be ended.

--- /dev/null
+++ b/cli/tests/process/leaving.rs
@@ -0,0 +1,59 @@
+//! Endpoints that leave get no new work.
+
+use std::thread;
+use std::time::Duration;
+
+use ragwortgrade_standins::{End, Question};
+use ragwortgrade_testutil::named_cases;
+
+use crate::setup::Setup;
+
+/// The requirement's "few seconds".
+const GRACE: Duration = Duration::from_secs(5);
+const QUESTIONS: u32 = 30;
+
+/// Who says that engine 1 leaves.
+enum Sign {
+    Nobody,
+    LoadReport,
+    VmList,
+    Configuration,
+}
+
+fn give(setup: &mut Setup, sign: &Sign) {
+    match sign {
+        Sign::Nobody => {}
+        Sign::LoadReport => setup.engines[0].set_draining(true),
+        Sign::VmList => {
+            setup.leaving.push("engine-1".to_owned());
+            setup.publish_vms();
+        }
+        Sign::Configuration => {
+            setup.declaration.endpoints[0].drains = true;
+            setup.apply();
+        }
+    }
+}
+
+fn work_after(sign: &Sign, gets_work: bool) {
+    let mut setup = Setup::open();
+    give(&mut setup, sign);
+    thread::sleep(GRACE);
+    let before = setup.engines[0].work().arrivals;
+    for index in 0..QUESTIONS {
+        let question = Question::streamed("weavers", &format!("question {index}"), 1);
+        let number = index as usize % setup.daemons.len();
+        assert_eq!(setup.ask(number, &question).end, End::Whole);
+    }
+    let arrivals = setup.engines[0].work().arrivals - before;
+    assert_eq!(arrivals > 0, gets_work, "{arrivals} arrivals");
+}
+
+// Guards against work for an endpoint that is about to end, whoever says so. The engine that
+// stays is the negative control.
+named_cases! { work_after:
+    staying_engine_gets_work(&Sign::Nobody, true);
+    engine_that_reports_draining_gets_no_work(&Sign::LoadReport, false);
+    engine_on_a_leaving_vm_gets_no_work(&Sign::VmList, false);
+    engine_that_operators_drain_gets_no_work(&Sign::Configuration, false);
+}
--- /dev/null
+++ b/cli/tests/process/outage.rs
@@ -0,0 +1,119 @@
+//! A long outage of the key-value service, line by line of design section 5.7.
+
+use std::thread;
+use std::time::Duration;
+
+use ragwortgrade_standins::{End, Fault, Question, Verdict};
+use ragwortgrade_testutil::named_cases;
+
+use crate::setup::{Setup, call, wait_for};
+
+pub(crate) const ORDER: &str = "one chair";
+/// Time after which the control lease of 10 s has certainly ended.
+const LEASE_IS_OVER: Duration = Duration::from_secs(11);
+/// Time in which a holder would issue orders, if it did.
+const ORDER_TIME: Duration = Duration::from_secs(3);
+
+/// Kinds of calls of section 5.7.
+pub(crate) enum Kind {
+    Model,
+    Idempotent,
+    NewKey,
+    WithoutKey,
+}
+
+fn verdict_of(setup: &Setup, kind: &Kind) -> Verdict {
+    let question = match kind {
+        Kind::Model => {
+            let question = Question::streamed("weavers", "which stitch?", 5);
+            return question.judge(&setup.ask(0, &question), 0);
+        }
+        Kind::Idempotent => call("stock", "oak", None),
+        Kind::NewKey => call("orders", ORDER, Some("new-key")),
+        Kind::WithoutKey => call("orders", ORDER, None),
+    };
+    question.judge(&setup.call(0, &question))
+}
+
+pub(crate) fn outage_is_survived(fault: Fault, kind: &Kind, verdict: Verdict, effects: usize) {
+    let setup = Setup::open();
+    setup.key_value.set_fault(fault);
+    assert_eq!(verdict_of(&setup, kind), verdict);
+    assert_eq!(setup.order_effects(ORDER), effects);
+}
+
+// Guards against an outage that stops what needs no platform.
+named_cases! { outage_is_survived:
+    model_request_continues(Fault::Outage, &Kind::Model, Verdict::Complete, 0);
+    idempotent_call_continues(Fault::Outage, &Kind::Idempotent, Verdict::Complete, 0);
+    order_without_a_key_runs_once(Fault::Outage, &Kind::WithoutKey, Verdict::Complete, 1);
+    order_with_a_new_key_runs_without_an_outage(Fault::None, &Kind::NewKey, Verdict::Complete, 1);
+}
+
+/// Guards against a daemon that cannot start without the platform although its peers can tell it
+/// the configuration.
+#[test]
+fn starting_daemon_gets_the_configuration_from_its_peers() {
+    let mut setup = Setup::open();
+    setup.key_value.set_fault(Fault::Outage);
+    setup.spawn_daemon();
+    setup.wait_until_serving(2);
+}
+
+/// Guards against a configuration that reverts when the platform comes back with older data.
+#[test]
+fn configuration_survives_a_rollback() {
+    let mut setup = Setup::open();
+    let snapshot = format!("http://{}/debug/snapshot", setup.key_value.address());
+    ureq::post(snapshot)
+        .send_empty()
+        .expect("the service answers");
+    let late = "late-workspace";
+    setup.declaration.workspaces[0].name = late.to_owned();
+    setup.apply();
+    let question = Question::streamed(late, "which stitch?", 2);
+    let is_answered = |setup: &Setup, number| setup.ask(number, &question).end == End::Whole;
+    for number in [0, 1] {
+        wait_for("the new workspace is known", || is_answered(&setup, number));
+    }
+    setup.key_value.set_fault(Fault::Rollback);
+    wait_for("the newest document is written back", || {
+        let document = setup.key_value.value("configuration").unwrap_or_default();
+        document.contains(late)
+    });
+    for number in [0, 1] {
+        assert!(is_answered(&setup, number));
+    }
+}
+
+/// Guards against orders of a holder whose lease has ended.
+#[test]
+fn no_orders_are_issued_after_the_lease_has_ended() {
+    let mut setup = Setup::open();
+    let issued = |setup: &Setup| -> usize {
+        setup
+            .engines
+            .iter()
+            .map(|engine| engine.orders().len())
+            .sum()
+    };
+    set_role(&mut setup, "decode");
+    wait_for("an order is issued", || issued(&setup) > 0);
+    setup.key_value.set_fault(Fault::Outage);
+    thread::sleep(LEASE_IS_OVER);
+    let before = issued(&setup);
+    // A restarted engine has its first role again, which a holder would change.
+    setup.engines[0].crash();
+    thread::sleep(ORDER_TIME);
+    assert_eq!(issued(&setup), before);
+    assert_eq!(verdict_of(&setup, &Kind::Model), Verdict::Complete);
+}
+
+fn set_role(setup: &mut Setup, role: &str) {
+    for endpoint in &mut setup.declaration.endpoints {
+        if endpoint.name == "engine-1" {
+            endpoint.role = Some(role.to_owned());
+        }
+    }
+    setup.apply();
+}
--- /dev/null
+++ b/cli/tests/process/setup.rs
@@ -0,0 +1,244 @@
+//! A small data centre: stand-ins in this process and daemons as child processes.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::platform::{Entry, Vm, VmKind, VmState, Write};
+use ragwortgrade_standins::deployment::{
+    DaemonProcess, DaemonSettings, Declaration, DeclaredEndpoint, free_address,
+};
+use ragwortgrade_standins::{
+    Answer, Caller, Effect, End, Engine, EngineSettings, KeyValue, KeyValueSettings, Plain,
+    PlainQuestion, PlainSettings, Question, Verdict, VmList, VmListSettings,
+};
+use tempfile::TempDir;
+
+const DATA_CENTRE: &str = "dc-1";
+const DRAIN_TIMEOUT_MS: u64 = 20_000;
+/// No test waits longer for anything; generous, because the machine may be busy.
+pub(crate) const WAIT_MAX: Duration = Duration::from_secs(30);
+const CHECK: Duration = Duration::from_millis(50);
+const VM_LIST_LAG_MS: u64 = 100;
+/// Fast engines finish a stream before a test could disturb it.
+const SLOW_STEP_US: u64 = 20_000;
+
+/// One data centre with running daemons.
+pub(crate) struct Setup {
+    pub(crate) key_value: KeyValue,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) stock: Plain,
+    pub(crate) orders: Plain,
+    pub(crate) daemons: Vec<DaemonProcess>,
+    pub(crate) declaration: Declaration,
+    pub(crate) leaving: Vec<String>,
+    vm_list: VmList,
+    directory: TempDir,
+}
+
+impl Setup {
+    /// Starts two daemons and two engines, and waits until they serve.
+    pub(crate) fn open() -> Self {
+        Self::with(2, |_| {})
+    }
+
+    /// Starts `daemons` daemons with a changed declaration.
+    pub(crate) fn with(daemons: usize, change: impl FnOnce(&mut Declaration)) -> Self {
+        let key_value = KeyValue::bind(&KeyValueSettings::default()).expect("a port is free");
+        let vm_list = VmList::bind(VmListSettings {
+            lag_ms: VM_LIST_LAG_MS,
+            ..VmListSettings::default()
+        });
+        let mut setup = Self {
+            key_value,
+            engines: vec![engine("engine-1"), engine("engine-2")],
+            stock: plain("stock-1"),
+            orders: plain("orders-1"),
+            daemons: Vec::new(),
+            declaration: Declaration::standard(),
+            leaving: Vec::new(),
+            vm_list: vm_list.expect("a port is free"),
+            directory: TempDir::new().expect("the directory for temporary files is writable"),
+        };
+        for name in ["engine-1", "engine-2", "stock-1", "orders-1"] {
+            setup.declaration.endpoints.push(DeclaredEndpoint {
+                name: name.to_owned(),
+                checks_fence: true,
+                drains: false,
+                role: None,
+            });
+        }
+        change(&mut setup.declaration);
+        setup.apply();
+        for _ in 0..daemons {
+            setup.spawn_daemon();
+        }
+        for number in 0..daemons {
+            setup.wait_until_serving(number);
+        }
+        setup
+    }
+
+    /// Starts one more daemon.
+    pub(crate) fn spawn_daemon(&mut self) {
+        let address = || free_address().expect("a port is free");
+        let settings = DaemonSettings {
+            id: format!("daemon-{}", self.daemons.len() + 1),
+            data_centre: DATA_CENTRE.to_owned(),
+            callers: address(),
+            peers: address(),
+            peers_public: None,
+            admin: address(),
+            key_value: self.key_value.address(),
+            vm_list: self.vm_list.address(),
+            seeds: self
+                .daemons
+                .iter()
+                .map(|daemon| daemon.settings.peers)
+                .collect(),
+            drain_timeout_ms: DRAIN_TIMEOUT_MS,
+        };
+        let program = Path::new(env!("CARGO_BIN_EXE_ragwortgrade"));
+        let daemon = DaemonProcess::spawn(program, self.directory.path(), settings);
+        self.daemons.push(daemon.expect("the daemon starts"));
+        self.publish_vms();
+    }
+
+    /// Waits until a daemon answers questions and reaches both plain services.
+    pub(crate) fn wait_until_serving(&self, number: usize) {
+        let question = Question::streamed("weavers", "ready?", 1);
+        wait_for("the daemon answers", || {
+            self.ask(number, &question).end == End::Whole
+        });
+        wait_for("the daemon reaches the plain service", || {
+            self.call(number, &call("stock", "ready?", None)).end == End::Whole
+        });
+    }
+
+    /// Writes the declaration as the next revision.
+    pub(crate) fn apply(&mut self) {
+        self.declaration.revision += 1;
+        let url = format!("http://{}/kv/configuration", self.key_value.address());
+        let current = Caller::open().get::<Entry>(&url);
+        let write = Write {
+            expect: current.map_or(0, |entry| entry.revision),
+            key: "configuration".to_owned(),
+            lease: None,
+            value: Some(self.declaration.to_string()),
+        };
+        let written = Caller::open().write(self.key_value.address(), &write);
+        written.expect("nobody else writes");
+    }
+
+    /// Tells the list which VMs there are and which leave.
+    pub(crate) fn publish_vms(&self) {
+        let mut vms = Vec::new();
+        for (number, engine) in self.engines.iter().enumerate() {
+            let id = format!("engine-{}", number + 1);
+            vms.push(self.vm(&id, VmKind::Engine, engine.address(), None));
+        }
+        vms.push(self.vm(
+            "stock-1",
+            VmKind::Plain,
+            self.stock.address(),
+            Some("stock"),
+        ));
+        vms.push(self.vm(
+            "orders-1",
+            VmKind::Plain,
+            self.orders.address(),
+            Some("orders"),
+        ));
+        for daemon in &self.daemons {
+            let settings = &daemon.settings;
+            let mut vm = self.vm(&settings.id, VmKind::Entry, settings.callers, None);
+            vm.peers_address = Some(settings.peers.to_string());
+            vms.push(vm);
+        }
+        self.vm_list.set(vms);
+    }
+
+    fn vm(&self, id: &str, kind: VmKind, address: SocketAddr, service: Option<&str>) -> Vm {
+        let is_leaving = self.leaving.iter().any(|leaving| leaving == id);
+        Vm {
+            address: address.to_string(),
+            data_centre: Name::from(DATA_CENTRE),
+            id: Name::from(id),
+            incarnation: 1,
+            kind,
+            peers_address: None,
+            service: service.map(Name::from),
+            state: if is_leaving {
+                VmState::Leaving
+            } else {
+                VmState::Live
+            },
+        }
+    }
+
+    pub(crate) fn entrance(&self, number: usize) -> SocketAddr {
+        self.daemons[number].settings.callers
+    }
+
+    /// Asks a daemon.
+    pub(crate) fn ask(&self, number: usize, question: &Question) -> Answer {
+        Caller::open().ask(self.entrance(number), question, None)
+    }
+
+    /// Calls a plain service through a daemon.
+    pub(crate) fn call(&self, number: usize, question: &PlainQuestion) -> Answer {
+        Caller::open().call(self.entrance(number), question)
+    }
+
+    /// Sends an order with a key and judges the answer.
+    pub(crate) fn order(&self, number: usize, body: &str) -> Verdict {
+        let question = call("orders", body, Some("key-1"));
+        question.judge(&self.call(number, &question))
+    }
+
+    /// Counts how often an order took effect.
+    pub(crate) fn order_effects(&self, body: &str) -> usize {
+        let effects = self.orders.effects();
+        let same = |effect: &&Effect| effect.body == body;
+        effects.iter().filter(same).count()
+    }
+}
+
+fn engine(name: &str) -> Engine {
+    let settings = EngineSettings {
+        name: name.to_owned(),
+        step_us: SLOW_STEP_US,
+        ..EngineSettings::default()
+    };
+    Engine::bind(settings).expect("a port is free")
+}
+
+fn plain(name: &str) -> Plain {
+    let settings = PlainSettings {
+        name: name.to_owned(),
+        ..PlainSettings::default()
+    };
+    Plain::bind(settings).expect("a port is free")
+}
+
+/// Builds a call of a plain service.
+pub(crate) fn call(service: &str, body: &str, key: Option<&str>) -> PlainQuestion {
+    PlainQuestion {
+        workspace: "weavers".to_owned(),
+        service: service.to_owned(),
+        path: "/new".to_owned(),
+        key: key.map(str::to_owned),
+        body: body.to_owned(),
+    }
+}
+
+/// Waits until a condition holds.
+pub(crate) fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + WAIT_MAX;
+    while !holds() {
+        assert!(Instant::now() < until, "in vain: waited until {what}");
+        thread::sleep(CHECK);
+    }
+}
--- /dev/null
+++ b/cli/tests/process/streams.rs
@@ -0,0 +1,183 @@
+//! Streams that outlive the failures of daemons and engines.
+
+use std::thread;
+use std::time::Duration;
+
+use ragwortgrade_standins::deployment::Process;
+use ragwortgrade_standins::{Answer, Caller, End, Question, Verdict};
+use ragwortgrade_testutil::named_cases;
+
+use crate::setup::{Setup, WAIT_MAX, wait_for};
+
+/// Long enough that a test can disturb the stream while it runs.
+const LONG_TOKENS: u32 = 100;
+const BEFORE_FAILURE: Duration = Duration::from_millis(500);
+const PAUSED_CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+fn answer_is_whole(question: &Question) {
+    let setup = Setup::open();
+    for number in 0..setup.daemons.len() {
+        let answer = setup.ask(number, question);
+        assert_eq!(question.judge(&answer, 0), Verdict::Complete, "{answer:?}");
+    }
+}
+
+// Guards against answers that are cut short, reordered or mixed up.
+named_cases! { answer_is_whole:
+    streamed_answer_is_whole(&Question::streamed("weavers", "which stitch?", 30));
+    answer_in_one_piece_is_whole(&Question::streamed("weavers", "which stitch?", 30).whole());
+    answer_of_a_named_service_is_whole(
+        &Question::streamed("buyers", "which lot?", 5).service("ask"),
+    );
+}
+
+/// Asks daemon 0 and disturbs it while the answer streams.
+fn ask_and_disturb(
+    setup: &mut Setup,
+    question: &Question,
+    timeout: Duration,
+    disturb: impl FnOnce(&mut Process),
+) -> Answer {
+    let entrance = setup.entrance(0);
+    thread::scope(|scope| {
+        let asked = scope.spawn(|| Caller::with_timeout(timeout).ask(entrance, question, None));
+        thread::sleep(BEFORE_FAILURE);
+        disturb(setup.daemons[0].process.as_mut().expect("the daemon runs"));
+        asked.join().expect("the caller does not panic")
+    })
+}
+
+/// Guards against lost or repeated tokens when a caller resumes through another daemon. Asking
+/// again without the event's identity is the negative control: the same judgement finds it.
+#[test]
+fn stream_of_a_killed_daemon_resumes_through_another() {
+    let mut setup = Setup::open();
+    let question = Question::streamed("weavers", "a long pattern", LONG_TOKENS);
+    let broken = ask_and_disturb(&mut setup, &question, WAIT_MAX, Process::kill);
+    assert!(matches!(broken.end, End::Broken(_)), "{broken:?}");
+    let received = broken.tokens.len();
+    assert!(received > 0, "the daemon was killed before the first token");
+    let caller = Caller::open();
+    let resumed = caller.ask(setup.entrance(1), &question, broken.last_event.as_deref());
+    assert_eq!(
+        question.judge(&resumed, received),
+        Verdict::Complete,
+        "{resumed:?}"
+    );
+    let repeated = caller.ask(setup.entrance(1), &question, None);
+    assert_eq!(question.judge(&repeated, received), Verdict::Crossed);
+}
+
+/// Guards against callers that lose their answer because a daemon is suspended, and against a
+/// daemon that does not serve again after it.
+#[test]
+fn stream_of_a_paused_daemon_resumes_through_another() {
+    let mut setup = Setup::open();
+    let question = Question::streamed("weavers", "a long pattern", LONG_TOKENS);
+    let broken = ask_and_disturb(&mut setup, &question, PAUSED_CALL_TIMEOUT, |process| {
+        process.pause().expect("the daemon runs");
+    });
+    assert!(matches!(broken.end, End::Broken(_)), "{broken:?}");
+    let received = broken.tokens.len();
+    let caller = Caller::open();
+    let resumed = caller.ask(setup.entrance(1), &question, broken.last_event.as_deref());
+    assert_eq!(
+        question.judge(&resumed, received),
+        Verdict::Complete,
+        "{resumed:?}"
+    );
+    let process = setup.daemons[0].process.as_mut().expect("the daemon runs");
+    process.resume().expect("the daemon runs");
+    setup.wait_until_serving(0);
+}
+
+fn planned_stop_is_judged(stop: impl FnOnce(&mut Process), verdict: Verdict, is_graceful: bool) {
+    let mut setup = Setup::open();
+    let question = Question::streamed("weavers", "a long pattern", LONG_TOKENS);
+    let answer = ask_and_disturb(&mut setup, &question, WAIT_MAX, stop);
+    assert_eq!(question.judge(&answer, 0), verdict, "{:?}", answer.end);
+    let process = setup.daemons[0]
+        .process
+        .as_mut()
+        .expect("the daemon was started");
+    let status = process.wait(WAIT_MAX).expect("the daemon ends");
+    assert_eq!(status.success(), is_graceful, "{status}");
+}
+
+// Guards against a planned stop that cuts streams; a kill is the negative control.
+named_cases! { planned_stop_is_judged:
+    drain_lets_streams_finish(
+        |process| process.terminate().expect("the daemon runs"),
+        Verdict::Complete,
+        true,
+    );
+    kill_cuts_streams(Process::kill, Verdict::Lost, false);
+}
+
+/// Guards against a draining daemon that takes new requests, or refuses them as if they had run.
+#[test]
+fn draining_daemon_refuses_new_requests_as_not_run() {
+    let mut setup = Setup::open();
+    let long = Question::streamed("weavers", "a long pattern", LONG_TOKENS);
+    let short = Question::streamed("weavers", "which stitch?", 2);
+    let entrance = setup.entrance(0);
+    let arrivals = |setup: &Setup| -> u64 {
+        setup
+            .engines
+            .iter()
+            .map(|engine| engine.work().arrivals)
+            .sum()
+    };
+    let before = arrivals(&setup);
+    let mut refused = None;
+    let answer = ask_and_disturb(&mut setup, &long, WAIT_MAX, |process| {
+        process.terminate().expect("the daemon runs");
+        wait_for("the daemon refuses", || {
+            let answer = Caller::open().ask(entrance, &short, None);
+            refused = answer.refusal().cloned();
+            refused.is_some()
+        });
+    });
+    assert_eq!(
+        long.judge(&answer, 0),
+        Verdict::Complete,
+        "{:?}",
+        answer.end
+    );
+    let refused = refused.expect("the daemon refused");
+    assert_eq!(
+        (refused.code.as_str(), refused.is_not_run),
+        ("draining", true)
+    );
+    // Requests between the signal and the drain may have been served.
+    let served = arrivals(&setup) - before;
+    assert!(served >= 1, "the long answer came from an engine");
+}
+
+/// Guards against a stream that ends because its engine crashed.
+#[test]
+fn stream_of_a_crashed_engine_goes_on() {
+    let setup = Setup::open();
+    let question = Question::streamed("weavers", "a long pattern", LONG_TOKENS);
+    let before: Vec<u64> = setup
+        .engines
+        .iter()
+        .map(|engine| engine.work().arrivals)
+        .collect();
+    let answer = thread::scope(|scope| {
+        let asked = scope.spawn(|| setup.ask(0, &question));
+        thread::sleep(BEFORE_FAILURE);
+        for (engine, before) in setup.engines.iter().zip(before) {
+            if engine.work().arrivals > before {
+                engine.crash();
+            }
+        }
+        asked.join().expect("the caller does not panic")
+    });
+    assert_eq!(
+        question.judge(&answer, 0),
+        Verdict::Complete,
+        "{:?}",
+        answer.end
+    );
+}
