--- a/cli/tests/process/main.rs
+++ b/cli/tests/process/main.rs
@@ -3,6 +3,7 @@
 //! The stand-ins run inside the test process, so only daemons are child processes.
 
 mod leaving;
+mod orders;
 mod outage;
 mod setup;
 mod streams;
