policy: grant a request that must not be repeated to one attempt

Cause: a caller that repeats an order after a lost answer would order twice; nothing recorded which attempt may send it. Change: claim::Owner is the state machine of one shard's owner. Asks go in, calls of the key-value service come out one at a time. Lost write answers are read back, and the same batch is written again until it is known which value has the sequence. Compaction moves changed claims into chunks below 1 MB; claims older than an hour are held as 8-byte fingerprints. When the service comes back with older data, the owner writes all claims again that it holds in full; a key held by two attempts has an unknown outcome from then on. Ruled out: an owner lease (a paused owner does not know that it lapsed); reading the head before the write (the pause may lie in between). Controls: without the condition two owners grant one key; without the head a paused owner does.

--- /dev/null
+++ b/policy/src/claim/compact.rs
@@ -0,0 +1,250 @@
+use std::collections::VecDeque;
+
+use ragwortgrade_schema::platform;
+
+use super::owner::Moment;
+use super::{Call, Chunk, Entry, Hash, Head, Owner, Result};
+
+/// Sequences in the log after which it is compacted; they are what a new owner reads.
+pub(super) const SEQUENCES_MAX: u64 = 512;
+/// Bound of a chunk's value; the service holds values up to 1 MB.
+const CHUNK_BYTES_MAX: usize = 900 * 1_024;
+/// Bytes of an entry without an answer's body, rounded up.
+const ENTRY_BYTES: usize = 320;
+
+/// Moving a part of the log into snapshot chunks.
+#[derive(Debug)]
+pub(super) struct Compaction {
+    chunks: VecDeque<Chunk>,
+    written: Vec<(u64, Chunk)>,
+    head: Head,
+    state: State,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Chunks,
+    CheckChunk,
+    Head,
+    CheckHead,
+}
+
+/// A key that is not needed any more; without a revision it is read first.
+#[derive(Clone, Debug)]
+pub(super) struct Garbage {
+    key: String,
+    revision: Option<u64>,
+}
+
+impl Owner {
+    /// Tells whether a head is the one that a compaction of this owner writes.
+    pub(super) fn is_own_head(&self, head: Head) -> bool {
+        let own = self.compaction.as_ref();
+        own.is_some_and(|compaction| compaction.head == head && head != self.head)
+    }
+
+    pub(super) fn compact_call(&mut self, at: Moment) -> Option<Call> {
+        if self.compaction.is_none() {
+            let sequences = self.next.saturating_sub(self.head.floor);
+            if sequences < self.sequences_max && !(self.table.is_heavy() && sequences > 0) {
+                return None;
+            }
+            self.compaction = Some(self.begin_compaction(at));
+        }
+        let compaction = self.compaction.as_ref()?;
+        let chunk_key = || self.keys.chunk(compaction.head.next_chunk);
+        Some(match compaction.state {
+            State::Chunks => {
+                let value = serde_json::to_string(compaction.chunks.front()?).ok()?;
+                write(chunk_key(), value, 0)
+            }
+            State::CheckChunk => Call::Read(chunk_key()),
+            State::Head => {
+                let value = serde_json::to_string(&compaction.head).ok()?;
+                write(self.keys.head(), value, self.head_revision)
+            }
+            State::CheckHead => Call::Read(self.keys.head()),
+        })
+    }
+
+    pub(super) fn compacted(&mut self, result: Result, at: Moment) {
+        let Some(mut compaction) = self.compaction.take() else {
+            return;
+        };
+        match (compaction.state, result) {
+            (State::Chunks, Result::Written(_)) => compaction.chunk_written(),
+            (State::Chunks, Result::Conflict | Result::Lost) => {
+                compaction.state = State::CheckChunk;
+            }
+            (State::CheckChunk, Result::Read(value)) => compaction.chunk_read(value),
+            (State::Head, Result::Written(revision)) => {
+                return self.finish_compaction(&compaction, revision, at);
+            }
+            (State::Head, Result::Conflict | Result::Lost) => compaction.state = State::CheckHead,
+            (State::CheckHead, Result::Read(Some((value, revision)))) => {
+                let head = serde_json::from_str::<Head>(&value).ok();
+                if head == Some(compaction.head) {
+                    return self.finish_compaction(&compaction, revision, at);
+                }
+                if revision != self.head_revision {
+                    return self.head_moved(head);
+                }
+                compaction.state = State::Head;
+            }
+            (State::CheckHead, Result::Read(None)) => {
+                if self.head_revision != 0 {
+                    return self.head_moved(None);
+                }
+                compaction.state = State::Head;
+            }
+            _ => {}
+        }
+        self.compaction = Some(compaction);
+    }
+
+    pub(super) fn delete_call(&self) -> Option<Call> {
+        let garbage = self.garbage.front()?;
+        Some(match garbage.revision {
+            Some(expect) => Call::Write(platform::Write {
+                key: garbage.key.clone(),
+                value: None,
+                expect,
+                lease: None,
+            }),
+            None => Call::Read(garbage.key.clone()),
+        })
+    }
+
+    pub(super) fn deleted(&mut self, result: &Result) {
+        let Some(mut garbage) = self.garbage.pop_front() else {
+            return;
+        };
+        match result {
+            Result::Read(Some((_, revision))) => {
+                garbage.revision = Some(*revision);
+                self.garbage.push_front(garbage);
+            }
+            Result::NotDone | Result::Lost => {
+                garbage.revision = None;
+                self.garbage.push_back(garbage);
+            }
+            Result::Read(None) | Result::Listed(_) | Result::Written(_) | Result::Conflict => {}
+        }
+    }
+
+    /// Reads the shard again: another owner compacted the log, or the service lost the head.
+    fn head_moved(&mut self, head: Option<Head>) {
+        if head.unwrap_or_default().floor <= self.head.floor {
+            self.write_again();
+        }
+        self.reload();
+    }
+
+    fn begin_compaction(&mut self, at: Moment) -> Compaction {
+        let chunks = split(self.table.take_dirty());
+        let next_chunk = self.head.next_chunk;
+        let first_chunk = self.table.expire_chunks(next_chunk, at.unix_ms);
+        let state = if chunks.is_empty() {
+            State::Head
+        } else {
+            State::Chunks
+        };
+        Compaction {
+            chunks,
+            written: Vec::new(),
+            head: Head {
+                floor: self.next,
+                first_chunk,
+                next_chunk,
+            },
+            state,
+        }
+    }
+
+    fn finish_compaction(&mut self, compaction: &Compaction, revision: u64, at: Moment) {
+        let before = std::mem::replace(&mut self.head, compaction.head);
+        self.head_revision = revision;
+        for (number, chunk) in &compaction.written {
+            self.table.push_index(*number, chunk);
+        }
+        self.table.evict(at.unix_ms);
+        let kept = self.revisions.split_off(&self.head.floor);
+        let gone = std::mem::replace(&mut self.revisions, kept);
+        for (sequence, revision) in &gone {
+            self.garbage.push_back(Garbage {
+                key: self.keys.sequence(*sequence),
+                revision: Some(*revision),
+            });
+        }
+        for number in before.first_chunk..self.head.first_chunk {
+            self.garbage.push_back(Garbage {
+                key: self.keys.chunk(number),
+                revision: None,
+            });
+        }
+    }
+}
+
+fn write(key: String, value: String, expect: u64) -> Call {
+    Call::Write(platform::Write {
+        key,
+        value: Some(value),
+        expect,
+        lease: None,
+    })
+}
+
+impl Compaction {
+    fn chunk_written(&mut self) {
+        if let Some(chunk) = self.chunks.pop_front() {
+            self.written.push((self.head.next_chunk, chunk));
+            self.head.next_chunk += 1;
+        }
+        self.state = if self.chunks.is_empty() {
+            State::Head
+        } else {
+            State::Chunks
+        };
+    }
+
+    /// Decides after a conflict or a lost answer. A number taken by a compaction that was never
+    /// finished is skipped: its claims are older states of the same log.
+    fn chunk_read(&mut self, value: Option<(String, u64)>) {
+        self.state = State::Chunks;
+        let Some((value, _)) = value else {
+            return;
+        };
+        let held = serde_json::from_str::<Chunk>(&value).ok();
+        if held.as_ref() == self.chunks.front() {
+            self.chunk_written();
+        } else {
+            self.head.next_chunk += 1;
+        }
+    }
+}
+
+fn split(entries: Vec<(Hash, Entry)>) -> VecDeque<Chunk> {
+    let mut chunks = VecDeque::new();
+    let mut chunk = Chunk {
+        entries: Vec::new(),
+    };
+    let mut bytes = 0;
+    for (key, entry) in entries {
+        let size = ENTRY_BYTES + entry.body_bytes();
+        if bytes + size > CHUNK_BYTES_MAX && !chunk.entries.is_empty() {
+            chunks.push_back(std::mem::replace(
+                &mut chunk,
+                Chunk {
+                    entries: Vec::new(),
+                },
+            ));
+            bytes = 0;
+        }
+        bytes += size;
+        chunk.entries.push((key, entry));
+    }
+    if !chunk.entries.is_empty() {
+        chunks.push_back(chunk);
+    }
+    chunks
+}
--- /dev/null
+++ b/policy/src/claim/load.rs
@@ -0,0 +1,147 @@
+use ragwortgrade_schema::platform;
+
+use super::owner::Moment;
+use super::table::Table;
+use super::{Call, Chunk, Head, Owner, Result};
+use crate::Instant;
+
+/// Times that a missing chunk is looked for before it counts as lost by the service.
+const CHUNK_TRIES: u32 = 3;
+
+/// Reading a shard from the service.
+#[derive(Debug)]
+pub(super) struct Load {
+    table: Table,
+    head: Head,
+    head_revision: u64,
+    state: State,
+    missing: u32,
+}
+
+#[derive(Debug)]
+enum State {
+    Chunk(u64),
+    /// The log, after this key.
+    Log(String),
+}
+
+impl Owner {
+    pub(super) fn load_call(&self) -> Call {
+        let Some(load) = &self.load else {
+            return Call::Read(self.keys.head());
+        };
+        match &load.state {
+            State::Chunk(number) => Call::Read(self.keys.chunk(*number)),
+            State::Log(after) => Call::List {
+                prefix: self.keys.log_prefix(),
+                after: after.clone(),
+            },
+        }
+    }
+
+    pub(super) fn loaded(&mut self, result: Result, at: Moment) {
+        match (self.load.take(), result) {
+            (None, Result::Read(value)) => self.begin_load(value),
+            (Some(load), Result::Read(value)) => self.load_chunk(load, value, at),
+            (Some(load), Result::Listed(entries)) => self.load_log(load, &entries),
+            (load, _) => self.load = load,
+        }
+    }
+
+    fn begin_load(&mut self, value: Option<(String, u64)>) {
+        let (head, head_revision) = match value {
+            Some((value, revision)) => match serde_json::from_str(&value) {
+                Ok(head) => (head, revision),
+                Err(_malformed) => return,
+            },
+            None => (Head::default(), 0),
+        };
+        let load = Load {
+            table: Table::default(),
+            head,
+            head_revision,
+            state: State::Chunk(head.first_chunk),
+            missing: 0,
+        };
+        self.load = Some(self.after_chunks(load));
+    }
+
+    fn load_chunk(&mut self, mut load: Load, value: Option<(String, u64)>, at: Moment) {
+        let State::Chunk(number) = load.state else {
+            return;
+        };
+        let chunk = value.and_then(|(value, _)| serde_json::from_str::<Chunk>(&value).ok());
+        match chunk {
+            Some(chunk) => load.table.add_chunk(number, &chunk, at.unix_ms),
+            // Another owner may have moved the head on since it was read.
+            None if load.missing < CHUNK_TRIES => {
+                load.missing += 1;
+                self.load = Some(load);
+                return;
+            }
+            // The service lost it: what this owner still knows is written again.
+            None => self.write_again(),
+        }
+        load.state = State::Chunk(number + 1);
+        load.missing = 0;
+        self.load = Some(self.after_chunks(load));
+    }
+
+    fn after_chunks(&self, mut load: Load) -> Load {
+        if let State::Chunk(number) = load.state
+            && number >= load.head.next_chunk
+        {
+            load.state = State::Log(self.before_floor(load.head));
+        }
+        load
+    }
+
+    fn load_log(&mut self, mut load: Load, entries: &[platform::Entry]) {
+        let tail = self.parse_tail(entries);
+        if let Some((head, revision)) = tail.head
+            && (head, revision) != (load.head, load.head_revision)
+        {
+            // The log was compacted meanwhile: begin again.
+            return;
+        }
+        let begin = self.before_floor(load.head);
+        if matches!(&load.state, State::Log(after) if *after == begin) {
+            self.begin_log(&mut load);
+        }
+        for seen in &tail.batches {
+            self.apply(seen);
+        }
+        match tail.batches.last() {
+            // A page may be short of the end; the next one shows.
+            Some(seen) => {
+                load.state = State::Log(self.keys.sequence(seen.sequence));
+                self.load = Some(load);
+            }
+            None if tail.head.is_none() && load.head_revision != 0 => {}
+            None => self.finish_load(),
+        }
+    }
+
+    fn before_floor(&self, head: Head) -> String {
+        self.keys.sequence(head.floor.saturating_sub(1))
+    }
+
+    fn finish_load(&mut self) {
+        // Claims that the service lost are known again before anything is answered.
+        for record in &self.relog {
+            self.table.apply(record);
+        }
+        self.is_loaded = true;
+        self.seen_tail = Instant::default();
+    }
+
+    /// Replaces the table by the loaded one, to which the log is applied.
+    fn begin_log(&mut self, load: &mut Load) {
+        self.table = std::mem::take(&mut load.table);
+        self.head = load.head;
+        self.head_revision = load.head_revision;
+        self.next = load.head.floor;
+        self.revisions.clear();
+        self.last = None;
+    }
+}
--- /dev/null
+++ b/policy/src/claim/table.rs
@@ -0,0 +1,303 @@
+use std::collections::{HashMap, HashSet};
+
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::peer::Recorded;
+use serde::{Deserialize, Serialize};
+
+use super::{Chunk, Hash, Record};
+
+/// A key is free again after this time.
+pub(super) const LIFETIME_MS: u64 = 24 * 60 * 60 * 1_000;
+/// Claims of this time are held in full.
+const FULL_MS: u64 = 60 * 60 * 1_000;
+/// Answer bodies held in full by one shard; all shards on one daemon then take 64 MB.
+const BODY_BYTES_MAX: usize = 8 << 20;
+
+/// What became of a claim.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The attempt may be running.
+    Pending,
+    /// The request ran and was answered.
+    Done(Recorded),
+    /// The request was sent and its outcome is not known.
+    Unknown,
+    /// The request did not run.
+    Released,
+}
+
+/// A claim.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// Digest of the request's content.
+    pub request: Hash,
+    /// Daemon that asked.
+    pub claimant: Name,
+    /// Incarnation of that daemon.
+    pub incarnation: u64,
+    /// The attempt that may send.
+    pub attempt: Hash,
+    /// Unix time in milliseconds of the claim.
+    pub at_ms: u64,
+    /// What became of it.
+    pub outcome: Outcome,
+}
+
+/// The claims of one shard: recent ones in full, older ones as fingerprints of chunks.
+#[derive(Debug, Default)]
+pub(super) struct Table {
+    full: HashMap<Hash, Entry>,
+    /// Keys that changed since the last compaction.
+    dirty: HashSet<Hash>,
+    /// Chunks with the sorted fingerprints of their keys, in the order of their numbers.
+    chunks: Vec<Index>,
+    body_bytes: usize,
+}
+
+#[derive(Debug)]
+struct Index {
+    number: u64,
+    newest_ms: u64,
+    fingerprints: Vec<u64>,
+}
+
+/// Where a key was found.
+#[derive(Debug)]
+pub(super) enum Found<'a> {
+    Entry(&'a Entry),
+    /// One of these chunks, newest first, may hold the key.
+    Chunks(Vec<u64>),
+    Nowhere,
+}
+
+impl Table {
+    /// Looks a key up; `excluded` are chunks that were read and do not hold it.
+    pub(super) fn find(&self, key: Hash, excluded: &[u64], now_ms: u64) -> Found<'_> {
+        if let Some(entry) = self.full.get(&key) {
+            return if entry.is_live(now_ms) {
+                Found::Entry(entry)
+            } else {
+                Found::Nowhere
+            };
+        }
+        let chunks: Vec<u64> = self
+            .chunks
+            .iter()
+            .rev()
+            .filter(|index| index.newest_ms + LIFETIME_MS > now_ms)
+            .filter(|index| !excluded.contains(&index.number))
+            .filter(|index| index.fingerprints.binary_search(&key.fingerprint()).is_ok())
+            .map(|index| index.number)
+            .collect();
+        if chunks.is_empty() {
+            Found::Nowhere
+        } else {
+            Found::Chunks(chunks)
+        }
+    }
+
+    /// Applies a record in the order of the log.
+    ///
+    /// Two attempts hold one key only after the service lost data that an owner had acted on; the
+    /// claim's outcome then counts as unknown, whatever either of them reports.
+    pub(super) fn apply(&mut self, record: &Record) {
+        match record {
+            Record::Claimed {
+                key,
+                request,
+                claimant,
+                incarnation,
+                attempt,
+                at_ms,
+            } => {
+                let held = self.full.get(key).filter(|held| held.is_live(*at_ms));
+                match held {
+                    Some(held) if held.attempt == *attempt => {
+                        self.dirty.insert(*key);
+                        return;
+                    }
+                    Some(held) if held.outcome != Outcome::Released => {
+                        let first = held.attempt;
+                        return self.settle(*key, first, Outcome::Unknown);
+                    }
+                    _ => {}
+                }
+                let entry = Entry {
+                    request: *request,
+                    claimant: claimant.clone(),
+                    incarnation: *incarnation,
+                    attempt: *attempt,
+                    at_ms: *at_ms,
+                    outcome: Outcome::Pending,
+                };
+                self.put(*key, entry);
+                self.dirty.insert(*key);
+            }
+            Record::Done {
+                key,
+                attempt,
+                recorded,
+            } => self.settle(*key, *attempt, Outcome::Done(recorded.clone())),
+            Record::Unknown { key, attempt } => self.settle(*key, *attempt, Outcome::Unknown),
+            Record::Released { key, attempt } => self.settle(*key, *attempt, Outcome::Released),
+        }
+    }
+
+    /// Takes over what a chunk says of a key that is not held in full.
+    pub(super) fn learn(&mut self, key: Hash, entry: Entry) {
+        if !self.full.contains_key(&key) {
+            self.put(key, entry);
+        }
+    }
+
+    /// Indexes a chunk and holds its recent claims in full.
+    pub(super) fn add_chunk(&mut self, number: u64, chunk: &Chunk, now_ms: u64) {
+        for (key, entry) in &chunk.entries {
+            if entry.at_ms + FULL_MS > now_ms {
+                self.put(*key, entry.clone());
+            } else if let Some(older) = self.full.remove(key) {
+                // The newer state is in this chunk.
+                self.body_bytes -= older.body_bytes();
+            }
+        }
+        self.chunks.push(Index::of(number, chunk));
+    }
+
+    /// Returns the claims that changed since the last call.
+    pub(super) fn take_dirty(&mut self) -> Vec<(Hash, Entry)> {
+        let dirty = std::mem::take(&mut self.dirty);
+        let mut changed: Vec<_> = dirty
+            .into_iter()
+            .filter_map(|key| Some((key, self.full.get(&key)?.clone())))
+            .collect();
+        changed.sort_unstable_by_key(|(key, _)| *key);
+        changed
+    }
+
+    /// Tells whether answers' bodies take more memory than they should.
+    pub(super) fn is_heavy(&self) -> bool {
+        self.body_bytes > BODY_BYTES_MAX
+    }
+
+    /// Returns all claims held in full, as records that rebuild them.
+    pub(super) fn records(&self) -> Vec<Record> {
+        let mut entries: Vec<_> = self.full.iter().collect();
+        entries.sort_unstable_by_key(|(key, _)| **key);
+        entries
+            .into_iter()
+            .flat_map(|(key, entry)| entry.records(*key))
+            .collect()
+    }
+
+    /// Drops what the chunks hold as well: claims that are old or whose bodies take too much.
+    pub(super) fn evict(&mut self, now_ms: u64) {
+        let mut candidates: Vec<(u64, Hash)> = self
+            .full
+            .iter()
+            .filter(|(key, _)| !self.dirty.contains(*key))
+            .map(|(key, entry)| (entry.at_ms, *key))
+            .collect();
+        candidates.sort_unstable();
+        for (at_ms, key) in candidates {
+            if at_ms + FULL_MS > now_ms && !self.is_heavy() {
+                return;
+            }
+            if let Some(entry) = self.full.remove(&key) {
+                self.body_bytes -= entry.body_bytes();
+            }
+        }
+    }
+
+    /// Forgets the chunks whose claims have all ended; returns the first number left.
+    pub(super) fn expire_chunks(&mut self, next: u64, now_ms: u64) -> u64 {
+        let is_live = |index: &Index| index.newest_ms + LIFETIME_MS > now_ms;
+        while self.chunks.first().is_some_and(|index| !is_live(index)) {
+            self.chunks.remove(0);
+        }
+        self.chunks.first().map_or(next, |index| index.number)
+    }
+
+    pub(super) fn push_index(&mut self, number: u64, chunk: &Chunk) {
+        self.chunks.push(Index::of(number, chunk));
+    }
+
+    fn settle(&mut self, key: Hash, attempt: Hash, outcome: Outcome) {
+        let Some(held) = self.full.get(&key) else {
+            return;
+        };
+        // A later outcome of the same attempt adds nothing, unless it was not known before.
+        let is_open = matches!(held.outcome, Outcome::Pending | Outcome::Unknown);
+        if held.attempt != attempt || !is_open {
+            return;
+        }
+        let entry = Entry {
+            outcome,
+            ..held.clone()
+        };
+        self.put(key, entry);
+        self.dirty.insert(key);
+    }
+
+    fn put(&mut self, key: Hash, entry: Entry) {
+        self.body_bytes += entry.body_bytes();
+        if let Some(before) = self.full.insert(key, entry) {
+            self.body_bytes -= before.body_bytes();
+        }
+    }
+}
+
+impl Entry {
+    /// Tells whether the claim still counts.
+    pub(super) fn is_live(&self, now_ms: u64) -> bool {
+        self.at_ms + LIFETIME_MS > now_ms
+    }
+
+    pub(super) fn body_bytes(&self) -> usize {
+        match &self.outcome {
+            Outcome::Done(recorded) => recorded.body.len(),
+            Outcome::Pending | Outcome::Unknown | Outcome::Released => 0,
+        }
+    }
+
+    fn records(&self, key: Hash) -> Vec<Record> {
+        let attempt = self.attempt;
+        let claimed = Record::Claimed {
+            key,
+            request: self.request,
+            claimant: self.claimant.clone(),
+            incarnation: self.incarnation,
+            attempt,
+            at_ms: self.at_ms,
+        };
+        let settled = match &self.outcome {
+            Outcome::Pending => return vec![claimed],
+            Outcome::Done(recorded) => Record::Done {
+                key,
+                attempt,
+                recorded: recorded.clone(),
+            },
+            Outcome::Unknown => Record::Unknown { key, attempt },
+            Outcome::Released => Record::Released { key, attempt },
+        };
+        vec![claimed, settled]
+    }
+}
+
+impl Index {
+    fn of(number: u64, chunk: &Chunk) -> Self {
+        let mut fingerprints: Vec<u64> = chunk
+            .entries
+            .iter()
+            .map(|(key, _)| key.fingerprint())
+            .collect();
+        fingerprints.sort_unstable();
+        let newest_ms = chunk.entries.iter().map(|(_, entry)| entry.at_ms).max();
+        Self {
+            number,
+            newest_ms: newest_ms.unwrap_or_default(),
+            fingerprints,
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/claim/tail.rs
@@ -0,0 +1,71 @@
+use super::commit::Tail;
+use super::{Head, Owner};
+
+impl Owner {
+    /// Compares the end of the log with what this owner knows; returns whether it can go on.
+    pub(super) fn check_tail(&mut self, tail: &Tail) -> bool {
+        let (head, revision) = tail.head.unwrap_or((Head::default(), 0));
+        if !self.check_head(head, revision) || !self.check_last(tail) {
+            return false;
+        }
+        // A gap shows that another owner wrote after the service had lost the sequences before.
+        let first = self.next;
+        let later = tail.batches.iter().filter(|seen| seen.sequence >= first);
+        let is_contiguous = (first..)
+            .zip(later)
+            .all(|(expected, seen)| seen.sequence == expected);
+        if !is_contiguous {
+            self.write_again();
+            self.reload();
+        }
+        is_contiguous
+    }
+
+    fn check_head(&mut self, head: Head, revision: u64) -> bool {
+        if head == self.head && revision == self.head_revision {
+            return true;
+        }
+        if self.is_own_head(head) {
+            return true;
+        }
+        if head.floor <= self.head.floor {
+            // The service came back with older data, without the latest chunks. The floor may be
+            // the same when a write of before the loss arrived after it.
+            self.head = Head {
+                next_chunk: head.next_chunk.max(self.head.next_chunk),
+                ..head
+            };
+            self.head_revision = revision;
+            self.compaction = None;
+            self.write_again();
+            return true;
+        }
+        // Another owner compacted the log, and may have deleted the sequence before a batch of
+        // this one: its condition "must not exist" then proves nothing.
+        self.reload();
+        false
+    }
+
+    fn check_last(&mut self, tail: &Tail) -> bool {
+        let last = self.next - 1;
+        let Some(known) = &self.last else {
+            return true;
+        };
+        if last < self.head.floor {
+            return true;
+        }
+        let held = tail.batches.iter().find(|seen| seen.sequence == last);
+        if held.is_some_and(|seen| seen.batch.is(known)) {
+            return true;
+        }
+        // What the service holds now is read before anything is granted.
+        self.write_again();
+        self.reload();
+        false
+    }
+
+    /// Puts every claim held in full into the log again, as the service came back with older data.
+    pub(super) fn write_again(&mut self) {
+        self.relog = self.table.records().into();
+    }
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 /// Authority over the engines of a data centre.
 pub mod authority;
+pub mod claim;
 /// What routing decides about a request.
 pub mod decision;
 /// What routing takes into account.
--- /dev/null
+++ b/policy/tests/claim.rs
@@ -0,0 +1,362 @@
+//! Owners of a claim shard, step by step and under random failures.
+
+mod claim_service;
+
+use claim_service::{Fate, Off, World, recorded};
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use ragwortgrade_policy::claim::{Answer, Ask, Hash, Outcome, SHARDS, owner_of, shard_of};
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::peer::ClaimState;
+
+const KEY: u128 = 9;
+
+fn claimed(compacting_at: u64) -> World {
+    let mut world = World::open(2, compacting_at, Off::Nothing);
+    let ask = world.claim(0, KEY, 1);
+    world.settle_down(0);
+    assert_eq!(world.state(ask), Some(ClaimState::Granted));
+    world
+}
+
+#[test]
+fn a_key_is_granted_once_and_its_answer_repeated() {
+    let mut world = claimed(512);
+    let again = world.claim(0, KEY, 1);
+    assert_eq!(
+        world.state(again),
+        Some(ClaimState::Granted),
+        "its answer was lost"
+    );
+    let other = world.claim(0, KEY, 2);
+    assert_eq!(world.state(other), Some(ClaimState::InProgress));
+    world.settle(0, KEY, 1, Outcome::Done(recorded("x")));
+    world.settle_down(0);
+    let late = world.claim(1, KEY, 3);
+    world.settle_down(1);
+    let expected = Answer::Claim(ClaimState::Done, Some(recorded("x")));
+    assert_eq!(world.answers[&late], expected);
+}
+
+#[test]
+fn another_request_with_the_key_conflicts() {
+    let mut world = claimed(512);
+    let ask = Ask::Claim {
+        key: Hash(KEY),
+        request: Hash(2),
+        claimant: Name::from("d"),
+        incarnation: 1,
+        attempt: Hash(5),
+    };
+    let ask = world.ask(0, ask);
+    assert_eq!(world.state(ask), Some(ClaimState::KeyConflict));
+}
+
+#[test]
+fn a_released_key_is_free_and_its_attempt_is_not_granted_again() {
+    let mut world = claimed(512);
+    world.settle(0, KEY, 1, Outcome::Released);
+    world.settle_down(0);
+    let late = world.claim(0, KEY, 1);
+    assert_eq!(world.state(late), Some(ClaimState::Unavailable));
+    let next = world.claim(1, KEY, 2);
+    world.settle_down(1);
+    assert_eq!(world.state(next), Some(ClaimState::Granted));
+}
+
+#[test]
+fn a_claim_of_a_dead_daemon_has_an_unknown_outcome() {
+    let mut world = claimed(512);
+    let now = world.moment().now;
+    world.owners[0].set_members(true, std::collections::HashSet::new(), now);
+    let other = world.claim(0, KEY, 2);
+    assert_eq!(world.state(other), Some(ClaimState::OutcomeUnknown));
+}
+
+#[test]
+fn an_outage_refuses_new_claims_and_answers_old_ones() {
+    let mut world = claimed(512);
+    let new = world.claim(0, 10, 2);
+    for _ in 0..400 {
+        world.step(0, Fate::NotDone);
+    }
+    assert_eq!(world.state(new), Some(ClaimState::Unavailable));
+    let old = world.claim(0, KEY, 3);
+    assert_eq!(world.state(old), Some(ClaimState::InProgress));
+    let next = world.claim(0, 11, 4);
+    assert_eq!(
+        world.state(next),
+        Some(ClaimState::Unavailable),
+        "refused at once"
+    );
+    world.settle_down(0);
+    let after = world.claim(0, 10, 5);
+    world.settle_down(0);
+    assert_eq!(world.state(after), Some(ClaimState::Granted));
+}
+
+/// The first owner pauses, the second compacts the log away, the first resumes.
+fn resume_behind_a_compaction(off: Off) -> World {
+    let mut world = World::open(2, 3, off);
+    world.claim(0, 100, 1);
+    world.settle_down(0);
+    let (first, value) = world.service.entries.pop_first().unwrap();
+    world.service.entries.insert(first.clone(), value.clone());
+    for key in [KEY, 101, 102, 103, 104] {
+        world.claim(1, key, key);
+        world.settle_down(1);
+    }
+    // The deletion of one sequence failed, so the log looks as the paused owner knew it.
+    world.service.entries.insert(first, value);
+    world.claim(0, KEY, 50);
+    world.settle_down(0);
+    world
+}
+
+#[test]
+fn a_paused_owner_does_not_write_into_a_compacted_log() {
+    // Guards against a "must not exist" that holds only because the sequence was deleted.
+    let world = resume_behind_a_compaction(Off::Nothing);
+    assert_eq!(world.doubled(), Vec::new());
+    let sequences = world
+        .service
+        .entries
+        .keys()
+        .filter(|key| !key.contains("snapshot"));
+    assert!(sequences.count() < 7, "the log was compacted");
+}
+
+#[test]
+fn without_the_head_a_paused_owner_grants_a_key_again() {
+    // Negative control of the test above.
+    let world = resume_behind_a_compaction(Off::Head);
+    assert_eq!(world.doubled(), vec![KEY]);
+}
+
+#[test]
+fn compacted_claims_are_found_by_the_next_owner() {
+    let mut world = claimed(2);
+    world.settle(0, KEY, 1, Outcome::Done(recorded("x")));
+    for key in 100..120 {
+        world.claim(0, key, key);
+        world.settle_down(0);
+    }
+    world.now += std::time::Duration::from_hours(2);
+    for key in 200..210 {
+        world.claim(0, key, key);
+        world.settle_down(0);
+    }
+    let expected = Answer::Claim(ClaimState::Done, Some(recorded("x")));
+    for owner in [0, 1] {
+        let old = world.claim(owner, KEY, 7);
+        world.settle_down(owner);
+        assert_eq!(world.answers[&old], expected, "owner {owner}");
+    }
+    world.now += std::time::Duration::from_hours(23);
+    let expired = world.claim(0, KEY, 8);
+    world.settle_down(0);
+    assert_eq!(
+        world.state(expired),
+        Some(ClaimState::Granted),
+        "free after 24 h"
+    );
+}
+
+#[test]
+fn an_owner_writes_claims_again_that_the_service_lost() {
+    // Guards against a second run after the service came back with older data.
+    let mut world = World::open(2, 512, Off::Nothing);
+    world.claim(0, 100, 1);
+    world.settle_down(0);
+    let older = world.service.entries.clone();
+    for key in [KEY, 101, 102] {
+        world.claim(0, key, key);
+        world.settle_down(0);
+    }
+    world.service.entries = older;
+    world.settle_down(0);
+    let other = world.claim(1, KEY, 50);
+    world.settle_down(1);
+    assert_eq!(world.state(other), Some(ClaimState::InProgress));
+}
+
+#[test]
+fn values_stay_below_the_services_bound() {
+    let mut world = World::open(1, 8, Off::Nothing);
+    let body = "x".repeat(5_600);
+    for key in 0..2_000 {
+        world.claim(0, key, key + 1);
+        if key % 400 == 399 {
+            world.settle_down(0);
+            for key in key - 399..=key {
+                world.settle(0, key, key + 1, Outcome::Done(recorded(&body)));
+            }
+            world.settle_down(0);
+        }
+    }
+    let largest = world
+        .service
+        .entries
+        .values()
+        .map(|(value, _)| value.len())
+        .max();
+    assert!(
+        largest.is_some_and(|largest| (100_000..1_000_000).contains(&largest)),
+        "{largest:?}"
+    );
+}
+
+#[test]
+fn shards_are_spread_over_daemons() {
+    let daemons: Vec<Name> = (0..9)
+        .map(|number| Name::from(format!("d{number}")))
+        .collect();
+    let owners: std::collections::BTreeSet<_> = (0..SHARDS)
+        .map(|shard| owner_of(shard, &daemons).unwrap())
+        .collect();
+    assert!(owners.len() >= 4, "{owners:?}");
+    assert!(shard_of(Hash(u128::MAX)) < SHARDS);
+    assert_eq!(owner_of(0, &[]), None);
+}
+
+/// A random step of the world.
+#[derive(Clone, Debug)]
+enum Step {
+    Claim(usize, u128, u128),
+    Settle(usize, u128, u128, u8),
+    Call(usize, Fate),
+    Restart(usize),
+    Deliver,
+    Wait(u16),
+    Backup,
+    Restore,
+}
+
+/// The random steps; the oracle is the set of grants that [`World`] keeps.
+#[derive(Clone, Debug)]
+struct Plan;
+
+impl ReferenceStateMachine for Plan {
+    type State = u128;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<u128> {
+        Just(0).boxed()
+    }
+
+    fn transitions(state: &u128) -> BoxedStrategy<Step> {
+        let attempt = *state + 1;
+        let fate = prop_oneof![
+            8 => Just(Fate::Answered),
+            1 => Just(Fate::NotDone),
+            1 => Just(Fate::AnswerLost),
+            1 => Just(Fate::Delayed),
+        ];
+        let old = 1..=attempt;
+        prop_oneof![
+            6 => (0..3_usize, 0..3_u128).prop_map(move |(owner, key)| {
+                Step::Claim(owner, key, attempt)
+            }),
+            2 => (0..3_usize, 0..3_u128, old.clone()).prop_map(|(owner, key, attempt)| {
+                Step::Claim(owner, key, attempt)
+            }),
+            2 => (0..3_usize, 0..3_u128, old, 0..3_u8).prop_map(|(owner, key, attempt, outcome)| {
+                Step::Settle(owner, key, attempt, outcome)
+            }),
+            30 => (0..3_usize, fate).prop_map(|(owner, fate)| Step::Call(owner, fate)),
+            1 => (0..3_usize).prop_map(Step::Restart),
+            1 => Just(Step::Deliver),
+            1 => (0..3_000_u16).prop_map(Step::Wait),
+            1 => Just(Step::Backup),
+            1 => Just(Step::Restore),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: u128, transition: &Step) -> u128 {
+        state + u128::from(matches!(transition, Step::Claim(..)))
+    }
+}
+
+/// Owners under random steps; `RESTORE` lets the service come back with older data, which one
+/// owner that never restarts must survive.
+struct Run<const RESTORE: bool> {
+    world: World,
+    older: std::collections::BTreeMap<String, (String, u64)>,
+}
+
+impl<const RESTORE: bool> StateMachineTest for Run<RESTORE> {
+    type SystemUnderTest = Self;
+    type Reference = Plan;
+
+    fn init_test(_ref_state: &u128) -> Self {
+        let owners = if RESTORE { 1 } else { 3 };
+        Self {
+            world: World::open(owners, 3, Off::Nothing),
+            older: std::collections::BTreeMap::new(),
+        }
+    }
+
+    fn apply(mut state: Self, _ref_state: &u128, transition: Step) -> Self {
+        state.apply_step(&transition);
+        assert_eq!(state.world.doubled(), Vec::new(), "a key may run twice");
+        state
+    }
+}
+
+impl<const RESTORE: bool> Run<RESTORE> {
+    fn apply_step(&mut self, step: &Step) {
+        let owners = self.world.owners.len();
+        match *step {
+            Step::Claim(owner, key, attempt) => {
+                // An attempt belongs to one key.
+                self.world.claim(owner % owners, key, attempt * 4 + key);
+            }
+            Step::Settle(owner, key, attempt, outcome) => {
+                let attempt = attempt * 4 + key;
+                let held = self.world.granted.get(&key);
+                if held.is_some_and(|granted| granted.contains(&attempt)) {
+                    let outcome = match outcome {
+                        0 => Outcome::Done(recorded("x")),
+                        1 => Outcome::Unknown,
+                        _ => Outcome::Released,
+                    };
+                    self.world.settle(owner % owners, key, attempt, outcome);
+                }
+            }
+            Step::Call(owner, fate) => {
+                self.world.step(owner % owners, fate);
+            }
+            Step::Restart(owner) if !RESTORE => self.world.restart(owner),
+            Step::Deliver => self.world.deliver_delayed(),
+            Step::Wait(ms) => self.world.now += std::time::Duration::from_millis(ms.into()),
+            Step::Backup => self.older = self.world.service.entries.clone(),
+            Step::Restore if RESTORE => self.world.service.entries = self.older.clone(),
+            Step::Restart(_) | Step::Restore => {}
+        }
+    }
+}
+
+proptest_state_machine::prop_state_machine! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_key_runs_twice_under_failures(sequential 1..400 => Run<false>);
+
+    #[test]
+    fn no_key_runs_twice_when_data_is_lost(sequential 1..400 => Run<true>);
+}
+
+#[test]
+fn without_the_condition_a_key_runs_twice() {
+    // Negative control of the random runs: two owners that load the same log both grant.
+    let mut world = World::open(2, 512, Off::Condition);
+    for owner in [0, 1] {
+        while world.step(owner, Fate::Answered) {}
+    }
+    for owner in [0, 1] {
+        world.claim(owner, KEY, owner as u128);
+        world.settle_down(owner);
+    }
+    assert_eq!(world.doubled(), vec![KEY]);
+}
--- /dev/null
+++ b/policy/tests/claim_service/mod.rs
@@ -0,0 +1,251 @@
+//! A key-value service and several owners of one shard, driven step by step.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, HashSet};
+use std::time::Duration;
+
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::claim::{Answer, Ask, Call, Hash, Moment, Outcome, Owner, Result};
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::peer::{ClaimState, Recorded};
+use ragwortgrade_schema::platform::{Entry, Write};
+
+/// What becomes of one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Answered,
+    NotDone,
+    /// The call takes effect and its answer is lost.
+    AnswerLost,
+    /// The answer is lost and the call takes effect later.
+    Delayed,
+}
+
+/// A mechanism that is switched off, for negative controls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Off {
+    #[default]
+    Nothing,
+    /// The service ignores the condition of a write.
+    Condition,
+    /// Owners do not see the head behind the log.
+    Head,
+}
+
+#[derive(Debug)]
+pub struct Service {
+    pub entries: BTreeMap<String, (String, u64)>,
+    revision: u64,
+    delayed: Vec<Write>,
+    off: Off,
+}
+
+impl Service {
+    fn run(&mut self, call: &Call) -> Result {
+        match call {
+            Call::Read(key) => Result::Read(self.entries.get(key).cloned()),
+            Call::List { prefix, after } => {
+                let range = self.entries.range(after.clone()..);
+                let entries = range
+                    .filter(|(key, _)| key.starts_with(prefix) && *key != after)
+                    .filter(|(key, _)| self.off != Off::Head || !key.ends_with("head"))
+                    .map(|(key, (value, revision))| Entry {
+                        key: key.clone(),
+                        value: Some(value.clone()),
+                        revision: *revision,
+                    });
+                Result::Listed(entries.collect())
+            }
+            Call::Write(write) => self.write(write),
+        }
+    }
+
+    fn write(&mut self, write: &Write) -> Result {
+        let held = self.entries.get(&write.key).map_or(0, |(_, held)| *held);
+        if held != write.expect && self.off != Off::Condition {
+            return Result::Conflict;
+        }
+        self.revision += 1;
+        match &write.value {
+            Some(value) => {
+                let entry = (value.clone(), self.revision);
+                self.entries.insert(write.key.clone(), entry);
+            }
+            None => {
+                self.entries.remove(&write.key);
+            }
+        }
+        Result::Written(self.revision)
+    }
+}
+
+/// The service, the owners and what callers were told.
+#[derive(Debug)]
+pub struct World {
+    pub service: Service,
+    pub owners: Vec<Owner>,
+    pub now: Duration,
+    asks: Vec<(usize, Ask)>,
+    incarnations: u64,
+    compacting_at: u64,
+    /// Attempts granted and not released, by key.
+    pub granted: BTreeMap<u128, HashSet<u128>>,
+    /// Attempts that released their claim; they never send, whatever a late answer says.
+    gave_up: HashSet<u128>,
+    pub answers: BTreeMap<u64, Answer>,
+}
+
+impl World {
+    pub fn open(owners: usize, compacting_at: u64, off: Off) -> Self {
+        let mut world = Self {
+            service: Service {
+                entries: BTreeMap::new(),
+                revision: 0,
+                delayed: Vec::new(),
+                off,
+            },
+            owners: Vec::new(),
+            now: Duration::from_secs(1),
+            asks: Vec::new(),
+            incarnations: 0,
+            compacting_at,
+            granted: BTreeMap::new(),
+            gave_up: HashSet::new(),
+            answers: BTreeMap::new(),
+        };
+        for owner in 0..owners {
+            let opened = world.new_owner(owner);
+            world.owners.push(opened);
+        }
+        world
+    }
+
+    pub fn moment(&self) -> Moment {
+        Moment {
+            now: Instant::default() + self.now,
+            unix_ms: 1_000_000_000_000 + self.now.as_millis() as u64,
+        }
+    }
+
+    pub fn claim(&mut self, owner: usize, key: u128, attempt: u128) -> u64 {
+        let ask = Ask::Claim {
+            key: Hash(key),
+            request: Hash(1),
+            claimant: Name::from("d"),
+            incarnation: 1,
+            attempt: Hash(attempt),
+        };
+        self.ask(owner, ask)
+    }
+
+    pub fn settle(&mut self, owner: usize, key: u128, attempt: u128, outcome: Outcome) -> u64 {
+        if outcome == Outcome::Released {
+            self.granted.entry(key).or_default().remove(&attempt);
+            self.gave_up.insert(attempt);
+        }
+        let (key, attempt) = (Hash(key), Hash(attempt));
+        let ask = Ask::Settle {
+            key,
+            attempt,
+            outcome,
+        };
+        self.ask(owner, ask)
+    }
+
+    pub fn ask(&mut self, owner: usize, ask: Ask) -> u64 {
+        let id = self.asks.len() as u64;
+        self.asks.push((owner, ask.clone()));
+        let moment = self.moment();
+        self.owners[owner].ask(id, ask, moment);
+        self.collect(owner);
+        id
+    }
+
+    /// Lets an owner make its next call; returns whether it had one.
+    pub fn step(&mut self, owner: usize, fate: Fate) -> bool {
+        self.now += Duration::from_millis(10);
+        let moment = self.moment();
+        self.owners[owner].expire(moment);
+        let call = self.owners[owner].next_call(moment);
+        if let Some(call) = &call {
+            let result = match (fate, call) {
+                (Fate::Answered, _) => self.service.run(call),
+                (Fate::NotDone, _) => Result::NotDone,
+                (Fate::AnswerLost, _) => {
+                    self.service.run(call);
+                    Result::Lost
+                }
+                (Fate::Delayed, Call::Write(write)) => {
+                    self.service.delayed.push(write.clone());
+                    Result::Lost
+                }
+                (Fate::Delayed, _) => Result::Lost,
+            };
+            self.owners[owner].answered(result, moment);
+        }
+        self.collect(owner);
+        call.is_some()
+    }
+
+    /// Lets an owner run until it has nothing left to do.
+    pub fn settle_down(&mut self, owner: usize) {
+        for _ in 0..400 {
+            self.step(owner, Fate::Answered);
+        }
+    }
+
+    pub fn deliver_delayed(&mut self) {
+        for write in std::mem::take(&mut self.service.delayed) {
+            self.service.write(&write);
+        }
+    }
+
+    /// Replaces an owner's process; what it knew is lost.
+    pub fn restart(&mut self, owner: usize) {
+        self.owners[owner] = self.new_owner(owner);
+    }
+
+    pub fn state(&self, id: u64) -> Option<ClaimState> {
+        match self.answers.get(&id)? {
+            Answer::Claim(state, _) => Some(*state),
+            Answer::Settled(_) => None,
+        }
+    }
+
+    fn new_owner(&mut self, owner: usize) -> Owner {
+        self.incarnations += 1;
+        let name = Name::from(format!("o{owner}"));
+        let mut opened = Owner::open(0, name, self.incarnations).compacting_at(self.compacting_at);
+        let live = HashSet::from([(Name::from("d"), 1)]);
+        opened.set_members(true, live, Instant::default() + self.now);
+        opened
+    }
+
+    fn collect(&mut self, owner: usize) {
+        for (id, answer) in self.owners[owner].take_answers() {
+            let (_, ask) = &self.asks[id as usize];
+            if let (Ask::Claim { key, attempt, .. }, Answer::Claim(ClaimState::Granted, _)) =
+                (ask, &answer)
+                && !self.gave_up.contains(&attempt.0)
+            {
+                self.granted.entry(key.0).or_default().insert(attempt.0);
+            }
+            self.answers.insert(id, answer);
+        }
+    }
+
+    /// Returns the keys that two attempts may send.
+    pub fn doubled(&self) -> Vec<u128> {
+        let doubled = self.granted.iter().filter(|(_, granted)| granted.len() > 1);
+        doubled.map(|(key, _)| *key).collect()
+    }
+}
+
+pub fn recorded(body: &str) -> Recorded {
+    Recorded {
+        body: body.to_owned(),
+        content_type: None,
+        status: 200,
+        truncated: false,
+    }
+}
