--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -1,8 +1,11 @@
 //! The daemon of ragwortgrade: a shell round the decisions of `ragwortgrade-policy`.
 
+pub mod admin;
 mod attempt;
 pub mod claims;
 mod clock;
+pub mod configuration;
+pub mod control;
 pub mod daemon;
 pub mod endpoint;
 pub mod front;
--- a/policy/src/authority/lease.rs
+++ b/policy/src/authority/lease.rs
@@ -191,7 +191,7 @@
             (Stage::Granted(grant), Answer::Written(revision)) => Stage::Locked { grant, revision },
             (Stage::Granted(grant), Answer::Lost) => Stage::LockUnknown(grant),
             (Stage::LockUnknown(grant), Answer::Lock(Some((lock, revision))))
-                if lock == self.lock(grant.lease) =>
+                if self.is_own(&lock, grant.lease) =>
             {
                 Stage::Locked { grant, revision }
             }
@@ -244,13 +244,14 @@
         answer: Answer,
         now: Moment,
     ) -> Stage {
+        let answer_is_open = matches!(answer, Answer::Lost | Answer::Conflict);
         match (call, answer) {
             (Call::KeepAlive(_), Answer::Done) => held.unverified = Some(sent),
             (Call::KeepAlive(_), Answer::Failed | Answer::Lost) => {
                 held.renew_at = now.monotonic + self.terms.renewal / 4;
             }
             (Call::ReadLock, Answer::Lock(Some((lock, _))))
-                if lock == self.lock(held.grant.lease) =>
+                if self.is_own(&lock, held.grant.lease) =>
             {
                 held.verified(&self.terms);
             }
@@ -261,15 +262,20 @@
             (Call::Record { tenure, .. }, Answer::Written(revision)) => {
                 held.recorded(tenure, revision);
             }
-            (Call::Record { .. }, Answer::Lost | Answer::Conflict) => held.record_unknown = true,
+            // A change of the record can wait, so a busy platform does not end the tenure.
+            (Call::Record { .. }, Answer::Failed | Answer::Lost | Answer::Conflict) => {
+                held.record_unknown |= answer_is_open;
+                held.record_at = now.monotonic + self.terms.renewal / 4;
+            }
+            (Call::ReadTenure, Answer::Failed | Answer::Lost) => {
+                held.record_at = now.monotonic + self.terms.renewal / 4;
+            }
             (Call::ReadTenure, Answer::Tenure(Some((found, revision))))
                 if found.holder == held.tenure.holder && found.fence == held.tenure.fence =>
             {
                 held.record_unknown = false;
                 held.recorded(&found, revision);
             }
-            // A change of the record can wait, so a busy platform does not end the tenure.
-            (Call::Record { .. } | Call::ReadTenure, Answer::Failed | Answer::Lost) => {}
             _ => return self.waiting(now),
         }
         if held.tenure.released {
@@ -287,6 +293,7 @@
             unverified: None,
             change: None,
             record_unknown: false,
+            record_at: Instant::default(),
         }))
     }
 
@@ -313,6 +320,13 @@
         }
     }
 
+    /// Tells whether a lock record is the one that this run wrote with `lease`.
+    ///
+    /// Whether the platform lists the VM may have become known since, so it is not compared.
+    fn is_own(&self, lock: &Lock, lease: u64) -> bool {
+        lock.lease == lease && lock.holder.is_same_run(&self.own)
+    }
+
     fn lock(&self, lease: u64) -> Lock {
         Lock {
             holder: self.own.clone(),
