claims: send a call that must not be repeated only after a claim

Cause: the state machine of claims had no shell, and the front sent calls with an idempotency key like any other. A call with an Idempotency-Key is sent only after a grant; a lost answer of the owner is asked for again by the same attempt. A call known not to have run is released before the caller hears of it; other outcomes are recorded after the caller has its answer, so that a write does not delay it. A key that is known gets the recorded answer, in_progress, outcome_unknown or key_conflict. Ruled out: recording before the answer (adds up to 50 ms to each call). Tests: 11 cases in lib/tests/claims.rs pass, among them eight callers with one key, of which one runs, and 40 calls in at most 40 writes. Daemon: starts the claims once its peers are there.

--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -1,37 +1,192 @@
-//! At-most-once claims of the shards that this daemon owns.
+//! At-most-once claims: the shards that this daemon owns, and how a request obtains a claim.
 
-use std::sync::Arc;
+mod claimant;
+mod shard;
 
-use ragwortgrade_schema::peer::{ClaimAnswer, ClaimOutcome, ClaimRequest, ClaimState, Settled};
+use std::collections::HashSet;
+use std::io;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+pub(crate) use claimant::{Claimant, Claimed};
+use ragwortgrade_policy::claim::{Answer, Ask, Hash, Outcome, SHARDS, owner_of, shard_of};
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::peer::{
+    ClaimAnswer, ClaimOutcome, ClaimRequest, ClaimState, OutcomeKind, Settled,
+};
+use shard::Shard;
 
 use crate::Node;
+use crate::peer::Peers;
+
+/// Time between two looks at the live daemons.
+const MEMBERS_PERIOD: Duration = Duration::from_millis(250);
 
 /// Answers claims for the shards that this daemon owns.
 #[derive(Debug)]
 pub struct Claims {
-    _node: Arc<Node>,
+    node: Arc<Node>,
+    shards: Vec<Arc<Shard>>,
+    stopped: Arc<AtomicBool>,
+    threads: Mutex<Vec<JoinHandle<()>>>,
 }
 
 impl Claims {
-    /// Opens the claims of a daemon.
+    /// Opens the claims of a daemon; it owns no shard until [`Self::start`].
     #[must_use]
     pub fn open(node: Arc<Node>) -> Arc<Self> {
-        Arc::new(Self { _node: node })
+        let shards = (0..SHARDS)
+            .map(|shard| Arc::new(Shard::open(shard, Arc::clone(&node))))
+            .collect();
+        Arc::new(Self {
+            node,
+            shards,
+            stopped: Arc::new(AtomicBool::new(false)),
+            threads: Mutex::default(),
+        })
+    }
+
+    /// Starts a thread for each shard, which owns it while `peers` says so.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a thread cannot be started.
+    pub fn start(&self, peers: &Arc<dyn Peers>) -> io::Result<()> {
+        let mut threads = self.threads.lock().unwrap_or_else(PoisonError::into_inner);
+        for shard in &self.shards {
+            let (shard, stopped) = (Arc::clone(shard), Arc::clone(&self.stopped));
+            threads.push(
+                thread::Builder::new()
+                    .name("claims".to_owned())
+                    .spawn(move || shard.run(&stopped))?,
+            );
+        }
+        let watch = Watch {
+            own: self.node.settings.daemon.id.clone(),
+            // The peers' handler holds the claims, so the claims must not hold the peers.
+            peers: Arc::downgrade(peers),
+            shards: self.shards.clone(),
+            node: Arc::clone(&self.node),
+        };
+        watch.update();
+        let stopped = Arc::clone(&self.stopped);
+        threads.push(
+            thread::Builder::new()
+                .name("claims".to_owned())
+                .spawn(move || {
+                    while !stopped.load(Ordering::Acquire) {
+                        thread::park_timeout(MEMBERS_PERIOD);
+                        watch.update();
+                    }
+                })?,
+        );
+        Ok(())
     }
 
     /// Answers a claim; blocks until the claim's record is written.
     #[must_use]
-    pub fn claim(&self, _request: &ClaimRequest) -> ClaimAnswer {
-        ClaimAnswer {
-            state: ClaimState::Unavailable,
-            recorded: None,
-            owner: None,
+    pub fn claim(&self, request: &ClaimRequest) -> ClaimAnswer {
+        let state = |state, recorded, owner| ClaimAnswer {
+            state,
+            recorded,
+            owner,
+        };
+        let (Ok(key), Ok(digest), Ok(attempt)) = (
+            request.key.parse::<Hash>(),
+            request.request.parse(),
+            request.attempt.parse(),
+        ) else {
+            return state(ClaimState::Unavailable, None, None);
+        };
+        let shard = &self.shards[usize::from(shard_of(key))];
+        let ask = Ask::Claim {
+            key,
+            request: digest,
+            claimant: request.claimant.clone(),
+            incarnation: request.incarnation,
+            attempt,
+        };
+        match shard.ask(ask) {
+            Ok(Answer::Claim(claim, recorded)) => state(claim, recorded, None),
+            Ok(Answer::Settled(_)) => state(ClaimState::Unavailable, None, None),
+            Err(owner) => state(ClaimState::NotOwner, None, owner),
         }
     }
 
-    /// Records the outcome of a claimed request.
+    /// Records the outcome of a claimed request; blocks until it is written.
     #[must_use]
-    pub fn settle(&self, _outcome: &ClaimOutcome) -> Settled {
-        Settled::Unavailable
+    pub fn settle(&self, outcome: &ClaimOutcome) -> Settled {
+        let (Ok(key), Ok(attempt)) = (outcome.key.parse::<Hash>(), outcome.attempt.parse()) else {
+            return Settled::Unavailable;
+        };
+        let shard = &self.shards[usize::from(shard_of(key))];
+        let outcome = match (outcome.outcome, &outcome.recorded) {
+            (OutcomeKind::Done, Some(recorded)) => Outcome::Done(recorded.clone()),
+            (OutcomeKind::Released, _) => Outcome::Released,
+            (OutcomeKind::Done | OutcomeKind::Unknown, _) => Outcome::Unknown,
+        };
+        let ask = Ask::Settle {
+            key,
+            attempt,
+            outcome,
+        };
+        match shard.ask(ask) {
+            Ok(Answer::Settled(true)) => Settled::Recorded,
+            Ok(_) => Settled::Unavailable,
+            Err(_) => Settled::NotOwner,
+        }
+    }
+}
+
+impl Drop for Claims {
+    fn drop(&mut self) {
+        self.stopped.store(true, Ordering::Release);
+        for shard in &self.shards {
+            shard.wake();
+        }
+        let threads = std::mem::take(
+            self.threads
+                .get_mut()
+                .unwrap_or_else(PoisonError::into_inner),
+        );
+        for thread in threads {
+            thread.thread().unpark();
+            if thread.join().is_err() {
+                log::error!("a thread of the claims panicked");
+            }
+        }
+    }
+}
+
+/// Gives the shards to their owners as daemons come and go.
+struct Watch {
+    own: Name,
+    node: Arc<Node>,
+    peers: Weak<dyn Peers>,
+    shards: Vec<Arc<Shard>>,
+}
+
+impl Watch {
+    fn update(&self) {
+        let Some(peers) = self.peers.upgrade() else {
+            return;
+        };
+        let members = peers.members();
+        let daemons: Vec<Name> = members
+            .iter()
+            .map(|member| member.identity.id.clone())
+            .collect();
+        let mut live: HashSet<(Name, u64)> = members
+            .into_iter()
+            .map(|member| (member.identity.id, member.identity.incarnation))
+            .collect();
+        // A claim of this process runs, whatever the others say of it.
+        live.insert((self.own.clone(), self.node.incarnation));
+        for (number, shard) in self.shards.iter().enumerate() {
+            let owner = owner_of(number as u8, &daemons).cloned();
+            shard.set_owner(owner, live.clone());
+        }
     }
 }
--- /dev/null
+++ b/lib/src/claims/claimant.rs
@@ -0,0 +1,178 @@
+use std::thread;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::claim::{Hash, owner_of, shard_of};
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::peer::{
+    ClaimAnswer, ClaimOutcome, ClaimRequest, ClaimState, OutcomeKind, Recorded, Settled,
+};
+
+use crate::endpoint::PlainAnswer;
+use crate::front::{Code, Context, Refusal};
+
+/// Time to obtain a claim; an owner that died has been replaced by then, or claims are refused.
+const CLAIM_PATIENCE: Duration = Duration::from_secs(4);
+/// Time to record an outcome before the caller is answered, when it must be able to try again.
+const RELEASE_PATIENCE: Duration = Duration::from_secs(1);
+/// Time to record an outcome after the caller was answered.
+const SETTLE_PATIENCE: Duration = Duration::from_secs(20);
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Longest answer that is recorded (design section 5.2).
+const BODY_BYTES_MAX: usize = 4 * 1_024;
+
+/// A request that must not be repeated, on its way to a claim.
+#[derive(Debug)]
+pub(crate) struct Claimant<'a> {
+    context: &'a Context,
+    shard: u8,
+    request: ClaimRequest,
+}
+
+/// What a claim allows.
+#[derive(Debug)]
+pub(crate) enum Claimed {
+    /// This attempt may send the request, once.
+    Granted,
+    /// The request ran before and was answered so.
+    Done(PlainAnswer),
+}
+
+impl<'a> Claimant<'a> {
+    pub(crate) fn new(context: &'a Context, key: u128, request: u128, attempt: &str) -> Self {
+        Self {
+            context,
+            shard: shard_of(Hash(key)),
+            request: ClaimRequest {
+                key: Hash(key).to_string(),
+                request: Hash(request).to_string(),
+                claimant: context.node.settings.daemon.id.clone(),
+                incarnation: context.node.incarnation,
+                attempt: attempt.to_owned(),
+            },
+        }
+    }
+
+    /// Obtains the claim or says why the request is not sent.
+    ///
+    /// An answer that was lost is asked for again: the same attempt is granted again.
+    pub(crate) fn claim(&self) -> Result<Claimed, Refusal> {
+        let end = self.context.node.clock.now() + CLAIM_PATIENCE;
+        let mut owner = self.owner();
+        loop {
+            let asked = owner.as_ref().map(|owner| {
+                let answer = self.context.peers.claim(owner, &self.request);
+                answer.inspect_err(|error| log::debug!("claim was not answered: {error}"))
+            });
+            match asked {
+                Some(Ok(answer)) if answer.state == ClaimState::NotOwner => {
+                    owner = answer.owner.or_else(|| self.owner());
+                }
+                Some(Ok(answer)) => return Self::decide(answer),
+                Some(Err(_)) | None => owner = self.owner(),
+            }
+            if self.context.node.clock.now() >= end {
+                return Err(Self::unavailable());
+            }
+            thread::sleep(RETRY_PAUSE);
+        }
+    }
+
+    /// Records that the request certainly did not run, so that its key can be used again.
+    pub(crate) fn release(&self) {
+        let end = self.context.node.clock.now() + RELEASE_PATIENCE;
+        self.settle(OutcomeKind::Released, None, end);
+    }
+
+    /// Records the answer.
+    pub(crate) fn done(&self, answer: &PlainAnswer) {
+        let end = self.context.node.clock.now() + SETTLE_PATIENCE;
+        self.settle(OutcomeKind::Done, Some(record(answer)), end);
+    }
+
+    /// Records that the request was sent and its outcome is not known.
+    pub(crate) fn unknown(&self) {
+        let end = self.context.node.clock.now() + SETTLE_PATIENCE;
+        self.settle(OutcomeKind::Unknown, None, end);
+    }
+
+    fn decide(answer: ClaimAnswer) -> Result<Claimed, Refusal> {
+        let refuse = |code, message: &str| Err(Refusal::not_run(code, message));
+        match answer.state {
+            ClaimState::Granted => Ok(Claimed::Granted),
+            ClaimState::Done => match answer.recorded {
+                Some(recorded) => Ok(Claimed::Done(replay(recorded))),
+                None => refuse(Code::OutcomeUnknown, "the answer was not recorded"),
+            },
+            ClaimState::InProgress => refuse(
+                Code::InProgress,
+                "the request with this idempotency key is running",
+            ),
+            ClaimState::OutcomeUnknown => refuse(
+                Code::OutcomeUnknown,
+                "a request with this idempotency key was sent; its outcome is not known",
+            ),
+            ClaimState::KeyConflict => refuse(
+                Code::KeyConflict,
+                "the idempotency key was used with another request",
+            ),
+            ClaimState::Unavailable | ClaimState::NotOwner => Err(Self::unavailable()),
+        }
+    }
+
+    fn unavailable() -> Refusal {
+        let message = "the request could not be recorded and was not sent";
+        Refusal::not_run(Code::ClaimsUnavailable, message)
+    }
+
+    fn settle(&self, outcome: OutcomeKind, recorded: Option<Recorded>, end: Instant) {
+        let outcome = ClaimOutcome {
+            key: self.request.key.clone(),
+            attempt: self.request.attempt.clone(),
+            outcome,
+            recorded,
+        };
+        loop {
+            if let Some(owner) = self.owner()
+                && let Ok(Settled::Recorded) = self.context.peers.settle(&owner, &outcome)
+            {
+                return;
+            }
+            if self.context.node.clock.now() >= end {
+                log::warn!(outcome:? = outcome.outcome; "outcome of a claim was not recorded");
+                return;
+            }
+            thread::sleep(RETRY_PAUSE);
+        }
+    }
+
+    fn owner(&self) -> Option<Name> {
+        let members = self.context.peers.members();
+        owner_of(self.shard, members.iter().map(|member| &member.identity.id)).cloned()
+    }
+}
+
+fn record(answer: &PlainAnswer) -> Recorded {
+    let truncated = answer.body.len() > BODY_BYTES_MAX;
+    Recorded {
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: if truncated {
+            String::new()
+        } else {
+            STANDARD.encode(&answer.body)
+        },
+        truncated,
+    }
+}
+
+/// Repeats a recorded answer; of one that was too long only the status is known.
+fn replay(recorded: Recorded) -> PlainAnswer {
+    PlainAnswer {
+        status: recorded.status,
+        body: STANDARD.decode(&recorded.body).unwrap_or_default(),
+        content_type: recorded.content_type,
+    }
+}
--- /dev/null
+++ b/lib/src/claims/shard.rs
@@ -0,0 +1,173 @@
+use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, mpsc};
+use std::time::Duration;
+
+use ragwortgrade_policy::claim::{Answer, Ask, Call, Moment, Owner, Result as CallResult};
+use ragwortgrade_schema::Name;
+
+use crate::Node;
+use crate::platform::{Error, KeyValue};
+
+/// Time for which an ask waits for its answer; the owner gives up earlier.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Pause while something waits for the next write or the end of a backoff.
+const BUSY_PAUSE: Duration = Duration::from_millis(5);
+const IDLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// One shard: the state machine of its owner, run by a thread that makes its calls.
+#[derive(Debug)]
+pub(super) struct Shard {
+    node: Arc<Node>,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Debug)]
+struct State {
+    owner: Owner,
+    /// The daemon that should own the shard.
+    rightful: Option<Name>,
+    next_ask: u64,
+    waiting: HashMap<u64, mpsc::Sender<Answer>>,
+}
+
+impl Shard {
+    pub(super) fn open(number: u8, node: Arc<Node>) -> Self {
+        let owner = Owner::open(number, node.settings.daemon.id.clone(), node.incarnation);
+        Self {
+            state: Mutex::new(State {
+                owner,
+                rightful: None,
+                next_ask: 0,
+                waiting: HashMap::new(),
+            }),
+            node,
+            changed: Condvar::new(),
+        }
+    }
+
+    pub(super) fn set_owner(&self, rightful: Option<Name>, live: HashSet<(Name, u64)>) {
+        let now = self.node.clock.now();
+        let is_owning = rightful.as_ref() == Some(&self.node.settings.daemon.id);
+        let mut state = self.lock();
+        if state.owner.is_owning() != is_owning {
+            log::info!(owning = is_owning; "ownership of a claim shard changed");
+        }
+        state.owner.set_members(is_owning, live, now);
+        state.rightful = rightful;
+    }
+
+    /// Asks the owner and waits for the answer; fails with the rightful owner when this daemon is
+    /// not the one.
+    pub(super) fn ask(&self, ask: Ask) -> Result<Answer, Option<Name>> {
+        let unavailable = ask.unavailable();
+        let (sender, receiver) = mpsc::channel();
+        let id = {
+            let mut state = self.lock();
+            if !state.owner.is_owning() {
+                return Err(state.rightful.clone());
+            }
+            state.next_ask += 1;
+            let id = state.next_ask;
+            state.waiting.insert(id, sender);
+            state.owner.ask(id, ask, self.moment());
+            state.deliver();
+            id
+        };
+        self.wake();
+        let answer = receiver.recv_timeout(ANSWER_TIMEOUT);
+        self.lock().waiting.remove(&id);
+        Ok(answer.unwrap_or(unavailable))
+    }
+
+    pub(super) fn wake(&self) {
+        self.changed.notify_all();
+    }
+
+    /// Makes the owner's calls until `stopped` is set.
+    pub(super) fn run(&self, stopped: &AtomicBool) {
+        let mut state = self.lock();
+        while !stopped.load(Ordering::Acquire) {
+            let at = self.moment();
+            state.owner.expire(at);
+            let call = state.owner.next_call(at);
+            state.deliver();
+            if let Some(call) = call {
+                drop(state);
+                let result = perform(self.node.key_value.as_ref(), call);
+                state = self.lock();
+                state.owner.answered(result, self.moment());
+                state.deliver();
+                continue;
+            }
+            let pause = if state.owner.is_busy() {
+                BUSY_PAUSE
+            } else {
+                IDLE_PAUSE
+            };
+            state = self
+                .changed
+                .wait_timeout(state, pause)
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
+        }
+    }
+
+    fn moment(&self) -> Moment {
+        Moment {
+            now: self.node.clock.now(),
+            unix_ms: self.node.clock.unix_ms(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn deliver(&mut self) {
+        for (id, answer) in self.owner.take_answers() {
+            if let Some(sender) = self.waiting.remove(&id)
+                && sender.send(answer).is_err()
+            {
+                log::debug!("a claim's answer came after its time");
+            }
+        }
+    }
+}
+
+fn perform(key_value: &dyn KeyValue, call: Call) -> CallResult {
+    let result = match call {
+        Call::Read(key) => key_value.get(&key).map(|entry| {
+            let value = entry.and_then(|entry| Some((entry.value?, entry.revision)));
+            CallResult::Read(value)
+        }),
+        Call::List { prefix, after } => key_value.list(&prefix, &after).map(|mut listed| {
+            listed
+                .entries
+                .sort_by(|left, right| left.key.cmp(&right.key));
+            CallResult::Listed(listed.entries)
+        }),
+        Call::Write(write) => key_value.write(&write).map(CallResult::Written),
+    };
+    result.unwrap_or_else(|error| {
+        log::debug!("call of the key-value service failed: {error}");
+        failure(&error)
+    })
+}
+
+/// Tells failures that had no effect from those that may have had one.
+fn failure(error: &Error) -> CallResult {
+    const SERVER_ERRORS: u16 = 500;
+    match error {
+        Error::Conflict { .. } => CallResult::Conflict,
+        Error::Refused { status } if *status >= SERVER_ERRORS => CallResult::Lost,
+        Error::Unreachable { .. }
+        | Error::RateLimited
+        | Error::LeaseEnded
+        | Error::Refused { .. } => CallResult::NotDone,
+        Error::AnswerLost { .. } | Error::Malformed { .. } => CallResult::Lost,
+    }
+}
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -27,7 +27,7 @@
 use crate::gossip::Gossiper;
 use crate::membership::{CacheReader, Lister, Observer, Table};
 use crate::node::{Interfaces, Node};
-use crate::peer::{Keyring, Network};
+use crate::peer::{Keyring, Network, Peers};
 use crate::platform::{HttpKeyValue, HttpVmList, VmList};
 use crate::settings::public_address;
 use crate::trial::Trials;
@@ -111,7 +111,7 @@
             Arc::clone(&node),
             Arc::clone(&table),
             Arc::clone(&network),
-            claims,
+            Arc::clone(&claims),
             Arc::clone(&streams),
             Arc::clone(&trials),
             Arc::clone(&keeper),
@@ -122,7 +122,8 @@
         let cache_reader = CacheReader::spawn(Arc::clone(&node))?;
         let gossip = Gossiper::spawn(Arc::clone(switchboard.gossiper()))?;
         let observer = Observer::spawn(Arc::clone(&node), Arc::clone(&table))?;
-        let peers = Arc::<Network>::clone(&network);
+        let peers: Arc<dyn Peers> = Arc::<Network>::clone(&network);
+        claims.start(&peers)?;
         let site = DataCentre::open(Arc::clone(&node), Arc::clone(&table), vm_list);
         let control = Arc::new(Control::spawn(
             Arc::clone(&node),
--- a/lib/src/front/service.rs
+++ b/lib/src/front/service.rs
@@ -2,31 +2,89 @@
 use std::time::Duration;
 
 use ragwortgrade_policy::Request;
+use ragwortgrade_policy::claim::Hash;
 
 use super::admission::{self, Admitted};
 use super::digest::digest;
 use super::{Code, Context, Incoming, Refusal, Reply};
 use crate::attempt::{PlainRun, random_identity};
-use crate::endpoint::{PlainAnswer, PlainCall};
+use crate::claims::{Claimant, Claimed};
+use crate::endpoint::{PlainAnswer, PlainCall, Ran};
 
 const BYTES: &str = "application/octet-stream";
 
 /// Serves a call of a plain service.
 pub(super) fn serve(context: &Context, incoming: &Incoming, reply: &mut Reply) -> io::Result<()> {
-    match call(context, incoming, &|| reply.is_abandoned()) {
+    let mut run = match prepare(context, incoming) {
+        Ok(run) => run,
+        Err(refusal) => return reply.refuse(&refusal),
+    };
+    if run.idempotent {
+        let answer = run.run(&|| reply.is_abandoned());
+        return respond(reply, &answer);
+    }
+    match incoming.header("Idempotency-Key") {
+        Some(key) => serve_claimed(&mut run, key, reply),
+        // Without a key nobody can ask for the outcome, so the call runs once without a record,
+        // and a caller that goes away does not end it.
+        None => respond(reply, &run.run(&|| false)),
+    }
+}
+
+/// Serves a call that must not be repeated: it is sent only after its claim was granted.
+fn serve_claimed(run: &mut PlainRun<'_>, key: &str, reply: &mut Reply) -> io::Result<()> {
+    let request = &run.routed;
+    let key = digest(&[
+        request.workspace.as_bytes(),
+        request.service.as_bytes(),
+        key.as_bytes(),
+    ]);
+    let claimant = Claimant::new(run.context, key, run.subject, &run.call.attempt);
+    match claimant.claim() {
+        Ok(Claimed::Granted) => {}
+        Ok(Claimed::Done(answer)) => return respond(reply, &Ok(answer)),
+        Err(refusal) => {
+            let responded = reply.refuse(&refusal);
+            if refusal.code == Code::ClaimsUnavailable {
+                // The claim may have been recorded although no grant arrived.
+                claimant.release();
+            }
+            return responded;
+        }
+    }
+    // The endpoint sees the same key in every attempt of every daemon.
+    run.call.request_key = Hash(key).to_string();
+    let answer = run.run(&|| false);
+    match &answer {
+        // The caller may try again with the same key as soon as it has the refusal.
+        Err(refusal) if refusal.ran == Ran::No => {
+            claimant.release();
+            respond(reply, &answer)
+        }
+        Err(_) => {
+            let responded = respond(reply, &answer);
+            claimant.unknown();
+            responded
+        }
+        Ok(done) => {
+            let responded = respond(reply, &answer);
+            claimant.done(done);
+            responded
+        }
+    }
+}
+
+fn respond(reply: &mut Reply, answer: &Result<PlainAnswer, Refusal>) -> io::Result<()> {
+    match answer {
         Ok(answer) => {
             let content_type = answer.content_type.as_deref().unwrap_or(BYTES);
             reply.whole(answer.status, content_type, &answer.body)
         }
-        Err(refusal) => reply.refuse(&refusal),
+        Err(refusal) => reply.refuse(refusal),
     }
 }
 
-fn call(
-    context: &Context,
-    incoming: &Incoming,
-    is_abandoned: &dyn Fn() -> bool,
-) -> Result<PlainAnswer, Refusal> {
+fn prepare<'a>(context: &'a Context, incoming: &Incoming) -> Result<PlainRun<'a>, Refusal> {
     let (service, path) = split(&incoming.path)?;
     let admitted = admission::plain(context, incoming, service)?;
     let identity =
@@ -39,7 +97,7 @@
         &incoming.body,
     ]);
     let idempotent = admitted.idempotent;
-    let mut run = PlainRun {
+    Ok(PlainRun {
         context,
         routed: routed(context, admitted),
         subject,
@@ -53,8 +111,7 @@
             timeout: Duration::ZERO,
         },
         idempotent,
-    };
-    run.run(is_abandoned)
+    })
 }
 
 /// Splits `/services/<service>/<path>` into the service and the path with its query.
--- /dev/null
+++ b/lib/tests/claims.rs
@@ -0,0 +1,166 @@
+//! Calls that must not be repeated, with an idempotency key.
+
+mod fakes;
+
+use std::thread;
+
+use fakes::{Answer, Failure, Outcome, Stage};
+use ragwortgrade_testutil::named_cases;
+
+/// Books with a key; the body is a part of the request's content.
+fn book(stage: &Stage, key: &str, body: &str) -> Answer {
+    let headers = format!("X-Workspace: lab\r\nIdempotency-Key: {key}\r\n");
+    stage
+        .caller()
+        .post("/services/order/book", &headers, body)
+        .answer()
+}
+
+fn stage() -> Stage {
+    let stage = Stage::open();
+    stage
+        .endpoint("p1", Some("order"))
+        .endpoint("p2", Some("order"));
+    stage
+}
+
+fn refused(answer: &Answer, status: u16, code: &str) {
+    let expected = (status, code.to_owned(), "no".to_owned());
+    assert_eq!(answer.refusal(), expected);
+}
+
+/// Waits until the outcome of a call is recorded, which happens after the caller has its answer.
+fn book_until_settled(stage: &Stage, key: &str, body: &str) -> Answer {
+    loop {
+        let answer = book(stage, key, body);
+        if answer.status != 409 {
+            return answer;
+        }
+    }
+}
+
+#[test]
+fn a_repeated_order_gets_the_first_answer() {
+    // Guards against a chair that is ordered twice because the first answer was lost.
+    let stage = stage();
+    let first = book(&stage, "k", "chair");
+    assert_eq!((first.status, first.body.as_str()), (200, "run 1"));
+    let again = book_until_settled(&stage, "k", "chair");
+    assert_eq!((again.status, again.body.as_str()), (200, "run 1"));
+    assert_eq!(stage.plains.runs(), 1);
+    refused(&book(&stage, "k", "table"), 422, "key_conflict");
+    assert_eq!(book(&stage, "other", "chair").body, "run 2");
+}
+
+#[test]
+fn without_a_key_an_order_runs_again() {
+    // Negative control: only the claim keeps the second run away.
+    let stage = stage();
+    for _ in 0..2 {
+        let mut caller = stage.caller();
+        caller.post("/services/order/book", "X-Workspace: lab\r\n", "chair");
+        assert_eq!(caller.answer().status, 200);
+    }
+    assert_eq!(stage.plains.runs(), 2);
+}
+
+#[test]
+fn an_order_with_a_lost_answer_never_runs_again() {
+    let stage = stage();
+    stage.plains.script("p1", Outcome::Lost);
+    stage.plains.script("p2", Outcome::Lost);
+    let first = book(&stage, "k", "chair").refusal();
+    let expected = (504, "outcome_unknown".to_owned(), "unknown".to_owned());
+    assert_eq!(first, expected);
+    let again = book_until_settled(&stage, "k", "chair");
+    refused(&again, 504, "outcome_unknown");
+    assert_eq!(stage.plains.runs(), 1);
+}
+
+#[test]
+fn an_order_that_did_not_run_can_be_sent_again() {
+    let stage = Stage::open();
+    refused(&book(&stage, "k", "chair"), 503, "no_endpoint");
+    stage.endpoint("p1", Some("order"));
+    assert_eq!(book(&stage, "k", "chair").status, 200);
+    assert_eq!(stage.plains.runs(), 1);
+}
+
+#[test]
+fn an_outage_refuses_new_orders_and_answers_old_ones() {
+    let stage = stage();
+    assert_eq!(book(&stage, "old", "chair").status, 200);
+    assert_eq!(book_until_settled(&stage, "old", "chair").status, 200);
+    stage.key_value.set_down(true);
+    refused(&book(&stage, "new", "chair"), 503, "claims_unavailable");
+    assert_eq!(book(&stage, "old", "chair").body, "run 1");
+    assert_eq!(stage.plains.runs(), 1);
+    stage.key_value.set_down(false);
+    while book(&stage, "new", "chair").status == 503 {}
+    assert_eq!(stage.plains.runs(), 2);
+}
+
+fn lost_write_runs_once(failure: Failure) {
+    // Guards against a claim that is lost, or granted twice, with the answer of its write.
+    let stage = stage();
+    book(&stage, "first", "chair");
+    stage.key_value.fail_next_write(failure);
+    let answer = book_until_settled(&stage, "k", "chair");
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(stage.plains.runs(), 2);
+}
+
+named_cases! { lost_write_runs_once:
+    a_write_that_took_effect(Failure::AnswerLost);
+    a_write_that_did_not(Failure::Unreachable);
+}
+
+#[test]
+fn a_lost_grant_is_granted_again_to_the_same_attempt() {
+    let stage = stage();
+    *stage.peers.lose_answers.lock().unwrap() = 1;
+    assert_eq!(book(&stage, "k", "chair").status, 200);
+    assert_eq!(stage.plains.runs(), 1);
+}
+
+#[test]
+fn of_many_orders_with_one_key_one_runs() {
+    let stage = stage();
+    thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                let answer = book_until_settled(&stage, "k", "chair");
+                assert_eq!((answer.status, answer.body.as_str()), (200, "run 1"));
+            });
+        }
+    });
+    assert_eq!(stage.plains.runs(), 1);
+}
+
+#[test]
+fn claims_are_written_in_groups() {
+    // Guards against one write per request, which would use up the service's rate.
+    let stage = stage();
+    thread::scope(|scope| {
+        for number in 0..40 {
+            let stage = &stage;
+            scope.spawn(move || book(stage, &format!("k{number}"), "chair").status);
+        }
+    });
+    assert_eq!(stage.plains.runs(), 40);
+    let writes = stage.key_value.writes();
+    assert!(writes <= 40, "{writes} writes for 80 records");
+}
+
+#[test]
+fn older_data_does_not_let_an_order_run_again() {
+    let stage = stage();
+    book(&stage, "first", "chair");
+    let older = stage.key_value.dump();
+    book(&stage, "k", "chair");
+    book_until_settled(&stage, "k", "chair");
+    stage.key_value.restore(older);
+    let again = book_until_settled(&stage, "k", "chair");
+    assert_eq!((again.status, again.body.as_str()), (200, "run 2"));
+    assert_eq!(stage.plains.runs(), 2);
+}
--- a/lib/tests/fakes/mod.rs
+++ b/lib/tests/fakes/mod.rs
@@ -17,6 +17,7 @@
 use ragwortgrade_lib::claims::Claims;
 use ragwortgrade_lib::front::{Front, Streams};
 use ragwortgrade_lib::membership::Endpoint;
+use ragwortgrade_lib::peer::Peers;
 use ragwortgrade_lib::trial::Trials;
 use ragwortgrade_lib::{Interfaces, Node};
 use ragwortgrade_policy::Instant;
@@ -58,7 +59,9 @@
         let node = Arc::new(Node::open(settings(limits), 1, interfaces));
         node.configuration.store(Some(Arc::new(configuration())));
         let claims = Claims::open(Arc::clone(&node));
-        let peers = Arc::new(FakePeers::new("d1", claims));
+        let peers = Arc::new(FakePeers::new("d1", Arc::clone(&claims)));
+        let for_claims: Arc<dyn Peers> = Arc::<FakePeers>::clone(&peers);
+        claims.start(&for_claims).expect("claims start");
         let (streams, trials) = (Arc::new(Streams::default()), Arc::new(Trials::default()));
         let front = Front::bind(
             Arc::clone(&node),
--- a/policy/src/claim.rs
+++ b/policy/src/claim.rs
@@ -5,6 +5,8 @@
 //! the only one, the second to write a sequence fails and learns what the first wrote. A claim is
 //! granted only after its record was written and then seen at the end of the log.
 
+mod ask;
+mod call;
 mod commit;
 mod compact;
 mod hash;
@@ -15,8 +17,10 @@
 mod table;
 mod tail;
 
+pub use ask::{Answer, Ask};
+pub use call::{Call, Result};
 pub use hash::Hash;
-pub use owner::{Answer, Ask, Call, Moment, Owner, Result};
+pub use owner::{Moment, Owner};
 pub use record::{Batch, Chunk, Head, Record};
 pub use shard::{Keys, SHARDS, owner_of, shard_of};
 pub use table::{Entry, Outcome};
--- a/policy/src/claim/owner.rs
+++ b/policy/src/claim/owner.rs
@@ -2,14 +2,12 @@
 use std::time::Duration;
 
 use ragwortgrade_schema::Name;
-use ragwortgrade_schema::peer::{ClaimState, Recorded};
-use ragwortgrade_schema::platform;
 
 use super::commit::Commit;
 use super::compact::{Compaction, Garbage, SEQUENCES_MAX};
 use super::load::Load;
 use super::table::{Found, Table};
-use super::{Batch, Chunk, Entry, Hash, Head, Keys, Outcome};
+use super::{Answer, Ask, Batch, Call, Chunk, Entry, Hash, Head, Keys, Outcome, Result};
 use crate::Instant;
 
 /// An ask that is not answered by then is answered as unavailable.
@@ -65,75 +63,6 @@
     answers: Vec<(u64, Answer)>,
 }
 
-/// What is asked of an owner.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Ask {
-    /// May this attempt send the request?
-    Claim {
-        /// Hash of workspace, service and idempotency key.
-        key: Hash,
-        /// Digest of the request's content.
-        request: Hash,
-        /// Daemon that asks.
-        claimant: Name,
-        /// Its incarnation.
-        incarnation: u64,
-        /// The attempt.
-        attempt: Hash,
-    },
-    /// Record what became of a claim.
-    Settle {
-        /// The claim's key.
-        key: Hash,
-        /// The attempt.
-        attempt: Hash,
-        /// What became of it.
-        outcome: Outcome,
-    },
-}
-
-/// The answer to an ask.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Answer {
-    /// To a claim; with the recorded answer when the request ran.
-    Claim(ClaimState, Option<Recorded>),
-    /// To an outcome: whether it was recorded.
-    Settled(bool),
-}
-
-/// A call of the key-value service.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Call {
-    /// Read a key.
-    Read(String),
-    /// List the keys with a prefix that sort after a key.
-    List {
-        /// The prefix.
-        prefix: String,
-        /// The key.
-        after: String,
-    },
-    /// Compare and swap.
-    Write(platform::Write),
-}
-
-/// The result of a call.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Result {
-    /// The value and revision of a key that was read.
-    Read(Option<(String, u64)>),
-    /// The entries of a list, sorted by key.
-    Listed(Vec<platform::Entry>),
-    /// The write took effect; the key's revision.
-    Written(u64),
-    /// The key has another revision than expected.
-    Conflict,
-    /// The call had no effect.
-    NotDone,
-    /// The call may have had an effect.
-    Lost,
-}
-
 /// What the call in flight is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Step {
@@ -234,6 +163,12 @@
         self.is_owning
     }
 
+    /// Tells whether something waits for the next call.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        !self.waiting.is_empty() || !self.relog.is_empty() || self.commit.is_some()
+    }
+
     /// Takes in an ask; its answer comes out of [`Self::take_answers`] under `id`.
     pub fn ask(&mut self, id: u64, ask: Ask, at: Moment) {
         let waiting = Waiting {
@@ -453,53 +388,3 @@
                 .contains(&(entry.claimant.clone(), entry.incarnation))
     }
 }
-
-impl Ask {
-    pub(super) fn key(&self) -> Hash {
-        match self {
-            Self::Claim { key, .. } | Self::Settle { key, .. } => *key,
-        }
-    }
-
-    pub(super) fn unavailable(&self) -> Answer {
-        match self {
-            Self::Claim { .. } => Answer::Claim(ClaimState::Unavailable, None),
-            Self::Settle { .. } => Answer::Settled(false),
-        }
-    }
-
-    /// Answers from a recorded claim; `None` when a record must be written.
-    fn answer(&self, entry: &Entry, is_running: impl Fn(&Entry) -> bool) -> Option<Answer> {
-        let state = |state| Some(Answer::Claim(state, None));
-        match self {
-            Self::Settle {
-                attempt, outcome, ..
-            } => {
-                let is_settled = entry.attempt != *attempt
-                    || entry.outcome == *outcome
-                    || !matches!(entry.outcome, Outcome::Pending | Outcome::Unknown);
-                is_settled.then_some(Answer::Settled(true))
-            }
-            Self::Claim { attempt, .. } if entry.outcome == Outcome::Released => {
-                // The attempt gave up, so a late copy of its ask is answered with no grant.
-                if entry.attempt == *attempt {
-                    return state(ClaimState::Unavailable);
-                }
-                None
-            }
-            Self::Claim { request, .. } if entry.request != *request => {
-                state(ClaimState::KeyConflict)
-            }
-            Self::Claim { attempt, .. } => match &entry.outcome {
-                Outcome::Done(recorded) => {
-                    Some(Answer::Claim(ClaimState::Done, Some(recorded.clone())))
-                }
-                Outcome::Pending if entry.attempt == *attempt => state(ClaimState::Granted),
-                Outcome::Pending if is_running(entry) => state(ClaimState::InProgress),
-                Outcome::Pending | Outcome::Unknown | Outcome::Released => {
-                    state(ClaimState::OutcomeUnknown)
-                }
-            },
-        }
-    }
-}
