--- a/lib/src/attempt.rs
+++ b/lib/src/attempt.rs
@@ -3,6 +3,7 @@
 mod completion;
 mod crash;
 mod identity;
+mod incarnations;
 mod placed;
 mod plain_run;
 mod prober;
--- a/lib/src/attempt/completion.rs
+++ b/lib/src/attempt/completion.rs
@@ -63,7 +63,8 @@
                 Ended::CallerGone => return Ok(Completed::CallerGone),
                 Ended::Failed(error) => error,
             };
-            self.context.examine(&placed.endpoint, self.subject, &error);
+            self.context
+                .examine(&placed.endpoint, placed.incarnation, self.subject, &error);
             if may_have_run(&error) {
                 ran = Ran::Unknown;
                 placed.crashed();
@@ -100,7 +101,10 @@
             priority: self.routed.priority,
             prefix: self.routed.prefix,
             resume_from: self.next_index,
-            completion: self.body.clone(),
+            completion: engine::Completion {
+                deadline_ms: Some(self.time_left_ms()),
+                ..self.body.clone()
+            },
         };
         let (engines, address) = (&self.context.node.engines, &placed.endpoint.address);
         let ended = match engines.complete(address, &call) {
@@ -118,6 +122,12 @@
         ended
     }
 
+    /// Returns the time that is left of the deadline at this hop.
+    fn time_left_ms(&self) -> u64 {
+        let left = self.routed.deadline.since(self.context.node.clock.now());
+        left.as_millis() as u64
+    }
+
     /// Computes the prompt on the prefill engine and moves its KV cache to the decode engine.
     ///
     /// When either fails, the decode engine computes the prompt itself. A trial uses one engine
@@ -140,13 +150,15 @@
             priority: self.routed.priority,
         };
         let engines = &self.context.node.engines;
+        let incarnation = self.context.prober.incarnation(&prefill);
         self.context.trials.started(&prefill.id, self.subject);
         let exported = engines.export(&prefill.address, &export);
         self.context.trials.ended(&prefill.id, self.subject);
         let handle = match exported {
             Ok(handle) => handle,
             Err(error) => {
-                self.context.examine(&prefill, self.subject, &error);
+                self.context
+                    .examine(&prefill, incarnation, self.subject, &error);
                 return self.context.trials.standing(self.subject) == Standing::Clear;
             }
         };
--- a/lib/src/attempt/crash.rs
+++ b/lib/src/attempt/crash.rs
@@ -6,35 +6,53 @@
 
 impl Context {
     /// Draws the conclusions from a failed attempt: whether the endpoint can be reached, and
-    /// whether its crash counts against the content that it ran.
-    pub(crate) fn examine(&self, endpoint: &Endpoint, subject: u128, error: &Error) {
+    /// whether its crash counts against the content that it ran. `incarnation` is that of the
+    /// endpoint's process when the attempt began.
+    pub(crate) fn examine(
+        &self,
+        endpoint: &Endpoint,
+        incarnation: Option<u64>,
+        subject: u128,
+        error: &Error,
+    ) {
         log::info!(endpoint:% = endpoint.id; "attempt failed: {error}");
         match error {
-            Error::Unreachable { .. } => self.prober.failed(&endpoint.id),
-            Error::Crossed => {
-                self.crossed.fetch_add(1, Ordering::Relaxed);
+            Error::Unreachable { .. } | Error::TimedOut { sent: false, .. } => {
+                self.prober.failed(&endpoint.id);
             }
-            Error::Broken { .. } if self.has_crashed(endpoint) => {
-                log::warn!(endpoint:% = endpoint.id; "endpoint crashed under a request");
-                self.trials
-                    .crashed(subject, &endpoint.id, endpoint.incarnation);
+            // A plain call's time is that of its deadline, which tells nothing of the endpoint.
+            Error::TimedOut { sent: true, .. } if endpoint.service.is_none() => {
                 self.prober.failed(&endpoint.id);
             }
-            Error::Broken { .. } | Error::Refused { .. } | Error::Malformed { .. } => {}
+            Error::Crossed => {
+                self.crossed.fetch_add(1, Ordering::Relaxed);
+            }
+            Error::Broken { .. } => self.examine_break(endpoint, incarnation, subject),
+            Error::TimedOut { .. } | Error::Refused { .. } | Error::Malformed { .. } => {}
         }
     }
 
-    /// Asks an endpoint whose connection broke for its incarnation. An endpoint that cannot be
-    /// asked counts as crashed: a strike too many only makes a request run apart from others.
-    fn has_crashed(&self, endpoint: &Endpoint) -> bool {
-        let incarnation = if endpoint.service.is_some() {
-            let load = self.node.plains.load(&endpoint.address);
-            load.map(|load| load.incarnation)
-        } else {
-            let load = self.node.engines.load(&endpoint.address);
-            load.map(|load| load.incarnation)
+    /// Asks an endpoint whose connection broke for its incarnation.
+    ///
+    /// An endpoint that does not answer in time may be cut off or paused, which happens to many
+    /// requests at once and is no evidence against any of them.
+    fn examine_break(&self, endpoint: &Endpoint, before: Option<u64>, subject: u128) {
+        let has_crashed = match self.prober.ask(endpoint) {
+            Ok(now) => before.is_some_and(|before| before != now),
+            Err(Error::TimedOut { .. }) => {
+                self.prober.failed(&endpoint.id);
+                false
+            }
+            Err(_) => {
+                self.prober.failed(&endpoint.id);
+                true
+            }
         };
-        incarnation.map_or(true, |incarnation| incarnation != endpoint.incarnation)
+        if has_crashed {
+            log::warn!(endpoint:% = endpoint.id; "endpoint crashed under a request");
+            let incarnation = before.unwrap_or(endpoint.incarnation);
+            self.trials.crashed(subject, &endpoint.id, incarnation);
+        }
     }
 }
 
--- a/lib/src/attempt/placed.rs
+++ b/lib/src/attempt/placed.rs
@@ -18,6 +18,8 @@
 pub(crate) struct Placed<'a> {
     context: &'a Context,
     pub(crate) endpoint: Endpoint,
+    /// Incarnation of the endpoint's process at the start, as far as it is known.
+    pub(crate) incarnation: Option<u64>,
     pub(crate) dispatch: Dispatch,
     request: u64,
     subject: u128,
@@ -100,6 +102,7 @@
         context.trials.started(&endpoint.id, subject);
         Ok(Self {
             context,
+            incarnation: context.prober.incarnation(&endpoint),
             endpoint,
             dispatch,
             request: request.id,
--- a/lib/src/attempt/plain_run.rs
+++ b/lib/src/attempt/plain_run.rs
@@ -35,7 +35,8 @@
                 }
                 Err(error) => error,
             };
-            self.context.examine(&placed.endpoint, self.subject, &error);
+            self.context
+                .examine(&placed.endpoint, placed.incarnation, self.subject, &error);
             if may_have_run(&error) {
                 ran = Ran::Unknown;
                 placed.crashed();
--- a/lib/src/attempt/prober.rs
+++ b/lib/src/attempt/prober.rs
@@ -1,53 +1,83 @@
 use std::collections::BTreeSet;
 use std::io;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
 use ragwortgrade_policy::event::Event;
 use ragwortgrade_schema::Name;
 
+use super::incarnations::Incarnations;
 use crate::Node;
+use crate::membership::Endpoint;
 use crate::worker::Worker;
 
 const PERIOD: Duration = Duration::from_secs(1);
-/// Endpoints probed side by side, each for at most the connect timeout.
+/// Endpoints probed side by side, each for at most the time of one call.
 const PROBES_MAX: usize = 16;
 
-/// Keeps work away from endpoints that this daemon failed to reach until they answer again.
+/// Keeps work away from endpoints that this daemon failed to reach until they answer again, and
+/// learns the incarnations of those that it sends work to.
 ///
 /// The observer of an endpoint may be another daemon, which a partition can leave connected.
 #[derive(Debug)]
 pub(crate) struct Prober {
-    node: Arc<Node>,
-    unreachable: Arc<Mutex<BTreeSet<Name>>>,
+    shared: Arc<Shared>,
     _worker: Worker,
 }
 
+#[derive(Debug)]
+struct Shared {
+    node: Arc<Node>,
+    incarnations: Incarnations,
+    pending: Mutex<Pending>,
+}
+
+#[derive(Debug, Default)]
+struct Pending {
+    unreachable: BTreeSet<Name>,
+    unlearned: BTreeSet<Name>,
+}
+
 impl Prober {
     pub(crate) fn spawn(node: Arc<Node>) -> io::Result<Self> {
-        let unreachable = Arc::new(Mutex::new(BTreeSet::new()));
+        let shared = Arc::new(Shared {
+            node,
+            incarnations: Incarnations::default(),
+            pending: Mutex::default(),
+        });
         let worker = Worker::spawn("prober", {
-            let (node, unreachable) = (Arc::clone(&node), Arc::clone(&unreachable));
+            let shared = Arc::clone(&shared);
             move || {
-                probe(&node, &unreachable);
+                shared.probe();
                 PERIOD
             }
         })?;
         Ok(Self {
-            node,
-            unreachable,
+            shared,
             _worker: worker,
         })
     }
 
-    /// Takes in that a connection to an endpoint could not be opened.
+    /// Returns the incarnation of an endpoint's process; one that is not known yet is asked for.
+    pub(crate) fn incarnation(&self, endpoint: &Endpoint) -> Option<u64> {
+        let known = self.shared.incarnations.get(endpoint);
+        if known.is_none() {
+            self.shared.lock().unlearned.insert(endpoint.id.clone());
+        }
+        known
+    }
+
+    /// Asks an endpoint for its process's incarnation now.
+    pub(crate) fn ask(&self, endpoint: &Endpoint) -> Result<u64, crate::endpoint::Error> {
+        self.shared.ask(endpoint)
+    }
+
+    /// Takes in that an endpoint cannot be reached.
     pub(crate) fn failed(&self, endpoint: &Name) {
-        let mut unreachable = lock(&self.unreachable);
-        if unreachable.insert(endpoint.clone()) {
-            drop(unreachable);
+        if self.shared.lock().unreachable.insert(endpoint.clone()) {
             log::info!(endpoint:% = endpoint, reachable = false; "endpoint unreachable");
-            self.node.observe(Event::Reachable {
+            self.shared.node.observe(Event::Reachable {
                 endpoint: endpoint.clone(),
                 reachable: false,
             });
@@ -55,40 +85,46 @@
     }
 }
 
-fn lock(unreachable: &Mutex<BTreeSet<Name>>) -> std::sync::MutexGuard<'_, BTreeSet<Name>> {
-    unreachable.lock().unwrap_or_else(PoisonError::into_inner)
-}
+impl Shared {
+    fn probe(&self) {
+        let names: BTreeSet<Name> = {
+            let mut pending = self.lock();
+            let unlearned = std::mem::take(&mut pending.unlearned);
+            let asked = pending.unreachable.iter().chain(&unlearned);
+            asked.take(PROBES_MAX).cloned().collect()
+        };
+        thread::scope(|scope| {
+            for name in &names {
+                scope.spawn(|| self.probe_one(name));
+            }
+        });
+        let directory = &self.node.directory;
+        self.incarnations
+            .retain(|name| directory.get(name).is_some());
+    }
 
-fn probe(node: &Node, unreachable: &Mutex<BTreeSet<Name>>) {
-    let names: Vec<Name> = lock(unreachable).iter().take(PROBES_MAX).cloned().collect();
-    let over: Vec<bool> = thread::scope(|scope| {
-        let probes: Vec<_> = names
-            .iter()
-            .map(|name| scope.spawn(|| answers(node, name)))
-            .collect();
-        probes
-            .into_iter()
-            .map(|probe| probe.join().unwrap_or(true))
-            .collect()
-    });
-    for (name, over) in names.into_iter().zip(over) {
-        if over {
-            lock(unreachable).remove(&name);
-            node.observe(Event::Reachable {
-                endpoint: name,
+    fn probe_one(&self, name: &Name) {
+        let endpoint = self.node.directory.get(name);
+        let is_over = endpoint.is_none_or(|endpoint| self.ask(&endpoint).is_ok());
+        if is_over && self.lock().unreachable.remove(name) {
+            self.node.observe(Event::Reachable {
+                endpoint: name.clone(),
                 reachable: true,
             });
         }
     }
-}
 
-/// Tells whether an endpoint answers again, or is not known any more.
-fn answers(node: &Node, name: &Name) -> bool {
-    let Some(endpoint) = node.directory.get(name) else {
-        return true;
-    };
-    if endpoint.service.is_some() {
-        return node.plains.load(&endpoint.address).is_ok();
+    fn ask(&self, endpoint: &Endpoint) -> Result<u64, crate::endpoint::Error> {
+        let incarnation = if endpoint.service.is_some() {
+            self.node.plains.load(&endpoint.address)?.incarnation
+        } else {
+            self.node.engines.load(&endpoint.address)?.incarnation
+        };
+        self.incarnations.learn(endpoint, incarnation);
+        Ok(incarnation)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Pending> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
-    node.engines.load(&endpoint.address).is_ok()
 }
--- a/lib/src/endpoint/error.rs
+++ b/lib/src/endpoint/error.rs
@@ -22,12 +22,20 @@
         /// HTTP status of the answer.
         status: u16,
     },
-    /// The connection broke or timed out after the call was sent.
+    /// The connection broke after the call was sent.
     #[error("connection to the endpoint broke: {reason}")]
     Broken {
         /// What ended the call.
         reason: String,
     },
+    /// The endpoint did not answer in time; it may be paused, cut off or slow.
+    #[error("endpoint did not answer in time: {reason}")]
+    TimedOut {
+        /// What the endpoint was waited for.
+        reason: String,
+        /// The call was sent, wholly or in part.
+        sent: bool,
+    },
     /// The answer bears the identity of another attempt.
     #[error("answer belongs to another attempt")]
     Crossed,
@@ -44,8 +52,13 @@
     #[must_use]
     pub fn ran(&self) -> Ran {
         match self {
-            Self::Unreachable { .. } | Self::Refused { .. } => Ran::No,
-            Self::Broken { .. } | Self::Crossed | Self::Malformed { .. } => Ran::Unknown,
+            Self::Unreachable { .. }
+            | Self::Refused { .. }
+            | Self::TimedOut { sent: false, .. } => Ran::No,
+            Self::Broken { .. }
+            | Self::TimedOut { sent: true, .. }
+            | Self::Crossed
+            | Self::Malformed { .. } => Ran::Unknown,
         }
     }
 }
--- a/lib/src/endpoint/http.rs
+++ b/lib/src/endpoint/http.rs
@@ -64,9 +64,7 @@
         .with_config()
         .limit(CONTROL_BYTES_MAX)
         .read_to_string()
-        .map_err(|error| Error::Broken {
-            reason: error.to_string(),
-        })?;
+        .map_err(|error| classify(&error))?;
     serde_json::from_str(&body).map_err(|error| Error::Malformed {
         reason: error.to_string(),
     })
@@ -76,14 +74,32 @@
 pub(super) fn classify(error: &ureq::Error) -> Error {
     let reason = error.to_string();
     match error {
-        ureq::Error::ConnectionFailed
-        | ureq::Error::HostNotFound
-        | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
-            Error::Unreachable { reason }
-        }
+        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => Error::Unreachable { reason },
+        ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => Error::TimedOut {
+            reason,
+            sent: false,
+        },
+        ureq::Error::Timeout(_) => Error::TimedOut { reason, sent: true },
         ureq::Error::Io(cause) if cause.kind() == io::ErrorKind::ConnectionRefused => {
             Error::Unreachable { reason }
         }
+        ureq::Error::Io(cause) => classify_io(cause),
         _ => Error::Broken { reason },
     }
 }
+
+/// Tells a connection that broke while an answer was read from one that fell silent.
+pub(super) fn classify_io(error: &io::Error) -> Error {
+    let reason = error.to_string();
+    let inner = error
+        .get_ref()
+        .and_then(|inner| inner.downcast_ref::<ureq::Error>());
+    let is_timeout = matches!(
+        error.kind(),
+        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock
+    ) || matches!(inner, Some(ureq::Error::Timeout(_)));
+    if is_timeout {
+        return Error::TimedOut { reason, sent: true };
+    }
+    Error::Broken { reason }
+}
--- a/lib/src/endpoint/http_engine.rs
+++ b/lib/src/endpoint/http_engine.rs
@@ -8,7 +8,9 @@
 use serde::de::DeserializeOwned;
 use ureq::{Agent, BodyReader};
 
-use super::http::{ATTEMPT_HEADER, agent, check_attempt, classify, configuration, read_json};
+use super::http::{
+    ATTEMPT_HEADER, agent, check_attempt, classify, classify_io, configuration, read_json,
+};
 use super::{Call, Engine, Error, TokenStream};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -20,6 +22,8 @@
 const TOKEN_TIMEOUT: Duration = Duration::from_secs(15);
 const DATA_PREFIX: &str = "data: ";
 const DONE: &str = "[DONE]";
+/// Empty lines that may follow the last event.
+const END_LINES_MAX: usize = 4;
 
 /// A model engine over HTTP.
 #[derive(Debug)]
@@ -138,6 +142,23 @@
     line: String,
 }
 
+impl HttpTokenStream {
+    /// Reads the end of the body, without which the connection is not used again.
+    fn finish(&mut self) {
+        for _ in 0..END_LINES_MAX {
+            self.line.clear();
+            match self.lines.read_line(&mut self.line) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(error) => {
+                    log::debug!("connection to an engine is not kept: {error}");
+                    return;
+                }
+            }
+        }
+    }
+}
+
 impl TokenStream for HttpTokenStream {
     fn next_token(&mut self) -> Result<Option<Token>, Error> {
         loop {
@@ -145,9 +166,7 @@
             let read = self
                 .lines
                 .read_line(&mut self.line)
-                .map_err(|error| Error::Broken {
-                    reason: error.to_string(),
-                })?;
+                .map_err(|error| classify_io(&error))?;
             if read == 0 {
                 return Err(Error::Broken {
                     reason: "stream ended early".to_owned(),
@@ -157,6 +176,7 @@
                 continue;
             };
             if data == DONE {
+                self.finish();
                 return Ok(None);
             }
             let token: Token = serde_json::from_str(data).map_err(|error| Error::Malformed {
--- a/lib/src/endpoint/http_plain.rs
+++ b/lib/src/endpoint/http_plain.rs
@@ -64,9 +64,7 @@
             .with_config()
             .limit(ANSWER_BYTES_MAX)
             .read_to_vec()
-            .map_err(|error| Error::Broken {
-                reason: error.to_string(),
-            })?;
+            .map_err(|error| classify(&error))?;
         Ok(PlainAnswer {
             status,
             content_type,
