front: refuse doubled workspace headers and odd paths

Cause: a second X-Workspace header could stand for the balancer's; a path or content type that is no URI or header value failed in the client of the plain service, which marked the endpoint as unreachable, so one caller could take a service away from all. Chunked bodies in tiny chunks copied the buffer for each chunk. Change: headers that decide on behalf of whom a request runs may be given once; paths hold the characters of RFC 3986; a call that cannot be put into HTTP is refused as malformed, not run. The connection's buffer has a cursor. Tests: clients over HTTP follow no redirect and tell silence, breaks and closed ports apart (lib/tests/attempt_http.rs, 6 cases).

--- a/lib/src/attempt/plain_run.rs
+++ b/lib/src/attempt/plain_run.rs
@@ -2,7 +2,7 @@
 
 use ragwortgrade_policy::Request;
 
-use super::crash::may_have_run;
+use super::crash::{is_final, may_have_run};
 use super::{FAILURES_MAX, Placed, random_identity};
 use crate::endpoint::{PlainAnswer, PlainCall, Ran};
 use crate::front::{Code, Context, Refusal};
@@ -37,6 +37,11 @@
             };
             self.context
                 .examine(&placed.endpoint, placed.incarnation, self.subject, &error);
+            if is_final(&error) {
+                let message = "the call cannot be passed on";
+                let refusal = Refusal::not_run(Code::Malformed, message);
+                return Err(Refusal { ran, ..refusal });
+            }
             if may_have_run(&error) {
                 ran = Ran::Unknown;
                 placed.crashed();
--- a/lib/src/endpoint/http_plain.rs
+++ b/lib/src/endpoint/http_plain.rs
@@ -12,6 +12,9 @@
 const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 const ANSWER_BYTES_MAX: u64 = 16 << 20;
 
+/// Stands for a call that this client cannot put into HTTP; the endpoint is not to blame.
+const MALFORMED_STATUS: u16 = 400;
+
 /// A plain service over HTTP.
 #[derive(Debug)]
 pub struct HttpPlain {
@@ -42,8 +45,8 @@
         }
         let request = request
             .body(call.body.clone())
-            .map_err(|error| Error::Unreachable {
-                reason: error.to_string(),
+            .map_err(|_malformed| Error::Refused {
+                status: MALFORMED_STATUS,
             })?;
         let request = self
             .calls
--- a/lib/src/front/connection.rs
+++ b/lib/src/front/connection.rs
@@ -26,6 +26,8 @@
 pub(super) struct Connection {
     stream: TcpStream,
     buffer: Vec<u8>,
+    /// Bytes at the start of the buffer that were taken out.
+    taken: usize,
 }
 
 /// Why no request was read.
@@ -50,6 +52,7 @@
         Ok(Self {
             stream,
             buffer: Vec::new(),
+            taken: 0,
         })
     }
 
@@ -59,7 +62,7 @@
 
     /// Waits for the first byte of the next request; `false` when none comes.
     pub(super) fn wait(&mut self, time: Duration) -> bool {
-        if !self.buffer.is_empty() {
+        if !self.unread().is_empty() {
             return true;
         }
         self.fill(Instant::now() + time).is_ok_and(|read| read > 0)
@@ -100,7 +103,7 @@
         let deadline = Instant::now() + DISCARD_TIME;
         let mut discarded = 0;
         while discarded < DISCARD_BYTES_MAX {
-            self.buffer.clear();
+            self.taken = self.buffer.len();
             match self.fill(deadline) {
                 Ok(read) if read > 0 => discarded += read,
                 _ => return,
@@ -110,8 +113,8 @@
 
     fn read_head(&mut self, limits: &Limits, deadline: Instant) -> Result<Head, Ended> {
         loop {
-            if let Some((head, length)) = Head::parse(&self.buffer, limits)? {
-                self.buffer.drain(..length);
+            if let Some((head, length)) = Head::parse(self.unread(), limits)? {
+                self.taken += length;
                 return Ok(head);
             }
             self.more(deadline)?;
@@ -119,11 +122,20 @@
     }
 
     fn read_exactly(&mut self, length: usize, deadline: Instant) -> Result<Vec<u8>, Ended> {
-        while self.buffer.len() < length {
+        while self.unread().len() < length {
             self.more(deadline)?;
         }
-        let rest = self.buffer.split_off(length);
-        Ok(std::mem::replace(&mut self.buffer, rest))
+        Ok(self.take(length))
+    }
+
+    fn unread(&self) -> &[u8] {
+        &self.buffer[self.taken..]
+    }
+
+    fn take(&mut self, length: usize) -> Vec<u8> {
+        let taken = self.unread()[..length].to_vec();
+        self.taken += length;
+        taken
     }
 
     fn read_chunked(&mut self, bytes_max: usize, deadline: Instant) -> Result<Vec<u8>, Ended> {
@@ -148,16 +160,14 @@
 
     fn read_line(&mut self, deadline: Instant) -> Result<Vec<u8>, Ended> {
         loop {
-            if let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") {
-                if end > CHUNK_LINE_BYTES_MAX {
-                    return Err(malformed_chunk());
-                }
-                let rest = self.buffer.split_off(end + 2);
-                let mut line = std::mem::replace(&mut self.buffer, rest);
-                line.truncate(end);
+            let unread = self.unread();
+            let seen = &unread[..unread.len().min(CHUNK_LINE_BYTES_MAX)];
+            if let Some(end) = seen.windows(2).position(|pair| pair == b"\r\n") {
+                let line = self.take(end);
+                self.taken += 2;
                 return Ok(line);
             }
-            if self.buffer.len() > CHUNK_LINE_BYTES_MAX {
+            if unread.len() >= CHUNK_LINE_BYTES_MAX {
                 return Err(malformed_chunk());
             }
             self.more(deadline)?;
@@ -182,6 +192,8 @@
             return Err(io::ErrorKind::TimedOut.into());
         }
         self.stream.set_read_timeout(Some(left))?;
+        self.buffer.drain(..self.taken);
+        self.taken = 0;
         let filled = self.buffer.len();
         self.buffer.resize(filled + READ_BYTES, 0);
         let read = self.stream.read(&mut self.buffer[filled..]);
--- a/lib/src/front/head.rs
+++ b/lib/src/front/head.rs
@@ -2,6 +2,15 @@
 
 use super::{Code, Refusal};
 
+/// Headers that decide on whose behalf and how a request runs. The balancer sets the workspace; a
+/// second header from the caller must not take its place.
+const SINGLE: [&str; 4] = [
+    "X-Workspace",
+    "X-Service",
+    "Idempotency-Key",
+    "Last-Event-ID",
+];
+
 /// How the length of a request's body is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Content {
@@ -59,8 +68,8 @@
 
     fn check(request: &httparse::Request<'_, '_>) -> Result<Self, Refusal> {
         let path = request.path.unwrap_or_default();
-        if !path.starts_with('/') {
-            return Err(malformed("path does not start with /"));
+        if !path.starts_with('/') || !path.bytes().all(is_path_byte) {
+            return Err(malformed("path is malformed"));
         }
         let headers = request
             .headers
@@ -68,6 +77,9 @@
             .map(text)
             .collect::<Result<Vec<_>, _>>()?;
         let is_1_1 = request.version == Some(1);
+        if let Some(name) = SINGLE.iter().find(|name| count(&headers, name) > 1) {
+            return Err(malformed(format!("header {name} is given twice")));
+        }
         let content = content(&headers, is_1_1)?;
         let connection = find(&headers, "Connection").unwrap_or_default();
         let keep_alive = if is_1_1 {
@@ -96,6 +108,17 @@
         .map(|(_, value)| value.as_str())
 }
 
+fn count(headers: &[(String, String)], name: &str) -> usize {
+    let same = |(field, _): &&(String, String)| field.eq_ignore_ascii_case(name);
+    headers.iter().filter(same).count()
+}
+
+/// Tells whether a byte may stand in a path and its query (RFC 3986), which also the endpoint's
+/// client accepts.
+fn is_path_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"/?:@!$&'()*+,;=-._~%".contains(&byte)
+}
+
 fn text(header: &httparse::Header<'_>) -> Result<(String, String), Refusal> {
     match std::str::from_utf8(header.value) {
         Ok(value) => Ok((header.name.to_owned(), value.trim().to_owned())),
--- /dev/null
+++ b/lib/tests/attempt_http.rs
@@ -0,0 +1,97 @@
+//! The clients of endpoints over HTTP.
+
+use std::io::{Read as _, Write as _};
+use std::net::TcpListener;
+use std::thread;
+use std::time::Duration;
+
+use ragwortgrade_lib::endpoint::{Error, HttpPlain, Plain, PlainCall, Ran};
+use ragwortgrade_testutil::named_cases;
+
+fn call() -> PlainCall {
+    PlainCall {
+        attempt: "a".to_owned(),
+        method: "POST".to_owned(),
+        path: "/x".to_owned(),
+        content_type: None,
+        request_key: "k".to_owned(),
+        body: Vec::new(),
+        timeout: Duration::from_millis(500),
+    }
+}
+
+/// Answers each connection with `answer`; returns the result of a call and how many connections
+/// came.
+fn call_answered_by(answer: &'static str, call: &PlainCall) -> (Result<u16, Error>, usize) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let server = thread::spawn(move || {
+        let mut held = Vec::new();
+        loop {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut request = [0; 4_096];
+            let read = stream.read(&mut request).unwrap();
+            if request[..read].starts_with(b"END") {
+                return held.len();
+            }
+            stream.write_all(answer.as_bytes()).unwrap();
+            if !answer.is_empty() {
+                stream.shutdown(std::net::Shutdown::Both).unwrap();
+            }
+            held.push(stream);
+        }
+    });
+    let result = HttpPlain::open().call(&address, call);
+    let mut end = std::net::TcpStream::connect(&address).unwrap();
+    end.write_all(b"END").unwrap();
+    (result.map(|answer| answer.status), server.join().unwrap())
+}
+
+#[test]
+fn a_redirect_is_an_answer_and_not_followed() {
+    // Guards against a call that runs a second time at an address that nobody declared.
+    let answer = "HTTP/1.1 307 Temporary Redirect\r\nX-Attempt-Id: a\r\nLocation: /y\r\n\
+                  Content-Length: 0\r\n\r\n";
+    let (result, connections) = call_answered_by(answer, &call());
+    assert_eq!((result.unwrap(), connections), (307, 1));
+}
+
+fn fails(answer: &'static str, path: &str, ran: Ran, connections: usize) {
+    let call = PlainCall {
+        path: path.to_owned(),
+        ..call()
+    };
+    let (result, seen) = call_answered_by(answer, &call);
+    assert_eq!((result.unwrap_err().ran(), seen), (ran, connections));
+}
+
+const CROSSED: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: b\r\nContent-Length: 0\r\n\r\n";
+const SHORT: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nContent-Length: 9\r\n\r\nx";
+
+named_cases! { fails:
+    an_answer_of_another_attempt(CROSSED, "/x", Ran::Unknown, 1);
+    an_answer_cut_short(SHORT, "/x", Ran::Unknown, 1);
+    no_answer("", "/x", Ran::Unknown, 1);
+    a_path_that_no_uri_has(CROSSED, "/{\u{7f}", Ran::No, 0);
+}
+
+#[test]
+fn silence_is_told_from_a_break_and_from_a_closed_port() {
+    // Guards against strikes for requests whose endpoint is paused or cut off.
+    let (silent, _) = call_answered_by("", &call());
+    assert!(
+        matches!(silent, Err(Error::TimedOut { sent: true, .. })),
+        "{silent:?}"
+    );
+    let (broken, _) = call_answered_by("HTTP/1.1 200", &call());
+    assert!(matches!(broken, Err(Error::Broken { .. })), "{broken:?}");
+    let port = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let closed = HttpPlain::open().call(&port.to_string(), &call());
+    assert!(
+        matches!(closed, Err(Error::Unreachable { .. })),
+        "{closed:?}"
+    );
+}
--- a/lib/tests/front.rs
+++ b/lib/tests/front.rs
@@ -55,6 +55,8 @@
 named_cases! { refuses:
     no_json(&chat(LAB, "{"), 400, "malformed");
     no_workspace(&chat("", BODY), 400, "malformed");
+    two_workspaces(&chat("X-Workspace: lab\r\nx-workspace: narrow\r\n", BODY), 400, "malformed");
+    odd_path("GET /services/order/{x} HTTP/1.1\r\nX-Workspace: lab\r\n\r\n", 400, "malformed");
     no_path("GET /nothing HTTP/1.1\r\n\r\n", 400, "malformed");
     no_http("\x01\x02\r\n\r\n", 400, "malformed");
     two_lengths(&chat("Content-Length: 3\r\n", BODY), 400, "malformed");
@@ -106,6 +108,27 @@
     assert_eq!(refused.refusal(), expected);
 }
 
+#[test]
+fn a_workspace_is_held_to_its_limit() {
+    // Guards against one workspace that takes the fleet from the others.
+    let stage = Stage::open();
+    stage.endpoint("p1", Some("stock"));
+    let ask = |workspace: &str| {
+        let headers = format!("X-Workspace: {workspace}\r\n");
+        let mut caller = stage.caller();
+        caller.post("/services/stock/x", &headers, "").answer()
+    };
+    let refused = (0..20)
+        .map(|_| ask("small"))
+        .find(|answer| answer.status != 200)
+        .expect("the limit is reached");
+    let expected = (429, "over_limit".to_owned(), "no".to_owned());
+    assert_eq!(refused.refusal(), expected);
+    for _ in 0..20 {
+        assert_eq!(ask("lab").status, 200, "another workspace goes on");
+    }
+}
+
 #[test]
 fn a_drain_refuses_new_requests_and_finishes_open_ones() {
     let mut stage = Stage::open();
