--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -7,6 +7,7 @@
 mod fault;
 mod faults;
 mod keys;
+mod names;
 mod shape;
 
 use std::fs;
@@ -63,4 +64,5 @@
 fn check_forms(sections: &[Section], faults: &mut Vec<Fault>) {
     address::check(sections, faults);
     keys::check(sections, faults);
+    names::check(sections, faults);
 }
