policy: wait for a lease that older platform data does not name

Cause: when the platform comes back with older data, the tenure record names no former holder, yet one may act for the rest of its lease, 8 s.

Change: the new holder waits at least 13 s from its acquisition before it orders such engines. A scenario and a mechanism of the model check cover it. docs/guarantees.md states the promises, mechanisms and remaining windows.

Ruled out: a shorter wait after a planned release. A rollback can bring back the record of an earlier release.

--- a/lib/tests/control/main.rs
+++ b/lib/tests/control/main.rs
@@ -28,6 +28,7 @@
         margin: Duration::from_millis(200),
         renewal: Duration::from_millis(200),
         under_way: Duration::from_millis(300),
+        settling: Duration::from_millis(800),
         notice: Duration::from_millis(50),
         poll: Duration::from_millis(40),
         drain: Duration::from_mins(1),
--- a/policy/src/authority/takeover.rs
+++ b/policy/src/authority/takeover.rs
@@ -52,7 +52,7 @@
         Self {
             terms,
             formers: tenure.formers.clone(),
-            clear_since: now,
+            clear_since: now + terms.settling,
         }
     }
 
@@ -67,7 +67,7 @@
         let is_gone = |former: &mut Holder| evidence.proves_gone(former);
         let gone: Vec<_> = self.formers.extract_if(.., is_gone).collect();
         if !gone.is_empty() {
-            self.clear_since = now;
+            self.clear_since = self.clear_since.max(now);
         }
         gone
     }
--- a/policy/src/authority/terms.rs
+++ b/policy/src/authority/terms.rs
@@ -16,6 +16,12 @@
     pub renewal: Duration,
     /// Longest time from the sending of an order to its delivery.
     pub under_way: Duration,
+    /// Wait of a new holder before it orders engines that ignore fencing tokens, before
+    /// [`Self::under_way`].
+    ///
+    /// When the platform comes back with older data, the records name no former holder, but one
+    /// may act for the rest of its lease.
+    pub settling: Duration,
     /// Time for the news that an engine is about to change to reach all daemons.
     pub notice: Duration,
     /// Time between two reads of an engine's state while an order waits for it.
@@ -31,6 +37,7 @@
             margin: Duration::from_secs(2),
             renewal: Duration::from_millis(2_500),
             under_way: Duration::from_secs(5),
+            settling: Duration::from_secs(8),
             notice: Duration::from_secs(3),
             poll: Duration::from_secs(1),
             drain: Duration::from_mins(10),
--- a/spec/src/authority/daemon.rs
+++ b/spec/src/authority/daemon.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
 use ragwortgrade_policy::Instant;
-use ragwortgrade_policy::authority::{Answer, Command, Evidence, Holder, Lease, Moment, Takeover};
+use ragwortgrade_policy::authority::{
+    Answer, Call, Command, Evidence, Holder, Lease, Moment, Phase, Takeover,
+};
 use ragwortgrade_schema::Name;
 
 use super::engine::Order;
@@ -107,6 +109,16 @@
         permits.then_some(tenure.fence)
     }
 
+    /// Tells whether the daemon would act now, unless it is paused; a renewal may fail.
+    pub(super) fn is_busy(&self, now: Moment) -> bool {
+        let is_sending = |command: &Command| command.phase() == Phase::Sending;
+        let call = self.lease.clone().call(now);
+        self.answer.is_some()
+            || self.outbox.is_some()
+            || self.command.as_ref().is_some_and(is_sending)
+            || call.is_some_and(|call| !matches!(call, Call::KeepAlive(_)))
+    }
+
     /// Learns that `other` does not run as the former holder any more.
     pub(super) fn learn(&mut self, other: &Holder, is_up: bool, now: Moment) -> bool {
         let Some((_, takeover)) = &mut self.takeover else {
--- a/spec/src/authority/setup.rs
+++ b/spec/src/authority/setup.rs
@@ -32,11 +32,13 @@
     LockReadBack,
     /// A renewal counts only when the lock record is still there.
     LockVerified,
+    /// A new holder waits for the rest of a lease that the records do not name any more.
+    Settling,
 }
 
 impl Mechanism {
     /// All mechanisms, each with the scenario that needs it.
-    pub const ALL: [(Self, Scenario); 13] = [
+    pub const ALL: [(Self, Scenario); 14] = [
         (Self::FenceCheck, Scenario::Calls),
         (Self::FormerFate, Scenario::Tenures),
         (Self::DeliveryWait, Scenario::Tenures),
@@ -50,6 +52,7 @@
         (Self::Survey, Scenario::Rollback),
         (Self::LockReadBack, Scenario::Calls),
         (Self::LockVerified, Scenario::Rollback),
+        (Self::Settling, Scenario::Settling),
     ];
 }
 
@@ -90,20 +93,24 @@
     /// An engine that ignores tokens, over three tenures, with the first holder paused between its
     /// check and the sending of an order.
     Tenures,
-    /// An engine that ignores tokens, with a platform that comes back with older data. The system
-    /// does not protect this case; `docs/guarantees.md` states the window.
+    /// An engine that ignores tokens, with a platform that comes back with older data, while no
+    /// daemon is paused.
+    Settling,
+    /// The same with pauses. The system does not protect this case; `docs/guarantees.md` states
+    /// the window.
     Uncovered,
 }
 
 impl Scenario {
     /// The scenarios in which nothing may go wrong.
-    pub const COVERED: [Self; 6] = [
+    pub const COVERED: [Self; 7] = [
         Self::Orders,
         Self::Calls,
         Self::Rollback,
         Self::Clocks,
         Self::Takeover,
         Self::Tenures,
+        Self::Settling,
     ];
 }
 
@@ -131,6 +138,10 @@
     pub budget: Budget,
     /// Daemon 0 is paused from the start, between its check and the sending of an order.
     pub paused: bool,
+    /// No daemon is paused: what it can do in a second, it does in that second.
+    pub prompt: bool,
+    /// Seconds that a new holder waits for a lease that the records do not name.
+    pub settling: u64,
     /// Mechanism that is missing.
     pub without: Option<Mechanism>,
 }
@@ -190,6 +201,13 @@
                 };
                 (Fencing::Ignored, 7 + longer, [1, 1], budget)
             }
+            Scenario::Settling => {
+                let budget = Budget {
+                    rollbacks: 1,
+                    ..budget
+                };
+                (Fencing::Ignored, 6 + longer, [1, 1], budget)
+            }
             Scenario::Uncovered => {
                 let budget = Budget {
                     rollbacks: 1,
@@ -205,6 +223,8 @@
             orders,
             budget,
             paused: scenario == Scenario::Tenures,
+            prompt: scenario == Scenario::Settling,
+            settling: if scenario == Scenario::Settling { 2 } else { 0 },
             without: None,
         }
     }
@@ -233,6 +253,11 @@
             margin: Duration::from_secs(margin),
             renewal: Duration::from_secs(1),
             under_way: Duration::from_secs(self.under_way),
+            settling: Duration::from_secs(if self.has(Mechanism::Settling) {
+                self.settling
+            } else {
+                0
+            }),
             notice: Duration::ZERO,
             poll: Duration::from_secs(1),
             drain: Duration::from_hours(1),
--- a/spec/src/authority/world.rs
+++ b/spec/src/authority/world.rs
@@ -271,7 +271,8 @@
     }
 
     fn time_steps(&self, setup: &Setup, steps: &mut Steps) {
-        if self.tick >= setup.horizon {
+        let is_busy = |daemon: &Daemon| daemon.is_busy(daemon.now(setup, self.tick));
+        if self.tick >= setup.horizon || setup.prompt && self.daemons.iter().any(is_busy) {
             return;
         }
         steps.push(self.then(Event::Tick, |next| next.tick(setup)));
--- a/spec/tests/authority.rs
+++ b/spec/tests/authority.rs
@@ -19,6 +19,7 @@
     suspended_and_slow_clocks_are_safe(Scenario::Clocks);
     takeover_is_safe_for_engines_that_ignore_tokens(Scenario::Takeover);
     paused_holder_is_waited_for_over_three_tenures(Scenario::Tenures);
+    older_platform_data_is_safe_without_pauses(Scenario::Settling);
 }
 
 /// Guards against a model in which nothing can go wrong, whatever the mechanism.
@@ -49,6 +50,7 @@
     engines_must_be_asked_for_their_token(Mechanism::Survey);
     lost_lock_answer_must_be_read_back(Mechanism::LockReadBack);
     renewal_must_verify_the_lock(Mechanism::LockVerified);
+    holder_that_the_records_lost_must_be_waited_for(Mechanism::Settling);
 }
 
 /// Documents the window that `docs/guarantees.md` states. If it closes, the page is out of date.
