spec: check the claims protocol to exhaustion

Cause: at most one run for a key rests on a log with two possible owners, lost answers and late grants; tests that are written one by one miss interleavings.

Change: a model of two owners that run policy::claim itself, two attempts with one key, and the key-value service. Four scenarios, four mechanisms with switches. A result that an owner has not taken in yet and an answer on its way are states of their own, so pauses are covered. policy::claim's types derive Clone and PartialEq, which the search needs.

Not covered: loss of data by the service, compaction of the log, and asks to an owner that does not own the shard.

--- a/policy/src/claim/commit.rs
+++ b/policy/src/claim/commit.rs
@@ -18,7 +18,7 @@
 const TAIL_PERIOD: Duration = Duration::from_secs(2);
 
 /// A batch on its way into the log.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) struct Commit {
     sequence: u64,
     batch: Batch,
--- a/policy/src/claim/compact.rs
+++ b/policy/src/claim/compact.rs
@@ -13,7 +13,7 @@
 const ENTRY_BYTES: usize = 320;
 
 /// Moving a part of the log into snapshot chunks.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) struct Compaction {
     chunks: VecDeque<Chunk>,
     written: Vec<(u64, Chunk)>,
@@ -30,7 +30,7 @@
 }
 
 /// A key that is not needed any more; without a revision it is read first.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) struct Garbage {
     key: String,
     revision: Option<u64>,
--- a/policy/src/claim/load.rs
+++ b/policy/src/claim/load.rs
@@ -9,7 +9,7 @@
 const CHUNK_TRIES: u32 = 3;
 
 /// Reading a shard from the service.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) struct Load {
     table: Table,
     head: Head,
@@ -18,7 +18,7 @@
     missing: u32,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq)]
 enum State {
     Chunk(u64),
     /// The log, after this key.
--- a/policy/src/claim/owner.rs
+++ b/policy/src/claim/owner.rs
@@ -26,7 +26,7 @@
 
 /// The owner of one shard: asks go in, calls of the key-value service come out one at a time, and
 /// their results go in.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Owner {
     pub(super) keys: Keys,
     pub(super) name: Name,
@@ -74,7 +74,7 @@
     Delete,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) struct Waiting {
     pub(super) id: u64,
     pub(super) ask: Ask,
--- a/policy/src/claim/shard.rs
+++ b/policy/src/claim/shard.rs
@@ -24,7 +24,7 @@
 ///
 /// Sequences have 20 digits and so begin with 0; the head sorts behind all of them under the same
 /// prefix, so one list shows the end of the log together with the head.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Keys {
     /// The shard.
     pub shard: u8,
--- a/policy/src/claim/table.rs
+++ b/policy/src/claim/table.rs
@@ -46,7 +46,7 @@
 }
 
 /// The claims of one shard: recent ones in full, older ones as fingerprints of chunks.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Table {
     full: HashMap<Hash, Entry>,
     /// Keys that changed since the last compaction.
@@ -56,7 +56,7 @@
     body_bytes: usize,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq)]
 struct Index {
     number: u64,
     newest_ms: u64,
--- a/spec/examples/explore.rs
+++ b/spec/examples/explore.rs
@@ -5,8 +5,7 @@
 use std::process::ExitCode;
 use std::time::Instant;
 
-use ragwortgrade_spec::authority::{Mechanism, Scenario, Setup, Size};
-use ragwortgrade_spec::{Outcome, check};
+use ragwortgrade_spec::{Model, Outcome, Size, authority, check, claims};
 
 const USAGE: &str = "usage: explore [--size small|large]";
 
@@ -31,22 +30,29 @@
 /// Returns whether every search ended as it should.
 fn explore(size: Size) -> bool {
     let mut is_right = true;
-    for scenario in Scenario::COVERED {
-        let outcome = timed(&format!("{scenario:?}"), &Setup::of(scenario, size));
-        is_right &= outcome.counterexample.is_none();
+    for scenario in authority::Scenario::COVERED {
+        let setup = authority::Setup::of(scenario, size);
+        is_right &= is_safe(&format!("authority {scenario:?}"), &setup);
     }
-    for (mechanism, scenario) in Mechanism::ALL {
-        let setup = Setup::of(scenario, Size::Small).without(mechanism);
-        let outcome = timed(&format!("{scenario:?} without {mechanism:?}"), &setup);
-        is_right &= outcome.counterexample.is_some();
+    for scenario in claims::Scenario::ALL {
+        let setup = claims::Setup::of(scenario, size);
+        is_right &= is_safe(&format!("claims {scenario:?}"), &setup);
+    }
+    for (mechanism, scenario) in authority::Mechanism::ALL {
+        let setup = authority::Setup::of(scenario, Size::Small).without(mechanism);
+        is_right &= !is_safe(&format!("authority without {mechanism:?}"), &setup);
+    }
+    for (mechanism, scenario) in claims::Mechanism::ALL {
+        let setup = claims::Setup::of(scenario, Size::Small).without(mechanism);
+        is_right &= !is_safe(&format!("claims without {mechanism:?}"), &setup);
     }
     is_right
 }
 
-fn timed(title: &str, setup: &Setup) -> Outcome {
+fn is_safe(title: &str, model: &impl Model) -> bool {
     let start = Instant::now();
-    let outcome = check(setup);
+    let outcome: Outcome = check(model);
     let seconds = start.elapsed().as_secs_f32();
     println!("{title} ({seconds:.1} s): {outcome}");
-    outcome
+    outcome.counterexample.is_none()
 }
--- a/spec/src/authority.rs
+++ b/spec/src/authority.rs
@@ -9,7 +9,7 @@
 mod world;
 
 pub use event::{Event, Fault, Violation};
-pub use setup::{Budget, Mechanism, Scenario, Setup, Size};
+pub use setup::{Budget, Mechanism, Scenario, Setup};
 pub use world::World;
 
 use crate::Model;
--- a/spec/src/authority/setup.rs
+++ b/spec/src/authority/setup.rs
@@ -3,6 +3,8 @@
 use ragwortgrade_policy::authority::Terms;
 use ragwortgrade_schema::configuration::Fencing;
 
+use crate::Size;
+
 /// A safety mechanism that can be switched off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mechanism {
@@ -114,15 +116,6 @@
     ];
 }
 
-/// How much of a scenario is explored.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Size {
-    /// A few seconds in a debug build.
-    Small,
-    /// Minutes in a release build.
-    Large,
-}
-
 /// The size of a model, its faults and the mechanism that is switched off.
 #[derive(Clone, Copy, Debug)]
 pub struct Setup {
--- /dev/null
+++ b/spec/src/claims/claimant.rs
@@ -0,0 +1,93 @@
+use ragwortgrade_policy::claim::Answer;
+use ragwortgrade_schema::peer::ClaimState;
+
+use super::{Mechanism, Setup};
+
+/// Where an attempt stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) enum Stage {
+    Idle,
+    /// It waits for the answer to the ask with this number.
+    Asking(u64),
+    Granted,
+    /// The request was sent and ran; the outcome is not reported yet.
+    Ran,
+    /// The caller was told that the request was not run.
+    Refused,
+    /// Nothing is left to do.
+    Ended,
+}
+
+/// One attempt to run the request, at the daemon of its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Claimant {
+    pub(super) stage: Stage,
+    pub(super) asks: u8,
+    pub(super) runs: u8,
+    pub(super) was_refused: bool,
+    /// An outcome was reported.
+    pub(super) is_settled: bool,
+}
+
+impl Claimant {
+    pub(super) fn new(asks: u8) -> Self {
+        Self {
+            stage: Stage::Idle,
+            asks,
+            runs: 0,
+            was_refused: false,
+            is_settled: false,
+        }
+    }
+
+    /// Takes in an owner's answer to the ask with number `ask`.
+    pub(super) fn answered(&mut self, setup: &Setup, ask: u64, answer: &Answer) {
+        let Answer::Claim(state, _) = answer else {
+            return;
+        };
+        let is_late = self.stage != Stage::Asking(ask);
+        let may_send =
+            !is_late || !setup.has(Mechanism::IgnoreLate) && self.stage == Stage::Refused;
+        match state {
+            ClaimState::Granted if may_send => self.stage = Stage::Granted,
+            _ if is_late => {}
+            ClaimState::Unavailable | ClaimState::NotOwner => self.stage = Stage::Idle,
+            _ => self.stage = Stage::Ended,
+        }
+    }
+
+    pub(super) fn run(&mut self, setup: &Setup) {
+        self.runs += 1;
+        self.stage = Stage::Ran;
+        if !setup.has(Mechanism::SendOnce) && self.asks > 0 {
+            self.stage = Stage::Idle;
+        }
+    }
+
+    /// Tells whether the caller may be told that the request was not run.
+    pub(super) fn can_refuse(&self) -> bool {
+        matches!(self.stage, Stage::Idle | Stage::Granted) && self.runs == 0
+    }
+
+    pub(super) fn refuse(&mut self) {
+        self.was_refused = true;
+        self.stage = Stage::Refused;
+    }
+
+    /// Returns the outcomes that the attempt may report now, each as whether it releases the claim.
+    pub(super) fn outcomes(&self, setup: &Setup) -> Vec<bool> {
+        let mut outcomes = Vec::new();
+        if self.is_settled {
+            return outcomes;
+        }
+        if self.stage == Stage::Refused
+            || self.stage == Stage::Ran && !setup.has(Mechanism::ReleaseUnsent)
+        {
+            outcomes.push(true);
+        }
+        if self.stage == Stage::Ran {
+            outcomes.push(false);
+        }
+        outcomes
+    }
+}
--- /dev/null
+++ b/spec/src/claims/service.rs
@@ -0,0 +1,78 @@
+use std::collections::BTreeMap;
+
+use ragwortgrade_policy::claim::{Call, Result};
+use ragwortgrade_schema::platform::{Entry, Write};
+
+use super::{Fate, Mechanism, Setup};
+
+/// The key-value service, as far as claims use it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct Service {
+    pub(super) entries: BTreeMap<String, (String, u64)>,
+    pub(super) delayed: Vec<Write>,
+    revision: u64,
+}
+
+impl Service {
+    /// Carries out `call` as its fate says; returns what the owner learns.
+    pub(super) fn perform(&mut self, setup: &Setup, call: &Call, fate: Fate) -> Result {
+        match (fate, call) {
+            (Fate::NotDone, _) => Result::NotDone,
+            (Fate::Delayed, Call::Write(write)) => {
+                self.delayed.push(write.clone());
+                Result::Lost
+            }
+            (Fate::Answered, _) => self.run(setup, call),
+            (Fate::AnswerLost | Fate::Delayed, _) => {
+                self.run(setup, call);
+                Result::Lost
+            }
+        }
+    }
+
+    pub(super) fn arrive(&mut self, setup: &Setup) {
+        for write in std::mem::take(&mut self.delayed) {
+            self.write(setup, &write);
+        }
+    }
+
+    fn run(&mut self, setup: &Setup, call: &Call) -> Result {
+        match call {
+            Call::Read(key) => Result::Read(self.entries.get(key).cloned()),
+            Call::List { prefix, after } => Result::Listed(self.list(prefix, after)),
+            Call::Write(write) => self.write(setup, write),
+        }
+    }
+
+    fn list(&self, prefix: &str, after: &str) -> Vec<Entry> {
+        let later = self.entries.range(after.to_owned()..);
+        let found = later.filter(|(key, _)| key.starts_with(prefix) && *key != after);
+        let entry = |(key, (value, revision)): (&String, &(String, u64))| Entry {
+            key: key.clone(),
+            value: Some(value.clone()),
+            revision: *revision,
+        };
+        found.map(entry).collect()
+    }
+
+    fn write(&mut self, setup: &Setup, write: &Write) -> Result {
+        let held = self
+            .entries
+            .get(&write.key)
+            .map_or(0, |(_, revision)| *revision);
+        if held != write.expect && setup.has(Mechanism::Condition) {
+            return Result::Conflict;
+        }
+        self.revision += 1;
+        match &write.value {
+            Some(value) => {
+                let entry = (value.clone(), self.revision);
+                self.entries.insert(write.key.clone(), entry);
+            }
+            None => {
+                self.entries.remove(&write.key);
+            }
+        }
+        Result::Written(self.revision)
+    }
+}
--- /dev/null
+++ b/spec/src/claims/world.rs
@@ -0,0 +1,324 @@
+use std::collections::HashSet;
+use std::hash::{Hash, Hasher};
+
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::claim::{self, Answer, Ask, Moment, Outcome, Owner, Result};
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::peer::Recorded;
+
+use super::claimant::{Claimant, Stage};
+use super::service::Service;
+use super::{Budget, Event, Fate, Setup, Violation};
+
+const SHORT_MS: u64 = 100;
+const LONG_MS: u64 = 2_000;
+/// The owners start with their clocks at a time that is not zero.
+const START_MS: u64 = 10_000;
+/// Any start of Unix time will do.
+const UNIX_MS: u64 = 1_000_000_000_000;
+
+/// One state of the model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct World {
+    now_ms: u64,
+    service: Service,
+    owners: [Owner; 2],
+    /// Results that the owners have not taken in yet.
+    results: [Option<Result>; 2],
+    incarnations: u64,
+    claimants: [Claimant; 2],
+    /// Attempt of each ask.
+    asks: Vec<usize>,
+    /// Answers on their way, by the number of the ask.
+    mail: Vec<(u64, Answer)>,
+    budget: Budget,
+}
+
+impl Eq for World {}
+
+/// The owners' inner state has no hash; worlds that differ only in it are told apart by equality.
+impl Hash for World {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.now_ms.hash(state);
+        self.service.entries.hash(state);
+        self.claimants.hash(state);
+        self.asks.hash(state);
+        self.budget.hash(state);
+        let at = self.moment();
+        for owner in &self.owners {
+            format!("{:?}", owner.clone().next_call(at)).hash(state);
+        }
+        format!("{:?}{:?}", self.results, self.mail).hash(state);
+    }
+}
+
+type Steps = Vec<(Event, World)>;
+
+impl World {
+    pub(super) fn start(setup: &Setup) -> Self {
+        let mut world = Self {
+            now_ms: START_MS,
+            service: Service::default(),
+            owners: [0, 1].map(|index| owner(index, 1 + index as u64)),
+            results: [None, None],
+            incarnations: 2,
+            claimants: setup.asks.map(Claimant::new),
+            asks: Vec::new(),
+            mail: Vec::new(),
+            budget: setup.budget,
+        };
+        // Both owners have loaded the empty log.
+        for index in 0..2 {
+            while world.call(setup, index, Fate::Answered) {
+                world.take_result(index);
+            }
+        }
+        world
+    }
+
+    pub(super) fn violation(&self) -> Option<Violation> {
+        if self
+            .claimants
+            .iter()
+            .map(|claimant| claimant.runs)
+            .sum::<u8>()
+            > 1
+        {
+            return Some(Violation::RanTwice);
+        }
+        let is_false = |claimant: &Claimant| claimant.was_refused && claimant.runs > 0;
+        self.claimants
+            .iter()
+            .any(is_false)
+            .then_some(Violation::FalseNotRun)
+    }
+
+    pub(super) fn steps(&self, setup: &Setup) -> Steps {
+        let mut steps = Vec::new();
+        for attempt in 0..2 {
+            self.claimant_steps(setup, attempt, &mut steps);
+        }
+        for owner in 0..2 {
+            self.owner_steps(setup, owner, &mut steps);
+        }
+        self.mail_steps(setup, &mut steps);
+        self.time_steps(&mut steps);
+        if !self.service.delayed.is_empty() {
+            steps.push(self.then(Event::Arrive, |next| next.service.arrive(setup)));
+        }
+        steps
+    }
+
+    fn claimant_steps(&self, setup: &Setup, attempt: usize, steps: &mut Steps) {
+        let claimant = &self.claimants[attempt];
+        if claimant.stage == Stage::Idle && claimant.asks > 0 {
+            for owner in setup.owners(attempt) {
+                let event = Event::Ask { attempt, owner };
+                steps.push(self.then(event, |next| next.ask_claim(attempt, owner)));
+            }
+        }
+        if claimant.stage == Stage::Granted {
+            steps.push(self.then(Event::Run(attempt), |next| {
+                next.claimants[attempt].run(setup);
+            }));
+        }
+        if claimant.can_refuse() && claimant.asks < setup.asks[attempt] {
+            steps.push(self.then(Event::Refuse(attempt), |next| {
+                next.claimants[attempt].refuse();
+            }));
+        }
+        if matches!(claimant.stage, Stage::Asking(_)) && self.budget.answers > 0 {
+            steps.push(self.then(Event::StopWaiting(attempt), |next| {
+                next.budget.answers -= 1;
+                next.claimants[attempt].stage = Stage::Idle;
+            }));
+        }
+        for released in claimant.outcomes(setup) {
+            for owner in setup.owners(attempt) {
+                let event = Event::Settle {
+                    attempt,
+                    owner,
+                    released,
+                };
+                steps.push(self.then(event, |next| next.settle(attempt, owner, released)));
+            }
+        }
+        if matches!(claimant.stage, Stage::Granted | Stage::Ran) && self.budget.crashes > 0 {
+            steps.push(self.then(Event::Crash(attempt), |next| {
+                next.budget.crashes -= 1;
+                next.claimants[attempt].stage = Stage::Ended;
+            }));
+        }
+    }
+
+    fn ask_claim(&mut self, attempt: usize, owner: usize) {
+        let ask = Ask::Claim {
+            key: claim::Hash(0),
+            request: claim::Hash(7),
+            claimant: Name::from("d"),
+            incarnation: 1,
+            attempt: identity(attempt),
+        };
+        self.claimants[attempt].asks -= 1;
+        self.claimants[attempt].stage = Stage::Asking(self.asks.len() as u64);
+        self.ask(attempt, owner, ask);
+    }
+
+    fn settle(&mut self, attempt: usize, owner: usize, released: bool) {
+        let recorded = Recorded {
+            body: String::new(),
+            content_type: None,
+            status: 200,
+            truncated: false,
+        };
+        let outcome = if released {
+            Outcome::Released
+        } else {
+            Outcome::Done(recorded)
+        };
+        let (key, attempt_identity) = (claim::Hash(0), identity(attempt));
+        let ask = Ask::Settle {
+            key,
+            attempt: attempt_identity,
+            outcome,
+        };
+        self.claimants[attempt].is_settled = true;
+        self.ask(attempt, owner, ask);
+    }
+
+    fn ask(&mut self, attempt: usize, owner: usize, ask: Ask) {
+        let id = self.asks.len() as u64;
+        self.asks.push(attempt);
+        let at = self.moment();
+        self.owners[owner].ask(id, ask, at);
+        self.collect(owner);
+    }
+
+    fn owner_steps(&self, setup: &Setup, owner: usize, steps: &mut Steps) {
+        if self.results[owner].is_some() {
+            steps.push(self.then(Event::Result(owner), |next| next.take_result(owner)));
+        } else {
+            self.call_steps(setup, owner, steps);
+        }
+        if self.budget.replacements > 0 {
+            steps.push(self.then(Event::Replace(owner), |next| next.replace(owner)));
+        }
+    }
+
+    fn call_steps(&self, setup: &Setup, owner: usize, steps: &mut Steps) {
+        for fate in [
+            Fate::Answered,
+            Fate::NotDone,
+            Fate::AnswerLost,
+            Fate::Delayed,
+        ] {
+            let mut next = self.clone();
+            if fate != Fate::Answered {
+                let Some(left) = next.budget.calls.checked_sub(1) else {
+                    continue;
+                };
+                next.budget.calls = left;
+            }
+            if next.call(setup, owner, fate) {
+                steps.push((Event::Call { owner, fate }, next));
+            }
+        }
+    }
+
+    fn call(&mut self, setup: &Setup, owner: usize, fate: Fate) -> bool {
+        let at = self.moment();
+        self.owners[owner].expire(at);
+        self.collect(owner);
+        let Some(call) = self.owners[owner].next_call(at) else {
+            return false;
+        };
+        self.results[owner] = Some(self.service.perform(setup, &call, fate));
+        true
+    }
+
+    fn take_result(&mut self, owner: usize) {
+        let at = self.moment();
+        if let Some(result) = self.results[owner].take() {
+            self.owners[owner].answered(result, at);
+            self.collect(owner);
+        }
+    }
+
+    fn replace(&mut self, index: usize) {
+        self.budget.replacements -= 1;
+        self.incarnations += 1;
+        self.owners[index] = owner(index, self.incarnations);
+        self.results[index] = None;
+    }
+
+    fn mail_steps(&self, setup: &Setup, steps: &mut Steps) {
+        for (position, (ask, answer)) in self.mail.iter().enumerate() {
+            let attempt = self.asks[*ask as usize];
+            let event = Event::Deliver {
+                attempt,
+                answer: format!("{answer:?}"),
+            };
+            steps.push(self.then(event, |next| {
+                next.mail.remove(position);
+                next.claimants[attempt].answered(setup, *ask, answer);
+            }));
+            if self.budget.answers > 0 {
+                steps.push(self.then(Event::Lose(attempt), |next| {
+                    next.budget.answers -= 1;
+                    next.mail.remove(position);
+                    if next.claimants[attempt].stage == Stage::Asking(*ask) {
+                        next.claimants[attempt].stage = Stage::Idle;
+                    }
+                }));
+            }
+        }
+    }
+
+    fn time_steps(&self, steps: &mut Steps) {
+        if self.budget.short_ticks > 0 {
+            steps.push(self.then(Event::ShortTick, |next| {
+                next.budget.short_ticks -= 1;
+                next.now_ms += SHORT_MS;
+            }));
+        }
+        if self.budget.long_ticks > 0 {
+            steps.push(self.then(Event::LongTick, |next| {
+                next.budget.long_ticks -= 1;
+                next.now_ms += LONG_MS;
+            }));
+        }
+    }
+
+    /// Puts the answers to claims on their way; nothing depends on the others.
+    fn collect(&mut self, owner: usize) {
+        let answers = self.owners[owner].take_answers();
+        let claims = answers
+            .into_iter()
+            .filter(|(_, answer)| matches!(answer, Answer::Claim(..)));
+        self.mail.extend(claims);
+    }
+
+    fn moment(&self) -> Moment {
+        Moment {
+            now: Instant::from_millis(self.now_ms),
+            unix_ms: UNIX_MS + self.now_ms,
+        }
+    }
+
+    fn then(&self, event: Event, change: impl FnOnce(&mut Self)) -> (Event, Self) {
+        let mut next = self.clone();
+        change(&mut next);
+        (event, next)
+    }
+}
+
+fn identity(attempt: usize) -> claim::Hash {
+    claim::Hash(100 + attempt as u128)
+}
+
+fn owner(index: usize, incarnation: u64) -> Owner {
+    let mut owner = Owner::open(0, Name::from(["x", "y"][index]), incarnation);
+    let live = HashSet::from([(Name::from("d"), 1)]);
+    owner.set_members(true, live, Instant::from_millis(START_MS));
+    owner
+}
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -8,5 +8,9 @@
 /// Lease, fencing, takeover and orders.
 pub mod authority;
 mod check;
+/// At-most-once claims.
+pub mod claims;
+mod size;
 
 pub use check::{Model, Outcome, check};
+pub use size::Size;
--- a/spec/tests/authority.rs
+++ b/spec/tests/authority.rs
@@ -1,7 +1,7 @@
 //! Exhaustive search of the authority protocol, and its negative controls.
 
-use ragwortgrade_spec::authority::{Mechanism, Scenario, Setup, Size};
-use ragwortgrade_spec::check;
+use ragwortgrade_spec::authority::{Mechanism, Scenario, Setup};
+use ragwortgrade_spec::{Size, check};
 use ragwortgrade_testutil::named_cases;
 
 /// Guards against a sequence of faults that lets two daemons order an engine at once or lets an
