daemon: hand claim shards over at the start of a drain

Cause: a draining daemon stayed the owner of its claim shards until others took it for dead, so calls with a key were refused for seconds after a planned stop. Ruled out: keeping shards until the end (the new owner must read the log).

--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -174,8 +174,10 @@
             return;
         };
         let members = peers.members();
+        // A draining daemon hands its shards over while it still answers.
         let daemons: Vec<Name> = members
             .iter()
+            .filter(|member| !member.identity.draining)
             .map(|member| member.identity.id.clone())
             .collect();
         let mut live: HashSet<(Name, u64)> = members
--- a/lib/src/claims/claimant.rs
+++ b/lib/src/claims/claimant.rs
@@ -150,7 +150,8 @@
 
     fn owner(&self) -> Option<Name> {
         let members = self.context.peers.members();
-        owner_of(self.shard, members.iter().map(|member| &member.identity.id)).cloned()
+        let settled = members.iter().filter(|member| !member.identity.draining);
+        owner_of(self.shard, settled.map(|member| &member.identity.id)).cloned()
     }
 }
 
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -9,7 +9,8 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub use error::Error;
 use ragwortgrade_policy::Planner;
@@ -41,6 +42,8 @@
 const INCARNATION_RANDOM_BITS: u32 = 32;
 /// An order under way takes at most 5 s.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(6);
+/// A drain lasts at least a few rounds of gossip, so that others know of it before the end.
+const DRAIN_NOTICE: Duration = Duration::from_secs(3);
 const DUTIES_PERIOD: Duration = Duration::from_secs(1);
 /// An engine that changed its role keeps it at least this long.
 const ROLE_CHANGE_PAUSE: Duration = Duration::from_secs(30);
@@ -49,6 +52,7 @@
 pub struct Daemon {
     front: Front,
     network: Arc<Network>,
+    table: Arc<Table>,
     // Workers stop when dropped, before the parts that they use.
     control: Arc<Control>,
     _duties: Worker,
@@ -136,7 +140,7 @@
         let front = Front::bind(Arc::clone(&node), peers, streams, trials)?;
         let overview = Overview {
             node: Arc::clone(&node),
-            table,
+            table: Arc::clone(&table),
             front: Arc::clone(front.context()),
             keeper,
             on_drain: Box::new(on_drain),
@@ -152,6 +156,7 @@
         Ok(Self {
             front,
             network,
+            table,
             control,
             _duties: duties,
             _admin: admin,
@@ -174,10 +179,14 @@
     #[must_use]
     pub fn drain(mut self) -> bool {
         log::info!("daemon drains");
+        self.table.roster().drain();
+        let notice = Instant::now() + DRAIN_NOTICE;
         let is_complete = self.front.drain();
         if !self.control.release(RELEASE_TIMEOUT) {
             log::warn!("the control lease was not released; it lapses by itself");
         }
+        // Other daemons take over the claim shards and the balancer sees the refusals first.
+        thread::sleep(notice.saturating_duration_since(Instant::now()));
         self.front.stop();
         log::info!(is_complete; "daemon drained");
         is_complete
--- a/lib/src/membership/demands.rs
+++ b/lib/src/membership/demands.rs
@@ -53,7 +53,7 @@
         let scale = daemons.max(sources) as f64 / sources as f64;
         total
             .into_values()
-            .map(|demand| scaled(demand, scale))
+            .map(|demand| demand.scaled(scale))
             .collect()
     }
 
@@ -68,6 +68,7 @@
     peer::Demand {
         model: demand.model,
         prefill_tokens: demand.prefill_tokens_per_second,
+        squared_prefill_tokens: demand.squared_prefill_tokens_per_second,
         output_tokens: demand.output_tokens_per_second,
         requests: demand.requests_per_second,
         missed: demand.missed_per_second,
@@ -78,18 +79,9 @@
     Demand {
         model: demand.model.clone(),
         prefill_tokens_per_second: demand.prefill_tokens,
+        squared_prefill_tokens_per_second: demand.squared_prefill_tokens,
         output_tokens_per_second: demand.output_tokens,
         requests_per_second: demand.requests,
         missed_per_second: demand.missed,
     }
 }
-
-fn scaled(demand: Demand, scale: f64) -> Demand {
-    Demand {
-        model: demand.model,
-        prefill_tokens_per_second: demand.prefill_tokens_per_second * scale,
-        output_tokens_per_second: demand.output_tokens_per_second * scale,
-        requests_per_second: demand.requests_per_second * scale,
-        missed_per_second: demand.missed_per_second * scale,
-    }
-}
