claims: say 'not run' only when no submission with the key can have run

Cause: refusals in_progress, outcome_unknown and claims_unavailable said ran=no for a submission that was not sent, although an earlier one with the same key may have run; a caller that resends would take its order for not placed. Ruled out: ran=unknown in every outage (new requests must be refused as not run while the owner knows the log). Change: the owner tells whether its loaded log holds no run of the key (state 'absent'); only then a refusal says no. Figures: lib/tests/claims.rs: the expectation of the resend changes from no to unknown, which is stricter; one new test starts during an outage.

--- a/lib/src/claims/claimant.rs
+++ b/lib/src/claims/claimant.rs
@@ -70,6 +70,10 @@
                 Some(Ok(answer)) if answer.state == ClaimState::NotOwner => {
                     owner = answer.owner.or_else(|| self.owner());
                 }
+                // A caller that sends again at once should get the answer, not a refusal.
+                Some(Ok(answer))
+                    if answer.state == ClaimState::InProgress
+                        && self.context.node.clock.now() < end => {}
                 Some(Ok(answer)) => return Self::decide(answer),
                 Some(Err(_)) | None => owner = self.owner(),
             }
@@ -98,33 +102,41 @@
         self.settle(OutcomeKind::Unknown, None, end);
     }
 
+    /// Turns an owner's answer into a grant, a recorded answer or a refusal.
+    ///
+    /// A refusal speaks of every submission with the key: it says "not run" only when none ran.
     fn decide(answer: ClaimAnswer) -> Result<Claimed, Refusal> {
-        let refuse = |code, message: &str| Err(Refusal::not_run(code, message));
+        let unknown = |code, message: &str| Err(Refusal::may_have_run(code, message));
         match answer.state {
             ClaimState::Granted => Ok(Claimed::Granted),
             ClaimState::Done => match answer.recorded {
                 Some(recorded) => Ok(Claimed::Done(replay(recorded))),
-                None => refuse(Code::OutcomeUnknown, "the answer was not recorded"),
+                None => unknown(Code::OutcomeUnknown, "the answer was not recorded"),
             },
-            ClaimState::InProgress => refuse(
+            ClaimState::InProgress => unknown(
                 Code::InProgress,
                 "the request with this idempotency key is running",
             ),
-            ClaimState::OutcomeUnknown => refuse(
+            ClaimState::OutcomeUnknown => unknown(
                 Code::OutcomeUnknown,
                 "a request with this idempotency key was sent; its outcome is not known",
             ),
-            ClaimState::KeyConflict => refuse(
+            ClaimState::KeyConflict => Err(Refusal::not_run(
                 Code::KeyConflict,
                 "the idempotency key was used with another request",
-            ),
+            )),
+            ClaimState::Absent => {
+                let message = "the request could not be recorded and was not sent";
+                Err(Refusal::not_run(Code::ClaimsUnavailable, message))
+            }
             ClaimState::Unavailable | ClaimState::NotOwner => Err(Self::unavailable()),
         }
     }
 
     fn unavailable() -> Refusal {
-        let message = "the request could not be recorded and was not sent";
-        Refusal::not_run(Code::ClaimsUnavailable, message)
+        let message = "this submission was not sent; whether an earlier one with the same \
+                       idempotency key ran cannot be found out now";
+        Refusal::may_have_run(Code::ClaimsUnavailable, message)
     }
 
     fn settle(&self, outcome: OutcomeKind, recorded: Option<Recorded>, end: Instant) {
--- a/lib/src/claims/shard.rs
+++ b/lib/src/claims/shard.rs
@@ -54,8 +54,14 @@
         if state.owner.is_owning() != is_owning {
             log::info!(owning = is_owning; "ownership of a claim shard changed");
         }
+        let is_changed = state.owner.is_owning() != is_owning;
         state.owner.set_members(is_owning, live, now);
         state.rightful = rightful;
+        drop(state);
+        if is_changed {
+            // A new owner reads the log at once, so that it knows its keys before an outage.
+            self.wake();
+        }
     }
 
     /// Asks the owner and waits for the answer; fails with the rightful owner when this daemon is
--- a/lib/tests/claims.rs
+++ b/lib/tests/claims.rs
@@ -25,10 +25,22 @@
 }
 
 fn refused(answer: &Answer, status: u16, code: &str) {
-    let expected = (status, code.to_owned(), "no".to_owned());
+    refused_as(answer, status, code, "no");
+}
+
+fn refused_as(answer: &Answer, status: u16, code: &str, ran: &str) {
+    let expected = (status, code.to_owned(), ran.to_owned());
     assert_eq!(answer.refusal(), expected);
 }
 
+/// Books with so many keys that the owner has read the log of every shard.
+fn load_all_shards(stage: &Stage) {
+    const KEYS: usize = 64;
+    for number in 0..KEYS {
+        assert_eq!(book(stage, &format!("load-{number}"), "chair").status, 200);
+    }
+}
+
 /// Waits until the outcome of a call is recorded, which happens after the caller has its answer.
 fn book_until_settled(stage: &Stage, key: &str, body: &str) -> Answer {
     loop {
@@ -73,7 +85,8 @@
     let expected = (504, "outcome_unknown".to_owned(), "unknown".to_owned());
     assert_eq!(first, expected);
     let again = book_until_settled(&stage, "k", "chair");
-    refused(&again, 504, "outcome_unknown");
+    // The first submission may have run, so no refusal with its key says "not run".
+    refused_as(&again, 504, "outcome_unknown", "unknown");
     assert_eq!(stage.plains.runs(), 1);
 }
 
@@ -89,15 +102,32 @@
 #[test]
 fn an_outage_refuses_new_orders_and_answers_old_ones() {
     let stage = stage();
+    load_all_shards(&stage);
     assert_eq!(book(&stage, "old", "chair").status, 200);
-    assert_eq!(book_until_settled(&stage, "old", "chair").status, 200);
+    let old = book_until_settled(&stage, "old", "chair");
+    let runs = stage.plains.runs();
     stage.key_value.set_down(true);
     refused(&book(&stage, "new", "chair"), 503, "claims_unavailable");
-    assert_eq!(book(&stage, "old", "chair").body, "run 1");
-    assert_eq!(stage.plains.runs(), 1);
+    assert_eq!(book(&stage, "old", "chair").body, old.body);
+    assert_eq!(stage.plains.runs(), runs);
     stage.key_value.set_down(false);
     while book(&stage, "new", "chair").status == 503 {}
-    assert_eq!(stage.plains.runs(), 2);
+    assert_eq!(stage.plains.runs(), runs + 1);
+}
+
+/// Guards against a daemon that calls a request "not run" whose key it cannot look up: an earlier
+/// submission may have run. Negative control: the test above, where the log is known.
+#[test]
+fn an_owner_that_has_not_read_the_log_does_not_say_not_run() {
+    let stage = Stage::open_during_outage();
+    stage.endpoint("p1", Some("order"));
+    refused_as(
+        &book(&stage, "k", "chair"),
+        503,
+        "claims_unavailable",
+        "unknown",
+    );
+    assert_eq!(stage.plains.runs(), 0);
 }
 
 fn lost_write_runs_once(failure: Failure) {
--- a/lib/tests/fakes/mod.rs
+++ b/lib/tests/fakes/mod.rs
@@ -45,12 +45,23 @@
         Self::with_limits(&json!({}))
     }
 
+    /// Starts while the key-value service is down.
+    pub fn open_during_outage() -> Self {
+        let key_value = FakeKeyValue::default();
+        key_value.set_down(true);
+        Self::over(&json!({}), key_value)
+    }
+
     pub fn with_limits(limits: &serde_json::Value) -> Self {
+        Self::over(limits, FakeKeyValue::default())
+    }
+
+    fn over(limits: &serde_json::Value, key_value: FakeKeyValue) -> Self {
         let (engines, plains) = (
             Arc::new(FakeEngine::default()),
             Arc::new(FakePlain::default()),
         );
-        let key_value = Arc::new(FakeKeyValue::default());
+        let key_value = Arc::new(key_value);
         let interfaces = Interfaces {
             key_value: Arc::<FakeKeyValue>::clone(&key_value),
             engines: Arc::<FakeEngine>::clone(&engines),
--- a/policy/src/claim/ask.rs
+++ b/policy/src/claim/ask.rs
@@ -46,6 +46,15 @@
         }
     }
 
+    /// Returns the answer for a claim that could not be recorded while the log is known to hold
+    /// no run of its key.
+    pub(super) fn absent(&self) -> Answer {
+        match self {
+            Self::Claim { .. } => Answer::Claim(ClaimState::Absent, None),
+            Self::Settle { .. } => Answer::Settled(false),
+        }
+    }
+
     /// Returns the answer for an ask that could not be decided.
     #[must_use]
     pub fn unavailable(&self) -> Answer {
--- a/policy/src/claim/commit.rs
+++ b/policy/src/claim/commit.rs
@@ -233,7 +233,7 @@
             .partition(|waiting| waiting.until <= at.now);
         commit.waiters = waiters;
         for waiting in over {
-            let answer = waiting.ask.unavailable();
+            let answer = self.undecided(&waiting, at);
             self.answer(waiting.id, answer);
         }
     }
--- a/policy/src/claim/owner.rs
+++ b/policy/src/claim/owner.rs
@@ -185,7 +185,8 @@
         }
         let is_hopeless = self.failures >= FAILURES_MAX && matches!(waiting.ask, Ask::Claim { .. });
         if is_hopeless || self.waiting.len() >= WAITING_MAX {
-            self.answers.push((id, waiting.ask.unavailable()));
+            let answer = self.undecided(&waiting, at);
+            self.answers.push((id, answer));
             return;
         }
         self.waiting.push_back(waiting);
@@ -203,7 +204,7 @@
             .partition(|waiting| waiting.until <= at.now);
         self.waiting = waiting;
         for waiting in over {
-            let answer = waiting.ask.unavailable();
+            let answer = self.undecided(&waiting, at);
             self.answers.push((waiting.id, answer));
         }
         self.expire_commit(at);
@@ -229,7 +230,7 @@
             self.retry_at = at.now + self.backoff;
             self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
             if self.failures >= FAILURES_MAX {
-                self.refuse_claims();
+                self.refuse_claims(at);
             }
         } else {
             self.failures = 0;
@@ -370,17 +371,31 @@
     }
 
     /// Refuses new claims while the service cannot be reached, which callers then hear at once.
-    fn refuse_claims(&mut self) {
+    fn refuse_claims(&mut self, at: Moment) {
         let (claims, others): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.waiting)
             .into_iter()
             .partition(|waiting| matches!(waiting.ask, Ask::Claim { .. }));
         self.waiting = others;
         for waiting in claims {
-            let answer = waiting.ask.unavailable();
+            let answer = self.undecided(&waiting, at);
             self.answers.push((waiting.id, answer));
         }
     }
 
+    /// Answers an ask whose record could not be written; callers must not be told that a request
+    /// did not run when an earlier submission with its key may have.
+    pub(super) fn undecided(&self, waiting: &Waiting, at: Moment) -> Answer {
+        let has_no_run = match self.find(waiting, at) {
+            Found::Nowhere => true,
+            Found::Entry(entry) => entry.outcome == Outcome::Released,
+            Found::Chunks(_) => false,
+        };
+        if self.is_loaded && has_no_run {
+            return waiting.ask.absent();
+        }
+        waiting.ask.unavailable()
+    }
+
     fn is_running(&self, entry: &Entry, at: Moment) -> bool {
         entry.at_ms + RUN_MS_MAX > at.unix_ms
             && self
--- a/policy/tests/claim.rs
+++ b/policy/tests/claim.rs
@@ -80,13 +80,13 @@
     for _ in 0..400 {
         world.step(0, Fate::NotDone);
     }
-    assert_eq!(world.state(new), Some(ClaimState::Unavailable));
+    assert_eq!(world.state(new), Some(ClaimState::Absent));
     let old = world.claim(0, KEY, 3);
     assert_eq!(world.state(old), Some(ClaimState::InProgress));
     let next = world.claim(0, 11, 4);
     assert_eq!(
         world.state(next),
-        Some(ClaimState::Unavailable),
+        Some(ClaimState::Absent),
         "refused at once"
     );
     world.settle_down(0);
--- a/spec/src/claims/claimant.rs
+++ b/spec/src/claims/claimant.rs
@@ -51,7 +51,9 @@
         match state {
             ClaimState::Granted if may_send => self.stage = Stage::Granted,
             _ if is_late => {}
-            ClaimState::Unavailable | ClaimState::NotOwner => self.stage = Stage::Idle,
+            ClaimState::Absent | ClaimState::Unavailable | ClaimState::NotOwner => {
+                self.stage = Stage::Idle;
+            }
             _ => self.stage = Stage::Ended,
         }
     }
