attempt: test split prefill through the router

Cause: no test reached the export and import of KV cache. Change: two cases with a prefill and a busy decode engine, one of them with a refused export.

--- a/lib/tests/attempt.rs
+++ b/lib/tests/attempt.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use fakes::{Outcome, Script, Stage};
+use ragwortgrade_schema::engine::Role;
 use ragwortgrade_schema::peer::{StreamAnswer, StreamRequest};
 use ragwortgrade_testutil::named_cases;
 
@@ -186,6 +187,31 @@
     assert!(stage.engines.calls().len() > 2);
 }
 
+/// Asks with a prompt that would delay the sequences of the decode engine.
+fn asks_with_split_prefill(exports: bool, transfers: &[&str]) {
+    // Guards against a prompt that is computed twice, or an answer lost with the prefill engine.
+    let stage = Stage::open();
+    stage
+        .engine_as("p1", Role::Prefill, 0)
+        .engine_as("e1", Role::Decode, 60);
+    stage.engines.refuse_exports(!exports);
+    let prompt = "word ".repeat(20_000);
+    let body = format!(
+        r#"{{"model":"weave","messages":[{{"role":"user","content":"{prompt}"}}],"deadline_ms":60000}}"#
+    );
+    let mut caller = stage.caller();
+    caller.post("/v1/chat/completions", "X-Workspace: lab\r\n", &body);
+    let answer = caller.answer();
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(*stage.engines.transfers.lock().unwrap(), transfers);
+    assert_eq!(stage.engines.calls(), vec![("e1".to_owned(), 0)]);
+}
+
+named_cases! { asks_with_split_prefill:
+    the_prompt_is_computed_at_the_prefill_engine(true, &["export p1", "import e1 from p1"]);
+    a_failed_export_leaves_it_to_the_decode_engine(false, &["export p1"]);
+}
+
 #[test]
 fn a_trial_needs_the_confirmation_of_the_other_daemons() {
     let stage = Stage::open();
--- a/lib/tests/fakes/engine.rs
+++ b/lib/tests/fakes/engine.rs
@@ -1,5 +1,6 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use ragwortgrade_lib::endpoint::{Call, Engine, Error, TokenStream};
 use ragwortgrade_schema::engine::{
@@ -34,6 +35,7 @@
     pub cancelled: Mutex<Vec<String>>,
     pub transfers: Mutex<Vec<String>>,
     pub dead: Mutex<Vec<String>>,
+    refuses_exports: AtomicBool,
 }
 
 impl FakeEngine {
@@ -45,6 +47,10 @@
             .push_back(script);
     }
 
+    pub fn refuse_exports(&self, refuse: bool) {
+        self.refuses_exports.store(refuse, Ordering::Relaxed);
+    }
+
     pub fn calls(&self) -> Vec<(String, u32)> {
         self.calls.lock().unwrap().clone()
     }
@@ -124,6 +130,9 @@
             .lock()
             .unwrap()
             .push(format!("export {address}"));
+        if self.refuses_exports.load(Ordering::Relaxed) {
+            return Err(Error::Refused { status: 503 });
+        }
         Ok(KvHandle {
             attempt: export.attempt.clone(),
             tokens: 1,
--- a/lib/tests/fakes/mod.rs
+++ b/lib/tests/fakes/mod.rs
@@ -89,9 +89,18 @@
 
     /// Adds an engine that serves the model `weave`.
     pub fn engine(&self, name: &str) -> &Self {
+        self.engine_as(name, Role::Mixed, 0)
+    }
+
+    /// Adds an engine with a role and the sequences of a running batch.
+    pub fn engine_as(&self, name: &str, role: Role, sequences: u32) -> &Self {
         self.endpoint(name, None);
         self.node.observe(Event::Reported {
-            load: load(name),
+            load: Load {
+                role,
+                sequences,
+                ..load(name)
+            },
             observed: Instant::default(),
         });
         self
