front: bound the memory of bodies, deadlines and callers' priorities

Cause: 4,000 connections with bodies of 4 MiB would take 16 GB; a caller could name any priority and a deadline of centuries, whose microseconds overflow; a recorded answer whose body was too long was repeated empty. Change: bodies that are read or served take 256 MiB at most, reserved when their length is known. A caller may lower the priority declared for its service, not raise it, and wait an hour at most. A recorded answer without its body says so. Tests: two cases; 64 callers that announce 4 MiB each hold the memory until one leaves.

--- a/lib/src/claims/claimant.rs
+++ b/lib/src/claims/claimant.rs
@@ -169,8 +169,16 @@
     }
 }
 
-/// Repeats a recorded answer; of one that was too long only the status is known.
+/// Repeats a recorded answer. Of one that was too long only the status is known, which the body
+/// says instead of passing for the whole answer.
 fn replay(recorded: Recorded) -> PlainAnswer {
+    if recorded.truncated {
+        return PlainAnswer {
+            status: recorded.status,
+            content_type: Some("application/json".to_owned()),
+            body: br#"{"recorded":{"truncated":true}}"#.to_vec(),
+        };
+    }
     PlainAnswer {
         status: recorded.status,
         body: STANDARD.decode(&recorded.body).unwrap_or_default(),
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -3,6 +3,7 @@
 mod acceptor;
 mod admission;
 mod answers;
+mod body_memory;
 mod chat;
 mod code;
 mod connection;
--- a/lib/src/front/acceptor.rs
+++ b/lib/src/front/acceptor.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
+use super::body_memory::BodyMemory;
 use super::connection::{Connection, Ended};
 use super::{Code, Context, Refusal, Reply, handler};
 
@@ -21,6 +22,7 @@
     context: Arc<Context>,
     stopped: AtomicBool,
     connections: Mutex<Connections>,
+    memory: BodyMemory,
 }
 
 /// The open connections; those that wait for a request are closed by a stop.
@@ -37,6 +39,7 @@
             context,
             stopped: AtomicBool::new(false),
             connections: Mutex::default(),
+            memory: BodyMemory::default(),
         })
     }
 
@@ -110,7 +113,7 @@
 
 impl Entry {
     fn serve(&self, stream: TcpStream) {
-        match Connection::open(stream) {
+        match Connection::open(stream, self.acceptor.memory.clone()) {
             Ok(connection) => self.serve_requests(connection),
             Err(error) => log::debug!("connection failed: {error}"),
         }
--- a/lib/src/front/admission.rs
+++ b/lib/src/front/admission.rs
@@ -12,11 +12,23 @@
 pub(crate) struct Admitted {
     pub(crate) workspace: Name,
     pub(crate) service: Name,
-    pub(crate) priority: u8,
+    /// Priority of the declared service; `None` when the caller chose none.
+    declared_priority: Option<u8>,
     pub(crate) deadline_ms: u64,
     pub(crate) idempotent: bool,
 }
 
+impl Admitted {
+    /// Returns the priority of a request: a caller may lower what the operators declared for its
+    /// service, but not raise it over others.
+    pub(crate) fn priority(&self, wanted: Option<u8>) -> u8 {
+        match (self.declared_priority, wanted) {
+            (Some(declared), Some(wanted)) => declared.min(wanted),
+            (declared, wanted) => declared.or(wanted).unwrap_or_default(),
+        }
+    }
+}
+
 /// Checks a model request against the configuration in force.
 pub(crate) fn model(
     context: &Context,
@@ -103,7 +115,7 @@
     Admitted {
         workspace,
         service: Name::from(service),
-        priority: declared.map_or(0, |service| service.priority),
+        declared_priority: declared.map(|service| service.priority),
         deadline_ms: declared.map_or(DEADLINE_DEFAULT_MS, |service| service.deadline_ms),
         idempotent: declared.is_none_or(|service| service.idempotent),
     }
--- a/lib/src/front/chat.rs
+++ b/lib/src/front/chat.rs
@@ -17,6 +17,8 @@
 const JSON: &str = "application/json";
 /// Rough length of a token in English text; only routing and limits use the estimate.
 const BYTES_PER_TOKEN: usize = 4;
+/// A caller may not wait in the queue for longer, whatever deadline it names.
+const DEADLINE_MAX: Duration = Duration::from_hours(1);
 
 /// A chat completion that was admitted.
 struct Chat<'a> {
@@ -183,20 +185,22 @@
 
 fn routed(context: &Context, body: &engine::Completion, admitted: Admitted) -> Request {
     let arrived = context.node.clock.now();
+    let priority = admitted.priority(body.priority);
     let deadline_ms = body.deadline_ms.unwrap_or(admitted.deadline_ms);
+    let deadline = Duration::from_millis(deadline_ms).min(DEADLINE_MAX);
     let prefix = shared_prefix(&admitted, body);
     Request {
         id: context.next_request(),
         service: admitted.service,
         workspace: admitted.workspace,
         model: Some(body.model.clone()),
-        priority: body.priority.unwrap_or(admitted.priority),
+        priority,
         prompt_tokens: tokens(&body.messages),
         prefix: prefix.map(|(hash, _)| hash),
         prefix_tokens: prefix.map_or(0, |(_, tokens)| tokens),
         max_output_tokens: body.max_tokens,
         arrived,
-        deadline: arrived + Duration::from_millis(deadline_ms),
+        deadline: arrived + deadline,
         avoid: Vec::new(),
     }
 }
--- a/lib/src/front/connection.rs
+++ b/lib/src/front/connection.rs
@@ -4,6 +4,7 @@
 
 use ragwortgrade_schema::settings::Limits;
 
+use super::body_memory::{BodyMemory, Reserved};
 use super::head::Content;
 use super::{Code, Head, Incoming, Refusal};
 
@@ -28,6 +29,9 @@
     buffer: Vec<u8>,
     /// Bytes at the start of the buffer that were taken out.
     taken: usize,
+    memory: BodyMemory,
+    /// Memory of the request that is read or served.
+    reserved: Option<Reserved>,
 }
 
 /// Why no request was read.
@@ -46,13 +50,15 @@
 }
 
 impl Connection {
-    pub(super) fn open(stream: TcpStream) -> io::Result<Self> {
+    pub(super) fn open(stream: TcpStream, memory: BodyMemory) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
         Ok(Self {
             stream,
             buffer: Vec::new(),
             taken: 0,
+            memory,
+            reserved: None,
         })
     }
 
@@ -62,6 +68,12 @@
 
     /// Waits for the first byte of the next request; `false` when none comes.
     pub(super) fn wait(&mut self, time: Duration) -> bool {
+        self.reserved = None;
+        if self.taken == self.buffer.len() {
+            // An idle connection holds no memory of its last request.
+            self.buffer = Vec::new();
+            self.taken = 0;
+        }
         if !self.unread().is_empty() {
             return true;
         }
@@ -71,11 +83,17 @@
     /// Reads a request whole; the time counts from its first byte.
     pub(super) fn read(&mut self, limits: &Limits) -> Result<(Head, Incoming), Ended> {
         let deadline = Instant::now() + Duration::from_millis(limits.read_timeout_ms);
+        self.reserved = None;
         let head = self.read_head(limits, deadline)?;
-        if let Content::Length(length) = head.content
-            && length > limits.body_bytes
-        {
-            return Err(too_large());
+        let length_max = match head.content {
+            Content::Length(length) if length > limits.body_bytes => return Err(too_large()),
+            Content::Length(length) => length,
+            Content::Chunked => limits.body_bytes,
+        };
+        self.reserved = self.memory.reserve(length_max);
+        if self.reserved.is_none() {
+            let message = "too many bodies are being read";
+            return Err(Refusal::not_run(Code::OverLimit, message).into());
         }
         if head.expects_continue {
             self.stream
--- a/lib/src/front/service.rs
+++ b/lib/src/front/service.rs
@@ -128,12 +128,13 @@
 
 fn routed(context: &Context, admitted: Admitted) -> Request {
     let arrived = context.node.clock.now();
+    let priority = admitted.priority(None);
     Request {
         id: context.next_request(),
         service: admitted.service,
         workspace: admitted.workspace,
         model: None,
-        priority: admitted.priority,
+        priority,
         prompt_tokens: 0,
         prefix: None,
         prefix_tokens: 0,
--- a/lib/tests/fakes/engine.rs
+++ b/lib/tests/fakes/engine.rs
@@ -32,6 +32,7 @@
     /// Calls as `(address, resume_from)`.
     pub calls: Mutex<Vec<(String, u32)>>,
     pub attempts: Mutex<Vec<String>>,
+    pub priorities: Mutex<Vec<u8>>,
     pub cancelled: Mutex<Vec<String>>,
     pub transfers: Mutex<Vec<String>>,
     pub dead: Mutex<Vec<String>>,
@@ -73,6 +74,7 @@
             .unwrap()
             .push((address.to_owned(), call.resume_from));
         self.attempts.lock().unwrap().push(call.attempt.clone());
+        self.priorities.lock().unwrap().push(call.priority);
         if self.is_dead(address) {
             return Err(unreachable_error());
         }
--- a/lib/tests/front.rs
+++ b/lib/tests/front.rs
@@ -108,6 +108,39 @@
     assert_eq!(refused.refusal(), expected);
 }
 
+#[test]
+fn memory_for_bodies_is_bounded() {
+    // Guards against callers that announce long bodies until the VM has no memory left.
+    let stage = Stage::open();
+    stage.engine("e1");
+    let announce = "POST /x HTTP/1.1\r\nContent-Length: 4194304\r\n\r\n";
+    let mut slow: Vec<Caller> = (0..64).map(|_| stage.caller()).collect();
+    for caller in &mut slow {
+        caller.send(announce.as_bytes());
+    }
+    let ask = || stage.caller().chat(false, "").answer().status;
+    while ask() != 429 {}
+    drop(slow.pop());
+    while ask() != 200 {}
+}
+
+#[test]
+fn a_caller_cannot_raise_its_priority() {
+    // Guards against a caller that overtakes those that the operators put first.
+    let stage = Stage::open();
+    stage.engine("e1");
+    let ask = |priority: u8| {
+        let body = format!(r#"{{"model":"weave","messages":[],"priority":{priority}}}"#);
+        let headers = "X-Workspace: lab\r\nX-Service: stitch\r\n";
+        let mut caller = stage.caller();
+        caller.post("/v1/chat/completions", headers, &body);
+        assert_eq!(caller.answer().status, 200);
+        stage.engines.priorities.lock().unwrap().pop()
+    };
+    assert_eq!(ask(9), Some(1));
+    assert_eq!(ask(0), Some(0));
+}
+
 #[test]
 fn a_workspace_is_held_to_its_limit() {
     // Guards against one workspace that takes the fleet from the others.
