control: read the VM list once in an acquisition

Cause: every daemon asked the site for the entry VMs in each round of the lease thread, so 400 daemons would read a list of 170 KB once a second each.

Change: only the acquisition of the lease asks, immediately before the tenure record, which is the only place where the answer is kept.

--- a/lib/src/control/lease_duty.rs
+++ b/lib/src/control/lease_duty.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ragwortgrade_policy::authority::{Takeover, is_candidate};
+use ragwortgrade_policy::authority::{Call, Takeover, is_candidate};
 
 use super::call;
 use super::shared::Shared;
@@ -22,12 +22,10 @@
 /// Makes the call that is due, if any; returns the time until the next look.
 fn step(shared: &Shared) -> Duration {
     let is_campaigning = is_campaigning(shared);
-    let is_listed = is_listed(shared);
     let now = shared.now();
     let due = {
         let mut state = shared.lock();
         state.lease.set_candidate(is_campaigning);
-        state.lease.set_listed(is_listed);
         if shared.is_stopping() && state.lease.is_held(now) && !state.orders.are_under_way() {
             state.lease.release();
         }
@@ -36,6 +34,11 @@
     let Some(call) = due else {
         return shared.pace();
     };
+    if call == Call::Survey {
+        // Only the tenure record that comes next needs it; the list is long.
+        let is_listed = is_listed(shared);
+        shared.lock().lease.set_listed(is_listed);
+    }
     let answer = call::perform(&shared.node, &call, shared.terms.ttl);
     log::debug!(call:? = call, answer:? = answer; "lease call ended");
     let now = shared.now();
--- a/lib/src/control/site.rs
+++ b/lib/src/control/site.rs
@@ -21,7 +21,8 @@
     /// It is called again every few seconds while the change lasts.
     fn mark(&self, departure: Departure);
 
-    /// Returns the entry VMs of the last list that was read, live or leaving; `None` when no list
-    /// was read recently.
+    /// Returns the entry VMs of the platform's list, live or leaving; `None` when it cannot be read.
+    ///
+    /// It is called once in an acquisition of the lease, and regularly while a takeover waits.
     fn entry_vms(&self) -> Option<Vec<Name>>;
 }
--- a/policy/tests/authority/parts.rs
+++ b/policy/tests/authority/parts.rs
@@ -4,8 +4,8 @@
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::authority::{
-    Answer, CANDIDATES, Call, Conclusion, Evidence, Holder, Lease, Moment, Orders, Sent, Step,
-    Takeover, Tenure, Terms, is_candidate,
+    Answer, CANDIDATES, Call, Conclusion, Evidence, Holder, Lease, Lock, Moment, Orders, Sent,
+    Step, Takeover, Tenure, Terms, is_candidate,
 };
 use ragwortgrade_policy::planner::Change;
 use ragwortgrade_schema::Name;
@@ -78,7 +78,7 @@
     lease.answer(keep_alive, renewed);
     if let Some(is_there) = verified {
         assert_eq!(lease.call(renewed), Some(Call::ReadLock));
-        let lock = ragwortgrade_policy::authority::Lock {
+        let lock = Lock {
             holder: holder("a", 1),
             lease: 5,
         };
@@ -118,7 +118,7 @@
 fn waiting_candidate_reads_once_a_ttl() {
     let mut lease = Lease::open(Terms::default(), holder("b", 1), Duration::ZERO);
     lease.set_candidate(true);
-    let lock = ragwortgrade_policy::authority::Lock {
+    let lock = Lock {
         holder: holder("a", 1),
         lease: 5,
     };
