control: end the tenure by its own token, not by an earlier order's

Cause: a daemon that lost its lease and acquired it again reads back an order of its earlier tenure; the token of the tenure between made it step down.

Change: a state read or a report that shows a token above the present tenure's ends the tenure, whatever order it was read for.

--- a/lib/src/control/order_duty.rs
+++ b/lib/src/control/order_duty.rs
@@ -56,6 +56,7 @@
     };
     let members = members(shared);
     for member in &members {
+        step_down_if_superseded(shared, &member.load);
         make_token_known(shared, tenure, member);
     }
     let fleet = Fleet {
@@ -172,6 +173,9 @@
     // Another engine may have taken over the address.
     let load = shared.node.engines.state(&endpoint.address).ok();
     let load = load.filter(|load| load.engine == *engine);
+    if let Some(load) = &load {
+        step_down_if_superseded(shared, load);
+    }
     let now = shared.now().monotonic;
     let conclusion = shared.lock().orders.read(engine, load.as_ref(), now);
     if let Some(conclusion) = conclusion {
@@ -189,6 +193,20 @@
     }
 }
 
+/// Ends this daemon's tenure when an engine knows a newer token than the tenure's own.
+///
+/// An order of an earlier tenure of this daemon can be superseded without that.
+fn step_down_if_superseded(shared: &Shared, load: &Load) {
+    let now = shared.now();
+    let mut state = shared.lock();
+    let fence = state.lease.tenure(now).map(|tenure| tenure.fence);
+    if fence.is_some_and(|fence| load.last_fence > fence) {
+        let newer = load.last_fence;
+        log::warn!(engine:% = load.engine, newer; "engine knows a newer fencing token");
+        state.lease.step_down(now);
+    }
+}
+
 fn send(shared: &Shared, engine: &Name) {
     let Some(endpoint) = shared.node.directory.get(engine) else {
         return read(shared, engine);
@@ -227,12 +245,8 @@
 
 fn conclude(shared: &Shared, engine: &Name, conclusion: Conclusion) {
     log::info!(engine:% = engine, conclusion:? = conclusion; "engine change ended");
-    let now = shared.now();
     let mut state = shared.lock();
     state.history.end(engine, conclusion);
-    if conclusion == Conclusion::Superseded {
-        state.lease.step_down(now);
-    }
     let was_marked = state.marked.remove(engine).is_some();
     drop(state);
     if was_marked {
--- a/policy/tests/authority/parts.rs
+++ b/policy/tests/authority/parts.rs
@@ -132,6 +132,29 @@
     assert_eq!(calls, 10);
 }
 
+/// Guards against a holder whose calls grow: a renewal and its verification each 2.5 s.
+#[test]
+fn holder_makes_eighty_calls_in_a_hundred_seconds() {
+    let mut lease = acquired(at(0, 0));
+    let lock = Lock {
+        holder: holder("a", 1),
+        lease: 5,
+    };
+    let mut calls = 0;
+    for ms in (0..=100_000).step_by(100) {
+        while let Some(call) = lease.call(at(ms, ms)) {
+            calls += 1;
+            let answer = match call {
+                Call::ReadLock => Answer::Lock(Some((lock.clone(), 1))),
+                _ => Answer::Done,
+            };
+            lease.answer(answer, at(ms, ms));
+        }
+    }
+    assert_eq!(calls, 80);
+    assert!(lease.is_held(at(100_000, 100_000)));
+}
+
 /// Guards against a token that is not above all that the platform and the engines know.
 fn token(previous: u64, revision: u64, seen: u64) {
     let mut last = tenure(&holder("a", 1), &[]);
--- a/policy/tests/authority/simulation.rs
+++ b/policy/tests/authority/simulation.rs
@@ -5,7 +5,7 @@
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::authority::{
-    Conclusion, Evidence, Holder, Lease, Lock, Moment, Orders, Sent, Step, Takeover, Tenure, Terms,
+    Evidence, Holder, Lease, Lock, Moment, Orders, Sent, Step, Takeover, Tenure, Terms,
 };
 use ragwortgrade_policy::planner::Change;
 use ragwortgrade_schema::Name;
@@ -265,10 +265,11 @@
         let now = self.now();
         let load = self.engines[engine].load();
         let daemon = &mut self.daemons[index];
-        let conclusion = daemon.orders.read(&load.engine, Some(&load), now.monotonic);
-        if conclusion == Some(Conclusion::Superseded) {
+        let fence = daemon.lease.tenure(now).map(|tenure| tenure.fence);
+        if fence.is_some_and(|fence| load.last_fence > fence) {
             daemon.lease.step_down(now);
         }
+        daemon.orders.read(&load.engine, Some(&load), now.monotonic);
     }
 
     fn check_and_send(&mut self, index: usize, engine: usize) {
