standins: give each test process its own loopback address

Ruled out: fixed port ranges, which clash with other processes of the same machine. Change: daemons and restarted stand-ins listen on a loopback address made from the process id; the soak starts daemons again that ended by themselves and reports them.

--- a/standins/examples/soak/failures.rs
+++ b/standins/examples/soak/failures.rs
@@ -14,7 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::heal::{Cure, Heal};
-use crate::ledger::Ledger;
+use crate::ledger::{Ledger, count};
 use crate::options::Options;
 use crate::target::{Kind, Target};
 
@@ -47,6 +47,7 @@
     caused: BTreeMap<&'static str, u32>,
     engine_crashes: u32,
     incomplete_drains: u32,
+    unasked_ends: u32,
     log: File,
 }
 
@@ -70,6 +71,7 @@
             caused: BTreeMap::new(),
             engine_crashes: 0,
             incomplete_drains: 0,
+            unasked_ends: 0,
             log: File::create(directory.join("failures.log"))?,
         })
     }
@@ -96,8 +98,9 @@
     /// Returns what was caused.
     pub(crate) fn summary(&self) -> String {
         format!(
-            "caused {:?}, engine crashes {}, incomplete drains {}",
-            self.caused, self.engine_crashes, self.incomplete_drains
+            "caused {:?}, engine crashes {}, incomplete drains {}, daemons that ended by \
+             themselves {}",
+            self.caused, self.engine_crashes, self.incomplete_drains, self.unasked_ends
         )
     }
 
@@ -296,6 +299,7 @@
         let engine = &mut deployment.data_centres[centre].engines[number];
         if kind == Kind::KillEngine {
             engine.process.kill();
+            count(&self.ledger.engine_deaths);
         } else {
             engine.process.pause()?;
         }
--- a/standins/examples/soak/failures/healing.rs
+++ b/standins/examples/soak/failures/healing.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use ragwortgrade_schema::platform::Entry;
-use ragwortgrade_standins::deployment::{Deployment, EndpointProcess, revision_of};
+use ragwortgrade_standins::deployment::{Deployment, EndpointProcess, Process, revision_of};
 use ragwortgrade_standins::{Caller, Cut, Error, Fault, Work};
 
 use super::{Failures, RETRY, daemon};
@@ -22,6 +22,7 @@
     /// Ends the failures whose time is over and starts crashed engines again.
     pub(crate) fn heal_due(&mut self, deployment: &mut Deployment) {
         self.find_crashed_engines(deployment);
+        self.find_ended_daemons(deployment);
         let now = Instant::now();
         let (due, later): (Vec<Heal>, Vec<Heal>) =
             self.heals.drain(..).partition(|heal| heal.at <= now);
@@ -79,10 +80,30 @@
         for target in crashed {
             self.note("engine crashed");
             self.engine_crashes += 1;
+            count(&self.ledger.engine_deaths);
             self.hold(target, ENGINE_RESTART.as_millis() as u64, Cure::Start);
         }
     }
 
+    /// Starts daemons again that ended although nobody asked them to.
+    fn find_ended_daemons(&mut self, deployment: &mut Deployment) {
+        for (centre, data_centre) in deployment.data_centres.iter_mut().enumerate() {
+            for (number, daemon) in data_centre.daemons.iter_mut().enumerate() {
+                let status = daemon.process.as_mut().and_then(Process::ended);
+                if let Some(status) = status
+                    && !self.held.contains(&Target::Daemon(centre, number))
+                {
+                    eprintln!("{} ended by itself: {status}", daemon.settings.id);
+                    self.unasked_ends += 1;
+                    daemon.kill();
+                    if let Err(error) = daemon.start() {
+                        eprintln!("{error}");
+                    }
+                }
+            }
+        }
+    }
+
     fn apply(&mut self, heal: &Heal, deployment: &mut Deployment) {
         match self.cure(heal, deployment) {
             Ok(true) => {
@@ -171,6 +192,9 @@
             Cure::Start => {}
             _ => return Ok(()),
         }
+        if engine.process.ended().is_none() {
+            count(&self.ledger.engine_deaths);
+        }
         engine.restart()?;
         deployment.publish_vms()
     }
--- a/standins/examples/soak/ledger.rs
+++ b/standins/examples/soak/ledger.rs
@@ -17,6 +17,8 @@
     pub(crate) crash_refusals: AtomicU64,
     pub(crate) late_dispatch: AtomicU64,
     pub(crate) config_reverts: AtomicU64,
+    pub(crate) engine_deaths: AtomicU64,
+    pub(crate) accused: AtomicU64,
     open: AtomicU64,
     orders: Mutex<BTreeMap<String, Order>>,
     drains: Mutex<HashMap<SocketAddr, Instant>>,
--- a/standins/examples/soak/report.rs
+++ b/standins/examples/soak/report.rs
@@ -60,10 +60,11 @@
             }
         }
         eprintln!(
-            "{summary}; resumed {}, crash refusals {}, orders accepted {}, streams broken by role \
+            "{summary}; resumed {}, crash refusals {}, requests refused after two engine deaths {}, orders accepted {}, streams broken by role \
              changes {}",
             load(&ledger.resumed),
             load(&ledger.crash_refusals),
+            load(&ledger.accused),
             orders.accepted,
             orders.interrupted
         );
--- /dev/null
+++ b/standins/src/deployment/address.rs
@@ -0,0 +1,49 @@
+//! Addresses for processes that start later, or again.
+
+use std::collections::HashSet;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::process;
+use std::sync::{Mutex, PoisonError};
+
+use crate::Error;
+
+/// First byte pair of this process's loopback addresses; 127.0.0.1 is left to everyone else.
+const LOOPBACK_FIRST: u8 = 127;
+const LOOPBACK_SECOND: u8 = 64;
+const LOOPBACK_SECOND_COUNT: u32 = 64;
+
+static HANDED_OUT: Mutex<Option<HashSet<SocketAddr>>> = Mutex::new(None);
+
+/// Returns the loopback address of this process.
+///
+/// A port that was found free on 127.0.0.1 may be taken by any outgoing connection before its
+/// process starts, or while the process is down. Outgoing connections come from 127.0.0.1, and
+/// other test processes have other addresses, so ports of this address stay free.
+#[must_use]
+pub fn loopback_host() -> IpAddr {
+    let [_, high, middle, low] = process::id().to_be_bytes();
+    let second = LOOPBACK_SECOND + (u32::from(high) % LOOPBACK_SECOND_COUNT) as u8;
+    IpAddr::V4(Ipv4Addr::new(LOOPBACK_FIRST, second, middle, low))
+}
+
+/// Finds an address that nothing listens on and that was not handed out before.
+///
+/// # Errors
+///
+/// Fails when the system has no port left.
+pub fn free_address() -> Result<SocketAddr, Error> {
+    let mut handed_out = HANDED_OUT.lock().unwrap_or_else(PoisonError::into_inner);
+    let handed_out = handed_out.get_or_insert_default();
+    loop {
+        let wanted = SocketAddr::new(loopback_host(), 0);
+        let found = TcpListener::bind(wanted)
+            .and_then(|listener| listener.local_addr())
+            .map_err(|error| Error::Bind {
+                address: wanted.to_string(),
+                reason: error.to_string(),
+            })?;
+        if handed_out.insert(found) {
+            return Ok(found);
+        }
+    }
+}
