--- /dev/null
+++ b/lib/src/control/order_duty.rs
@@ -0,0 +1,285 @@
+//! The thread that turns the planner's changes into orders and follows each to its outcome.
+
+use std::io;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use ragwortgrade_policy::authority::{Conclusion, Sent, Step, Tenure};
+use ragwortgrade_policy::fleet::{Fleet, Member};
+use ragwortgrade_policy::planner::Change;
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::configuration::Fencing;
+use ragwortgrade_schema::engine::{Load, Rejection, Want};
+use ragwortgrade_schema::peer::Departure;
+
+use super::call;
+use super::shared::Shared;
+use super::{Outcome, Plan, Record};
+use crate::endpoint::Error;
+use crate::worker::Worker;
+
+/// A mark ends by itself after 30 s without renewal.
+const MARK_RENEWAL: Duration = Duration::from_secs(5);
+
+pub(super) fn spawn(shared: Arc<Shared>, mut plan: Box<dyn Plan>) -> io::Result<Worker> {
+    Worker::spawn("orders", move || {
+        step(&shared, &mut *plan);
+        shared.pace()
+    })
+}
+
+fn step(shared: &Shared, plan: &mut dyn Plan) {
+    let now = shared.now();
+    let tenure = shared.lock().lease.tenure(now).cloned();
+    let tenure = tenure.filter(|_| !shared.is_stopping());
+    give_up(shared, tenure.as_ref().map(|tenure| tenure.fence));
+    if let Some(tenure) = tenure {
+        decide(shared, plan, &tenure);
+    }
+    let steps = shared.lock().orders.steps(now.monotonic);
+    // Side by side, so that an engine that hangs does not delay the orders of the others.
+    thread::scope(|scope| {
+        for (engine, step) in steps {
+            scope.spawn(move || match step {
+                Step::Read => read(shared, &engine),
+                Step::Send => send(shared, &engine),
+            });
+        }
+    });
+    renew_marks(shared);
+}
+
+fn decide(shared: &Shared, plan: &mut dyn Plan, tenure: &Tenure) {
+    let Some(configuration) = shared.node.configuration.load_full() else {
+        return;
+    };
+    let members = members(shared);
+    for member in &members {
+        step_down_if_superseded(shared, &member.load);
+        make_token_known(shared, tenure, member);
+    }
+    let fleet = Fleet {
+        engines: members,
+        demand: shared.site.demand(),
+        configuration: &configuration,
+    };
+    let mut changes = plan.plan(&fleet, shared.now().monotonic);
+    // Engines without any model recover first.
+    let is_equipped = |change: &Change| {
+        let member = fleet
+            .engines
+            .iter()
+            .find(|member| member.load.engine == change.engine);
+        member.is_some_and(|member| !member.load.models.is_empty())
+    };
+    changes.sort_by_key(is_equipped);
+    for change in changes {
+        let member = fleet
+            .engines
+            .iter()
+            .find(|member| member.load.engine == change.engine);
+        if let Some(member) = member {
+            take_up(shared, change, &member.load, tenure);
+        }
+    }
+}
+
+fn members(shared: &Shared) -> Vec<Member> {
+    let endpoints = call::engines(&shared.node);
+    let state = shared.lock();
+    let member = |endpoint: &crate::membership::Endpoint| {
+        let ordered = state.orders.contains(&endpoint.id);
+        let reachable = shared.site.is_reachable(&endpoint.id);
+        Some(Member {
+            load: shared.site.load(&endpoint.id)?,
+            // The mark of this daemon's own order does not make an engine unavailable.
+            unavailable: !reachable || (endpoint.leaving && !ordered),
+            ordered,
+        })
+    };
+    endpoints.iter().filter_map(member).collect()
+}
+
+/// Orders nothing but makes the token known to an engine that checks it, so that an order of a
+/// former holder is refused from then on.
+fn make_token_known(shared: &Shared, tenure: &Tenure, member: &Member) {
+    let load = &member.load;
+    let is_free = !member.unavailable && !member.ordered && !load.changing && !load.draining;
+    if !is_free || shared.fencing(&load.engine) != Fencing::Checked {
+        return;
+    }
+    let now = shared.now().monotonic;
+    let mut state = shared.lock();
+    let known = (load.incarnation, tenure.fence);
+    if state.informed.get(&load.engine) != Some(&known) {
+        state.orders.make_known(load, tenure, now);
+    }
+}
+
+fn state_of(load: &Load) -> Want {
+    Want {
+        role: load.role,
+        models: load.models.clone(),
+        adapters: load.adapters.clone(),
+    }
+}
+
+fn take_up(shared: &Shared, change: Change, load: &Load, tenure: &Tenure) {
+    let now = shared.now();
+    let mut state = shared.lock();
+    let fencing = shared.fencing(&change.engine);
+    if state.permitted(fencing, now).is_none() {
+        return;
+    }
+    if !state
+        .orders
+        .take_up(change.clone(), load, tenure, now.monotonic)
+    {
+        return;
+    }
+    let record = Record {
+        at_ms: now.unix_ms,
+        engine: change.engine,
+        from: state_of(load),
+        to: change.want,
+        reason: change.reason,
+        fence: tenure.fence,
+        outcome: Outcome::Open,
+    };
+    log::info!(
+        engine:% = record.engine, from:? = record.from, to:? = record.to,
+        reason = record.reason.as_str(), fence = record.fence;
+        "engine change decided"
+    );
+    state.history.begin(record);
+}
+
+fn give_up(shared: &Shared, kept: Option<u64>) {
+    let engines = shared.lock().orders.give_up(kept);
+    for engine in engines {
+        conclude(shared, &engine, Conclusion::GivenUp);
+    }
+}
+
+fn read(shared: &Shared, engine: &Name) {
+    let Some(endpoint) = shared.node.directory.get(engine) else {
+        let now = shared.now().monotonic;
+        if shared.lock().orders.drop_gone(engine, now) {
+            conclude(shared, engine, Conclusion::GivenUp);
+        }
+        return;
+    };
+    // Another engine may have taken over the address.
+    let load = shared.node.engines.state(&endpoint.address).ok();
+    let load = load.filter(|load| load.engine == *engine);
+    if let Some(load) = &load {
+        step_down_if_superseded(shared, load);
+    }
+    let now = shared.now().monotonic;
+    let conclusion = shared.lock().orders.read(engine, load.as_ref(), now);
+    if let Some(conclusion) = conclusion {
+        if let Some(load) = load.filter(|_| conclusion == Conclusion::Carried) {
+            let known = (load.incarnation, load.last_fence);
+            shared.lock().informed.insert(engine.clone(), known);
+        }
+        conclude(shared, engine, conclusion);
+        return;
+    }
+    // The state just read says that the order may go out; it must not grow old.
+    let is_ready = shared.lock().orders.is_ready(engine, now);
+    if is_ready {
+        send(shared, engine);
+    }
+}
+
+/// Ends this daemon's tenure when an engine knows a newer token than the tenure's own.
+///
+/// An order of an earlier tenure of this daemon can be superseded without that.
+fn step_down_if_superseded(shared: &Shared, load: &Load) {
+    let now = shared.now();
+    let mut state = shared.lock();
+    let fence = state.lease.tenure(now).map(|tenure| tenure.fence);
+    if fence.is_some_and(|fence| load.last_fence > fence) {
+        let newer = load.last_fence;
+        log::warn!(engine:% = load.engine, newer; "engine knows a newer fencing token");
+        state.lease.step_down(now);
+    }
+}
+
+fn send(shared: &Shared, engine: &Name) {
+    let Some(endpoint) = shared.node.directory.get(engine) else {
+        return read(shared, engine);
+    };
+    let fencing = shared.fencing(engine);
+    let order = {
+        let mut state = shared.lock();
+        let now = shared.now();
+        let Some(fence) = state.permitted(fencing, now).map(|tenure| tenure.fence) else {
+            return;
+        };
+        state.orders.begin(engine, fence, now.monotonic)
+    };
+    let Some(order) = order else {
+        return;
+    };
+    let answer = shared.node.engines.order(&endpoint.address, &order);
+    log::debug!(engine:% = engine, order = order.order.as_str(), answer:? = answer; "order sent");
+    let sent = if matches!(answer, Err(Error::Unreachable { .. })) {
+        Sent::Not
+    } else {
+        Sent::Maybe
+    };
+    let is_superseded = answer.is_ok_and(|answer| answer.reason == Some(Rejection::StaleFence));
+    let now = shared.now();
+    let mut state = shared.lock();
+    if is_superseded {
+        state.lease.step_down(now);
+    }
+    let conclusion = state.orders.sent(engine, sent, now.monotonic);
+    drop(state);
+    if let Some(conclusion) = conclusion {
+        conclude(shared, engine, conclusion);
+    }
+}
+
+fn conclude(shared: &Shared, engine: &Name, conclusion: Conclusion) {
+    log::info!(engine:% = engine, conclusion:? = conclusion; "engine change ended");
+    let mut state = shared.lock();
+    state.history.end(engine, conclusion);
+    let was_marked = state.marked.remove(engine).is_some();
+    drop(state);
+    if was_marked {
+        mark(shared, engine, false);
+    }
+}
+
+/// Marks engines that run empty or change, so that no daemon sends them new work.
+fn renew_marks(shared: &Shared) {
+    let now = shared.now().monotonic;
+    let due: Vec<Name> = {
+        let state = shared.lock();
+        let is_due = |engine: &&Name| {
+            let marked = state.marked.get(*engine);
+            marked.is_none_or(|marked| now.since(*marked) >= MARK_RENEWAL)
+        };
+        state.orders.draining().filter(is_due).cloned().collect()
+    };
+    for engine in due {
+        shared.lock().marked.insert(engine.clone(), now);
+        mark(shared, &engine, true);
+    }
+}
+
+fn mark(shared: &Shared, engine: &Name, leaving: bool) {
+    let Some(endpoint) = shared.node.directory.get(engine) else {
+        return;
+    };
+    shared.site.mark(Departure {
+        endpoint: engine.clone(),
+        incarnation: endpoint.incarnation,
+        leaving,
+        // Time orders the marks of one holder and of its successors.
+        sequence: shared.now().unix_ms,
+    });
+}
--- /dev/null
+++ b/lib/src/daemon.rs
@@ -0,0 +1,228 @@
+//! One daemon, put together from its parts.
+
+mod data_centre;
+mod error;
+mod overview;
+mod switchboard;
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub use error::Error;
+use ragwortgrade_policy::Planner;
+use ragwortgrade_policy::authority::Terms;
+use ragwortgrade_policy::membership::Roster;
+use ragwortgrade_schema::peer::{Identity, Member, MemberState};
+use ragwortgrade_schema::settings::Settings;
+
+use crate::admin::{Admin, Guard};
+use crate::claims::Claims;
+use crate::configuration::{Keeper, KeeperThreads};
+use crate::control::Control;
+use crate::endpoint::{HttpEngine, HttpPlain};
+use crate::front::{Front, Streams};
+use crate::gossip::Gossiper;
+use crate::membership::{CacheReader, Lister, Observer, Table};
+use crate::node::{Interfaces, Node};
+use crate::peer::{Keyring, Network, Peers};
+use crate::platform::{HttpKeyValue, HttpVmList, VmList};
+use crate::settings::public_address;
+use crate::trial::Trials;
+use crate::worker::Worker;
+use data_centre::DataCentre;
+use overview::Overview;
+use switchboard::Switchboard;
+
+/// Bits of the incarnation below the start time, filled at random: two processes started in the
+/// same second are told apart.
+const INCARNATION_RANDOM_BITS: u32 = 32;
+/// An order under way takes at most 5 s.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(6);
+/// A drain lasts at least a few rounds of gossip, so that others know of it before the end.
+const DRAIN_NOTICE: Duration = Duration::from_secs(3);
+const DUTIES_PERIOD: Duration = Duration::from_secs(1);
+/// An engine that changed its role keeps it at least this long.
+const ROLE_CHANGE_PAUSE: Duration = Duration::from_secs(30);
+
+/// A running daemon; dropping it stops its threads without waiting for requests.
+pub struct Daemon {
+    front: Front,
+    network: Arc<Network>,
+    table: Arc<Table>,
+    // Workers stop when dropped, before the parts that they use.
+    control: Arc<Control>,
+    _duties: Worker,
+    _admin: Admin,
+    _gossip: Worker,
+    _observer: Observer,
+    _lister: Lister,
+    _keeper: KeeperThreads,
+    _cache_reader: CacheReader,
+}
+
+impl fmt::Debug for Daemon {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Daemon")
+            .field("callers", &self.front.address())
+            .field("peers", &self.network.address())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Daemon {
+    /// Spawns a daemon with checked settings; `on_drain` is called when an operator asks for the
+    /// daemon's drain.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound, a thread cannot be started, or no random numbers
+    /// can be had.
+    pub fn spawn(
+        settings: Settings,
+        on_drain: impl Fn() + Send + Sync + 'static,
+    ) -> Result<Self, Error> {
+        let incarnation = incarnation()?;
+        let keyring = Keyring::open(&settings.keys).ok_or(Error::Keys)?;
+        let roster = Arc::new(Mutex::new(Roster::open(
+            own_member(&settings, incarnation),
+            incarnation,
+        )));
+        let daemon = &settings.daemon;
+        let network = Network::bind(
+            daemon.id.clone(),
+            &daemon.peers_address,
+            keyring,
+            Arc::clone(&roster),
+        )?;
+        let network = Arc::new(network);
+        let vm_list: Arc<dyn VmList> = Arc::new(HttpVmList::open(&settings.platform.vm_list));
+        let interfaces = Interfaces {
+            key_value: Arc::new(HttpKeyValue::open(&settings.platform.key_value)),
+            engines: Arc::new(HttpEngine::open()),
+            plains: Arc::new(HttpPlain::open()),
+        };
+        let node = Arc::new(Node::open(settings, incarnation, interfaces));
+        let table = Arc::new(Table::open(Arc::clone(&node), roster));
+        let claims = Claims::open(Arc::clone(&node));
+        let streams = Arc::new(Streams::default());
+        let trials = Arc::new(Trials::default());
+        let keeper = Keeper::open(Arc::clone(&node), Arc::<Network>::clone(&network));
+        let switchboard = Arc::new(Switchboard::open(
+            Arc::clone(&node),
+            Arc::clone(&table),
+            Arc::clone(&network),
+            Arc::clone(&claims),
+            Arc::clone(&streams),
+            Arc::clone(&trials),
+            Arc::clone(&keeper),
+        ));
+        network.serve(Arc::<Switchboard>::clone(&switchboard))?;
+        let lister = Lister::spawn(Arc::clone(&node), Arc::clone(&table), Arc::clone(&vm_list))?;
+        let keeper_threads = Keeper::spawn(&keeper)?;
+        let cache_reader = CacheReader::spawn(Arc::clone(&node))?;
+        let gossip = Gossiper::spawn(Arc::clone(switchboard.gossiper()))?;
+        let observer = Observer::spawn(Arc::clone(&node), Arc::clone(&table))?;
+        let peers: Arc<dyn Peers> = Arc::<Network>::clone(&network);
+        claims.start(&peers)?;
+        let site = DataCentre::open(Arc::clone(&node), Arc::clone(&table), vm_list);
+        let control = Arc::new(Control::spawn(
+            Arc::clone(&node),
+            Arc::<Network>::clone(&network),
+            Arc::new(site),
+            Box::new(Planner::open(ROLE_CHANGE_PAUSE)),
+            Terms::default(),
+        )?);
+        let duties = spawn_duties(&keeper, &control)?;
+        let front = Front::bind(Arc::clone(&node), peers, streams, trials)?;
+        let overview = Overview {
+            node: Arc::clone(&node),
+            table: Arc::clone(&table),
+            front: Arc::clone(front.context()),
+            keeper,
+            on_drain: Box::new(on_drain),
+            is_drain_asked: AtomicBool::new(false),
+        };
+        let guard = Guard::open(&node.settings.keys);
+        let admin = Admin::bind(
+            &node.settings.daemon.admin_address,
+            guard,
+            Arc::new(overview),
+        )?;
+        log::info!(callers:% = front.address(), peers:% = network.address(); "daemon started");
+        Ok(Self {
+            front,
+            network,
+            table,
+            control,
+            _duties: duties,
+            _admin: admin,
+            _gossip: gossip,
+            _observer: observer,
+            _lister: lister,
+            _keeper: keeper_threads,
+            _cache_reader: cache_reader,
+        })
+    }
+
+    /// Returns the address on which callers are served.
+    #[must_use]
+    pub fn callers_address(&self) -> SocketAddr {
+        self.front.address()
+    }
+
+    /// Takes no new requests, waits for the open ones and stops; returns whether all of them
+    /// ended within the drain timeout.
+    #[must_use]
+    pub fn drain(mut self) -> bool {
+        log::info!("daemon drains");
+        self.table.roster().drain();
+        let notice = Instant::now() + DRAIN_NOTICE;
+        let is_complete = self.front.drain();
+        if !self.control.release(RELEASE_TIMEOUT) {
+            log::warn!("the control lease was not released; it lapses by itself");
+        }
+        // Other daemons take over the claim shards and the balancer sees the refusals first.
+        thread::sleep(notice.saturating_duration_since(Instant::now()));
+        self.front.stop();
+        log::info!(is_complete; "daemon drained");
+        is_complete
+    }
+}
+
+/// Tells the keeper of the configuration whether this daemon holds the control lease.
+fn spawn_duties(keeper: &Arc<Keeper>, control: &Arc<Control>) -> std::io::Result<Worker> {
+    let (keeper, control) = (Arc::clone(keeper), Arc::clone(control));
+    Worker::spawn("duties", move || {
+        keeper.hold_lease(control.is_holder());
+        DUTIES_PERIOD
+    })
+}
+
+fn own_member(settings: &Settings, incarnation: u64) -> Member {
+    let daemon = &settings.daemon;
+    Member {
+        identity: Identity {
+            id: daemon.id.clone(),
+            incarnation,
+            data_centre: daemon.data_centre.clone(),
+            draining: false,
+        },
+        address: public_address(daemon).to_owned(),
+        heartbeat: 1,
+        state: MemberState::Alive,
+    }
+}
+
+/// Draws the incarnation: the start time in the upper bits lets a later process win.
+fn incarnation() -> Result<u64, Error> {
+    let seconds = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_secs();
+    let random = getrandom::u32()?;
+    Ok((seconds << INCARNATION_RANDOM_BITS) | u64::from(random))
+}
--- a/lib/src/endpoint/http.rs
+++ b/lib/src/endpoint/http.rs
@@ -2,23 +2,47 @@
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
+use ureq::config::ConfigBuilder;
 use ureq::http::Response;
+use ureq::typestate::AgentScope;
 use ureq::{Agent, Body};
 
 use super::Error;
 
+/// Buffer of one connection in each direction; tokens are short, and the library's default of
+/// 128 KiB is paid for each open stream.
+const BUFFER_BYTES: usize = 16 << 10;
 /// Header with the identity of an attempt, in requests and answers.
 pub(super) const ATTEMPT_HEADER: &str = "X-Attempt-Id";
 
+/// Connections kept open between calls; a new one costs a round trip to another data centre.
+const IDLE_CONNECTIONS: usize = 256;
+const IDLE_CONNECTIONS_PER_ENDPOINT: usize = 16;
+
 /// A control answer, such as the cache events of one poll.
 const CONTROL_BYTES_MAX: u64 = 4 << 20;
 
-/// Builds an agent that hands every status to the caller; `timeout` bounds the whole call.
-pub(super) fn agent(connect: Duration, timeout: Option<Duration>) -> Agent {
+/// Starts the configuration of an agent that hands every status to the caller.
+///
+/// A redirect would run a call a second time, at an address that nobody declared; a proxy from
+/// the environment would see every request. Both are off.
+pub(super) fn configuration(connect: Duration) -> ConfigBuilder<AgentScope> {
     Agent::config_builder()
         .timeout_connect(Some(connect))
-        .timeout_global(timeout)
         .http_status_as_error(false)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .proxy(None)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
+        .max_idle_connections(IDLE_CONNECTIONS)
+        .max_idle_connections_per_host(IDLE_CONNECTIONS_PER_ENDPOINT)
+}
+
+/// Builds an agent whose calls are bounded in time as a whole.
+pub(super) fn agent(connect: Duration, timeout: Option<Duration>) -> Agent {
+    configuration(connect)
+        .timeout_global(timeout)
         .build()
         .into()
 }
@@ -45,9 +69,7 @@
         .with_config()
         .limit(CONTROL_BYTES_MAX)
         .read_to_string()
-        .map_err(|error| Error::Broken {
-            reason: error.to_string(),
-        })?;
+        .map_err(|error| classify(&error))?;
     serde_json::from_str(&body).map_err(|error| Error::Malformed {
         reason: error.to_string(),
     })
@@ -57,14 +79,32 @@
 pub(super) fn classify(error: &ureq::Error) -> Error {
     let reason = error.to_string();
     match error {
-        ureq::Error::ConnectionFailed
-        | ureq::Error::HostNotFound
-        | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
-            Error::Unreachable { reason }
-        }
+        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => Error::Unreachable { reason },
+        ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => Error::TimedOut {
+            reason,
+            sent: false,
+        },
+        ureq::Error::Timeout(_) => Error::TimedOut { reason, sent: true },
         ureq::Error::Io(cause) if cause.kind() == io::ErrorKind::ConnectionRefused => {
             Error::Unreachable { reason }
         }
+        ureq::Error::Io(cause) => classify_io(cause),
         _ => Error::Broken { reason },
     }
 }
+
+/// Tells a connection that broke while an answer was read from one that fell silent.
+pub(super) fn classify_io(error: &io::Error) -> Error {
+    let reason = error.to_string();
+    let inner = error
+        .get_ref()
+        .and_then(|inner| inner.downcast_ref::<ureq::Error>());
+    let is_timeout = matches!(
+        error.kind(),
+        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock
+    ) || matches!(inner, Some(ureq::Error::Timeout(_)));
+    if is_timeout {
+        return Error::TimedOut { reason, sent: true };
+    }
+    Error::Broken { reason }
+}
--- a/lib/src/endpoint/http_engine.rs
+++ b/lib/src/endpoint/http_engine.rs
@@ -8,7 +8,9 @@
 use serde::de::DeserializeOwned;
 use ureq::{Agent, BodyReader};
 
-use super::http::{ATTEMPT_HEADER, agent, check_attempt, classify, read_json};
+use super::http::{
+    ATTEMPT_HEADER, agent, check_attempt, classify, classify_io, configuration, read_json,
+};
 use super::{Call, Engine, Error, TokenStream};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -17,9 +19,11 @@
 /// Prefill of the longest prompt behind a full queue.
 const EXPORT_TIMEOUT: Duration = Duration::from_mins(1);
 /// An engine that sends nothing for so long is taken to have failed.
-const TOKEN_TIMEOUT: Duration = Duration::from_secs(30);
+const TOKEN_TIMEOUT: Duration = Duration::from_secs(15);
 const DATA_PREFIX: &str = "data: ";
 const DONE: &str = "[DONE]";
+/// Empty lines that may follow the last event.
+const END_LINES_MAX: usize = 4;
 
 /// A model engine over HTTP.
 #[derive(Debug)]
@@ -32,10 +36,8 @@
     /// Opens a client for any number of engines.
     #[must_use]
     pub fn open() -> Self {
-        let streams = Agent::config_builder()
-            .timeout_connect(Some(CONNECT_TIMEOUT))
-            .timeout_recv_response(Some(EXPORT_TIMEOUT))
-            .http_status_as_error(false)
+        let streams = configuration(CONNECT_TIMEOUT)
+            .timeout_per_read(Some(TOKEN_TIMEOUT))
             .build()
             .into();
         Self {
@@ -140,6 +142,23 @@
     line: String,
 }
 
+impl HttpTokenStream {
+    /// Reads the end of the body, without which the connection is not used again.
+    fn finish(&mut self) {
+        for _ in 0..END_LINES_MAX {
+            self.line.clear();
+            match self.lines.read_line(&mut self.line) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(error) => {
+                    log::debug!("connection to an engine is not kept: {error}");
+                    return;
+                }
+            }
+        }
+    }
+}
+
 impl TokenStream for HttpTokenStream {
     fn next_token(&mut self) -> Result<Option<Token>, Error> {
         loop {
@@ -147,9 +166,7 @@
             let read = self
                 .lines
                 .read_line(&mut self.line)
-                .map_err(|error| Error::Broken {
-                    reason: error.to_string(),
-                })?;
+                .map_err(|error| classify_io(&error))?;
             if read == 0 {
                 return Err(Error::Broken {
                     reason: "stream ended early".to_owned(),
@@ -159,6 +176,7 @@
                 continue;
             };
             if data == DONE {
+                self.finish();
                 return Ok(None);
             }
             let token: Token = serde_json::from_str(data).map_err(|error| Error::Malformed {
--- /dev/null
+++ b/lib/src/front.rs
@@ -0,0 +1,161 @@
+//! The callers' interface over HTTP.
+
+mod acceptor;
+mod admission;
+mod answers;
+mod body_memory;
+mod chat;
+mod code;
+mod connection;
+mod context;
+mod digest;
+mod handler;
+mod head;
+mod incoming;
+mod last_event;
+mod refusal;
+mod reply;
+mod service;
+mod streams;
+
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use acceptor::Acceptor;
+pub use code::Code;
+pub(crate) use context::Context;
+pub use head::{Content, Head};
+pub use incoming::Incoming;
+pub use last_event::LastEvent;
+pub use refusal::Refusal;
+pub use reply::Reply;
+pub use streams::Streams;
+
+use crate::Node;
+use crate::peer::Peers;
+use crate::trial::Trials;
+use crate::worker::Worker;
+
+/// Time between two looks at the number of open requests during a drain.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time between two looks at the number of daemons that share the workspaces' limits.
+const LIMITS_PERIOD: Duration = Duration::from_secs(1);
+/// Time for the connection that wakes the accept loop of this process.
+const WAKE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The running callers' interface.
+#[derive(Debug)]
+pub struct Front {
+    address: SocketAddr,
+    context: Arc<Context>,
+    acceptor: Arc<Acceptor>,
+    thread: Option<JoinHandle<()>>,
+    _limits: Worker,
+}
+
+impl Front {
+    /// Opens the callers' address of the settings and serves it.
+    ///
+    /// `streams` and `trials` are shared with the handler of peers' calls.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn bind(
+        node: Arc<Node>,
+        peers: Arc<dyn Peers>,
+        streams: Arc<Streams>,
+        trials: Arc<Trials>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(&node.settings.daemon.callers_address)?;
+        let address = listener.local_addr()?;
+        let context = Arc::new(Context::open(node, peers, streams, trials)?);
+        let limits = Worker::spawn("limits", {
+            let context = Arc::clone(&context);
+            move || {
+                context.refresh_limits();
+                LIMITS_PERIOD
+            }
+        })?;
+        let acceptor = Acceptor::open(Arc::clone(&context));
+        let thread = thread::Builder::new().name("front".to_owned()).spawn({
+            let acceptor = Arc::clone(&acceptor);
+            move || acceptor.run(&listener)
+        })?;
+        Ok(Self {
+            address,
+            context,
+            acceptor,
+            thread: Some(thread),
+            _limits: limits,
+        })
+    }
+
+    pub(crate) fn context(&self) -> &Arc<Context> {
+        &self.context
+    }
+
+    /// Returns the address on which callers are served.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns how many answers bore the identity of another attempt and were dropped.
+    #[must_use]
+    pub fn crossed_answers(&self) -> u64 {
+        self.context.crossed.load(Ordering::Relaxed)
+    }
+
+    /// Refuses new requests and waits for the open ones, at most the drain timeout.
+    ///
+    /// Returns whether all of them ended.
+    #[must_use]
+    pub fn drain(&self) -> bool {
+        self.context.node.start_draining();
+        let timeout = Duration::from_millis(self.context.node.settings.limits.drain_timeout_ms);
+        let end = Instant::now() + timeout;
+        while self.context.open_requests() > 0 {
+            if Instant::now() >= end {
+                return false;
+            }
+            thread::sleep(DRAIN_POLL);
+        }
+        true
+    }
+
+    /// Stops accepting requests; those being served go on in their threads.
+    pub fn stop(&mut self) {
+        let Some(thread) = self.thread.take() else {
+            return;
+        };
+        self.acceptor.stop();
+        if let Err(error) = TcpStream::connect_timeout(&reachable(self.address), WAKE_TIMEOUT) {
+            log::warn!("waking the callers' acceptor failed: {error}");
+            return;
+        }
+        if thread.join().is_err() {
+            log::error!("the callers' acceptor had failed");
+        }
+    }
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// Returns an address under which this process reaches its own listener.
+fn reachable(address: SocketAddr) -> SocketAddr {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) if ip.is_unspecified() => IpAddr::V4(Ipv4Addr::LOCALHOST),
+        IpAddr::V6(ip) if ip.is_unspecified() => IpAddr::V6(Ipv6Addr::LOCALHOST),
+        ip => ip,
+    };
+    SocketAddr::new(ip, address.port())
+}
--- /dev/null
+++ b/lib/src/front/chat.rs
@@ -0,0 +1,229 @@
+use std::io;
+use std::time::Duration;
+
+use ragwortgrade_policy::Request;
+use ragwortgrade_policy::suspect::content_text;
+use ragwortgrade_schema::engine;
+use ragwortgrade_schema::peer::{StreamAnswer, StreamRequest};
+use serde_json::json;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::admission::{self, Admitted};
+use super::answers::{Events, Text};
+use super::digest::digest;
+use super::{Code, Context, Incoming, LastEvent, Refusal, Reply};
+use crate::attempt::{Completed, Completion, daemon_tag, request_identity};
+
+const JSON: &str = "application/json";
+/// Rough length of a token in English text; only routing and limits use the estimate.
+const BYTES_PER_TOKEN: usize = 4;
+/// A caller may not wait in the queue for longer, whatever deadline it names.
+const DEADLINE_MAX: Duration = Duration::from_hours(1);
+
+/// A chat completion that was admitted.
+struct Chat<'a> {
+    completion: Completion<'a>,
+    /// The caller wants events rather than a whole answer.
+    is_streamed: bool,
+    /// Identity of the request, towards the caller.
+    identity: String,
+    last_event: Option<LastEvent>,
+}
+
+/// Serves a chat completion, streamed or whole.
+pub(super) fn serve(context: &Context, incoming: &Incoming, reply: &mut Reply) -> io::Result<()> {
+    match Chat::admit(context, incoming) {
+        Ok(mut chat) => {
+            let workspace = chat.completion.routed.workspace.clone();
+            let served = if chat.is_streamed {
+                chat.stream(reply)
+            } else {
+                chat.answer(reply)
+            };
+            context.charge(&workspace, chat.completion.next_index);
+            served
+        }
+        Err(refusal) => reply.refuse(&refusal),
+    }
+}
+
+impl<'a> Chat<'a> {
+    fn admit(context: &'a Context, incoming: &Incoming) -> Result<Self, Refusal> {
+        let body: engine::Completion = serde_json::from_slice(&incoming.body)
+            .map_err(|error| Refusal::not_run(Code::Malformed, format!("body: {error}")))?;
+        let last_event = incoming
+            .header("Last-Event-ID")
+            .filter(|_| body.stream)
+            .map(LastEvent::parse)
+            .transpose()?;
+        let admitted = admission::model(context, incoming, &body, tokens(&body.messages))?;
+        let identity = match &last_event {
+            Some(last) => last.request.clone(),
+            None => request_identity(&context.node.settings.daemon.id)
+                .map_err(|error| Refusal::not_run(Code::NoEndpoint, error.to_string()))?,
+        };
+        let subject = digest(&[
+            admitted.workspace.as_bytes(),
+            admitted.service.as_bytes(),
+            &incoming.body,
+        ]);
+        let routed = routed(context, &body, admitted);
+        Ok(Self {
+            is_streamed: body.stream,
+            completion: Completion {
+                context,
+                routed,
+                subject,
+                // The daemon reads every answer as a stream, also one that goes out whole.
+                body: engine::Completion {
+                    stream: true,
+                    ..body
+                },
+                next_index: 0,
+            },
+            identity,
+            last_event,
+        })
+    }
+
+    fn stream(&mut self, reply: &mut Reply) -> io::Result<()> {
+        let context = self.completion.context;
+        let subject = content_text(self.completion.subject);
+        let model = self.completion.body.model.to_string();
+        let held = self.last_event.take().map(|last| {
+            self.completion.next_index = last.index + 1;
+            held(context, last, &subject)
+        });
+        let first = self.completion.next_index;
+        context.streams.begin(&self.identity, &subject, first);
+        let mut events = Events::open(context, reply, &self.identity, model);
+        let served = match events.replay(&mut self.completion.next_index, held) {
+            Ok(true) => events.finish(),
+            Ok(false) => self.completion_events(events),
+            Err(gone) => Err(gone),
+        };
+        context.streams.end(&self.identity, served.is_ok());
+        served
+    }
+
+    fn completion_events(&mut self, mut events: Events<'_>) -> io::Result<()> {
+        match self.completion.run(&mut events) {
+            Ok(Completed::Whole) => events.finish(),
+            Ok(Completed::CallerGone) => Err(io::ErrorKind::ConnectionAborted.into()),
+            Err(refusal) => events.refuse(&refusal),
+        }
+    }
+
+    fn answer(&mut self, reply: &mut Reply) -> io::Result<()> {
+        let mut text = Text::open(reply);
+        let completed = self.completion.run(&mut text);
+        let text = text.into_text();
+        match completed {
+            Ok(Completed::CallerGone) => Err(io::ErrorKind::ConnectionAborted.into()),
+            Ok(Completed::Whole) => {
+                let body = self.whole_body(&text).to_string();
+                reply.whole(200, JSON, body.as_bytes())
+            }
+            Err(refusal) => reply.refuse(&refusal),
+        }
+    }
+
+    fn whole_body(&self, text: &str) -> serde_json::Value {
+        let (prompt, output) = (
+            self.completion.routed.prompt_tokens,
+            self.completion.next_index,
+        );
+        json!({
+            "id": self.identity,
+            "object": "chat.completion",
+            "created": self.completion.context.node.clock.unix_ms() / 1_000,
+            "model": self.completion.body.model,
+            "choices": [{
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": "stop",
+            }],
+            "usage": {
+                "prompt_tokens": prompt,
+                "completion_tokens": output,
+                "total_tokens": prompt + output,
+            },
+        })
+    }
+}
+
+/// Returns what this daemon or the entry daemon still holds of a stream.
+fn held(context: &Context, last: LastEvent, subject: &str) -> StreamAnswer {
+    let tag = last.daemon_tag();
+    let request = StreamRequest {
+        after: last.index,
+        content: Some(subject.to_owned()),
+        request: last.request,
+    };
+    let own = context.streams.answer(&request);
+    if own.known {
+        return own;
+    }
+    let members = context.peers.members().into_iter();
+    let others = members
+        .map(|member| member.identity.id)
+        .filter(|id| *id != context.node.settings.daemon.id && daemon_tag(id) == tag);
+    for daemon in others {
+        match context.peers.stream(&daemon, &request) {
+            Ok(answer) if answer.known => return answer,
+            Ok(_) => {}
+            Err(error) => log::debug!("entry daemon of a stream was not asked: {error}"),
+        }
+    }
+    own
+}
+
+fn tokens(messages: &[engine::Message]) -> u32 {
+    let count = |message: &engine::Message| message.content.len().div_ceil(BYTES_PER_TOKEN);
+    messages.iter().map(count).sum::<usize>() as u32
+}
+
+fn routed(context: &Context, body: &engine::Completion, admitted: Admitted) -> Request {
+    let arrived = context.node.clock.now();
+    let priority = admitted.priority(body.priority);
+    let deadline_ms = body.deadline_ms.unwrap_or(admitted.deadline_ms);
+    let deadline = Duration::from_millis(deadline_ms).min(DEADLINE_MAX);
+    let prefix = shared_prefix(&admitted, body);
+    Request {
+        id: context.next_request(),
+        service: admitted.service,
+        workspace: admitted.workspace,
+        model: Some(body.model.clone()),
+        priority,
+        prompt_tokens: tokens(&body.messages),
+        prefix: prefix.map(|(hash, _)| hash),
+        prefix_tokens: prefix.map_or(0, |(_, tokens)| tokens),
+        max_output_tokens: body.max_tokens,
+        arrived,
+        deadline: arrived + deadline,
+        avoid: Vec::new(),
+    }
+}
+
+/// Hashes the messages before the last one, which conversations and instructions share.
+///
+/// The workspace is a part of the hash: whether a prefix is cached must not tell one workspace
+/// what another asked.
+fn shared_prefix(admitted: &Admitted, body: &engine::Completion) -> Option<(u64, u32)> {
+    let (_, shared) = body.messages.split_last()?;
+    if shared.is_empty() {
+        return None;
+    }
+    let mut hash = Xxh3::new();
+    let mut add = |text: &str| {
+        hash.update(&(text.len() as u64).to_be_bytes());
+        hash.update(text.as_bytes());
+    };
+    add(&admitted.workspace);
+    add(&body.model);
+    for message in shared {
+        add(&message.role);
+        add(&message.content);
+    }
+    Some((hash.digest(), tokens(shared)))
+}
--- /dev/null
+++ b/lib/src/front/reply.rs
@@ -0,0 +1,213 @@
+use std::io::{self, Write as _};
+use std::net::TcpStream;
+
+use super::{Head, Refusal};
+
+const JSON: &str = "application/json";
+
+/// Writes one answer to a caller, whole or as server-sent events.
+///
+/// Each event is written at once: a token must reach the caller when the engine produces it.
+#[derive(Debug)]
+pub struct Reply {
+    stream: TcpStream,
+    started: bool,
+    framing: Framing,
+    head_only: bool,
+    keep_alive: bool,
+}
+
+/// How the end of a stream of events is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    Chunked,
+    /// HTTP/1.0 knows no chunks: the end of the connection ends the answer.
+    UntilClose,
+}
+
+impl Reply {
+    /// Wraps a caller's connection for the answer to one request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has no file descriptor left.
+    pub fn open(stream: &TcpStream, head: &Head) -> io::Result<Self> {
+        Ok(Self {
+            stream: stream.try_clone()?,
+            started: false,
+            framing: if head.chunked_answer {
+                Framing::Chunked
+            } else {
+                Framing::UntilClose
+            },
+            head_only: head.method == "HEAD",
+            keep_alive: head.keep_alive,
+        })
+    }
+
+    /// Wraps a connection that is closed after a refusal, as its request could not be read.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has no file descriptor left.
+    pub fn closing(stream: &TcpStream) -> io::Result<Self> {
+        Ok(Self {
+            stream: stream.try_clone()?,
+            started: false,
+            framing: Framing::Chunked,
+            head_only: false,
+            keep_alive: false,
+        })
+    }
+
+    /// Tells whether the connection can serve another request.
+    #[must_use]
+    pub fn keep_alive(&self) -> bool {
+        self.keep_alive
+    }
+
+    /// Tells whether the head was sent, after which no other status can follow.
+    #[must_use]
+    pub fn started(&self) -> bool {
+        self.started
+    }
+
+    /// Tells whether the caller has closed its connection.
+    #[must_use]
+    pub fn is_abandoned(&self) -> bool {
+        if self.stream.set_nonblocking(true).is_err() {
+            return true;
+        }
+        let seen = self.stream.peek(&mut [0]);
+        if self.stream.set_nonblocking(false).is_err() {
+            return true;
+        }
+        match seen {
+            Ok(bytes) => bytes == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Sends a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller has gone away.
+    pub fn whole(&mut self, status: u16, content_type: &str, body: &[u8]) -> io::Result<()> {
+        self.started = true;
+        let mut answer = format!(
+            "HTTP/1.1 {status} {}\r\nContent-Type: {content_type}\r\nContent-Length: {}\r\n{}\r\n",
+            reason(status),
+            body.len(),
+            self.connection_header(),
+        )
+        .into_bytes();
+        if !self.head_only {
+            answer.extend_from_slice(body);
+        }
+        self.write(&answer)
+    }
+
+    /// Sends a refusal, as an answer or, inside a stream, as its last event.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller has gone away.
+    pub fn refuse(&mut self, refusal: &Refusal) -> io::Result<()> {
+        let body = refusal.body();
+        if self.started {
+            self.chunk(&format!("event: error\ndata: {body}\n\n"))?;
+            return self.end();
+        }
+        self.whole(refusal.code.status(), JSON, body.as_bytes())
+    }
+
+    /// Sends the head of a stream of events.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller has gone away.
+    pub fn start_events(&mut self) -> io::Result<()> {
+        self.started = true;
+        self.keep_alive &= self.framing == Framing::Chunked;
+        let coding = match self.framing {
+            Framing::Chunked => "Transfer-Encoding: chunked\r\n",
+            Framing::UntilClose => "",
+        };
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\
+             {coding}{}\r\n",
+            self.connection_header(),
+        );
+        self.write(head.as_bytes())
+    }
+
+    /// Sends one event with its identity.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller has gone away.
+    pub fn event(&mut self, id: &str, data: &str) -> io::Result<()> {
+        self.chunk(&format!("id: {id}\ndata: {data}\n\n"))
+    }
+
+    /// Ends a complete stream of events.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller has gone away.
+    pub fn done(&mut self) -> io::Result<()> {
+        self.chunk("data: [DONE]\n\n")?;
+        self.end()
+    }
+
+    fn chunk(&mut self, text: &str) -> io::Result<()> {
+        match self.framing {
+            Framing::Chunked => {
+                let framed = format!("{:x}\r\n{text}\r\n", text.len());
+                self.write(framed.as_bytes())
+            }
+            Framing::UntilClose => self.write(text.as_bytes()),
+        }
+    }
+
+    fn end(&mut self) -> io::Result<()> {
+        match self.framing {
+            Framing::Chunked => self.write(b"0\r\n\r\n"),
+            Framing::UntilClose => Ok(()),
+        }
+    }
+
+    fn connection_header(&self) -> &'static str {
+        if self.keep_alive {
+            "Connection: keep-alive\r\n"
+        } else {
+            "Connection: close\r\n"
+        }
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let written = self.stream.write_all(bytes);
+        self.keep_alive &= written.is_ok();
+        written
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        403 => "Forbidden",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -11,6 +11,7 @@
 use crate::clock::Clock;
 use crate::endpoint::{Engine, Plain};
 use crate::membership::Directory;
+use crate::observe::Metrics;
 use crate::platform::KeyValue;
 
 /// What all parts of one daemon share.
@@ -33,8 +34,22 @@
     pub engines: Arc<dyn Engine>,
     /// Interface of plain services.
     pub plains: Arc<dyn Plain>,
+    /// Metrics of the daemon.
+    pub metrics: Metrics,
     pub(crate) router: Mutex<Router>,
     pub(crate) draining: AtomicBool,
+    pub(crate) surveyed: AtomicBool,
+}
+
+/// Interfaces to the outside that a [`Node`] is opened with.
+#[derive(Debug)]
+pub struct Interfaces {
+    /// The platform's key-value service.
+    pub key_value: Arc<dyn KeyValue>,
+    /// Interface of engines.
+    pub engines: Arc<dyn Engine>,
+    /// Interface of plain services.
+    pub plains: Arc<dyn Plain>,
 }
 
 impl fmt::Debug for Node {
@@ -46,6 +61,35 @@
 }
 
 impl Node {
+    /// Opens the shared part of a daemon that knows no endpoint and no configuration yet.
+    #[must_use]
+    pub fn open(settings: Settings, incarnation: u64, interfaces: Interfaces) -> Self {
+        let metrics = Metrics::open(&settings.observe).unwrap_or_else(|error| {
+            log::warn!(error:% = error; "metrics are not sent");
+            Metrics::none()
+        });
+        let router = Router::open(settings.daemon.data_centre.clone(), incarnation);
+        Self {
+            settings,
+            incarnation,
+            clock: Clock::start(),
+            directory: Directory::default(),
+            configuration: ArcSwapOption::empty(),
+            key_value: interfaces.key_value,
+            engines: interfaces.engines,
+            plains: interfaces.plains,
+            metrics,
+            router: Mutex::new(router),
+            draining: AtomicBool::new(false),
+            surveyed: AtomicBool::new(false),
+        }
+    }
+
+    /// Marks the daemon as being on its way to a planned stop.
+    pub fn start_draining(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
     /// Locks the router; decisions are short, so callers hold it only for one call.
     pub fn router(&self) -> MutexGuard<'_, Router> {
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
@@ -57,6 +101,17 @@
         self.router().observe(event, now);
     }
 
+    /// Notes that the loads of endpoints have been read, so that requests can be routed.
+    pub fn note_survey(&self) {
+        self.surveyed.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether requests can be routed: loads of endpoints are known.
+    #[must_use]
+    pub fn is_surveyed(&self) -> bool {
+        self.surveyed.load(Ordering::Relaxed)
+    }
+
     /// Tells whether the daemon is on its way to a planned stop.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,6 +5,9 @@
 //! decisions come out, and random numbers come from a generator whose seed is passed in, so every
 //! decision can be repeated, measured and checked.
 
+/// Authority over the engines of a data centre.
+pub mod authority;
+pub mod claim;
 mod cost_model;
 /// What routing decides about a request.
 pub mod decision;
@@ -14,14 +17,20 @@
 /// What the planner takes into account.
 pub mod fleet;
 mod instant;
+pub mod limit;
+pub mod membership;
 mod output_estimate;
 /// Roles and placement of the engines of a data centre.
 pub mod planner;
 mod prefix_index;
 mod rate;
+pub mod rendezvous;
 mod request;
+pub mod retry;
+pub mod revision;
 mod router;
 mod shares;
+pub mod suspect;
 
 pub use cost_model::CostModel;
 pub use fleet::Fleet;
