policy: begin with more prefill engines

Cause: apricot refused 3% to 6% of the calls, long prompts in prompt-heavy phases; the planner starts from 6 of 20 prefill engines and gets there late.

--- a/policy/src/planner.rs
+++ b/policy/src/planner.rs
@@ -58,8 +58,10 @@
     const RETURN_FACTOR: f64 = 3.0;
     /// Time for which a change must have been worth it without a break, against noise.
     const SUSTAINED: Duration = Duration::from_secs(10);
-    /// Share of the engines that begin as prefill engines: the 28% of the work that is prefill.
-    const INITIAL_PREFILL: f64 = 0.28;
+    /// Share of the engines that begin as prefill engines: more than the 28% of the work that is
+    /// prefill, since an engine returns to decoding in seconds but drains for up to 20 s before it
+    /// becomes a prefill engine.
+    const INITIAL_PREFILL: f64 = 0.36;
 
     /// Opens a planner that lets at least `pause` pass between two role changes of an engine.
     #[must_use]
