--- a/policy/src/planner.rs
+++ b/policy/src/planner.rs
@@ -57,7 +57,7 @@
     /// A return must be worth this many times as much as a change.
     const RETURN_FACTOR: f64 = 3.0;
     /// Time for which a change must have been worth it without a break, against noise.
-    const SUSTAINED: Duration = Duration::from_secs(10);
+    const SUSTAINED: Duration = Duration::from_secs(15);
     /// Share of the engines that begin as prefill engines: more than the 28% of the work that is
     /// prefill, since an engine returns to decoding in seconds but drains for up to 20 s before it
     /// becomes a prefill engine.
