--- a/policy/examples/shifts/bound.rs
+++ b/policy/examples/shifts/bound.rs
@@ -50,6 +50,8 @@
     /// Width of a cell of the grid, and the most cells; a wider grid only loosens the bound.
     const CELL_MS: f64 = 4_000.0;
     const MAX_CELLS: f64 = 150.0;
+    /// Calls times cells squared, at most; keeps the time of the bound to seconds on long traces.
+    const MAX_VISITS: f64 = 1.5e9;
     /// Weights tried in step 2 of the derivation.
     const WEIGHTS: [f64; 4] = [0.0, 0.4, 0.7, 1.0];
     /// Time that work on a withdrawn engine may still take, in milliseconds.
@@ -60,7 +62,10 @@
     pub(crate) fn new(setup: &'a Setup) -> Self {
         let last = setup.trace.rows.iter().map(|row| Self::end_ms(setup, row));
         let length_ms = last.fold(1.0, f64::max);
-        let cell_ms = Self::CELL_MS.max(length_ms / Self::MAX_CELLS);
+        let calls = setup.trace.rows.len() as f64;
+        let affordable = (Self::MAX_VISITS / calls.max(1.0)).sqrt();
+        let most = Self::MAX_CELLS.min(affordable).max(1.0);
+        let cell_ms = Self::CELL_MS.max(length_ms / most);
         Self {
             daemons: setup.daemons(),
             setup,
