policy: reuse slots of departed endpoints once their requests end

Cause: an endpoint that left with requests in flight kept its slot for good, so memory grew with each replacement; the smoothed wait of a far overfull engine overflowed to infinity.

Change: the slot is released at the end of the last request; the smoothing is linear far above zero.

Conclusion: the router's memory is bounded by the endpoints present and the requests in flight.

--- a/policy/src/prefix_index.rs
+++ b/policy/src/prefix_index.rs
@@ -2,8 +2,8 @@
 
 /// Which engines hold which prompt prefixes, as far as this daemon knows.
 ///
-/// Its knowledge comes from cache events, which are late and incomplete, and from the daemon's own
-/// dispatches: an engine that computes a prompt holds the prompt's prefix afterwards.
+/// Its knowledge comes from cache events, which are late and incomplete; an entry may be wrong in
+/// both directions, so it only shortens the expected prefill.
 #[derive(Debug, Default)]
 pub(crate) struct PrefixIndex {
     holders: HashMap<u64, Vec<Holder>>,
--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -173,10 +173,17 @@
             return;
         };
         self.candidates[slot].leaving = true;
+        self.candidates[slot].departed = true;
         self.prefixes.cleared(slot);
         self.file(slot);
-        // A slot with requests in flight keeps its counts apart from a later endpoint's.
-        if self.candidates[slot].in_flight == 0 {
+        self.release(slot);
+    }
+
+    /// Gives the slot of a departed endpoint to later ones, unless requests still count there.
+    fn release(&mut self, slot: usize) {
+        let candidate = &mut self.candidates[slot];
+        if candidate.departed && candidate.in_flight == 0 {
+            candidate.departed = false;
             self.free.push(slot);
         }
     }
@@ -263,6 +270,7 @@
         {
             let candidate = &mut self.candidates[slot];
             candidate.in_flight = candidate.in_flight.saturating_sub(1);
+            self.release(slot);
         }
     }
 
--- a/policy/src/router/candidate.rs
+++ b/policy/src/router/candidate.rs
@@ -12,6 +12,8 @@
     pub(super) load: Option<Load>,
     pub(super) observed: Instant,
     pub(super) leaving: bool,
+    /// It is gone; its slot is free once its last request has ended.
+    pub(super) departed: bool,
     pub(super) reachable: bool,
     /// Own requests that run here or wait for this endpoint.
     pub(super) in_flight: u32,
@@ -38,6 +40,7 @@
             load: None,
             observed: Instant::default(),
             leaving: false,
+            departed: false,
             reachable: true,
             in_flight: 0,
             recent: VecDeque::new(),
--- a/policy/src/router/model.rs
+++ b/policy/src/router/model.rs
@@ -28,6 +28,8 @@
     /// Uncertainty of an engine's fullness after a report's age; an engine that is nearly full is
     /// charged the wait that it may already cause.
     const SPREAD: f64 = 0.04;
+    /// Distance, in spreads, from which on an engine's excess needs no smoothing.
+    const SMOOTH: f64 = 30.0;
     /// Price of a millisecond that a prompt in place takes from a full batch.
     const STOLEN_TIME: f64 = 20.0;
     /// Price of a full engine, in milliseconds; balances the engines' steps.
@@ -217,7 +219,14 @@
 
     /// Wait for a place in the batch of an engine.
     fn place_ms(&self, fullness: f64, need: Need<'_>) -> f64 {
-        let excess = Self::SPREAD * ((fullness - 1.0) / Self::SPREAD).exp().ln_1p();
+        let over = (fullness - 1.0) / Self::SPREAD;
+        // The smoothed positive part; far above zero it is the value itself.
+        let smooth = if over > Self::SMOOTH {
+            over
+        } else {
+            over.exp().ln_1p()
+        };
+        let excess = Self::SPREAD * smooth;
         excess * need.output_tokens * self.cost.decode_step_ms(self.cost.sequences)
     }
 
--- a/policy/tests/routing.rs
+++ b/policy/tests/routing.rs
@@ -293,6 +293,37 @@
     assert!(chosen.contains(&Name::from("far")));
 }
 
+/// Guards against counts of a departed endpoint that end up at the endpoint that takes its slot.
+#[test]
+fn a_departed_endpoint_leaves_no_counts_behind() {
+    let mut fleet = Fleet::new(10).join("old", "here", Some("stock"));
+    let mut ask = request(0, 0);
+    ask.model = None;
+    ask.service = Name::from("stock");
+    for id in 0..3 {
+        ask.id = id;
+        fleet.dispatch(&ask);
+    }
+    let endpoint = Name::from("old");
+    fleet.router.observe(Event::Left { endpoint }, NOW);
+    fleet = fleet.join("new", "here", Some("stock"));
+    for request in 0..3 {
+        let output_tokens = 1;
+        fleet.router.observe(
+            Event::Finished {
+                request,
+                output_tokens,
+            },
+            NOW,
+        );
+    }
+    fleet = fleet.join("third", "here", Some("stock"));
+    ask.id = 10;
+    let dispatch = fleet.dispatch(&ask);
+    let costs: Vec<_> = dispatch.alternatives.iter().map(|it| it.cost_ms).collect();
+    assert_eq!(costs, [0.0, 0.0]);
+}
+
 /// Guards against log lines and costs that grow with the fleet.
 #[test]
 fn alternatives_are_few_and_begin_with_the_chosen_one() {
