platform: follow no redirects and no proxies

Cause: the agent towards the platform followed redirects and the proxy settings of the environment; endpoints' agents do not since. Ruled out: none. Change: both are off.

--- a/lib/src/platform/http_key_value.rs
+++ b/lib/src/platform/http_key_value.rs
@@ -107,6 +107,10 @@
     Agent::config_builder()
         .timeout_global(Some(timeout))
         .http_status_as_error(false)
+        // The platform is called by IP number; an answer must not lead elsewhere.
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .proxy(None)
         .build()
         .into()
 }
