attempt: answer late rather than not at all

Cause: a request whose engine failed after the deadline was refused with an unknown outcome, so its caller had to begin again; and the next attempt waited for the cancel at an engine that was paused or cut off, up to 2 s. Change: once an attempt may have run, the request has 20 s to find another engine; the cancel of a failed attempt has its own thread. Tests: one case with an engine that breaks after the deadline.

--- a/lib/src/attempt/completion.rs
+++ b/lib/src/attempt/completion.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
 use ragwortgrade_policy::Request;
@@ -7,11 +9,11 @@
 
 use super::crash::{is_final, may_have_run};
 use super::{FAILURES_MAX, Placed, TokenSink, random_identity};
-use crate::endpoint::{Call, Error, Ran, TokenStream};
+use crate::endpoint::{Call, Engine, Error, Ran, TokenStream};
 use crate::front::{Code, Context, Refusal};
 
-/// Time to find another engine for a stream that broke. The deadline counts to the first token
-/// and is over by then; a caller that has a part of an answer rather waits than begins again.
+/// Time to find another engine for a request whose engine failed. Its deadline, to the first
+/// token, may be over by then, but it can no longer be refused as not run, so it is answered late.
 const RESUME_PATIENCE: Duration = Duration::from_secs(20);
 
 /// A completion, run on one engine after another until it is whole.
@@ -78,7 +80,7 @@
             }
             self.routed.avoid.push(placed.endpoint.id.clone());
             drop(placed);
-            if self.next_index > first {
+            if self.next_index > first || ran == Ran::Unknown {
                 self.routed.deadline = self.context.node.clock.now() + RESUME_PATIENCE;
             }
             if !self.context.take_retry(self.routed.deadline) {
@@ -111,17 +113,29 @@
             Ok(mut stream) => self.relay(stream.as_mut(), sink),
             Err(error) => Ended::Failed(error),
         };
-        let runs_on = match &ended {
-            Ended::Whole => false,
-            Ended::CallerGone => true,
-            Ended::Failed(error) => may_have_run(error),
-        };
-        if runs_on && let Err(error) = engines.cancel(address, &call.attempt) {
-            log::debug!(endpoint:% = placed.endpoint.id; "cancel failed: {error}");
+        match &ended {
+            Ended::CallerGone => cancel(engines.as_ref(), address, &call.attempt),
+            Ended::Failed(error) if may_have_run(error) => {
+                self.cancel_aside(address, call.attempt);
+            }
+            Ended::Whole | Ended::Failed(_) => {}
         }
         ended
     }
 
+    /// Stops what a failed attempt may still run; an engine that is paused or cut off takes its
+    /// time to answer, for which the next attempt does not wait.
+    fn cancel_aside(&self, address: &str, attempt: String) {
+        let engines = Arc::clone(&self.context.node.engines);
+        let address = address.to_owned();
+        let spawned = thread::Builder::new()
+            .name("cancel".to_owned())
+            .spawn(move || cancel(engines.as_ref(), &address, &attempt));
+        if let Err(error) = spawned {
+            log::warn!("no thread for a cancel: {error}");
+        }
+    }
+
     /// Returns the time that is left of the deadline at this hop.
     fn time_left_ms(&self) -> u64 {
         let left = self.routed.deadline.since(self.context.node.clock.now());
@@ -194,6 +208,12 @@
     }
 }
 
+fn cancel(engines: &dyn Engine, address: &str, attempt: &str) {
+    if let Err(error) = engines.cancel(address, attempt) {
+        log::debug!("cancel failed: {error}");
+    }
+}
+
 fn give_up(error: &Error, ran: Ran) -> Refusal {
     let refusal = match error {
         _ if is_final(error) => Refusal::not_run(Code::Malformed, "the engine refused the request"),
--- a/lib/tests/attempt.rs
+++ b/lib/tests/attempt.rs
@@ -45,6 +45,23 @@
     assert_eq!(stage.front.crossed_answers(), 1);
 }
 
+#[test]
+fn an_answer_is_late_rather_than_lost() {
+    // Guards against a refusal after a run that outlasted the deadline: the caller would have to
+    // begin again.
+    let stage = Stage::open();
+    stage.engine("e1").engine("e2");
+    for engine in ["e1", "e2"] {
+        stage
+            .engines
+            .script(engine, Script::SlowBreak(Duration::from_millis(300)));
+    }
+    let body = r#"{"model":"weave","deadline_ms":250,"messages":[]}"#;
+    let mut caller = stage.caller();
+    caller.post("/v1/chat/completions", "X-Workspace: lab\r\n", body);
+    assert_eq!(caller.answer().status, 200);
+}
+
 #[test]
 fn a_request_is_given_up_after_four_failures() {
     // Guards against a request that occupies the fleet for ever.
--- a/lib/tests/fakes/engine.rs
+++ b/lib/tests/fakes/engine.rs
@@ -1,6 +1,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
 
 use ragwortgrade_lib::endpoint::{Call, Engine, Error, TokenStream};
 use ragwortgrade_schema::engine::{
@@ -18,6 +20,8 @@
     Break(u32),
     /// Like [`Script::Break`], and the engine does not answer afterwards.
     Crash(u32),
+    /// The engine breaks the connection after this time, before the first token.
+    SlowBreak(Duration),
     Unreachable,
     /// The answer bears another attempt.
     Crossed,
@@ -93,6 +97,10 @@
                 End::Broken(end)
             }
             Script::Break(end) => End::Broken(end),
+            Script::SlowBreak(time) => {
+                thread::sleep(time);
+                End::Broken(0)
+            }
             Script::Whole => End::Whole(TOKENS),
             Script::Endless => End::Whole(u32::MAX),
         };
