--- a/lib/tests/fakes/engine.rs
+++ b/lib/tests/fakes/engine.rs
@@ -1,5 +1,6 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use ragwortgrade_lib::endpoint::{Call, Engine, Error, TokenStream};
 use ragwortgrade_schema::engine::{
@@ -31,9 +32,11 @@
     /// Calls as `(address, resume_from)`.
     pub calls: Mutex<Vec<(String, u32)>>,
     pub attempts: Mutex<Vec<String>>,
+    pub priorities: Mutex<Vec<u8>>,
     pub cancelled: Mutex<Vec<String>>,
     pub transfers: Mutex<Vec<String>>,
     pub dead: Mutex<Vec<String>>,
+    refuses_exports: AtomicBool,
 }
 
 impl FakeEngine {
@@ -45,6 +48,10 @@
             .push_back(script);
     }
 
+    pub fn refuse_exports(&self, refuse: bool) {
+        self.refuses_exports.store(refuse, Ordering::Relaxed);
+    }
+
     pub fn calls(&self) -> Vec<(String, u32)> {
         self.calls.lock().unwrap().clone()
     }
@@ -67,6 +74,7 @@
             .unwrap()
             .push((address.to_owned(), call.resume_from));
         self.attempts.lock().unwrap().push(call.attempt.clone());
+        self.priorities.lock().unwrap().push(call.priority);
         if self.is_dead(address) {
             return Err(unreachable_error());
         }
@@ -124,6 +132,9 @@
             .lock()
             .unwrap()
             .push(format!("export {address}"));
+        if self.refuses_exports.load(Ordering::Relaxed) {
+            return Err(Error::Refused { status: 503 });
+        }
         Ok(KvHandle {
             attempt: export.attempt.clone(),
             tokens: 1,
