control: decide once a second

Cause: the thread of orders looks for steps four times a second, and asked the planner each time with the reports of up to 91 engines.

Change: the planner is asked once in each poll period.

--- a/lib/src/control/order_duty.rs
+++ b/lib/src/control/order_duty.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
+use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::authority::{Conclusion, Sent, Step, Tenure};
 use ragwortgrade_policy::fleet::{Fleet, Member};
 use ragwortgrade_policy::planner::Change;
@@ -23,18 +24,20 @@
 const MARK_RENEWAL: Duration = Duration::from_secs(5);
 
 pub(super) fn spawn(shared: Arc<Shared>, mut plan: Box<dyn Plan>) -> io::Result<Worker> {
+    let mut decide_at = Instant::default();
     Worker::spawn("orders", move || {
-        step(&shared, &mut *plan);
+        step(&shared, &mut *plan, &mut decide_at);
         shared.pace()
     })
 }
 
-fn step(shared: &Shared, plan: &mut dyn Plan) {
+fn step(shared: &Shared, plan: &mut dyn Plan, decide_at: &mut Instant) {
     let now = shared.now();
     let tenure = shared.lock().lease.tenure(now).cloned();
     let tenure = tenure.filter(|_| !shared.is_stopping());
     give_up(shared, tenure.as_ref().map(|tenure| tenure.fence));
-    if let Some(tenure) = tenure {
+    if let Some(tenure) = tenure.filter(|_| now.monotonic >= *decide_at) {
+        *decide_at = now.monotonic + shared.terms.poll;
         decide(shared, plan, &tenure);
     }
     let steps = shared.lock().orders.steps(now.monotonic);
--- a/policy/src/authority/terms.rs
+++ b/policy/src/authority/terms.rs
@@ -24,7 +24,8 @@
     pub settling: Duration,
     /// Time for the news that an engine is about to change to reach all daemons.
     pub notice: Duration,
-    /// Time between two reads of an engine's state while an order waits for it.
+    /// Time between two reads of an engine's state while an order waits for it, and between two
+    /// rounds of decisions.
     pub poll: Duration,
     /// A change whose engine does not run empty in this time is given up.
     pub drain: Duration,
