cli: test orders that must run at most once over real daemons

Cause: claims are merged, so orders through two daemons, lost answers, kills, pauses and outages can be judged by the effects that the order service counted. Ruled out: expecting the recorded result at once; between an answer and its record a resend is told in_progress, which the design allows, so callers send again. Change: modules orders and outage_orders; the idempotent service is the negative control. The soak's callers stop at outcome_unknown.

--- a/cli/tests/process/main.rs
+++ b/cli/tests/process/main.rs
@@ -5,5 +5,6 @@
 mod leaving;
 mod orders;
 mod outage;
+mod outage_orders;
 mod setup;
 mod streams;
--- a/cli/tests/process/orders.rs
+++ b/cli/tests/process/orders.rs
@@ -1,10 +1,74 @@
 //! Orders that must run at most once.
 
-use ragwortgrade_standins::Verdict;
+use std::thread::{self, ScopedJoinHandle};
+use std::time::Duration;
+
+use ragwortgrade_standins::deployment::Process;
+use ragwortgrade_standins::{Caller, PlainFault, Verdict};
+use ragwortgrade_testutil::named_cases;
 
 use crate::setup::{Setup, call};
 
 const ORDER: &str = "one chair";
+const PAUSED_CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Guards against an order that runs twice, and against a second answer that differs.
+#[test]
+fn order_sent_again_through_another_daemon_runs_once() {
+    let setup = Setup::open();
+    assert_eq!(setup.order(0, ORDER), Verdict::Complete);
+    assert_eq!(setup.order_again(1, ORDER).0, Verdict::Complete);
+    assert_eq!(setup.order_effects(ORDER), 1);
+}
+
+/// Sends one call through both daemons at the same time and counts its effects.
+fn effects_of_two_calls_at_once(service: &str, expected: usize) {
+    let setup = Setup::open();
+    let question = call(service, ORDER, Some("key-1"));
+    let verdicts: Vec<Verdict> = thread::scope(|scope| {
+        let calls = [0, 1].map(|number| {
+            let (setup, question) = (&setup, &question);
+            scope.spawn(move || question.judge(&setup.call(number, question)))
+        });
+        let joined = calls.into_iter().map(ScopedJoinHandle::join);
+        joined
+            .map(|call| call.expect("the caller does not panic"))
+            .collect()
+    });
+    assert!(verdicts.contains(&Verdict::Complete), "{verdicts:?}");
+    let effects = [setup.orders.effects(), setup.stock.effects()].concat();
+    let count = effects.iter().filter(|effect| effect.body == ORDER).count();
+    assert_eq!(count, expected);
+}
+
+// Guards against an order that runs twice. A service declared idempotent needs no claim; it is the
+// negative control that shows that the count finds a second run.
+named_cases! { effects_of_two_calls_at_once:
+    order_sent_through_two_daemons_at_once_runs_once("orders", 1);
+    idempotent_call_sent_through_two_daemons_runs_twice("stock", 2);
+}
+
+/// Guards against a second run after the first run's answer was lost.
+#[test]
+fn order_whose_answer_was_lost_does_not_run_again() {
+    let setup = Setup::open();
+    setup.orders.set_fault(PlainFault::After { count: 1 });
+    assert_eq!(setup.order(0, ORDER), Verdict::Unknown);
+    let (_, code) = setup.order_again(1, ORDER);
+    assert_eq!(code.as_deref(), Some("outcome_unknown"));
+    assert_eq!(setup.order_effects(ORDER), 1);
+}
+
+/// Guards against a key that stands for two different orders.
+#[test]
+fn key_with_another_body_is_refused() {
+    let setup = Setup::open();
+    assert_eq!(setup.order(0, ORDER), Verdict::Complete);
+    let answer = setup.call(1, &call("orders", "two chairs", Some("key-1")));
+    let code = answer.refusal().map(|refusal| refusal.code.as_str());
+    assert_eq!(code, Some("key_conflict"));
+    assert_eq!(setup.order_effects("two chairs"), 0);
+}
 
 /// Guards against one workspace's key that answers or blocks another workspace's order.
 #[test]
@@ -17,3 +81,39 @@
     assert_eq!(question.judge(&answer), Verdict::Complete);
     assert_eq!(setup.order_effects(ORDER), 2);
 }
+
+/// Sends an order to daemon 0 while it is disturbed, and then through daemon 1.
+fn order_through_a_disturbed_daemon(disturb: impl FnOnce(&mut Process)) -> Setup {
+    let mut setup = Setup::open();
+    let question = call("orders", ORDER, Some("key-1"));
+    disturb(setup.daemons[0].process.as_mut().expect("the daemon runs"));
+    let impatient = Caller::with_timeout(PAUSED_CALL_TIMEOUT);
+    let first = impatient.call(setup.entrance(0), &question);
+    assert_eq!(question.judge(&first), Verdict::Lost);
+    setup.order(1, ORDER);
+    setup
+}
+
+/// Guards against a resumed daemon that runs an order that another one has run meanwhile.
+#[test]
+fn order_held_by_a_paused_daemon_runs_once() {
+    let mut setup = order_through_a_disturbed_daemon(|process| {
+        process.pause().expect("the daemon runs");
+    });
+    let process = setup.daemons[0].process.as_mut().expect("the daemon runs");
+    process.resume().expect("the daemon runs");
+    setup.wait_until_serving(0);
+    setup.order(0, ORDER);
+    setup.order(1, ORDER);
+    assert!(setup.order_effects(ORDER) <= 1);
+}
+
+/// Guards against a claim that is lost with the daemon that owned it.
+#[test]
+fn order_answered_before_a_kill_does_not_run_again() {
+    let mut setup = Setup::open();
+    assert_eq!(setup.order(0, ORDER), Verdict::Complete);
+    setup.daemons[0].kill();
+    assert_ne!(setup.order(1, ORDER), Verdict::Crossed);
+    assert_eq!(setup.order_effects(ORDER), 1);
+}
--- /dev/null
+++ b/cli/tests/process/outage_orders.rs
@@ -0,0 +1,60 @@
+//! Orders with a key during a long outage of the key-value service (design section 5.7).
+
+use ragwortgrade_standins::{Fault, Verdict};
+use ragwortgrade_testutil::named_cases;
+
+use crate::outage::{Kind, ORDER, outage_is_survived};
+use crate::setup::{Setup, call, wait_for};
+
+// Guards against an order that runs without a claim. The same order without an outage, in the
+// module `outage`, is the negative control.
+named_cases! { outage_is_survived:
+    order_with_a_new_key_is_refused_as_not_run(Fault::Outage, &Kind::NewKey, Verdict::NotRun, 0);
+    order_with_a_new_key_is_refused_by_a_silent_platform(
+        Fault::Silent { hold_ms: 3_000 }, &Kind::NewKey, Verdict::NotRun, 0,
+    );
+}
+
+/// Guards against a known key that is refused or run again.
+#[test]
+fn order_with_a_known_key_is_answered() {
+    let setup = Setup::open();
+    assert_eq!(setup.order(0, ORDER), Verdict::Complete);
+    assert_eq!(setup.order_again(1, ORDER).0, Verdict::Complete);
+    setup.key_value.set_fault(Fault::Outage);
+    for number in [0, 1] {
+        assert_eq!(setup.order(number, ORDER), Verdict::Complete);
+    }
+    assert_eq!(setup.order_effects(ORDER), 1);
+}
+
+/// Guards against an order that runs again because the outage began before its outcome was
+/// recorded. Whether the recorded result or `in_progress` comes back depends on the moment.
+#[test]
+fn order_answered_just_before_the_outage_does_not_run_again() {
+    let setup = Setup::open();
+    assert_eq!(setup.order(0, ORDER), Verdict::Complete);
+    setup.key_value.set_fault(Fault::Outage);
+    let question = call("orders", ORDER, Some("key-1"));
+    for number in [0, 1] {
+        let (verdict, code) = setup.send_order(number, &question);
+        let is_running = code.as_deref() == Some("in_progress");
+        assert!(verdict == Verdict::Complete || is_running, "{code:?}");
+    }
+    setup.key_value.set_fault(Fault::None);
+    assert_eq!(setup.order_again(1, ORDER).0, Verdict::Complete);
+    assert_eq!(setup.order_effects(ORDER), 1);
+}
+
+/// Guards against claims that stay unavailable after the outage.
+#[test]
+fn orders_run_again_after_the_outage() {
+    let setup = Setup::open();
+    setup.key_value.set_fault(Fault::Outage);
+    assert_eq!(setup.order(0, ORDER), Verdict::NotRun);
+    setup.key_value.set_fault(Fault::None);
+    wait_for("the order runs", || {
+        setup.order(0, ORDER) == Verdict::Complete
+    });
+    assert_eq!(setup.order_effects(ORDER), 1);
+}
--- a/cli/tests/process/setup.rs
+++ b/cli/tests/process/setup.rs
@@ -21,6 +21,8 @@
 /// No test waits longer for anything; generous, because the machine may be busy.
 pub(crate) const WAIT_MAX: Duration = Duration::from_secs(30);
 const CHECK: Duration = Duration::from_millis(50);
+/// Code of the refusal while the first submission runs or its outcome is being recorded.
+const IN_PROGRESS: &str = "in_progress";
 const VM_LIST_LAG_MS: u64 = 100;
 /// Fast engines finish a stream before a test could disturb it.
 const SLOW_STEP_US: u64 = 20_000;
@@ -194,8 +196,37 @@
 
     /// Sends an order with a key and judges the answer.
     pub(crate) fn order(&self, number: usize, body: &str) -> Verdict {
+        self.send_order(number, &call("orders", body, Some("key-1")))
+            .0
+    }
+
+    /// Sends an order again until its outcome is recorded, as a caller does that is told to retry;
+    /// returns the code of the refusal, if it is refused.
+    pub(crate) fn order_again(&self, number: usize, body: &str) -> (Verdict, Option<String>) {
         let question = call("orders", body, Some("key-1"));
-        question.judge(&self.call(number, &question))
+        let mut outcome = (Verdict::Lost, None);
+        wait_for("the outcome is recorded", || {
+            outcome = self.send_order(number, &question);
+            outcome.1.as_deref() != Some(IN_PROGRESS)
+        });
+        outcome
+    }
+
+    /// Sends an order once.
+    pub(crate) fn send_order(
+        &self,
+        number: usize,
+        question: &PlainQuestion,
+    ) -> (Verdict, Option<String>) {
+        let answer = self.call(number, question);
+        let verdict = question.judge(&answer);
+        // Shown when the test fails.
+        println!(
+            "order through daemon {number}: {verdict:?}, {:?}",
+            answer.end
+        );
+        let code = answer.refusal().map(|refusal| refusal.code.clone());
+        (verdict, code)
     }
 
     /// Counts how often an order took effect.
--- a/standins/examples/soak/callers.rs
+++ b/standins/examples/soak/callers.rs
@@ -218,12 +218,11 @@
             let answer = self.caller.call(self.entrance(random), &question);
             verdict = question.judge(&answer);
             all_not_run &= verdict == Verdict::NotRun;
-            let is_running = answer
-                .refusal()
-                .is_some_and(|refusal| refusal.code == "in_progress");
-            let retries = match verdict {
-                Verdict::Lost => true,
-                Verdict::NotRun => is_running || !all_not_run || random.random_bool(0.5),
+            let code = answer.refusal().map_or("", |refusal| refusal.code.as_str());
+            let retries = match (verdict, code) {
+                (Verdict::Lost, _) | (_, "in_progress") => true,
+                (_, "outcome_unknown") => false,
+                (Verdict::NotRun, _) => !all_not_run || random.random_bool(0.5),
                 _ => false,
             };
             if !retries || Instant::now() > give_up {
