--- a/policy/tests/authority/parts.rs
+++ b/policy/tests/authority/parts.rs
@@ -4,8 +4,8 @@
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::authority::{
-    Answer, CANDIDATES, Call, Conclusion, Evidence, Holder, Lease, Moment, Orders, Sent, Step,
-    Takeover, Tenure, Terms, is_candidate,
+    Answer, CANDIDATES, Call, Conclusion, Evidence, Holder, Lease, Lock, Moment, Orders, Sent,
+    Step, Takeover, Tenure, Terms, is_candidate,
 };
 use ragwortgrade_policy::planner::Change;
 use ragwortgrade_schema::Name;
@@ -78,7 +78,7 @@
     lease.answer(keep_alive, renewed);
     if let Some(is_there) = verified {
         assert_eq!(lease.call(renewed), Some(Call::ReadLock));
-        let lock = ragwortgrade_policy::authority::Lock {
+        let lock = Lock {
             holder: holder("a", 1),
             lease: 5,
         };
@@ -118,7 +118,7 @@
 fn waiting_candidate_reads_once_a_ttl() {
     let mut lease = Lease::open(Terms::default(), holder("b", 1), Duration::ZERO);
     lease.set_candidate(true);
-    let lock = ragwortgrade_policy::authority::Lock {
+    let lock = Lock {
         holder: holder("a", 1),
         lease: 5,
     };
@@ -132,6 +132,29 @@
     assert_eq!(calls, 10);
 }
 
+/// Guards against a holder whose calls grow: a renewal and its verification each 2.5 s.
+#[test]
+fn holder_makes_eighty_calls_in_a_hundred_seconds() {
+    let mut lease = acquired(at(0, 0));
+    let lock = Lock {
+        holder: holder("a", 1),
+        lease: 5,
+    };
+    let mut calls = 0;
+    for ms in (0..=100_000).step_by(100) {
+        while let Some(call) = lease.call(at(ms, ms)) {
+            calls += 1;
+            let answer = match call {
+                Call::ReadLock => Answer::Lock(Some((lock.clone(), 1))),
+                _ => Answer::Done,
+            };
+            lease.answer(answer, at(ms, ms));
+        }
+    }
+    assert_eq!(calls, 80);
+    assert!(lease.is_held(at(100_000, 100_000)));
+}
+
 /// Guards against a token that is not above all that the platform and the engines know.
 fn token(previous: u64, revision: u64, seen: u64) {
     let mut last = tenure(&holder("a", 1), &[]);
