standins: apply by ragwortctl and start with a prefill engine in the quickstart

Ruled out: hiding the refusals by a smaller load; that a fleet without a prefill engine refuses them is reported to the owner of the policy.

--- a/standins/examples/quickstart/load.rs
+++ b/standins/examples/quickstart/load.rs
@@ -7,7 +7,7 @@
 
 use hdrhistogram::Histogram;
 use ragwortgrade_standins::deployment::{DataCentre, Deployment};
-use ragwortgrade_standins::{Caller, Effect, End, PlainQuestion, Question, Verdict};
+use ragwortgrade_standins::{Answer, Caller, Effect, End, PlainQuestion, Question, Verdict};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
@@ -19,7 +19,7 @@
 const CALLERS: usize = 24;
 /// Pairs of questions that compare the way through a daemon with a direct call.
 const FIRST_TOKEN_PAIRS: usize = 200;
-/// Time in which every daemon must answer its first question.
+/// Time in which every daemon must give its first answers.
 const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 const FIRST_ANSWER_RETRY: Duration = Duration::from_millis(100);
 const WORKSPACES: [&str; 2] = ["weavers", "buyers"];
@@ -34,6 +34,7 @@
     next: AtomicUsize,
     /// For each order: whether an answer was complete, and whether all answers said "not run".
     orders: Mutex<BTreeMap<String, OrderAnswers>>,
+    refusals: Mutex<BTreeMap<String, u64>>,
 }
 
 #[derive(Clone, Copy)]
@@ -62,6 +63,7 @@
             caller: Caller::open(),
             next: AtomicUsize::new(0),
             orders: Mutex::new(BTreeMap::new()),
+            refusals: Mutex::new(BTreeMap::new()),
         }
     }
 
@@ -75,30 +77,43 @@
             }
         });
         let report = shared.into_inner().unwrap_or_else(PoisonError::into_inner);
+        let refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
+        eprintln!("refusals: {refusals:?}");
         self.judge_orders(report)?;
         report.first_token_added_ms_p50 = self.first_token_added()?;
         Ok(())
     }
 
-    /// Waits until every daemon knows an engine.
+    /// Waits until every daemon reaches an engine and both plain services.
     fn wait_for_first_answers(&self) -> Result<(), String> {
         let until = Instant::now() + FIRST_ANSWER_TIMEOUT;
-        for &address in &self.entrances {
+        for (index, &address) in self.entrances.iter().enumerate() {
             let question = Question::streamed(WORKSPACES[0], "ready?", 1);
-            loop {
-                let answer = self.caller.ask(address, &question, None);
-                if answer.end == End::Whole {
-                    break;
-                }
-                if Instant::now() > until || self.interrupted.load(Ordering::Relaxed) {
-                    return Err(format!("{address} does not answer: {:?}", answer.end));
-                }
-                thread::sleep(FIRST_ANSWER_RETRY);
+            self.wait_for(until, || self.caller.ask(address, &question, None))?;
+            for service in ["stock", "orders"] {
+                let question = PlainQuestion {
+                    key: Some(format!("ready-{index}")),
+                    ..plain(WORKSPACES[0], service, usize::MAX)
+                };
+                self.wait_for(until, || self.caller.call(address, &question))?;
             }
         }
         Ok(())
     }
 
+    fn wait_for(&self, until: Instant, ask: impl Fn() -> Answer) -> Result<(), String> {
+        loop {
+            let answer = ask();
+            if answer.end == End::Whole {
+                return Ok(());
+            }
+            if Instant::now() > until || self.interrupted.load(Ordering::Relaxed) {
+                return Err(format!("a daemon does not serve: {:?}", answer.end));
+            }
+            thread::sleep(FIRST_ANSWER_RETRY);
+        }
+    }
+
     fn send_until_done(&self, report: &Mutex<&mut Report>) {
         while !self.interrupted.load(Ordering::Relaxed) {
             let index = self.next.fetch_add(1, Ordering::Relaxed);
@@ -149,17 +164,34 @@
     fn ask(&self, entrance: SocketAddr, question: &Question) -> Verdict {
         let answer = self.caller.ask(entrance, question, None);
         let verdict = question.judge(&answer, 0);
-        explain(verdict, &answer.end);
+        self.explain(
+            question.service.as_deref().unwrap_or(""),
+            verdict,
+            &answer.end,
+        );
         verdict
     }
 
     fn call(&self, entrance: SocketAddr, question: &PlainQuestion) -> Verdict {
         let answer = self.caller.call(entrance, question);
         let verdict = question.judge(&answer);
-        explain(verdict, &answer.end);
+        self.explain(&question.service, verdict, &answer.end);
         verdict
     }
 
+    /// Counts a refusal, and reports any other answer that is not complete before the run ends.
+    fn explain(&self, service: &str, verdict: Verdict, end: &End) {
+        if let End::Refused(refusal) = end {
+            let mut refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
+            *refusals
+                .entry(format!("{service}: {}", refusal.code))
+                .or_default() += 1;
+        }
+        if !matches!(verdict, Verdict::Complete | Verdict::NotRun) {
+            eprintln!("{service}: {verdict:?}: {end:?}");
+        }
+    }
+
     /// Sends one order through each entrance at the same time.
     fn order(&self, entrances: &[SocketAddr], workspace: &str, index: usize) -> Vec<Verdict> {
         let question = plain(workspace, "orders", index);
@@ -248,10 +280,3 @@
         body: format!("{service} {index}"),
     }
 }
-
-/// Reports an answer that is neither complete nor a refusal before the run.
-fn explain(verdict: Verdict, end: &End) {
-    if !matches!(verdict, Verdict::Complete | Verdict::NotRun) {
-        eprintln!("{verdict:?}: {end:?}");
-    }
-}
--- a/standins/examples/quickstart/main.rs
+++ b/standins/examples/quickstart/main.rs
@@ -62,6 +62,7 @@
     let plan = Plan {
         directory: directory.path().to_owned(),
         daemon: programs.daemon.clone(),
+        operators: programs.operators.clone(),
         standin: programs.standin.clone(),
         data_centres: DATA_CENTRES,
         daemons: options.daemons,
@@ -78,6 +79,7 @@
     let deployment = Deployment::spawn(&plan)?;
     let mut report = Report::default();
     Load::open(&deployment, &options, &interrupted).run(&mut report)?;
+    println!("{}", serde_json::to_string(&report)?);
     if options.keep {
         print_commands(&deployment, &programs);
         while !interrupted.load(Ordering::Relaxed) {
@@ -87,7 +89,6 @@
     deployment.stop();
     let is_clean = report.is_clean() && (options.keep || !interrupted.load(Ordering::Relaxed));
     directory.disable_cleanup(!is_clean);
-    println!("{}", serde_json::to_string(&report)?);
     Ok(is_clean)
 }
 
@@ -115,7 +116,7 @@
         let (admin, program) = (daemon.settings.admin, programs.operators.display());
         let key = deployment.operator_key_file();
         eprintln!(
-            "{program} --daemon {admin} --key-file {} status",
+            "{program} status --admin {admin} --key-file {}",
             key.display()
         );
     }
--- a/standins/examples/relay_cost/main.rs
+++ b/standins/examples/relay_cost/main.rs
@@ -36,6 +36,7 @@
     let plan = Plan {
         directory: directory.path().to_owned(),
         daemon: programs.daemon,
+        operators: programs.operators,
         standin: programs.standin,
         data_centres: 1,
         daemons: 1,
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -13,6 +13,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::process::Command;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -83,7 +84,7 @@
             .declaration
             .declare_endpoints(&deployment.data_centres);
         deployment.publish_vms()?;
-        deployment.apply()?;
+        deployment.apply_through(&plan.operators)?;
         deployment.wait_until_ready()?;
         Ok(deployment)
     }
@@ -123,6 +124,30 @@
         Ok(())
     }
 
+    /// Applies the declaration as operators do, by the command `ragwortctl`.
+    fn apply_through(&mut self, program: &Path) -> Result<(), Error> {
+        let file = self.directory.join("configuration.ini");
+        fs::write(&file, self.declaration.to_string()).map_err(|cause| Error::File {
+            path: file.display().to_string(),
+            cause,
+        })?;
+        let output = Command::new(program)
+            .arg("apply")
+            .arg(&file)
+            .args(["--platform", &self.key_value.url("")])
+            .output();
+        let failed = |reason: String| Error::Process {
+            program: program.display().to_string(),
+            reason,
+        };
+        let output = output.map_err(|error| failed(error.to_string()))?;
+        if !output.status.success() {
+            let text = String::from_utf8_lossy(&output.stderr);
+            return Err(failed(format!("{}: {text}", output.status)));
+        }
+        self.read_back()
+    }
+
     /// Returns the write by which a declaration replaces the one in force.
     #[must_use]
     pub fn write_of(&self, declaration: &Declaration) -> Write {
@@ -216,6 +241,9 @@
 
     /// Ends every process; those that do not end by themselves are killed.
     pub fn stop(mut self) {
+        for centre in &mut self.data_centres {
+            centre.terminate();
+        }
         for centre in &mut self.data_centres {
             centre.stop();
         }
--- a/standins/src/deployment/data_centre.rs
+++ b/standins/src/deployment/data_centre.rs
@@ -13,6 +13,8 @@
 const PLAIN_SERVICES: [&str; 2] = ["stock", "orders"];
 /// Every engine with this remainder of its number ignores fencing tokens.
 const IGNORES_FENCE_EVERY: usize = 3;
+/// A data centre with so many engines starts with one of them for prefill.
+const ENGINES_WITH_PREFILL: usize = 3;
 /// Time in which an idle daemon drains; after it the process is killed.
 const STOP_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -78,8 +80,11 @@
             "checked"
         };
         let order_log = plan.directory.join(format!("{name}.orders"));
+        let is_prefill = number == 0 && plan.engines >= ENGINES_WITH_PREFILL;
+        let role = if is_prefill { "prefill" } else { "mixed" };
         let pairs = [
             ("--name", name.as_str()),
+            ("--role", role),
             ("--fencing", fencing),
             ("--weights", weights),
             ("--order-log", &order_log.to_string_lossy()),
@@ -213,8 +218,8 @@
         }
     }
 
-    /// Ends the daemons, first by SIGTERM and then by SIGKILL; endpoints end when dropped.
-    pub(super) fn stop(&mut self) {
+    /// Asks the daemons to end.
+    pub(super) fn terminate(&mut self) {
         for daemon in &mut self.daemons {
             if let Some(process) = &mut daemon.process
                 && let Err(error) = process.terminate()
@@ -222,6 +227,11 @@
                 log::warn!("{error}");
             }
         }
+    }
+
+    /// Waits for the daemons that were asked to end, and kills those that do not; endpoints end
+    /// when dropped.
+    pub(super) fn stop(&mut self) {
         for daemon in &mut self.daemons {
             if let Some(process) = &mut daemon.process
                 && process.wait(STOP_TIMEOUT).is_none()
--- a/standins/src/deployment/declaration.rs
+++ b/standins/src/deployment/declaration.rs
@@ -82,8 +82,11 @@
 impl fmt::Display for Declaration {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "[configuration]")?;
-        writeln!(f, "revision = {}", self.revision)?;
-        writeln!(f, "apply_id = {}-{}", self.author, self.revision)?;
+        // Revision 0 is a declaration that was not applied yet; `ragwortctl` numbers it.
+        if self.revision > 0 {
+            writeln!(f, "revision = {}", self.revision)?;
+            writeln!(f, "apply_id = {}-{}", self.author, self.revision)?;
+        }
         writeln!(f, "author = {}", self.author)?;
         writeln!(
             f,
--- a/standins/src/deployment/plan.rs
+++ b/standins/src/deployment/plan.rs
@@ -11,6 +11,8 @@
     pub directory: PathBuf,
     /// Program of the daemon.
     pub daemon: PathBuf,
+    /// Program of the operators.
+    pub operators: PathBuf,
     /// Command that runs stand-ins, with its first arguments.
     pub standin: Vec<OsString>,
     /// Number of data centres.
