--- /dev/null
+++ b/policy/tests/authority/daemon.rs
@@ -0,0 +1,44 @@
+//! The daemons of the simulation.
+
+use std::time::Duration;
+
+use ragwortgrade_policy::authority::{Holder, Lease, Orders, Takeover, Terms};
+use ragwortgrade_schema::Name;
+use ragwortgrade_schema::engine::Order;
+
+use super::simulation::STEP_MS;
+
+pub struct Daemon {
+    pub holder: Holder,
+    pub is_up: bool,
+    pub is_paused: bool,
+    /// Pause in the middle of the next order to this engine, after the check.
+    pub pause_in_send: Option<usize>,
+    pub lease: Lease,
+    pub takeover: Option<(u64, Takeover)>,
+    pub orders: Orders,
+    /// An order that passed the check, for an engine.
+    pub outbox: Option<(usize, Order)>,
+}
+
+pub fn daemon(index: usize, incarnation: u64) -> Daemon {
+    let holder = Holder {
+        daemon: Name::from(format!("d{index}")),
+        incarnation,
+        address: format!("d{index}"),
+        listed: true,
+    };
+    let jitter = Duration::from_millis(STEP_MS * index as u64);
+    let mut lease = Lease::open(Terms::default(), holder.clone(), jitter);
+    lease.set_candidate(true);
+    Daemon {
+        orders: Orders::open(Terms::default(), holder.clone()),
+        holder,
+        is_up: true,
+        is_paused: false,
+        pause_in_send: None,
+        lease,
+        takeover: None,
+        outbox: None,
+    }
+}
--- a/policy/tests/authority/main.rs
+++ b/policy/tests/authority/main.rs
@@ -1,5 +1,6 @@
 //! Authority over engines under random faults, judged by the engines' order logs.
 
+mod daemon;
 mod engine;
 mod machine;
 mod parts;
--- a/policy/tests/authority/simulation.rs
+++ b/policy/tests/authority/simulation.rs
@@ -1,17 +1,16 @@
 //! A small deployment in virtual time: daemons that run the state machines of authority, a
 //! platform, a network and engines that keep a log of the orders that they accepted.
 
-use std::time::Duration;
-
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::authority::{
-    Evidence, Holder, Lease, Lock, Moment, Orders, Sent, Step, Takeover, Tenure, Terms,
+    Evidence, Holder, Lock, Moment, Sent, Step, Takeover, Tenure, Terms,
 };
 use ragwortgrade_policy::planner::Change;
 use ragwortgrade_schema::Name;
 use ragwortgrade_schema::configuration::Fencing;
 use ragwortgrade_schema::engine::{Load, Order, Role};
 
+use super::daemon::{Daemon, daemon};
 use super::engine::{Engine, want};
 
 pub const DAEMONS: usize = 3;
@@ -46,19 +45,6 @@
     ends_ms: u64,
 }
 
-pub struct Daemon {
-    pub holder: Holder,
-    pub is_up: bool,
-    pub is_paused: bool,
-    /// Pause in the middle of the next order to this engine, after the check.
-    pub pause_in_send: Option<usize>,
-    lease: Lease,
-    takeover: Option<(u64, Takeover)>,
-    orders: Orders,
-    /// An order that passed the check, for an engine.
-    outbox: Option<(usize, Order)>,
-}
-
 pub struct Simulation {
     pub now_ms: u64,
     pub daemons: Vec<Daemon>,
@@ -381,25 +367,3 @@
         found.expect("engine exists")
     }
 }
-
-fn daemon(index: usize, incarnation: u64) -> Daemon {
-    let holder = Holder {
-        daemon: Name::from(format!("d{index}")),
-        incarnation,
-        address: format!("d{index}"),
-        listed: true,
-    };
-    let jitter = Duration::from_millis(STEP_MS * index as u64);
-    let mut lease = Lease::open(Terms::default(), holder.clone(), jitter);
-    lease.set_candidate(true);
-    Daemon {
-        orders: Orders::open(Terms::default(), holder.clone()),
-        holder,
-        is_up: true,
-        is_paused: false,
-        pause_in_send: None,
-        lease,
-        takeover: None,
-        outbox: None,
-    }
-}
