--- a/cli/tests/process/leaving.rs
+++ b/cli/tests/process/leaving.rs
@@ -1,7 +1,7 @@
 //! Endpoints that leave get no new work.
 
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ragwortgrade_standins::{End, Question};
 use ragwortgrade_testutil::named_cases;
@@ -57,3 +57,30 @@
     engine_on_a_leaving_vm_gets_no_work(&Sign::VmList, false);
     engine_that_operators_drain_gets_no_work(&Sign::Configuration, false);
 }
+
+/// Guards against old news of a resumed daemon that sends others back to a leaving engine.
+#[test]
+fn news_of_a_resumed_daemon_does_not_bring_a_leaving_engine_back() {
+    let mut setup = Setup::open();
+    let pause = |setup: &mut Setup, is_paused: bool| {
+        let process = setup.daemons[0].process.as_mut();
+        let process = process.expect("the daemon runs");
+        let signalled = if is_paused {
+            process.pause()
+        } else {
+            process.resume()
+        };
+        signalled.expect("the daemon runs");
+    };
+    pause(&mut setup, true);
+    setup.engines[0].set_draining(true);
+    thread::sleep(GRACE);
+    let before = setup.engines[0].work().arrivals;
+    pause(&mut setup, false);
+    let until = Instant::now() + GRACE;
+    while Instant::now() < until {
+        let question = Question::streamed("weavers", "which stitch?", 1);
+        assert_eq!(setup.ask(1, &question).end, End::Whole);
+    }
+    assert_eq!(setup.engines[0].work().arrivals - before, 0);
+}
