--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod retry;
 pub mod revision;
 mod router;
+mod shares;
 pub mod suspect;
 
 pub use cost_model::CostModel;
