--- a/standins/examples/relay_cost/main.rs
+++ b/standins/examples/relay_cost/main.rs
@@ -6,7 +6,6 @@
 //! and one for short plain calls.
 
 mod options;
-mod usage;
 
 use std::env;
 use std::error::Error;
@@ -14,10 +13,9 @@
 use std::time::Instant;
 
 use ragwortgrade_standins::deployment::{Deployment, Plan, Programs};
-use ragwortgrade_standins::{Caller, End, PlainQuestion, Question};
+use ragwortgrade_standins::{Caller, End, PlainQuestion, Question, Usage};
 
 use self::options::Options;
-use self::usage::Usage;
 
 const WORKSPACE: &str = "weavers";
 const ENGINES: usize = 4;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -16,6 +16,7 @@
 mod relay;
 mod standin;
 mod token_bucket;
+mod usage;
 mod vm_list;
 mod weights;
 
@@ -28,6 +29,7 @@
 pub use plain::{Effect, Plain, PlainFault, PlainSettings};
 pub use relay::{Cut, Relay};
 pub use standin::run_standin;
+pub use usage::Usage;
 pub use vm_list::{VmList, VmListSettings};
 pub use weights::{Weights, WeightsSettings};
 
--- a/standins/examples/relay_cost/usage.rs
+++ b/standins/src/usage.rs
@@ -17,7 +17,11 @@
 }
 
 impl Usage {
-    /// Reads the usage of a process that this example started.
+    /// Reads the usage of a process that the caller started.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended.
     pub fn read(process: u32) -> io::Result<Self> {
         let stat = fs::read_to_string(format!("/proc/{process}/stat"))?;
         let after_name = stat.rsplit(')').next().unwrap_or_default();
@@ -38,6 +42,7 @@
     }
 
     /// Returns this usage with the larger memory of the two.
+    #[must_use]
     pub fn max_memory(self, other: Self) -> Self {
         Self {
             resident_kib: self.resident_kib.max(other.resident_kib),
