membership: observe the endpoints of a data centre that went silent

Ruled out: sending nothing to other data centres while they are silent (a cut-off data centre must go on serving what it can). Change: when nothing was heard of a data centre for 3 s, each daemon reads its endpoints itself, in deployments of up to 60 endpoints. The example capacity runs with a configuration in force and on addresses that do not clash; without one, daemons asked each other for it twice a second, 1.6 KiB/s that production does not have.

--- a/cli/examples/capacity/fleet.rs
+++ b/cli/examples/capacity/fleet.rs
@@ -4,14 +4,15 @@
 use std::fmt::Write as _;
 use std::fs;
 use std::io;
-use std::net::{TcpListener, UdpSocket};
+use std::net::{SocketAddr, UdpSocket};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
 use ragwortgrade_schema::Name;
-use ragwortgrade_schema::platform::{Vm, VmKind, VmState};
+use ragwortgrade_schema::platform::{Vm, VmKind, VmState, Write};
+use ragwortgrade_standins::deployment::{Declaration, free_address};
 use ragwortgrade_standins::{
-    Engine, EngineSettings, KeyValue, KeyValueSettings, VmList, VmListSettings,
+    Caller, Engine, EngineSettings, KeyValue, KeyValueSettings, VmList, VmListSettings,
 };
 use tempfile::TempDir;
 
@@ -60,11 +61,25 @@
         })?;
         let key_value = KeyValue::bind(&KeyValueSettings::default())?;
         let platform = (key_value.address().to_string(), list.address().to_string());
-        let ports = (0..daemons)
-            .map(|_| free_port())
+        let peers = (0..daemons)
+            .map(|_| free_address())
             .collect::<Result<Vec<_>, _>>()?;
+        // Daemons without a configuration ask each other for one all the time.
+        let write = Write {
+            expect: 0,
+            key: "configuration".to_owned(),
+            lease: None,
+            value: Some(
+                Declaration {
+                    revision: 1,
+                    ..Declaration::standard()
+                }
+                .to_string(),
+            ),
+        };
+        Caller::open().write(key_value.address(), &write)?;
         let daemons = (0..daemons)
-            .map(|index| Daemon::spawn(directory.path(), index, &ports, &platform))
+            .map(|index| Daemon::spawn(directory.path(), index, &peers, &platform))
             .collect::<Result<_, _>>()?;
         Ok(Self {
             daemons,
@@ -105,7 +120,7 @@
     fn spawn(
         directory: &Path,
         index: usize,
-        ports: &[u16],
+        peers: &[SocketAddr],
         platform: &(String, String),
     ) -> Result<Self, Box<dyn Error>> {
         let gauges = UdpSocket::bind("127.0.0.1:0")?;
@@ -113,7 +128,7 @@
         let file = directory.join(format!("{index}.ini"));
         fs::write(
             &file,
-            settings(index, ports, platform, &gauges.local_addr()?.to_string())?,
+            settings(index, peers, platform, &gauges.local_addr()?.to_string())?,
         )?;
         let process = Command::new(binary()?)
             .arg("--settings")
@@ -131,16 +146,12 @@
 
 fn settings(
     index: usize,
-    ports: &[u16],
+    peers: &[SocketAddr],
     (key_value, vm_list): &(String, String),
     metrics: &str,
 ) -> Result<String, std::fmt::Error> {
     // Three seeds, as an operator would list them.
-    let seeds: Vec<String> = ports
-        .iter()
-        .take(3)
-        .map(|port| format!("127.0.0.1:{port}"))
-        .collect();
+    let seeds: Vec<String> = peers.iter().take(3).map(ToString::to_string).collect();
     let mut text = String::new();
     writeln!(
         text,
@@ -150,7 +161,7 @@
         text,
         "callers_address = 127.0.0.1:0\nadmin_address = 127.0.0.1:0"
     )?;
-    writeln!(text, "peers_address = 127.0.0.1:{}", ports[index])?;
+    writeln!(text, "peers_address = {}", peers[index])?;
     writeln!(
         text,
         "[platform]\nkey_value = http://{key_value}\nvm_list = http://{vm_list}"
@@ -186,10 +197,6 @@
     }
 }
 
-fn free_port() -> io::Result<u16> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
-}
-
 /// The daemon beside this example in the target directory.
 fn binary() -> io::Result<std::path::PathBuf> {
     let example = env::current_exe()?;
--- a/lib/src/membership/observer.rs
+++ b/lib/src/membership/observer.rs
@@ -17,6 +17,9 @@
 const OBSERVERS: usize = 2;
 /// One lost answer says little; two in a row keep new work away.
 const FAILURES_TO_UNREACHABLE: u32 = 2;
+/// Endpoints of a data centre that is cut off are observed by each daemon itself, since no other
+/// would tell it that they are leaving; in a larger fleet that would cost too much.
+const SILENT_ENDPOINTS_MAX: usize = 60;
 /// A daemon to which no endpoint falls learns the loads from gossip within a few passes.
 const PASSES_TO_READY: u32 = 5;
 
@@ -54,13 +57,15 @@
     // All of them route to the same endpoints.
     let count = table.roster().live().len() as u32;
     node.observe(Event::Daemons { count });
-    let mine: Vec<Endpoint> = node
-        .directory
-        .all()
+    let endpoints = node.directory.all();
+    let observes_silent = endpoints.len() <= SILENT_ENDPOINTS_MAX;
+    let mine: Vec<Endpoint> = endpoints
         .into_iter()
-        .filter(|endpoint| endpoint.data_centre == daemon.data_centre)
         .filter(|endpoint| {
-            rendezvous::is_among_highest(&daemon.id, &endpoint.id, &daemons, OBSERVERS)
+            if endpoint.data_centre == daemon.data_centre {
+                return rendezvous::is_among_highest(&daemon.id, &endpoint.id, &daemons, OBSERVERS);
+            }
+            observes_silent && table.is_silent(&endpoint.data_centre)
         })
         .collect();
     failures.retain(|id, _| mine.iter().any(|endpoint| endpoint.id == *id));
--- a/lib/src/membership/table.rs
+++ b/lib/src/membership/table.rs
@@ -18,6 +18,8 @@
 
 const THOUSAND: u64 = 1_000;
 const PIECE_TOKENS: u64 = 2_048;
+/// Small deployments hear of every data centre each second or two.
+const SILENT_AFTER: Duration = Duration::from_secs(3);
 /// Observers report once a second, and gossip takes a few rounds.
 const REPORT_MAX_AGE: Duration = Duration::from_secs(8);
 
@@ -31,6 +33,8 @@
     loads: Mutex<Loads>,
     descriptions: Mutex<HashMap<u32, Load>>,
     demands: Demands,
+    /// When a daemon of each other data centre was heard of last.
+    heard: Mutex<HashMap<Name, Instant>>,
     urgent: AtomicBool,
     resumed: AtomicBool,
 }
@@ -47,6 +51,7 @@
             loads: Mutex::default(),
             descriptions: Mutex::default(),
             demands: Demands::default(),
+            heard: Mutex::default(),
             urgent: AtomicBool::new(false),
             resumed: AtomicBool::new(false),
         }
@@ -91,6 +96,7 @@
         self.apply_endpoints(&changed);
         self.absorb_marks(&gossip.departures);
         let is_local = gossip.sender.data_centre == self.node.settings.daemon.data_centre;
+        lock(&self.heard).insert(gossip.sender.data_centre.clone(), now);
         // News from another data centre has reached one daemon of this one.
         if !is_local
             && changed
@@ -167,6 +173,18 @@
         sighting.is_some_and(|sighting| now.since(sighting.observed) <= REPORT_MAX_AGE)
     }
 
+    /// Tells whether nothing was heard of a data centre for so long that it must be cut off from
+    /// this one; its endpoints may still be reached, and may be leaving.
+    #[must_use]
+    pub fn is_silent(&self, data_centre: &Name) -> bool {
+        let now = self.node.clock.now();
+        let heard = lock(&self.heard)
+            .get(data_centre)
+            .copied()
+            .unwrap_or_default();
+        now.since(heard) > SILENT_AFTER
+    }
+
     /// Estimates the recent demand of this data centre.
     #[must_use]
     pub fn demand(&self) -> Vec<Demand> {
