--- a/cli/examples/capacity/arguments.rs
+++ b/cli/examples/capacity/arguments.rs
@@ -13,7 +13,7 @@
 }
 
 impl Arguments {
-    /// Reads the command line; the default is the data centre of letter-scale size and two below.
+    /// Reads the command line; the default is a data centre at the target scale and two smaller ones.
     pub fn parse() -> Result<Self, lexopt::Error> {
         let mut arguments = Self {
             daemons: vec![10, 25, 50],
