gateway: serve the users' platform through an adapter

Change: policy::gateway decides (routes, placement, health, retries), lib::gateway relays on one thread over hyper, platform/ translates headers, documents and the store, deploy/ has the template.

--- a/cli/src/bin/ragwortgrade.rs
+++ b/cli/src/bin/ragwortgrade/main.rs
@@ -1,5 +1,7 @@
 //! The `ragwortgrade` program: reads the settings, starts the daemon and drains it on a signal.
 
+mod gateway;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -16,6 +18,11 @@
 Serves language models and plain services on a fixed fleet; one process per entry VM.
 
 Usage: ragwortgrade --settings FILE [--check-settings]
+       ragwortgrade gateway [--settings FILE] [--check-settings]
+
+Commands:
+      gateway            Serves on the users' platform; without `--settings` the settings are
+                         read from the file that the platform's environment names
 
 Options:
       --settings FILE    Reads the settings from FILE
@@ -23,7 +30,8 @@
   -h, --help             Prints this text
   -V, --version          Prints the version
 
-Signals: SIGTERM and SIGINT drain the daemon; it ends when its requests are done.
+Signals: SIGTERM and SIGINT drain the daemon; it ends when its requests are done. A gateway reads
+its settings again on SIGHUP and when the file changes.
 
 Exit codes: 0 done or drained, 1 could not start, 2 wrong command line, 3 faulty settings.
 ";
@@ -35,6 +43,7 @@
 
 enum Command {
     Run(Options),
+    Gateway(Options),
     Print(String),
 }
 
@@ -45,6 +54,7 @@
             ExitCode::SUCCESS
         }
         Ok(Command::Run(options)) => run(&options),
+        Ok(Command::Gateway(options)) => gateway::run(&options),
         Err(error) => {
             eprintln!("ragwortgrade: {error}; see `ragwortgrade --help`");
             ExitCode::from(EXIT_USAGE)
@@ -53,10 +63,11 @@
 }
 
 fn parse_command_line() -> Result<Command, lexopt::Error> {
-    use lexopt::prelude::{Long, Short};
+    use lexopt::prelude::{Long, Short, Value};
 
     let mut settings = None;
     let mut is_check = false;
+    let mut is_gateway = false;
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
@@ -67,9 +78,14 @@
                 let version = env!("CARGO_PKG_VERSION");
                 return Ok(Command::Print(format!("ragwortgrade {version}\n")));
             }
+            Value(command) if command == "gateway" && !is_gateway => is_gateway = true,
             other => return Err(other.unexpected()),
         }
     }
+    if is_gateway {
+        let settings = settings.map_or_else(gateway::settings_path, Ok)?;
+        return Ok(Command::Gateway(Options { settings, is_check }));
+    }
     let settings = settings.ok_or("missing option `--settings FILE`")?;
     Ok(Command::Run(Options { settings, is_check }))
 }
--- /dev/null
+++ b/lib/src/gateway.rs
@@ -0,0 +1,35 @@
+//! Relays callers' requests to engines and plain services by declared routes.
+//!
+//! The gateway speaks no particular dialect: a [`Dialect`] names the headers, a [`Store`] holds the
+//! declarations and the registrations. Decisions are those of `ragwortgrade_policy::gateway`; this
+//! module moves bytes, keeps time and reports what happened. It runs on one thread, since an entry
+//! VM has a fraction of a core.
+
+mod answer;
+mod budgets;
+mod caller;
+mod client;
+mod connection;
+mod dialect;
+mod exchange;
+mod follower;
+mod generation;
+mod handle;
+mod options;
+mod plain;
+mod pump;
+mod relay;
+mod request;
+mod server;
+mod settings;
+mod shared;
+mod socket;
+mod status;
+mod store;
+
+pub use client::{Client, FetchError};
+pub use dialect::{Dialect, Dispatch, Purpose, Reply};
+pub use handle::Gateway;
+pub use options::{Declarations, Options};
+pub use settings::Settings;
+pub use store::{Item, Page, Store, StoreError, Update, Updates};
--- /dev/null
+++ b/lib/src/gateway/caller.rs
@@ -0,0 +1,166 @@
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
+use std::time::Instant;
+
+use ragwortgrade_policy::gateway::Limits;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// State of one caller's connection.
+#[derive(Debug)]
+pub(super) struct Caller {
+    requests: Cell<u32>,
+    /// First byte of a head that is not complete.
+    head_begun: Cell<Option<Instant>>,
+    idle_since: Cell<Instant>,
+    pub(super) closing: Notify,
+    pub(super) expired: Notify,
+}
+
+/// All connections of callers.
+#[derive(Debug, Default)]
+pub(super) struct Callers {
+    open: RefCell<Vec<Weak<Caller>>>,
+}
+
+/// A request that is being answered.
+#[derive(Debug)]
+pub(super) struct InFlight(Rc<Caller>);
+
+impl Caller {
+    pub(super) fn open() -> Rc<Self> {
+        Rc::new(Self {
+            requests: Cell::new(0),
+            head_begun: Cell::new(None),
+            idle_since: Cell::new(Instant::now()),
+            closing: Notify::new(),
+            expired: Notify::new(),
+        })
+    }
+
+    /// Notes that the head of a request is complete.
+    pub(super) fn begin(self: &Rc<Self>) -> InFlight {
+        self.requests.set(self.requests.get() + 1);
+        self.head_begun.set(None);
+        InFlight(Rc::clone(self))
+    }
+
+    fn is_idle(&self) -> bool {
+        self.requests.get() == 0 && self.head_begun.get().is_none()
+    }
+
+    fn read(&self) {
+        if self.requests.get() == 0 && self.head_begun.get().is_none() {
+            self.head_begun.set(Some(Instant::now()));
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.requests.set(self.0.requests.get().saturating_sub(1));
+        self.0.idle_since.set(Instant::now());
+    }
+}
+
+impl Callers {
+    pub(super) fn add(&self, caller: &Rc<Caller>) {
+        self.open.borrow_mut().push(Rc::downgrade(caller));
+    }
+
+    /// Returns the number of connections.
+    pub(super) fn len(&self) -> usize {
+        let mut open = self.open.borrow_mut();
+        open.retain(|caller| caller.strong_count() > 0);
+        open.len()
+    }
+
+    /// Returns the number of requests that are being answered.
+    pub(super) fn requests(&self) -> u32 {
+        let open = self.open.borrow();
+        let callers = open.iter().filter_map(Weak::upgrade);
+        callers.map(|caller| caller.requests.get()).sum()
+    }
+
+    /// Closes connections that were idle, or whose head took, longer than the limits allow.
+    pub(super) fn close_overdue(&self, limits: &Limits) {
+        let now = Instant::now();
+        for caller in self.open.borrow().iter().filter_map(Weak::upgrade) {
+            if let Some(begun) = caller.head_begun.get() {
+                if now.duration_since(begun) > limits.header_timeout {
+                    caller.expired.notify_one();
+                }
+            } else if caller.is_idle()
+                && now.duration_since(caller.idle_since.get()) > limits.idle_timeout
+            {
+                caller.closing.notify_one();
+            }
+        }
+    }
+
+    /// Closes the connections on which no request is being answered.
+    pub(super) fn close_idle(&self) {
+        for caller in self.open.borrow().iter().filter_map(Weak::upgrade) {
+            if caller.is_idle() {
+                caller.closing.notify_one();
+            }
+        }
+    }
+}
+
+/// Stream of a caller that notes when a head begins.
+#[derive(Debug)]
+pub(super) struct Watched {
+    pub(super) stream: TcpStream,
+    pub(super) caller: Rc<Caller>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut this.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            this.caller.read();
+        }
+        result
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/client.rs
@@ -0,0 +1,155 @@
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::CONNECTION;
+use http::{Request, Response};
+use http_body_util::{BodyExt as _, Full};
+use hyper::client::conn::{TrySendError, http1};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use super::connection::{Connection, Idle};
+use super::socket;
+
+/// Idle connections kept for one address: about the requests that run there at once.
+const IDLE_PER_ADDRESS_MAX: usize = 16;
+
+/// Longest idle time of a connection to a service of the platform, which answers in milliseconds.
+const SERVICE_IDLE_MAX: Duration = Duration::from_secs(3);
+const SERVICE_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+const SERVICE_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// HTTP client with a pool of connections; for endpoints and for the platform's services.
+#[derive(Clone, Debug, Default)]
+pub struct Client {
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Idle>>>>,
+}
+
+/// Why there is no connection.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ConnectError {
+    #[error("connection could not be opened: {0}")]
+    Refused(#[from] std::io::Error),
+    #[error("connection could not be opened: {0}")]
+    Handshake(#[from] hyper::Error),
+    #[error("connection could not be opened in time")]
+    TimedOut,
+}
+
+/// Why a call to a service of the platform has no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum FetchError {
+    /// No connection could be opened.
+    #[error("{0}")]
+    Unreachable(String),
+    /// The connection or the answer broke.
+    #[error("answer lost: {0}")]
+    Lost(#[from] hyper::Error),
+    /// There was no answer in time.
+    #[error("no answer in time")]
+    TimedOut,
+}
+
+impl Client {
+    /// Calls a service of the platform and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no complete answer within `timeout`; the call may have been carried out.
+    pub async fn fetch(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, FetchError> {
+        tokio::time::timeout(timeout, self.fetch_whole(address, request))
+            .await
+            .map_err(|_elapsed| FetchError::TimedOut)?
+    }
+
+    async fn fetch_whole(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, FetchError> {
+        let mut connection = self
+            .connection(address, SERVICE_IDLE_MAX, SERVICE_CONNECT_TIMEOUT)
+            .await
+            .map_err(|error| FetchError::Unreachable(error.to_string()))?;
+        let response = connection
+            .send(request)
+            .await
+            .map_err(TrySendError::into_error)?;
+        let (head, body) = response.into_parts();
+        let whole = body.collect().await?.to_bytes();
+        let closes = head.headers.get(CONNECTION);
+        if closes.is_none_or(|value| !value.as_bytes().eq_ignore_ascii_case(b"close")) {
+            self.keep(connection, SERVICE_IDLE_TIMEOUT);
+        }
+        Ok(Response::from_parts(head, whole))
+    }
+
+    /// Returns a connection: one that was idle for at most `idle_max`, or a new one.
+    pub(super) async fn connection(
+        &self,
+        address: SocketAddr,
+        idle_max: Duration,
+        timeout: Duration,
+    ) -> Result<Connection, ConnectError> {
+        if let Some(connection) = self.take_idle(address, idle_max) {
+            return Ok(connection);
+        }
+        tokio::time::timeout(timeout, connect(address))
+            .await
+            .map_err(|_elapsed| ConnectError::TimedOut)?
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    pub(super) fn keep(&self, connection: Connection, idle_timeout: Duration) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(connection.address()).or_default();
+        if kept.len() < IDLE_PER_ADDRESS_MAX {
+            kept.push(connection.into_idle(idle_timeout));
+        }
+    }
+
+    /// Closes connections that were idle for too long; called now and then.
+    pub(super) fn close_expired(&self) {
+        let now = Instant::now();
+        self.idle.borrow_mut().retain(|_, kept| {
+            kept.retain(|idle| idle.is_usable(now, Duration::MAX));
+            !kept.is_empty()
+        });
+    }
+
+    fn take_idle(&self, address: SocketAddr, idle_max: Duration) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        let now = Instant::now();
+        while let Some(newest) = kept.pop() {
+            if newest.is_usable(now, idle_max) {
+                return Some(newest.into_connection());
+            }
+        }
+        None
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
+    let stream = TcpStream::connect(address).await?;
+    socket::watch_peer(&stream)?;
+    let (sender, driver) = http1::Builder::new()
+        .title_case_headers(true)
+        .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+        .await?;
+    let task = tokio::task::spawn_local(async move {
+        if let Err(error) = driver.await {
+            log::debug!(address:% = address, error:% = error; "connection ended");
+        }
+    });
+    Ok(Connection::new(address, sender, task.abort_handle()))
+}
--- /dev/null
+++ b/lib/src/gateway/connection.rs
@@ -0,0 +1,93 @@
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::client::conn::http1::SendRequest;
+use tokio::task::AbortHandle;
+
+/// Part of the peer's idle timeout after which a connection is not used again, so that a request
+/// does not cross the peer's close.
+const IDLE_PART: f64 = 0.7;
+
+/// An open connection to one address. Dropping it closes the socket, which ends the work of the
+/// request that runs on it.
+#[derive(Debug)]
+pub(super) struct Connection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    task: TaskGuard,
+    is_reused: bool,
+}
+
+/// A connection without a request.
+#[derive(Debug)]
+pub(super) struct Idle {
+    connection: Connection,
+    since: Instant,
+    timeout: Duration,
+}
+
+#[derive(Debug)]
+struct TaskGuard(AbortHandle);
+
+impl Drop for TaskGuard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Connection {
+    pub(super) fn new(
+        address: SocketAddr,
+        sender: SendRequest<Full<Bytes>>,
+        task: AbortHandle,
+    ) -> Self {
+        Self {
+            address,
+            sender,
+            task: TaskGuard(task),
+            is_reused: false,
+        }
+    }
+
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub(super) const fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    pub(super) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.sender.try_send_request(request).await
+    }
+
+    pub(super) fn into_idle(self, idle_timeout: Duration) -> Idle {
+        Idle {
+            connection: self,
+            since: Instant::now(),
+            timeout: idle_timeout.mul_f64(IDLE_PART),
+        }
+    }
+}
+
+impl Idle {
+    pub(super) fn is_usable(&self, now: Instant, idle_max: Duration) -> bool {
+        let is_open = !self.connection.sender.is_closed() && !self.connection.task.0.is_finished();
+        is_open && now.duration_since(self.since) < self.timeout.min(idle_max)
+    }
+
+    pub(super) fn into_connection(self) -> Connection {
+        Connection {
+            is_reused: true,
+            ..self.connection
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/dialect.rs
@@ -0,0 +1,81 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts as RequestParts;
+use http::response::Parts as ResponseParts;
+use http::{HeaderMap, Method};
+use ragwortgrade_policy::gateway::{Arrival, Endpoint};
+use ragwortgrade_schema::Name;
+
+/// Names of headers and paths that callers and endpoints use.
+pub trait Dialect: std::fmt::Debug {
+    /// Reads what routing needs from the head of a caller's request.
+    fn arrival(&self, head: &RequestParts) -> Arrival;
+
+    /// Builds the headers of the request to an endpoint from those of the caller.
+    fn outbound(&self, head: &RequestParts, dispatch: &Dispatch<'_>) -> HeaderMap;
+
+    /// Reads what the head of an endpoint's answer says about the request.
+    fn reply(&self, head: &ResponseParts) -> Reply;
+
+    /// Returns the headers of an answer that the caller gets.
+    fn passed_on(&self, headers: &HeaderMap) -> HeaderMap;
+
+    /// Reads the handle from the answer to a prefill that was run apart.
+    fn prefill_handle(&self, body: &[u8]) -> Option<Name>;
+
+    /// Returns the call that frees the KV cache of a prefill.
+    fn release(&self, handle: &str) -> (Method, String);
+}
+
+/// What an endpoint is told beside the caller's own request.
+#[derive(Clone, Debug)]
+pub struct Dispatch<'a> {
+    /// Endpoint that is meant; another one at its address must not run the request.
+    pub endpoint: &'a Endpoint,
+    /// Time left until the caller gives up or the route's time limit ends.
+    pub left: Option<Duration>,
+    /// Urgency, 0 first.
+    pub priority: Option<u8>,
+    /// What the endpoint does.
+    pub purpose: Purpose,
+}
+
+/// What an endpoint does with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// It runs it.
+    Run,
+    /// It reads the prompt for another engine.
+    Prefill,
+    /// It runs it with a KV cache from another engine.
+    RunFrom {
+        /// Engine that read the prompt.
+        source: SocketAddr,
+        /// Handle of the KV cache there.
+        handle: Name,
+    },
+    /// It continues a stream after an event.
+    Resume {
+        /// Last event that the caller has.
+        last_event: u64,
+    },
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reply {
+    /// The endpoint states that it did not run the request.
+    pub is_not_run: bool,
+    /// Another endpoint listens at the address.
+    pub is_wrong_endpoint: bool,
+    /// The answer bears the endpoint's signature.
+    pub is_signed: bool,
+    /// Identity of the request that is answered.
+    pub request_id: Option<Bytes>,
+    /// Time for which the endpoint keeps the connection open without a request.
+    pub idle_timeout: Option<Duration>,
+    /// The endpoint closes the connection after this answer.
+    pub closes: bool,
+}
--- /dev/null
+++ b/lib/src/gateway/handle.rs
@@ -0,0 +1,217 @@
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::mpsc as std_mpsc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use http::{Response, StatusCode};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use super::answer::Answer;
+use super::shared::Shared;
+use super::{Options, follower, server, status};
+use crate::observe::{Board, Metrics};
+
+/// How often connections are checked against the operators' limits.
+const CHECK_PAUSE: Duration = Duration::from_millis(500);
+/// Time for which new callers are still served after a planned stop began: the balancer asks once
+/// a second and needs two misses.
+const STOP_ACCEPTING_AFTER: Duration = Duration::from_millis(3_500);
+/// Time kept back before a planned stop must be over.
+const STOP_MARGIN: Duration = Duration::from_millis(600);
+/// How often a planned stop looks whether all requests are done.
+const STOP_PAUSE: Duration = Duration::from_millis(100);
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    addresses: Addresses,
+    stop: watch::Sender<bool>,
+    thread: Option<JoinHandle<bool>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Addresses {
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    metrics: Option<SocketAddr>,
+}
+
+struct Listeners {
+    callers: TcpListener,
+    readiness: TcpListener,
+    metrics: Option<TcpListener>,
+}
+
+impl Gateway {
+    /// Starts a gateway on a thread of its own; `options` is called there.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be opened.
+    pub fn spawn(options: impl FnOnce() -> Options + Send + 'static) -> io::Result<Self> {
+        let (stop, stopping) = watch::channel(false);
+        let (started, start) = std_mpsc::channel();
+        let thread = std::thread::Builder::new()
+            .name("gateway".to_owned())
+            .spawn(move || {
+                let runtime = match tokio::runtime::Builder::new_current_thread()
+                    .enable_all()
+                    .build()
+                {
+                    Ok(runtime) => runtime,
+                    Err(error) => {
+                        drop(started.send(Err(error)));
+                        return false;
+                    }
+                };
+                LocalSet::new().block_on(&runtime, serve(options(), started, stopping))
+            })?;
+        let addresses = start
+            .recv()
+            .map_err(|_gone| io::Error::other("gateway ended while it started"))??;
+        Ok(Self {
+            addresses,
+            stop,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns where callers connect.
+    #[must_use]
+    pub const fn callers_address(&self) -> SocketAddr {
+        self.addresses.callers
+    }
+
+    /// Returns where readiness is answered.
+    #[must_use]
+    pub const fn readiness_address(&self) -> SocketAddr {
+        self.addresses.readiness
+    }
+
+    /// Returns where metrics are served.
+    #[must_use]
+    pub const fn metrics_address(&self) -> Option<SocketAddr> {
+        self.addresses.metrics
+    }
+
+    /// Stops as planned: callers are sent elsewhere and running requests end. Returns whether all
+    /// of them did.
+    #[must_use]
+    pub fn drain(mut self) -> bool {
+        self.stop.send_replace(true);
+        let thread = self.thread.take();
+        thread.is_some_and(|thread| thread.join().unwrap_or(false))
+    }
+}
+
+async fn serve(
+    options: Options,
+    started: std_mpsc::Sender<io::Result<Addresses>>,
+    mut stopping: watch::Receiver<bool>,
+) -> bool {
+    let (addresses, listeners) = match bind(&options) {
+        Ok(bound) => bound,
+        Err(error) => {
+            drop(started.send(Err(error)));
+            return false;
+        }
+    };
+    let (metrics, board) = Metrics::with_board();
+    let shared = Shared::open(options, metrics);
+    log::info!(
+        name:% = shared.options.name, data_centre:% = shared.options.data_centre,
+        version = env!("CARGO_PKG_VERSION");
+        "gateway started"
+    );
+    tokio::task::spawn_local(follower::follow_catalog(Rc::clone(&shared)));
+    tokio::task::spawn_local(follower::follow_endpoints(Rc::clone(&shared)));
+    tokio::task::spawn_local(follower::expire_endpoints(Rc::clone(&shared)));
+    tokio::task::spawn_local(check(Rc::clone(&shared)));
+    let asked = Rc::clone(&shared);
+    let readiness = move |_: &str| server::readiness(&asked);
+    tokio::task::spawn_local(server::serve_questions(listeners.readiness, readiness));
+    if let Some(listener) = listeners.metrics {
+        let answer = move |_: &str| render(&board);
+        tokio::task::spawn_local(server::serve_questions(listener, answer));
+    }
+    drop(started.send(Ok(addresses)));
+    let callers = pin!(server::serve_callers(Rc::clone(&shared), listeners.callers));
+    serve_until_stopped(&shared, callers, &mut stopping).await
+}
+
+fn bind(options: &Options) -> io::Result<(Addresses, Listeners)> {
+    let callers = server::listen(options.callers_address, "callers")?;
+    let readiness = server::listen(options.readiness_address, "readiness")?;
+    let metrics = options
+        .metrics_address
+        .map(|address| server::listen(address, "metrics"))
+        .transpose()?;
+    let addresses = Addresses {
+        callers: callers.local_addr()?,
+        readiness: readiness.local_addr()?,
+        metrics: metrics.as_ref().map(TcpListener::local_addr).transpose()?,
+    };
+    let listeners = Listeners {
+        callers,
+        readiness,
+        metrics,
+    };
+    Ok((addresses, listeners))
+}
+
+/// Serves until a planned stop is asked for, then lets the running requests end.
+async fn serve_until_stopped(
+    shared: &Rc<Shared>,
+    mut callers: std::pin::Pin<&mut impl Future<Output = ()>>,
+    stopping: &mut watch::Receiver<bool>,
+) -> bool {
+    tokio::select! {
+        () = callers.as_mut() => return false,
+        _ = stopping.wait_for(|is_stopping| *is_stopping) => {}
+    }
+    let begun = Instant::now();
+    shared.is_draining.set(true);
+    log::info!(requests = shared.callers.requests(); "planned stop began");
+    tokio::select! {
+        () = callers.as_mut() => {}
+        () = tokio::time::sleep(STOP_ACCEPTING_AFTER) => {}
+    }
+    let end = shared.options.stop_timeout.saturating_sub(STOP_MARGIN);
+    loop {
+        shared.callers.close_idle();
+        let is_done = shared.callers.len() == 0;
+        if is_done || begun.elapsed() >= end {
+            log::info!(is_done = is_done, requests = shared.callers.requests(); "stopped");
+            return is_done;
+        }
+        // Callers that were sent here late are still served.
+        tokio::select! {
+            () = callers.as_mut() => {}
+            () = tokio::time::sleep(STOP_PAUSE) => {}
+        }
+    }
+}
+
+/// Closes overdue connections and unused ones to endpoints.
+async fn check(shared: Rc<Shared>) {
+    loop {
+        tokio::time::sleep(CHECK_PAUSE).await;
+        shared.callers.close_overdue(&shared.limits());
+        shared.client.close_expired();
+    }
+}
+
+fn render(board: &Board) -> Response<Answer> {
+    let mut response = status::own(StatusCode::OK, "none");
+    *response.body_mut() = Answer::whole(board.render().into());
+    response.headers_mut().insert(
+        http::header::CONTENT_TYPE,
+        http::HeaderValue::from_static("text/plain"),
+    );
+    response
+}
--- /dev/null
+++ b/lib/src/gateway/settings.rs
@@ -0,0 +1,186 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use log::LevelFilter;
+use ragwortgrade_operator::ini;
+use ragwortgrade_schema::Name;
+
+use crate::settings::{Fault, Faults};
+
+const SECTION: &str = "gateway";
+
+/// Settings of a gateway: one INI section `[gateway]`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of this daemon.
+    pub name: Name,
+    /// Data centre in which it runs.
+    pub data_centre: Name,
+    /// Where callers connect.
+    pub callers_address: SocketAddr,
+    /// Where the balancer asks whether the daemon is ready.
+    pub readiness_address: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_address: Option<SocketAddr>,
+    /// Key-value service.
+    pub store_address: SocketAddr,
+    /// Part of the requests for a service that all daemons together may send again.
+    pub retry_ratio: f64,
+    /// Time within which a planned stop must be over.
+    pub stop_timeout: Duration,
+    /// Most open files, of which callers' connections may take half.
+    pub open_files_max: usize,
+    /// Least severe lines that are logged.
+    pub log_level: LevelFilter,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the file with its line.
+    pub fn load(path: &Path) -> Result<Self, Faults> {
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&text, path),
+            Err(error) => {
+                let fault = Fault::without_line(format!("cannot be read: {error}"));
+                Err(Faults::new(path, vec![fault]))
+            }
+        }
+    }
+
+    /// Checks the text of a settings file; `path` is only named in the faults.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the text with its line.
+    pub fn parse(text: &str, path: &Path) -> Result<Self, Faults> {
+        let mut reader = Reader::open(text);
+        let settings = reader.settings();
+        reader.reject_unknown();
+        match settings {
+            Some(settings) if reader.faults.is_empty() => Ok(settings),
+            _ => Err(Faults::new(path, reader.faults)),
+        }
+    }
+}
+
+struct Reader {
+    values: HashMap<String, ini::Property>,
+    faults: Vec<Fault>,
+}
+
+impl Reader {
+    fn open(text: &str) -> Self {
+        let (sections, syntax) = ini::read(text);
+        let mut faults: Vec<Fault> = syntax.into_iter().map(Fault::from).collect();
+        let mut values = HashMap::new();
+        for section in sections {
+            if section.heading != SECTION {
+                let message = format!("section `[{}]` is unknown", section.heading);
+                faults.push(Fault::at(section.line, message));
+                continue;
+            }
+            let properties = section.properties.into_iter();
+            values.extend(properties.map(|property| (property.key.clone(), property)));
+        }
+        Self { values, faults }
+    }
+
+    fn settings(&mut self) -> Option<Settings> {
+        let name = self.text("name");
+        let data_centre = self.text("data_centre");
+        let callers_address = self.parsed("callers_address", "an address such as 10.0.0.1:80");
+        let readiness_address = self.parsed("readiness_address", "an address such as 10.0.0.1:81");
+        let metrics_address = self.optional("metrics_address", "an address such as 10.0.0.1:82");
+        let store_address = self.parsed("store_address", "an address such as 10.0.0.1:83");
+        let retry_ratio = self.within("retry_ratio", 0.0, 1.0);
+        let stop_timeout = self.within("stop_timeout_seconds", 1.0, 600.0);
+        let open_files_max = self.parsed("open_files_max", "a whole number");
+        let log_level = self.parsed("log_level", "error, warn, info, debug or trace");
+        Some(Settings {
+            name: name?,
+            data_centre: data_centre?,
+            callers_address: callers_address?,
+            readiness_address: readiness_address?,
+            metrics_address,
+            store_address: store_address?,
+            retry_ratio: retry_ratio?,
+            stop_timeout: Duration::from_secs_f64(stop_timeout?),
+            open_files_max: open_files_max?,
+            log_level: log_level?,
+        })
+    }
+
+    fn text(&mut self, key: &str) -> Option<Name> {
+        let property = self.required(key)?;
+        if property.value.is_empty() {
+            self.reject(&property, "a name");
+            return None;
+        }
+        Some(property.value.as_str().into())
+    }
+
+    fn parsed<T: std::str::FromStr>(&mut self, key: &str, accepted: &str) -> Option<T> {
+        let property = self.required(key)?;
+        self.parse(&property, accepted)
+    }
+
+    fn optional<T: std::str::FromStr>(&mut self, key: &str, accepted: &str) -> Option<T> {
+        let property = self.values.remove(key)?;
+        if property.value.is_empty() {
+            return None;
+        }
+        self.parse(&property, accepted)
+    }
+
+    fn within(&mut self, key: &str, least: f64, most: f64) -> Option<f64> {
+        let property = self.required(key)?;
+        let accepted = format!("a number from {least} to {most}");
+        let number: f64 = self.parse(&property, &accepted)?;
+        if !(least..=most).contains(&number) {
+            self.reject(&property, &accepted);
+            return None;
+        }
+        Some(number)
+    }
+
+    fn parse<T: std::str::FromStr>(
+        &mut self,
+        property: &ini::Property,
+        accepted: &str,
+    ) -> Option<T> {
+        let parsed = property.value.parse().ok();
+        if parsed.is_none() {
+            self.reject(property, accepted);
+        }
+        parsed
+    }
+
+    fn required(&mut self, key: &str) -> Option<ini::Property> {
+        let property = self.values.remove(key);
+        if property.is_none() {
+            let message = format!("`{key}` is missing in section `[{SECTION}]`");
+            self.faults.push(Fault::without_line(message));
+        }
+        property
+    }
+
+    fn reject(&mut self, property: &ini::Property, accepted: &str) {
+        let message = format!(
+            "`{}` is `{}`; accepted is {accepted}",
+            property.key, property.value
+        );
+        self.faults.push(Fault::at(property.line, message));
+    }
+
+    fn reject_unknown(&mut self) {
+        for (key, property) in self.values.drain() {
+            let message = format!("key `{key}` is unknown in section `[{SECTION}]`");
+            self.faults.push(Fault::at(property.line, message));
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/socket.rs
@@ -0,0 +1,41 @@
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Time after which unacknowledged bytes end a connection; a path that is cut is noticed well
+/// before the seconds that the operators allow for a machine that is back in touch.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Shortest probes that TCP offers.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+const KEEPALIVE_PROBES: u32 = 2;
+/// Connections that wait to be accepted; a full queue delays callers by seconds.
+const BACKLOG: i32 = 1_024;
+
+/// Listens at an address.
+pub(super) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Makes a connection notice a silent peer, and sends small writes at once.
+pub(super) fn watch_peer(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_TIME)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&probes)
+}
--- /dev/null
+++ b/lib/src/gateway/status.rs
@@ -0,0 +1,31 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::{Response, StatusCode};
+
+use super::answer::Answer;
+
+/// Time to come back when nothing is known about when there will be room.
+pub(super) const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(300);
+
+/// Returns an answer of the gateway's own.
+pub(super) fn own(status: StatusCode, reason: &str) -> Response<Answer> {
+    let body = format!("{{\"error\":\"{reason}\"}}");
+    let mut response = Response::new(Answer::whole(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// Returns a refusal: the request has not run and never will.
+pub(super) fn not_run(reason: &str, retry_after: Duration) -> Response<Answer> {
+    let mut response = own(StatusCode::SERVICE_UNAVAILABLE, reason);
+    let seconds = format!("{:.3}", retry_after.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod endpoint;
 pub mod front;
+pub mod gateway;
 pub mod gossip;
 mod lock;
 pub mod membership;
--- a/lib/src/observe/error.rs
+++ b/lib/src/observe/error.rs
@@ -14,6 +14,9 @@
     /// The process already has a logger.
     #[error("a logger is already installed")]
     LoggerInstalled,
+    /// The thread that writes the lines cannot be started.
+    #[error("thread of the log cannot be started: {0}")]
+    Thread(io::Error),
     /// The UDP socket for metrics cannot be opened.
     #[error("UDP socket for metrics cannot be opened: {0}")]
     Socket(io::Error),
--- a/lib/src/observe/logging.rs
+++ b/lib/src/observe/logging.rs
@@ -6,7 +6,7 @@
 use super::{Error, line, recent};
 
 /// Libraries that log every connection at the daemon's own level.
-const CHATTY_TARGETS: [&str; 4] = ["tarpc", "ureq", "ureq_proto", "rouille"];
+const CHATTY_TARGETS: [&str; 5] = ["hyper", "tarpc", "ureq", "ureq_proto", "rouille"];
 
 /// Starts logging for the whole process as JSON lines, to a file or to standard error; the newest
 /// lines are also kept for operators who watch.
@@ -15,12 +15,7 @@
 ///
 /// Fails when the file cannot be opened or the process already has a logger.
 pub fn start_logging(settings: &Observe) -> Result<(), Error> {
-    let mut dispatch = fern::Dispatch::new()
-        .level(level(settings.log_level))
-        .format(|out, _, record| out.finish(format_args!("{}", line::render(record))));
-    for target in CHATTY_TARGETS {
-        dispatch = dispatch.level_for(target, LevelFilter::Warn);
-    }
+    let dispatch = dispatch(level(settings.log_level));
     let dispatch = match &settings.log_file {
         None => dispatch.chain(io::stderr()),
         Some(path) => dispatch.chain(fern::log_file(path).map_err(|cause| Error::LogFile {
@@ -36,6 +31,16 @@
         .map_err(|_already_set| Error::LoggerInstalled)
 }
 
+/// Returns a logger without an output that renders JSON lines.
+pub(super) fn dispatch(level: LevelFilter) -> fern::Dispatch {
+    let dispatch = fern::Dispatch::new()
+        .level(level)
+        .format(|out, _, record| out.finish(format_args!("{}", line::render(record))));
+    CHATTY_TARGETS.iter().fold(dispatch, |dispatch, target| {
+        dispatch.level_for(*target, LevelFilter::Warn)
+    })
+}
+
 fn level(level: ObserveLogLevel) -> LevelFilter {
     match level {
         ObserveLogLevel::Error => LevelFilter::Error,
--- a/lib/src/observe/metrics.rs
+++ b/lib/src/observe/metrics.rs
@@ -6,7 +6,7 @@
 };
 use ragwortgrade_schema::settings::Observe;
 
-use super::Error;
+use super::{Board, Error};
 
 const PREFIX: &str = "ragwortgrade";
 
@@ -50,6 +50,14 @@
         Self::over(StatsdClient::from_sink(PREFIX, NopMetricSink))
     }
 
+    /// Returns a handle over a board of this process, and the board.
+    #[must_use]
+    pub fn with_board() -> (Self, Board) {
+        let board = Board::default();
+        let client = StatsdClient::from_sink(PREFIX, board.clone());
+        (Self::over(client), board)
+    }
+
     fn over(client: StatsdClient) -> Self {
         Self {
             client: Arc::new(client),
--- a/lib/src/settings/fault.rs
+++ b/lib/src/settings/fault.rs
@@ -10,11 +10,11 @@
 }
 
 impl Fault {
-    pub(super) fn at(line: usize, message: String) -> Self {
+    pub(crate) fn at(line: usize, message: String) -> Self {
         Self { line, message }
     }
 
-    pub(super) fn without_line(message: String) -> Self {
+    pub(crate) fn without_line(message: String) -> Self {
         Self { line: 0, message }
     }
 }
--- a/lib/src/settings/faults.rs
+++ b/lib/src/settings/faults.rs
@@ -13,7 +13,7 @@
 }
 
 impl Faults {
-    pub(super) fn new(path: &Path, mut faults: Vec<Fault>) -> Self {
+    pub(crate) fn new(path: &Path, mut faults: Vec<Fault>) -> Self {
         faults.sort();
         Self {
             path: path.to_owned(),
--- /dev/null
+++ b/policy/src/gateway/outcome.rs
@@ -0,0 +1,62 @@
+use super::Repeat;
+
+/// How one attempt at an endpoint failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection could be opened; nothing was sent.
+    NotSent,
+    /// The endpoint says that it did not run the request.
+    NotRun,
+    /// Another endpoint answers at the address; the request was not run.
+    WrongEndpoint,
+    /// The answer was lost or unusable; the request may have run.
+    Unknown,
+    /// The endpoint ran the request and answered with an error of its own.
+    Failed,
+}
+
+/// What becomes of a request after a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// It is sent to another endpoint.
+    Retry,
+    /// It ends with this outcome.
+    End(Outcome),
+}
+
+/// How a request ends without an endpoint's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It has not run and never will.
+    NotRun,
+    /// It may have run.
+    Unknown,
+    /// The endpoint's own failure is passed on.
+    PassOn,
+}
+
+impl Failure {
+    /// Tells whether the failure leaves open that the request ran.
+    #[must_use]
+    pub const fn may_have_run(self) -> bool {
+        matches!(self, Self::Unknown | Self::Failed)
+    }
+}
+
+/// Decides what follows a failed attempt.
+///
+/// `may_have_run` tells whether any attempt so far leaves open that the request ran, `can_retry`
+/// whether attempts, the budget and the time allow another.
+#[must_use]
+pub fn next_step(failure: Failure, repeat: Repeat, may_have_run: bool, can_retry: bool) -> Step {
+    if can_retry && (!may_have_run || repeat.allows_second_run()) {
+        return Step::Retry;
+    }
+    if failure == Failure::Failed {
+        return Step::End(Outcome::PassOn);
+    }
+    if may_have_run {
+        return Step::End(Outcome::Unknown);
+    }
+    Step::End(Outcome::NotRun)
+}
--- /dev/null
+++ b/policy/src/gateway/placement.rs
@@ -0,0 +1,29 @@
+use std::time::Duration;
+
+use ragwortgrade_schema::Name;
+
+/// Where a generation runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// Engine that reads the prompt apart; without one the prompt is read where it runs.
+    pub prefill: Option<Name>,
+    /// Engine that generates.
+    pub run: Name,
+    /// Expected time to the first event.
+    pub expected: Duration,
+    /// Expected work of the prefill, in ms.
+    pub prefill_ms: f64,
+    /// Tokens that are expected in the cache of the engine that reads the prompt.
+    pub cached_tokens: u32,
+    /// Urgency at the engine; 0 is the most urgent.
+    pub priority: u8,
+}
+
+/// Why a generation is not placed, and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Short machine-readable reason.
+    pub reason: &'static str,
+    /// Time after which there is likely to be room.
+    pub retry_after: Duration,
+}
--- /dev/null
+++ b/policy/src/gateway/plain_pool.rs
@@ -0,0 +1,106 @@
+use std::collections::HashMap;
+
+use ragwortgrade_schema::Name;
+
+use super::{Endpoint, Health, Work};
+use crate::Instant;
+
+/// Cost of leaving the data centre, in requests in flight: an endpoint of the own data centre is
+/// preferred until it has this many more.
+const REMOTE_COST: f64 = 2.0;
+/// Cost of a failure rate of 1, in requests in flight.
+const FAILURE_COST: f64 = 20.0;
+/// Part of the mean that one answer replaces.
+const MEAN_STEP: f64 = 0.2;
+
+/// Endpoints of plain services and what this daemon has running on them.
+#[derive(Debug, Default)]
+pub struct PlainPool {
+    endpoints: HashMap<Name, Load>,
+}
+
+#[derive(Debug, Default)]
+struct Load {
+    in_flight: u32,
+    /// Mean time of an answer in ms.
+    answer_ms: f64,
+    health: Health,
+}
+
+impl PlainPool {
+    /// Chooses the endpoint for a request, leaving out those that were tried.
+    #[must_use]
+    pub fn choose<'a>(
+        &self,
+        candidates: impl Iterator<Item = &'a Endpoint>,
+        tried: &[Name],
+        data_centre: &Name,
+        now: Instant,
+    ) -> Option<&'a Endpoint> {
+        let mut best: Option<(f64, &Endpoint)> = None;
+        for endpoint in candidates.filter(|it| !tried.contains(&it.id)) {
+            let cost = self.cost(endpoint, data_centre, now);
+            if best.is_none_or(|(least, other)| {
+                cost < least || (cost <= least && endpoint.id < other.id)
+            }) {
+                best = Some((cost, endpoint));
+            }
+        }
+        best.map(|(_, endpoint)| endpoint)
+    }
+
+    fn cost(&self, endpoint: &Endpoint, data_centre: &Name, now: Instant) -> f64 {
+        /// Keeps paused endpoints behind all others, yet usable when there is no other.
+        const PAUSED_COST: f64 = 1e6;
+        let remote = if endpoint.data_centre == *data_centre {
+            0.0
+        } else {
+            REMOTE_COST
+        };
+        let Some(load) = self.endpoints.get(&endpoint.id) else {
+            return remote;
+        };
+        let paused = if load.health.is_usable(now) {
+            0.0
+        } else {
+            PAUSED_COST
+        };
+        let slowness = load.answer_ms / 20.0;
+        f64::from(load.in_flight)
+            + slowness
+            + remote
+            + paused
+            + load.health.failure_rate() * FAILURE_COST
+    }
+
+    /// Notes a request that is sent.
+    pub fn sent(&mut self, id: &Name, now: Instant) {
+        let load = self.endpoints.entry(id.clone()).or_default();
+        load.in_flight += 1;
+        load.health.begin_trial(now);
+    }
+
+    /// Notes how a request ended.
+    pub fn ended(&mut self, id: &Name, work: Work, now: Instant) {
+        let Some(load) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        load.in_flight = load.in_flight.saturating_sub(1);
+        match work {
+            Work::Done { millis } => {
+                load.answer_ms += (millis - load.answer_ms) * MEAN_STEP;
+                load.health.succeeded();
+            }
+            Work::Rejected => {}
+            Work::Unreachable => load.health.unreachable(now),
+            Work::Failed => load.health.failed(now),
+            Work::Abandoned => {}
+        }
+    }
+
+    /// Forgets endpoints that are no longer registered.
+    pub fn retain(&mut self, is_known: impl Fn(&Name) -> bool) {
+        self.endpoints
+            .retain(|id, load| load.in_flight > 0 || is_known(id));
+    }
+}
--- /dev/null
+++ b/policy/src/gateway/registry.rs
@@ -0,0 +1,160 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ragwortgrade_schema::Name;
+
+use super::{Endpoint, State};
+use crate::Instant;
+
+/// Time after the source's return within which an endpoint that is alive registers again; the
+/// platform states "about two seconds".
+const RETURN_TIME: Duration = Duration::from_millis(2_400);
+
+/// News about one endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// The endpoint registered or changed.
+    Put(Endpoint),
+    /// The entry is gone.
+    Removed(Name),
+    /// The entry cannot be read and names no endpoint.
+    Unreadable(Name),
+}
+
+/// Endpoints that are known from their registrations.
+///
+/// A registration that lapses while its source is away says nothing about the endpoint, so the
+/// endpoint is kept until it has had the time to register again.
+#[derive(Debug, Default)]
+pub struct Registry {
+    endpoints: HashMap<Name, Known>,
+    is_source_lost: bool,
+    source_back: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Known {
+    endpoint: Endpoint,
+    /// The entry lapsed around an outage of the source.
+    is_lapsed: bool,
+}
+
+impl Registry {
+    /// Returns the endpoints that may get new work.
+    pub fn usable(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints
+            .values()
+            .map(|known| &known.endpoint)
+            .filter(|endpoint| endpoint.state == State::Ready)
+    }
+
+    /// Returns the endpoint with an identity, whatever its state.
+    #[must_use]
+    pub fn get(&self, id: &Name) -> Option<&Endpoint> {
+        self.endpoints.get(id).map(|known| &known.endpoint)
+    }
+
+    /// Returns the number of endpoints known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Tells whether no endpoint is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+
+    /// Takes in one change; returns what changed in the view, if anything did.
+    pub fn apply(&mut self, change: Change, now: Instant) -> bool {
+        match change {
+            Change::Put(endpoint) => {
+                let id = endpoint.id.clone();
+                let is_new = self
+                    .get(&id)
+                    .is_none_or(|known| !is_same_use(known, &endpoint));
+                let known = Known {
+                    endpoint,
+                    is_lapsed: false,
+                };
+                self.endpoints.insert(id, known);
+                is_new
+            }
+            Change::Removed(id) | Change::Unreadable(id) => self.remove(&id, now),
+        }
+    }
+
+    /// Replaces the view by a complete listing.
+    pub fn replace(&mut self, listed: Vec<Endpoint>, now: Instant) {
+        let missing: Vec<Name> = self
+            .endpoints
+            .keys()
+            .filter(|id| !listed.iter().any(|endpoint| endpoint.id == **id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove(&id, now);
+        }
+        for endpoint in listed {
+            self.apply(Change::Put(endpoint), now);
+        }
+    }
+
+    /// Notes that the source does not answer.
+    pub fn source_lost(&mut self) {
+        self.is_source_lost = true;
+    }
+
+    /// Notes that the source answers again.
+    pub fn source_back(&mut self, now: Instant) {
+        if self.is_source_lost {
+            self.is_source_lost = false;
+            self.source_back = Some(now);
+        }
+    }
+
+    /// Drops lapsed endpoints that had the time to register again and did not; returns them.
+    pub fn expire(&mut self, now: Instant) -> Vec<Name> {
+        if self.is_source_disturbed(now) {
+            return Vec::new();
+        }
+        let gone: Vec<Name> = self
+            .endpoints
+            .iter()
+            .filter(|(_, known)| known.is_lapsed)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.endpoints.remove(id);
+        }
+        gone
+    }
+
+    fn remove(&mut self, id: &Name, now: Instant) -> bool {
+        let is_disturbed = self.is_source_disturbed(now);
+        match self.endpoints.get_mut(id) {
+            Some(known) if is_disturbed && known.endpoint.state == State::Ready => {
+                known.is_lapsed = true;
+                false
+            }
+            _ => self.endpoints.remove(id).is_some(),
+        }
+    }
+
+    fn is_source_disturbed(&self, now: Instant) -> bool {
+        self.is_source_lost
+            || self
+                .source_back
+                .is_some_and(|back| now.since(back) < RETURN_TIME)
+    }
+}
+
+/// Tells whether two registrations mean the same to placement.
+fn is_same_use(old: &Endpoint, new: &Endpoint) -> bool {
+    old.service == new.service
+        && old.address == new.address
+        && old.state == new.state
+        && old.stage == new.stage
+        && old.born_ms == new.born_ms
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod event;
 /// What the planner takes into account.
 pub mod fleet;
+pub mod gateway;
 mod instant;
 pub mod limit;
 pub mod membership;
--- a/policy/src/retry.rs
+++ b/policy/src/retry.rs
@@ -17,6 +17,8 @@
 pub struct Budget {
     slots: [Slot; SLOTS],
     newest: u64,
+    retry_part: f64,
+    retries_min: u32,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -27,14 +29,23 @@
 
 impl Default for Budget {
     fn default() -> Self {
+        Self::open(RETRY_PART, RETRIES_MIN)
+    }
+}
+
+impl Budget {
+    /// Opens a budget of `retry_part` of the requests of 10 s, and of `retries_min` retries in any
+    /// case.
+    #[must_use]
+    pub fn open(retry_part: f64, retries_min: u32) -> Self {
         Self {
             slots: [Slot::default(); SLOTS],
             newest: 0,
+            retry_part,
+            retries_min,
         }
     }
-}
 
-impl Budget {
     /// Counts a request.
     pub fn request(&mut self, now: Instant) {
         self.slot(now).requests += 1;
@@ -49,8 +60,8 @@
         self.slot(now);
         let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
         let retries: u32 = self.slots.iter().map(|slot| slot.retries).sum();
-        let allowed = (f64::from(requests) * RETRY_PART) as u32;
-        if retries >= allowed.max(RETRIES_MIN) {
+        let allowed = (f64::from(requests) * self.retry_part) as u32;
+        if retries >= allowed.max(self.retries_min) {
             return Err(now + SLOT);
         }
         self.slot(now).retries += 1;
