gateway: tell other daemons the own work, and register in the store

Cause: nine daemons placed blindly; delays at prefill engines had a median of 200 ms above the own work at 77% load.

--- a/lib/src/gateway/follower.rs
+++ b/lib/src/gateway/follower.rs
@@ -16,7 +16,7 @@
 const EXPIRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// What a follower does with the items below its prefix.
-trait Sink {
+pub(super) trait Sink {
     fn listed(&self, items: Vec<Item>);
     fn changed(&self, update: Update);
     fn lost(&self);
@@ -27,7 +27,10 @@
 pub(super) async fn follow_catalog(shared: Rc<Shared>) {
     let key = shared.options.declarations.catalog_key();
     let store = Rc::clone(&shared.options.store);
-    follow(&*store, key, Duration::ZERO, &CatalogSink { shared }).await;
+    let sink = CatalogSink {
+        shared: Rc::clone(&shared),
+    };
+    follow(&shared, &*store, key, Duration::ZERO, &sink).await;
 }
 
 /// Follows the endpoints' registrations until the task is ended.
@@ -35,7 +38,10 @@
     let prefix = shared.options.declarations.endpoints_prefix();
     let store = Rc::clone(&shared.options.store);
     let pause = shared.options.registration_pause;
-    follow(&*store, prefix, pause, &EndpointSink { shared }).await;
+    let sink = EndpointSink {
+        shared: Rc::clone(&shared),
+    };
+    follow(&shared, &*store, prefix, pause, &sink).await;
 }
 
 /// Drops endpoints whose registration lapsed in an outage and did not return.
@@ -50,13 +56,31 @@
     }
 }
 
-async fn follow(store: &dyn Store, prefix: &str, pause: Duration, sink: &dyn Sink) {
+pub(super) async fn follow(
+    shared: &Shared,
+    store: &dyn Store,
+    prefix: &str,
+    pause: Duration,
+    sink: &dyn Sink,
+) {
     let mut revision = None;
     let mut failures: u32 = 0;
     loop {
-        let result = match revision {
-            None => list(store, prefix, sink).await,
-            Some(known) => watch(store, prefix, known, sink).await,
+        let read = async {
+            match revision {
+                None => list(store, prefix, sink).await,
+                Some(known) => watch(store, prefix, known, sink).await,
+            }
+        };
+        let result = tokio::select! {
+            result = read => result,
+            // A call that was sent while the store was silent is never answered.
+            () = shared.store_returned.notified() => {
+                failures = failures.max(1);
+                sink.lost();
+                revision = None;
+                continue;
+            }
         };
         match result {
             Ok(newest) => {
@@ -78,6 +102,7 @@
                     sink.lost();
                 }
                 failures += 1;
+                revision = None;
                 let pause = RETRY_PAUSE_MIN.saturating_mul(1 << failures.min(4));
                 tokio::time::sleep(pause.min(RETRY_PAUSE_MAX)).await;
             }
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -13,9 +13,9 @@
 use super::shared::{PromptRead, Sequence, millis};
 use super::status::{self, RETRY_AFTER_DEFAULT};
 
-/// Time of a prefill call beside the reading of the prompt, in ms: two crossings of a data centre
-/// and one step of the engine.
-const CALL_OVERHEAD_MS: f64 = 6.0;
+/// Time of a prefill call beside the reading of the prompt, in ms: the fixed time of an engine's
+/// first token and two crossings.
+const CALL_OVERHEAD_MS: f64 = 65.0;
 
 /// KV cache of a prompt that an engine keeps for another one.
 #[derive(Debug)]
@@ -146,6 +146,7 @@
     let read = PromptRead::begin(
         &inquiry.shared,
         id,
+        inquiry.route.rank,
         placement.prefill_ms,
         CALL_OVERHEAD_MS,
         prompt,
@@ -207,6 +208,7 @@
         PromptRead::begin(
             shared,
             &engine.id,
+            inquiry.route.rank,
             placement.prefill_ms,
             overhead_ms,
             prompt,
--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -7,13 +7,13 @@
 use std::time::{Duration, Instant};
 
 use http::{Response, StatusCode};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 use super::answer::Answer;
 use super::shared::Shared;
-use super::{Options, follower, server, status};
+use super::{Options, follower, peers, server, status};
 use crate::observe::{Board, Metrics};
 
 /// How often connections are checked against the operators' limits.
@@ -45,6 +45,7 @@
     callers: TcpListener,
     readiness: TcpListener,
     metrics: Option<TcpListener>,
+    peers: UdpSocket,
 }
 
 impl Gateway {
@@ -114,13 +115,20 @@
     started: std_mpsc::Sender<io::Result<Addresses>>,
     mut stopping: watch::Receiver<bool>,
 ) -> bool {
-    let (addresses, listeners) = match bind(&options) {
+    let (addresses, listeners) = match bind(&options).await {
         Ok(bound) => bound,
         Err(error) => {
             drop(started.send(Err(error)));
             return false;
         }
     };
+    let peers_address = match listeners.peers.local_addr() {
+        Ok(address) => address,
+        Err(error) => {
+            drop(started.send(Err(error)));
+            return false;
+        }
+    };
     let (metrics, board) = Metrics::with_board();
     let shared = Shared::open(options, metrics);
     log::info!(
@@ -132,6 +140,9 @@
     tokio::task::spawn_local(follower::follow_endpoints(Rc::clone(&shared)));
     tokio::task::spawn_local(follower::expire_endpoints(Rc::clone(&shared)));
     tokio::task::spawn_local(check(Rc::clone(&shared)));
+    tokio::task::spawn_local(peers::follow_peers(Rc::clone(&shared)));
+    tokio::task::spawn_local(peers::register(Rc::clone(&shared), peers_address));
+    tokio::task::spawn_local(peers::exchange(Rc::clone(&shared), listeners.peers));
     let asked = Rc::clone(&shared);
     let readiness = move |_: &str| server::readiness(&asked);
     tokio::task::spawn_local(server::serve_questions(listeners.readiness, readiness));
@@ -144,13 +155,14 @@
     serve_until_stopped(&shared, callers, &mut stopping).await
 }
 
-fn bind(options: &Options) -> io::Result<(Addresses, Listeners)> {
+async fn bind(options: &Options) -> io::Result<(Addresses, Listeners)> {
     let callers = server::listen(options.callers_address, "callers")?;
     let readiness = server::listen(options.readiness_address, "readiness")?;
     let metrics = options
         .metrics_address
         .map(|address| server::listen(address, "metrics"))
         .transpose()?;
+    let peers = UdpSocket::bind(options.peers_address).await?;
     let addresses = Addresses {
         callers: callers.local_addr()?,
         readiness: readiness.local_addr()?,
@@ -160,6 +172,7 @@
         callers,
         readiness,
         metrics,
+        peers,
     };
     Ok((addresses, listeners))
 }
@@ -177,6 +190,14 @@
     let begun = Instant::now();
     shared.is_draining.set(true);
     log::info!(requests = shared.callers.requests(); "planned stop began");
+    if let Some(lease) = shared.registration.take() {
+        let store = Rc::clone(&shared.options.store);
+        tokio::task::spawn_local(async move {
+            if let Err(error) = store.end(lease).await {
+                log::info!(error:% = error; "registration was not ended; it lapses");
+            }
+        });
+    }
     tokio::select! {
         () = callers.as_mut() => {}
         () = tokio::time::sleep(STOP_ACCEPTING_AFTER) => {}
--- a/lib/src/gateway/options.rs
+++ b/lib/src/gateway/options.rs
@@ -19,6 +19,8 @@
     pub callers_address: SocketAddr,
     /// Where the balancer asks whether the daemon is ready.
     pub readiness_address: SocketAddr,
+    /// Where other daemons send their news, by UDP.
+    pub peers_address: SocketAddr,
     /// Where metrics are served.
     pub metrics_address: Option<SocketAddr>,
     /// Part of the requests of a service that this daemon may send again.
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -22,6 +22,8 @@
     pub callers_address: SocketAddr,
     /// Where the balancer asks whether the daemon is ready.
     pub readiness_address: SocketAddr,
+    /// Where other daemons send their news, by UDP.
+    pub peers_address: SocketAddr,
     /// Where metrics are served.
     pub metrics_address: Option<SocketAddr>,
     /// Key-value service.
@@ -95,6 +97,7 @@
         let data_centre = self.text("data_centre");
         let callers_address = self.parsed("callers_address", "an address such as 10.0.0.1:80");
         let readiness_address = self.parsed("readiness_address", "an address such as 10.0.0.1:81");
+        let peers_address = self.parsed("peers_address", "an address such as 10.0.0.1:84");
         let metrics_address = self.optional("metrics_address", "an address such as 10.0.0.1:82");
         let store_address = self.parsed("store_address", "an address such as 10.0.0.1:83");
         let retry_ratio = self.within("retry_ratio", 0.0, 1.0);
@@ -106,6 +109,7 @@
             data_centre: data_centre?,
             callers_address: callers_address?,
             readiness_address: readiness_address?,
+            peers_address: peers_address?,
             metrics_address,
             store_address: store_address?,
             retry_ratio: retry_ratio?,
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -5,10 +5,12 @@
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::{Catalog, Engines, Limits, PlainPool, Prompt, Registry, Work};
 use ragwortgrade_schema::Name;
+use tokio::sync::Notify;
 
 use super::budgets::Budgets;
 use super::caller::Callers;
-use super::{Client, Options};
+use super::peers::Peers;
+use super::{Client, Lease, Options};
 use crate::Clock;
 use crate::observe::Metrics;
 
@@ -28,6 +30,11 @@
     /// Whether the registrations were read once.
     pub(super) is_registry_read: Cell<bool>,
     pub(super) is_draining: Cell<bool>,
+    /// Wakes those who wait for answers of the store that it will never send.
+    pub(super) store_returned: Notify,
+    pub(super) peers: RefCell<Peers>,
+    /// Lease of this daemon's registration.
+    pub(super) registration: Cell<Option<Lease>>,
 }
 
 impl Shared {
@@ -44,6 +51,9 @@
             metrics,
             is_registry_read: Cell::new(false),
             is_draining: Cell::new(false),
+            store_returned: Notify::new(),
+            peers: RefCell::default(),
+            registration: Cell::new(None),
             options,
         })
     }
@@ -115,6 +125,7 @@
     shared: Rc<Shared>,
     engine: Name,
     begun: Instant,
+    rank: u8,
     prefill_ms: f64,
     expected_ms: f64,
     work: Work,
@@ -125,19 +136,21 @@
     pub(super) fn begin(
         shared: &Rc<Shared>,
         engine: &Name,
+        rank: u8,
         prefill_ms: f64,
         overhead_ms: f64,
         prompt: &Prompt,
     ) -> Self {
         let begun = shared.now();
         let mut engines = shared.engines.borrow_mut();
-        let expected_ms = engines.own_wait_ms(engine) + prefill_ms + overhead_ms;
-        engines.prefill_sent(engine, prefill_ms, prompt, begun);
+        let expected_ms = engines.known_wait_ms(engine, rank) + prefill_ms + overhead_ms;
+        engines.prefill_sent(engine, rank, prefill_ms, prompt, begun);
         drop(engines);
         Self {
             shared: Rc::clone(shared),
             engine: engine.clone(),
             begun,
+            rank,
             prefill_ms,
             expected_ms,
             work: Work::Abandoned,
@@ -162,6 +175,7 @@
         let mut engines = self.shared.engines.borrow_mut();
         engines.prefill_ended(
             &self.engine,
+            self.rank,
             self.prefill_ms,
             self.expected_ms,
             self.work,
--- a/lib/src/gateway/store.rs
+++ b/lib/src/gateway/store.rs
@@ -21,8 +21,29 @@
         revision: u64,
         wait: Duration,
     ) -> LocalBoxFuture<'a, Result<Updates, StoreError>>;
+
+    /// Opens a lease that ends after `ttl` unless it is renewed.
+    fn grant(&self, ttl: Duration) -> LocalBoxFuture<'_, Result<Lease, StoreError>>;
+
+    /// Renews a lease.
+    fn renew(&self, lease: Lease) -> LocalBoxFuture<'_, Result<(), StoreError>>;
+
+    /// Ends a lease; its keys are removed.
+    fn end(&self, lease: Lease) -> LocalBoxFuture<'_, Result<(), StoreError>>;
+
+    /// Writes a key that is removed when the lease ends.
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        value: &'a [u8],
+        lease: Lease,
+    ) -> LocalBoxFuture<'a, Result<(), StoreError>>;
 }
 
+/// Identity of a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease(pub u64);
+
 /// An item of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Item {
@@ -69,6 +90,9 @@
     /// The history that was asked for is no longer kept.
     #[error("history after the revision is no longer available")]
     HistoryGone,
+    /// The lease has ended.
+    #[error("lease has ended")]
+    LeaseEnded,
     /// The store is overloaded or not in service.
     #[error("store answered {0}")]
     Status(u16),
--- a/policy/src/gateway/engine_load.rs
+++ b/policy/src/gateway/engine_load.rs
@@ -1,7 +1,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::{Health, Part};
+use super::peer_loads::level;
+use super::{Health, Part, RANKS, Share};
 use crate::Instant;
 
 /// Time for which a part that was read is expected to stay in the cache. The deployments price a
@@ -35,28 +36,35 @@
 /// What this daemon knows of one engine's load.
 #[derive(Debug, Default)]
 pub(crate) struct EngineLoad {
-    /// Work of this daemon that waits for its first event, in ms of prefill.
-    pub(crate) prefill_ms: f64,
-    /// Sequences of this daemon.
-    pub(crate) sequences: u32,
+    /// Work of this daemon.
+    pub(crate) share: Share,
     pub(crate) health: Health,
-    delay_ms: f64,
-    delay_at: Instant,
+    delays: [Delay; RANKS],
     parts: HashMap<u64, Instant>,
 }
 
+/// Delay that answers showed beyond the known work.
+#[derive(Clone, Copy, Debug, Default)]
+struct Delay {
+    millis: f64,
+    at: Instant,
+}
+
 impl EngineLoad {
-    /// Returns the delay beyond the own work that answers have shown lately.
-    pub(crate) fn delay_ms(&self, now: Instant) -> f64 {
-        let age_ms = now.since(self.delay_at).as_secs_f64() * 1e3;
-        self.delay_ms * 0.5_f64.powf(age_ms / DELAY_HALF_LIFE_MS)
+    /// Returns the delay beyond the known work that answers of a rank have shown lately.
+    pub(crate) fn delay_ms(&self, rank: u8, now: Instant) -> f64 {
+        let delay = self.delays[level(rank)];
+        let age_ms = now.since(delay.at).as_secs_f64() * 1e3;
+        delay.millis * 0.5_f64.powf(age_ms / DELAY_HALF_LIFE_MS)
     }
 
-    /// Takes in how much longer an answer took than its own work explains.
-    pub(crate) fn observe_delay(&mut self, excess_ms: f64, now: Instant) {
-        let old = self.delay_ms(now);
-        self.delay_ms = old + (excess_ms.max(0.0) - old) * DELAY_STEP;
-        self.delay_at = now;
+    /// Takes in how much longer an answer took than the known work explains.
+    pub(crate) fn observe_delay(&mut self, rank: u8, excess_ms: f64, now: Instant) {
+        let old = self.delay_ms(rank, now);
+        self.delays[level(rank)] = Delay {
+            millis: old + (excess_ms.max(0.0) - old) * DELAY_STEP,
+            at: now,
+        };
     }
 
     /// Returns how many tokens at the beginning of the prompt are expected in the cache.
@@ -86,7 +94,7 @@
     /// Forgets what the engine held before a restart.
     pub(crate) fn restarted(&mut self) {
         self.parts.clear();
-        self.delay_ms = 0.0;
+        self.delays = [Delay::default(); RANKS];
         self.health = Health::default();
     }
 }
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -5,35 +5,53 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::engine_load::EngineLoad;
-use super::{Endpoint, EngineLimits, Placement, Prompt, Refusal, Route, Speed, Stage, Work};
+use super::peer_loads::{PeerLoads, level};
+use super::{
+    Endpoint, EngineLimits, Placement, Prompt, Refusal, Route, Share, Speed, Stage, Work,
+};
 use crate::Instant;
 
 /// Part of the shared tokens that the home engine of a prefix is expected to hold when this daemon
 /// has not sent them there itself: the other daemons send the same prefix to the same engine.
-const HOME_CACHED_PART: f64 = 0.5;
+const HOME_CACHED_PART: f64 = 0.7;
+/// Engines of one stage up to which a prefix has one home in the whole fleet. In a larger fleet it
+/// has one in each data centre, where its requests are frequent enough.
+const SHARED_HOMES_MAX: usize = 24;
 /// Cost of an engine in another data centre, in ms: two crossings and the priced bytes.
-const REMOTE_MS: f64 = 12.0;
-/// Cost of a prefill apart, in ms: a further call, the set-up of the transfer, and its priced bytes.
-const APART_MS: f64 = 14.0;
+const REMOTE_MS: f64 = 6.0;
+/// Cost of a prefill apart beside its own time, in ms: the set-up of the transfer, one more
+/// crossing and a step of the decode engine.
+const APART_MS: f64 = 15.0;
 /// Cost of a failure rate of 1, in ms.
 const FAILURE_MS: f64 = 2_000.0;
 /// Delay that a running sequence adds to another one's first event, in ms.
-const SEQUENCE_MS: f64 = 0.4;
-/// Part of the deadline beyond which a first event leaves no time for the rest of the stream.
-const DEADLINE_PART: f64 = 0.8;
-/// Urgency of requests that are expected to miss their target; they must not delay the others.
-const LATE_PRIORITY: u8 = 8;
+const SEQUENCE_MS: f64 = 0.5;
+/// Part of the caller's patience that an expected first event may take, as estimates are low when
+/// load grows.
+const PATIENCE_PART: f64 = 0.75;
+/// Shortest time after which callers leave a stream without a first event.
+const PATIENCE_MIN: Duration = Duration::from_secs(2);
+/// Targets after which callers leave a stream without a first event, if that is longer.
+const PATIENCE_TARGETS: u32 = 4;
+/// Longest pauses after which callers leave a stream, if that is longer.
+const PATIENCE_PAUSES: u32 = 8;
+/// Least urgent value that engines know.
+const PRIORITY_MAX: u8 = 9;
 /// Longest time that a refused caller is asked to wait.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
+/// Keeps paused engines behind all others, yet usable when there is no other.
+const PAUSED_MS: f64 = 1e5;
 
-/// Engines and what this daemon has running on them; chooses where a generation runs.
+/// Engines and what the daemons have running on them; chooses where a generation runs.
 ///
-/// The load of the other daemons is not reported. It shows in the delays of the own answers, and
-/// requests with the same shared prefix go to the same engines from every daemon.
+/// The other daemons tell their own work within a fraction of a second; what they do not explain,
+/// such as a slow engine, shows in the delays of the own answers. Requests with the same shared
+/// prefix go to the same engine from every daemon.
 #[derive(Debug, Default)]
 pub struct Engines {
     speed: Speed,
     loads: HashMap<Name, EngineLoad>,
+    peers: PeerLoads,
 }
 
 /// What a generation asks of the engines.
@@ -43,9 +61,11 @@
     affinity: Option<u64>,
     data_centre: &'a Name,
     limits: &'a EngineLimits,
+    rank: u8,
     now: Instant,
 }
 
+/// An engine that could read the prompt.
 #[derive(Debug)]
 struct Offer<'a> {
     engine: &'a Endpoint,
@@ -61,6 +81,7 @@
         Self {
             speed,
             loads: HashMap::new(),
+            peers: PeerLoads::default(),
         }
     }
 
@@ -88,6 +109,7 @@
             affinity: prompt.affinity(),
             data_centre,
             limits,
+            rank: route.rank,
             now,
         };
         let free = |stage| {
@@ -106,13 +128,14 @@
         let apart = self.cheapest(free(Stage::Prefill), &demand, false);
         let placement = self.better(in_place, apart, free(Stage::Decode), &demand);
         let placement = Placement {
-            priority: priority(route, placement.expected),
+            priority: priority(route),
             ..placement
         };
-        if placement.expected > left.mul_f64(DEADLINE_PART) {
+        let patience = patience(route).mul_f64(PATIENCE_PART).min(left);
+        if placement.expected > patience {
             let wait = placement.expected.saturating_sub(route.target);
             return Err(Refusal {
-                reason: "deadline_unreachable",
+                reason: "first_event_too_late",
                 retry_after: wait.min(RETRY_AFTER_MAX),
             });
         }
@@ -168,18 +191,18 @@
         let home = demand
             .affinity
             .and_then(|part| home(&engines, part, demand.data_centre));
-        let options = engines.into_iter().map(|engine| {
+        let offers = engines.into_iter().map(|engine| {
             let is_home = home.is_some_and(|it| it.id == engine.id);
-            self.option(engine, demand, is_in_place, is_home)
+            self.offer(engine, demand, is_in_place, is_home)
         });
-        options.min_by(|left, right| {
+        offers.min_by(|left, right| {
             left.cost_ms
                 .total_cmp(&right.cost_ms)
                 .then_with(|| left.engine.id.cmp(&right.engine.id))
         })
     }
 
-    fn option<'a>(
+    fn offer<'a>(
         &self,
         engine: &'a Endpoint,
         demand: &Demand<'_>,
@@ -189,9 +212,9 @@
         let load = self.loads.get(&engine.id);
         let shared = demand.prompt.shared();
         let mut cached = load.map_or(0, |load| load.cached_tokens(shared, demand.now));
-        if is_home && cached == 0 {
+        if is_home {
             let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
-            cached = (f64::from(tokens) * HOME_CACHED_PART) as u32;
+            cached = cached.max((f64::from(tokens) * HOME_CACHED_PART) as u32);
         }
         let prefill_ms = self
             .speed
@@ -206,26 +229,27 @@
 
     /// Returns the cost of an engine before it begins with a request, in ms.
     fn waiting_ms(&self, engine: &Endpoint, demand: &Demand<'_>) -> f64 {
-        /// Keeps paused engines behind all others, yet usable when there is no other.
-        const PAUSED_MS: f64 = 1e5;
         let remote = if engine.data_centre == *demand.data_centre {
             0.0
         } else {
             REMOTE_MS
         };
         let cold = engine.cold.as_secs_f64() * 1e3 / 10.0;
+        let others = self.peers.total(&engine.id);
+        let others_ms = others.ahead_of(demand.rank) + f64::from(others.sequences) * SEQUENCE_MS;
         let Some(load) = self.loads.get(&engine.id) else {
-            return remote + cold;
+            return remote + cold + others_ms;
         };
         let paused = if load.health.is_usable(demand.now) {
             0.0
         } else {
             PAUSED_MS
         };
-        load.prefill_ms
-            + load.delay_ms(demand.now)
-            + f64::from(load.sequences) * SEQUENCE_MS
+        load.share.ahead_of(demand.rank)
+            + load.delay_ms(demand.rank, demand.now)
+            + f64::from(load.share.sequences) * SEQUENCE_MS
             + load.health.failure_rate() * FAILURE_MS
+            + others_ms
             + remote
             + cold
             + paused
@@ -256,18 +280,26 @@
     }
 
     /// Notes that a prompt is sent to be read at an engine.
-    pub fn prefill_sent(&mut self, id: &Name, prefill_ms: f64, prompt: &Prompt, now: Instant) {
+    pub fn prefill_sent(
+        &mut self,
+        id: &Name,
+        rank: u8,
+        prefill_ms: f64,
+        prompt: &Prompt,
+        now: Instant,
+    ) {
         let load = self.loads.entry(id.clone()).or_default();
-        load.prefill_ms += prefill_ms;
+        load.share.prefill_ms[level(rank)] += prefill_ms;
         load.note_parts(&prompt.parts, now);
         load.health.begin_trial(now);
     }
 
     /// Notes how the reading of a prompt ended; `expected_ms` is the wait that was expected with
-    /// the own work.
+    /// the known work.
     pub fn prefill_ended(
         &mut self,
         id: &Name,
+        rank: u8,
         prefill_ms: f64,
         expected_ms: f64,
         work: Work,
@@ -276,29 +308,31 @@
         let Some(load) = self.loads.get_mut(id) else {
             return;
         };
-        load.prefill_ms = (load.prefill_ms - prefill_ms).max(0.0);
+        let reading = &mut load.share.prefill_ms[level(rank)];
+        *reading = (*reading - prefill_ms).max(0.0);
         match work {
             Work::Done { millis } => {
-                load.observe_delay(millis - expected_ms, now);
+                load.observe_delay(rank, millis - expected_ms, now);
                 load.health.succeeded();
             }
-            Work::Rejected => load.observe_delay(expected_ms.max(300.0), now),
+            Work::Rejected => load.observe_delay(rank, expected_ms.max(300.0), now),
             Work::Unreachable => load.health.unreachable(now),
             Work::Failed => load.health.failed(now),
             Work::Abandoned => {}
         }
     }
 
-    /// Returns the wait at an engine that the own work explains, in ms.
+    /// Returns the wait of a request at an engine that the known work explains, in ms.
     #[must_use]
-    pub fn own_wait_ms(&self, id: &Name) -> f64 {
-        self.loads.get(id).map_or(0.0, |load| load.prefill_ms)
+    pub fn known_wait_ms(&self, id: &Name, rank: u8) -> f64 {
+        let own = self.loads.get(id).map(|load| load.share.ahead_of(rank));
+        own.unwrap_or_default() + self.peers.total(id).ahead_of(rank)
     }
 
     /// Notes that a sequence begins at an engine.
     pub fn sequence_sent(&mut self, id: &Name, prompt: &Prompt, now: Instant) {
         let load = self.loads.entry(id.clone()).or_default();
-        load.sequences += 1;
+        load.share.sequences += 1;
         load.note_parts(&prompt.parts, now);
         load.health.begin_trial(now);
     }
@@ -308,7 +342,7 @@
         let Some(load) = self.loads.get_mut(id) else {
             return;
         };
-        load.sequences = load.sequences.saturating_sub(1);
+        load.share.sequences = load.share.sequences.saturating_sub(1);
         match work {
             Work::Done { .. } => load.health.succeeded(),
             Work::Unreachable => load.health.unreachable(now),
@@ -317,6 +351,19 @@
         }
     }
 
+    /// Returns this daemon's own work, for the other daemons.
+    #[must_use]
+    pub fn own_shares(&self) -> Vec<(Name, Share)> {
+        let loads = self.loads.iter();
+        let busy = loads.filter(|(_, load)| load.share != Share::default());
+        busy.map(|(id, load)| (id.clone(), load.share)).collect()
+    }
+
+    /// Takes in another daemon's work; it replaces what that daemon told before.
+    pub fn absorb(&mut self, peer: &Name, shares: Vec<(Name, Share)>, now: Instant) {
+        self.peers.absorb(peer, shares, now);
+    }
+
     /// Forgets what an engine held before it started again.
     pub fn restarted(&mut self, id: &Name) {
         if let Some(load) = self.loads.get_mut(id) {
@@ -327,24 +374,35 @@
     /// Forgets engines that are no longer registered.
     pub fn retain(&mut self, is_known: impl Fn(&Name) -> bool) {
         self.loads
-            .retain(|id, load| load.sequences > 0 || is_known(id));
+            .retain(|id, load| load.share.sequences > 0 || is_known(id));
     }
 }
 
-/// Returns the engine that all daemons of a data centre prefer for a prefix.
+/// Returns the engine that all daemons prefer for a prefix.
 fn home<'a>(engines: &[&'a Endpoint], part: u64, data_centre: &Name) -> Option<&'a Endpoint> {
     let weight = |engine: &Endpoint| xxh3_64_with_seed(engine.id.as_bytes(), part);
-    let local = engines
-        .iter()
-        .filter(|engine| engine.data_centre == *data_centre)
-        .max_by_key(|engine| weight(engine));
-    let local = local.or_else(|| engines.iter().max_by_key(|engine| weight(engine)));
-    local.copied()
+    let heaviest = |is_local: bool| {
+        engines
+            .iter()
+            .filter(|engine| !is_local || engine.data_centre == *data_centre)
+            .max_by_key(|engine| weight(engine))
+            .copied()
+    };
+    if engines.len() > SHARED_HOMES_MAX {
+        return heaviest(true).or_else(|| heaviest(false));
+    }
+    heaviest(false)
 }
 
-fn priority(route: &Route, expected: Duration) -> u8 {
-    if expected > route.target {
-        return LATE_PRIORITY;
-    }
-    route.rank.saturating_mul(2).min(LATE_PRIORITY - 1)
+/// Returns the time after which callers leave a stream without a first event.
+fn patience(route: &Route) -> Duration {
+    let pauses = route.pause_target.unwrap_or_default() * PATIENCE_PAUSES;
+    PATIENCE_MIN
+        .max(route.target * PATIENCE_TARGETS)
+        .max(pauses)
+}
+
+/// Returns the urgency at an engine; requests of one rank keep their order.
+fn priority(route: &Route) -> u8 {
+    route.rank.saturating_mul(2).min(PRIORITY_MAX)
 }
--- a/policy/src/gateway/speed.rs
+++ b/policy/src/gateway/speed.rs
@@ -24,7 +24,7 @@
             in_place_part: 0.4,
             pairs_ms_per_million: 0.15,
             step: Duration::from_micros(3_500),
-            first_event: Duration::from_millis(45),
+            first_event: Duration::from_millis(52),
         }
     }
 }
