gateway: tell other daemons which engine read which shared part

Change: news carry the shared parts that were sent; reading a part that the home lacks not weighs double against waiting.

--- a/lib/src/gateway/news.rs
+++ b/lib/src/gateway/news.rs
@@ -13,6 +13,8 @@
     pub(super) sequence: u64,
     /// Its own work on the engines.
     pub(super) shares: Vec<Row>,
+    /// Shared parts of prompts that it sent to engines since the datagram before.
+    pub(super) parts: Vec<(Name, u64)>,
 }
 
 /// Work on one engine.
@@ -30,6 +32,7 @@
         started_ms: u64,
         sequence: u64,
         shares: Vec<(Name, Share)>,
+        parts: Vec<(Name, u64)>,
     ) -> Self {
         let shares = shares.into_iter().map(|(engine, share)| Row {
             engine,
@@ -41,16 +44,17 @@
             started_ms,
             sequence,
             shares: shares.collect(),
+            parts,
         }
     }
 
-    pub(super) fn into_shares(self) -> Vec<(Name, Share)> {
-        let rows = self.shares.into_iter().map(|row| {
+    pub(super) fn shares(&self) -> Vec<(Name, Share)> {
+        let rows = self.shares.iter().map(|row| {
             let share = Share {
                 prefill_ms: row.prefill_ms.map(f64::from),
                 sequences: row.sequences,
             };
-            (row.engine, share)
+            (row.engine.clone(), share)
         });
         rows.collect()
     }
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -211,13 +211,18 @@
         tokio::time::sleep(pause.max(NEWS_PAUSE_MIN)).await;
         let mut shares = shared.engines.borrow().own_shares();
         shares.sort_by(|left, right| left.0.cmp(&right.0));
-        unchanged = if shares == last_sent { unchanged + 1 } else { 0 };
+        let parts = shared.engines.borrow_mut().take_untold();
+        unchanged = if shares == last_sent && parts.is_empty() {
+            unchanged + 1
+        } else {
+            0
+        };
         if unchanged % NEWS_REPEAT != 0 {
             continue;
         }
         last_sent.clone_from(&shares);
         sequence += 1;
-        let news = News::new(shared.options.name.clone(), started_ms, sequence, shares);
+        let news = News::new(shared.options.name.clone(), started_ms, sequence, shares, parts);
         let Ok(datagram) = postcard::to_allocvec(&news) else {
             continue;
         };
@@ -245,10 +250,10 @@
             continue;
         };
         if shared.peers.borrow_mut().is_newer(&news) {
-            let daemon = news.daemon.clone();
             let now = shared.now();
             let mut engines = shared.engines.borrow_mut();
-            engines.absorb(&daemon, news.into_shares(), now);
+            engines.absorb(&news.daemon, news.shares(), now);
+            engines.absorb_parts(news.parts, now);
         }
     }
 }
--- a/policy/src/gateway/engine_load.rs
+++ b/policy/src/gateway/engine_load.rs
@@ -81,13 +81,13 @@
     }
 
     /// Notes that the engine reads these parts.
-    pub(crate) fn note_parts(&mut self, parts: &[Part], now: Instant) {
+    pub(crate) fn note_parts(&mut self, parts: impl IntoIterator<Item = u64>, now: Instant) {
         if self.parts.len() >= PARTS_MAX {
             self.parts
                 .retain(|_, used| now.since(*used) < CACHED_FOR / 2);
         }
         for part in parts {
-            self.parts.insert(part.id, now);
+            self.parts.insert(part, now);
         }
     }
 
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -11,9 +11,6 @@
 };
 use crate::Instant;
 
-/// Part of the shared tokens that the home engine of a prefix is expected to hold when this daemon
-/// has not sent them there itself: the other daemons send the same prefix to the same engine.
-const HOME_CACHED_PART: f64 = 0.7;
 /// Engines of one stage up to which a prefix has one home in the whole fleet. In a larger fleet it
 /// has one in each data centre, where its requests are frequent enough.
 const SHARED_HOMES_MAX: usize = 24;
@@ -35,6 +32,10 @@
 const PATIENCE_TARGETS: u32 = 4;
 /// Longest pauses after which callers leave a stream, if that is longer.
 const PATIENCE_PAUSES: u32 = 8;
+/// Shared parts that wait to be told; a datagram with more would be split.
+const UNTOLD_MAX: usize = 48;
+/// Weight of reading a shared part that another engine holds, against the time it takes.
+const REREAD_WEIGHT: f64 = 2.0;
 /// Least urgent value that engines know.
 const PRIORITY_MAX: u8 = 9;
 /// Longest time that a refused caller is asked to wait.
@@ -52,6 +53,8 @@
     speed: Speed,
     loads: HashMap<Name, EngineLoad>,
     peers: PeerLoads,
+    /// Shared parts that this daemon sent to engines and has not told the others yet.
+    untold: Vec<(Name, u64)>,
 }
 
 /// What a generation asks of the engines.
@@ -82,6 +85,7 @@
             speed,
             loads: HashMap::new(),
             peers: PeerLoads::default(),
+            untold: Vec::new(),
         }
     }
 
@@ -211,17 +215,20 @@
     ) -> Offer<'a> {
         let load = self.loads.get(&engine.id);
         let shared = demand.prompt.shared();
-        let mut cached = load.map_or(0, |load| load.cached_tokens(shared, demand.now));
-        if is_home {
-            let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
-            cached = cached.max((f64::from(tokens) * HOME_CACHED_PART) as u32);
-        }
+        let cached = load.map_or(0, |load| load.cached_tokens(shared, demand.now));
+        let shared_tokens: u32 = shared.iter().map(|part| part.tokens).sum();
+        let reread = if is_home {
+            0
+        } else {
+            shared_tokens.saturating_sub(cached)
+        };
         let prefill_ms = self
             .speed
             .prefill_ms(demand.prompt.tokens, cached, is_in_place);
+        let reread_ms = f64::from(reread) / self.speed.prefill_tokens_per_ms * REREAD_WEIGHT;
         Offer {
             engine,
-            cost_ms: prefill_ms + self.waiting_ms(engine, demand),
+            cost_ms: prefill_ms + reread_ms + self.waiting_ms(engine, demand),
             prefill_ms,
             cached,
         }
@@ -290,8 +297,8 @@
     ) {
         let load = self.loads.entry(id.clone()).or_default();
         load.share.prefill_ms[level(rank)] += prefill_ms;
-        load.note_parts(&prompt.parts, now);
         load.health.begin_trial(now);
+        self.note_shared(id, prompt, now);
     }
 
     /// Notes how the reading of a prompt ended; `expected_ms` is the wait that was expected with
@@ -333,8 +340,8 @@
     pub fn sequence_sent(&mut self, id: &Name, prompt: &Prompt, now: Instant) {
         let load = self.loads.entry(id.clone()).or_default();
         load.share.sequences += 1;
-        load.note_parts(&prompt.parts, now);
         load.health.begin_trial(now);
+        self.note_shared(id, prompt, now);
     }
 
     /// Notes that a sequence ended.
@@ -351,6 +358,28 @@
         }
     }
 
+    fn note_shared(&mut self, id: &Name, prompt: &Prompt, now: Instant) {
+        let parts = || prompt.shared().iter().map(|part| part.id);
+        let load = self.loads.entry(id.clone()).or_default();
+        load.note_parts(parts(), now);
+        if self.untold.len() < UNTOLD_MAX {
+            self.untold.extend(parts().map(|part| (id.clone(), part)));
+        }
+    }
+
+    /// Returns the shared parts that were sent to engines since the last call.
+    pub fn take_untold(&mut self) -> Vec<(Name, u64)> {
+        std::mem::take(&mut self.untold)
+    }
+
+    /// Takes in shared parts that another daemon sent to engines.
+    pub fn absorb_parts(&mut self, parts: Vec<(Name, u64)>, now: Instant) {
+        for (engine, part) in parts {
+            let load = self.loads.entry(engine).or_default();
+            load.note_parts([part], now);
+        }
+    }
+
     /// Returns this daemon's own work, for the other daemons.
     #[must_use]
     pub fn own_shares(&self) -> Vec<(Name, Share)> {
