gateway: refuse at once what would be late because of the queue

Change: a request is refused when it would be late and the waiting is more than 0.6 of its target; its own size does not count.

--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -38,6 +38,10 @@
 const REREAD_WEIGHT: f64 = 2.0;
 /// Least urgent value that engines know.
 const PRIORITY_MAX: u8 = 9;
+/// Part of the target that a request may wait before an engine begins with it, if it is late then.
+const WAITING_TARGET_PART: f64 = 0.6;
+/// Shortest time that a refused caller is asked to wait: queues last about that long.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
 /// Longest time that a refused caller is asked to wait.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
 /// Keeps paused engines behind all others, yet usable when there is no other.
@@ -135,15 +139,10 @@
             priority: priority(route),
             ..placement
         };
-        let patience = patience(route).mul_f64(PATIENCE_PART).min(left);
-        if placement.expected > patience {
-            let wait = placement.expected.saturating_sub(route.target);
-            return Err(Refusal {
-                reason: "first_event_too_late",
-                retry_after: wait.min(RETRY_AFTER_MAX),
-            });
+        match refusal(&placement, route, left) {
+            Some(refusal) => Err(refusal),
+            None => Ok(placement),
         }
-        Ok(placement)
     }
 
     /// Chooses between the best engine in place and the best prefill apart.
@@ -423,6 +422,28 @@
     heaviest(false)
 }
 
+/// Decides whether to refuse a request rather than to let it wait.
+///
+/// While more is asked than the engines can read, every request would wait as long as the longest
+/// queue that is allowed. A short queue lets those that are taken be on time; the others learn at
+/// once when to come back. Only the waiting counts, not the request's own size, so long prompts are
+/// refused no more often than short ones.
+fn refusal(placement: &Placement, route: &Route, left: Duration) -> Option<Refusal> {
+    let patience = patience(route).mul_f64(PATIENCE_PART).min(left);
+    let own = Duration::from_secs_f64(placement.prefill_ms / 1e3);
+    let waiting = placement.expected.saturating_sub(own);
+    let is_late = placement.expected > route.target;
+    let waits_long = waiting > route.target.mul_f64(WAITING_TARGET_PART);
+    if placement.expected <= patience && !(is_late && waits_long) {
+        return None;
+    }
+    let excess = waiting.saturating_sub(route.target / 2);
+    Some(Refusal {
+        reason: "queue_too_long",
+        retry_after: excess.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
+    })
+}
+
 /// Returns the time after which callers leave a stream without a first event.
 fn patience(route: &Route) -> Duration {
     let pauses = route.pause_target.unwrap_or_default() * PATIENCE_PAUSES;
