--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -22,11 +22,11 @@
 /// Pause between two reads of the daemons' registrations.
 const READ_PAUSE: Duration = Duration::from_secs(1);
 /// Shortest pause between two datagrams of news: below the time of most prefills.
-const NEWS_PAUSE_MIN: Duration = Duration::from_millis(60);
+const NEWS_PAUSE_MIN: Duration = Duration::from_millis(20);
 /// Pause between two datagrams for each peer that gets them, so that the cost stays flat.
-const NEWS_PAUSE_PER_PEER: Duration = Duration::from_millis(6);
+const NEWS_PAUSE_PER_PEER: Duration = Duration::from_millis(2);
 /// Unchanged news are repeated this often.
-const NEWS_REPEAT: u32 = 8;
+const NEWS_REPEAT: u32 = 25;
 /// Daemons up to which everyone tells everyone. In a larger fleet the engines of a data centre are
 /// used by its own daemons, and only they tell each other.
 const EVERYONE_MAX: usize = 16;
