gateway: expect engines to finish a prompt before a more urgent one

Cause: traces of a prefill engine show that a prompt of 57k tokens (905 ms) delays each later and more urgent one until its end (a prompt of 1,079 tokens took 322 ms): the order by rank holds among those that wait only. Change: daemons tell their longest prompt at each engine; most of it counts as waiting.

--- a/lib/src/gateway/news.rs
+++ b/lib/src/gateway/news.rs
@@ -23,6 +23,8 @@
     engine: Name,
     /// Prompts that are being read, in ms of the engine's time, for each rank.
     prefill_ms: [u32; RANKS],
+    /// Longest single prompt of each rank, in the same unit.
+    longest_ms: [u32; RANKS],
     sequences: u32,
 }
 
@@ -37,6 +39,7 @@
         let shares = shares.into_iter().map(|(engine, share)| Row {
             engine,
             prefill_ms: share.prefill_ms.map(|millis| millis.round() as u32),
+            longest_ms: share.longest_ms.map(|millis| millis.round() as u32),
             sequences: share.sequences,
         });
         Self {
@@ -52,6 +55,7 @@
         let rows = self.shares.iter().map(|row| {
             let share = Share {
                 prefill_ms: row.prefill_ms.map(f64::from),
+                longest_ms: row.longest_ms.map(f64::from),
                 sequences: row.sequences,
             };
             (row.engine.clone(), share)
--- a/lib/src/gateway/pump.rs
+++ b/lib/src/gateway/pump.rs
@@ -1,5 +1,5 @@
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::Response;
@@ -47,6 +47,9 @@
         route: inquiry.route.name.clone(),
         first_ms: millis(inquiry.elapsed()),
         left: inquiry.left(),
+        begun: Instant::now(),
+        output_max: inquiry.arrival.prompt.output_tokens_max,
+        output_hint: inquiry.arrival.prompt.output_tokens_hint,
     };
     tokio::task::spawn_local(pump.run(run, sender));
     response
@@ -59,17 +62,24 @@
     route: Name,
     first_ms: f64,
     left: Duration,
+    /// When the first event arrived.
+    begun: Instant,
+    output_max: u32,
+    output_hint: Option<u32>,
 }
 
 impl Pump {
     async fn run(self, mut run: Run, sender: Sender<Piece>) {
-        let work = relay(&mut run.exchange, run.first.take(), &sender);
+        let mut sent_bytes = 0;
+        let first = run.first.take();
+        let work = relay(&mut run.exchange, first, &sender, &mut sent_bytes);
         let end = tokio::time::timeout(self.left, work)
             .await
             .unwrap_or(End::TimeLimit);
         log::info!(
             request:% = self.id, route:% = self.route, engine:% = run.engine, end:? = end,
-            first_ms = self.first_ms as u64;
+            first_ms = self.first_ms as u64, total_ms = self.begun.elapsed().as_millis() as u64,
+            bytes = sent_bytes, output_max = self.output_max, output_hint:? = self.output_hint;
             "stream ended"
         );
         self.shared
@@ -92,12 +102,18 @@
     }
 }
 
-async fn relay(exchange: &mut Exchange, first: Option<Bytes>, sender: &Sender<Piece>) -> End {
+async fn relay(
+    exchange: &mut Exchange,
+    first: Option<Bytes>,
+    sender: &Sender<Piece>,
+    sent_bytes: &mut usize,
+) -> End {
     let mut next = first;
     loop {
         let Some(bytes) = next else {
             return End::Complete;
         };
+        *sent_bytes += bytes.len();
         if sender.send(Piece::Data(bytes)).await.is_err() {
             return End::CallerLeft;
         }
--- a/policy/src/gateway/engine_load.rs
+++ b/policy/src/gateway/engine_load.rs
@@ -36,8 +36,10 @@
 /// What this daemon knows of one engine's load.
 #[derive(Debug, Default)]
 pub(crate) struct EngineLoad {
-    /// Work of this daemon.
-    pub(crate) share: Share,
+    /// Sequences of this daemon.
+    pub(crate) sequences: u32,
+    /// Prompts of this daemon that wait or are being read: rank and ms of the engine's time.
+    reading: Vec<(u8, f64)>,
     pub(crate) health: Health,
     delays: [Delay; RANKS],
     parts: HashMap<u64, Instant>,
@@ -51,6 +53,33 @@
 }
 
 impl EngineLoad {
+    /// Notes a prompt that is sent.
+    pub(crate) fn begin_reading(&mut self, rank: u8, prefill_ms: f64) {
+        self.reading.push((rank, prefill_ms));
+    }
+
+    /// Notes the end of a prompt that was noted with the same figures.
+    pub(crate) fn end_reading(&mut self, rank: u8, prefill_ms: f64) {
+        let same = |it: &(u8, f64)| it.0 == rank && it.1.total_cmp(&prefill_ms).is_eq();
+        if let Some(index) = self.reading.iter().position(same) {
+            self.reading.swap_remove(index);
+        }
+    }
+
+    /// Returns the work of this daemon.
+    pub(crate) fn share(&self) -> Share {
+        let mut share = Share {
+            sequences: self.sequences,
+            ..Share::default()
+        };
+        for (rank, prefill_ms) in &self.reading {
+            let level = level(*rank);
+            share.prefill_ms[level] += prefill_ms;
+            share.longest_ms[level] = share.longest_ms[level].max(*prefill_ms);
+        }
+        share
+    }
+
     /// Returns the delay beyond the known work that answers of a rank have shown lately.
     pub(crate) fn delay_ms(&self, rank: u8, now: Instant) -> f64 {
         let delay = self.delays[level(rank)];
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::engine_load::EngineLoad;
-use super::peer_loads::{PeerLoads, level};
+use super::peer_loads::PeerLoads;
 use super::{
     Endpoint, EngineLimits, Placement, Prompt, Refusal, Route, Share, Speed, Stage, Work,
 };
@@ -241,21 +241,19 @@
             REMOTE_MS
         };
         let cold = engine.cold.as_secs_f64() * 1e3 / 10.0;
-        let others = self.peers.total(&engine.id);
-        let others_ms = others.ahead_of(demand.rank) + f64::from(others.sequences) * SEQUENCE_MS;
+        let work = self.work(&engine.id);
+        let known = work.ahead_of(demand.rank) + f64::from(work.sequences) * SEQUENCE_MS;
         let Some(load) = self.loads.get(&engine.id) else {
-            return remote + cold + others_ms;
+            return remote + cold + known;
         };
         let paused = if load.health.is_usable(demand.now) {
             0.0
         } else {
             PAUSED_MS
         };
-        load.share.ahead_of(demand.rank)
+        known
             + load.delay_ms(demand.rank, demand.now)
-            + f64::from(load.share.sequences) * SEQUENCE_MS
             + load.health.failure_rate() * FAILURE_MS
-            + others_ms
             + remote
             + cold
             + paused
@@ -295,7 +293,7 @@
         now: Instant,
     ) {
         let load = self.loads.entry(id.clone()).or_default();
-        load.share.prefill_ms[level(rank)] += prefill_ms;
+        load.begin_reading(rank, prefill_ms);
         load.health.begin_trial(now);
         self.note_shared(id, prompt, now);
     }
@@ -314,8 +312,7 @@
         let Some(load) = self.loads.get_mut(id) else {
             return;
         };
-        let reading = &mut load.share.prefill_ms[level(rank)];
-        *reading = (*reading - prefill_ms).max(0.0);
+        load.end_reading(rank, prefill_ms);
         match work {
             Work::Done { millis } => {
                 load.observe_delay(rank, millis - expected_ms, now);
@@ -328,17 +325,25 @@
         }
     }
 
+    /// Returns the work of all daemons on an engine, as far as it is known.
+    fn work(&self, id: &Name) -> Share {
+        let mut work = self.peers.total(id);
+        if let Some(load) = self.loads.get(id) {
+            work.add(&load.share());
+        }
+        work
+    }
+
     /// Returns the wait of a request at an engine that the known work explains, in ms.
     #[must_use]
     pub fn known_wait_ms(&self, id: &Name, rank: u8) -> f64 {
-        let own = self.loads.get(id).map(|load| load.share.ahead_of(rank));
-        own.unwrap_or_default() + self.peers.total(id).ahead_of(rank)
+        self.work(id).ahead_of(rank)
     }
 
     /// Notes that a sequence begins at an engine.
     pub fn sequence_sent(&mut self, id: &Name, prompt: &Prompt, now: Instant) {
         let load = self.loads.entry(id.clone()).or_default();
-        load.share.sequences += 1;
+        load.sequences += 1;
         load.health.begin_trial(now);
         self.note_shared(id, prompt, now);
     }
@@ -348,7 +353,7 @@
         let Some(load) = self.loads.get_mut(id) else {
             return;
         };
-        load.share.sequences = load.share.sequences.saturating_sub(1);
+        load.sequences = load.sequences.saturating_sub(1);
         match work {
             Work::Done { .. } => load.health.succeeded(),
             Work::Unreachable => load.health.unreachable(now),
@@ -383,8 +388,10 @@
     #[must_use]
     pub fn own_shares(&self) -> Vec<(Name, Share)> {
         let loads = self.loads.iter();
-        let busy = loads.filter(|(_, load)| load.share != Share::default());
-        busy.map(|(id, load)| (id.clone(), load.share)).collect()
+        let shares = loads.map(|(id, load)| (id.clone(), load.share()));
+        shares
+            .filter(|(_, share)| *share != Share::default())
+            .collect()
     }
 
     /// Takes in another daemon's work; it replaces what that daemon told before.
@@ -402,7 +409,7 @@
     /// Forgets engines that are no longer registered.
     pub fn retain(&mut self, is_known: impl Fn(&Name) -> bool) {
         self.loads
-            .retain(|id, load| load.share.sequences > 0 || is_known(id));
+            .retain(|id, load| load.sequences > 0 || is_known(id));
     }
 }
 
--- a/policy/src/gateway/peer_loads.rs
+++ b/policy/src/gateway/peer_loads.rs
@@ -12,20 +12,42 @@
 /// Ranks that are told apart; less urgent ones count as the last.
 pub const RANKS: usize = 4;
 
+/// Part of a prompt that is expected to be left while it is being read.
+const REMAINING_PART: f64 = 0.7;
+
 /// Work of one daemon on one engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Share {
     /// Prompts that are being read, in ms of the engine's time, for each rank.
     pub prefill_ms: [f64; RANKS],
+    /// Longest single prompt of each rank, in the same unit.
+    pub longest_ms: [f64; RANKS],
     /// Sequences that run.
     pub sequences: u32,
 }
 
 impl Share {
-    /// Returns the work that an engine does before a request of a rank.
+    /// Adds the work of another daemon.
+    pub(crate) fn add(&mut self, other: &Self) {
+        for rank in 0..RANKS {
+            self.prefill_ms[rank] += other.prefill_ms[rank];
+            self.longest_ms[rank] = self.longest_ms[rank].max(other.longest_ms[rank]);
+        }
+        self.sequences += other.sequences;
+    }
+
+    /// Returns the work that an engine does before a request of a rank, in ms.
+    ///
+    /// An engine reads one prompt at a time and finishes it before a more urgent one: what is less
+    /// urgent delays a request by what is left of one prompt.
     #[must_use]
     pub fn ahead_of(&self, rank: u8) -> f64 {
-        self.prefill_ms[..=level(rank)].iter().sum()
+        let (urgent, others) = self.prefill_ms.split_at(level(rank) + 1);
+        let longest = self.longest_ms[level(rank) + 1..].iter().copied();
+        let longest = longest.fold(0.0, f64::max);
+        let urgent: f64 = urgent.iter().sum();
+        let others: f64 = others.iter().sum();
+        urgent + longest.min(others) * REMAINING_PART
     }
 }
 
@@ -57,10 +79,7 @@
         for news in self.peers.values() {
             for (engine, share) in &news.shares {
                 let total = self.totals.entry(engine.clone()).or_default();
-                for (sum, rank) in total.prefill_ms.iter_mut().zip(share.prefill_ms) {
-                    *sum += rank;
-                }
-                total.sequences += share.sequences;
+                total.add(share);
             }
         }
     }
--- a/policy/src/gateway/speed.rs
+++ b/policy/src/gateway/speed.rs
@@ -20,7 +20,7 @@
 impl Default for Speed {
     fn default() -> Self {
         Self {
-            prefill_tokens_per_ms: 110.0,
+            prefill_tokens_per_ms: 95.0,
             in_place_part: 0.4,
             pairs_ms_per_million: 0.15,
             step: Duration::from_micros(3_500),
