gateway: keep decode engines for long outputs; let urgent requests wait longer

Cause: reading prompts in place triples the time of a decode step, so the longest outputs of the short questions missed their deadline (gate: largest tenth of steh 0.33 of 0.85); requests of the most urgent kind were refused although they delay few others. Change: four in ten decode engines read few prompts in place and take the long outputs; the allowed waiting grows with urgency.

--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use ragwortgrade_schema::Name;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::engine_load::EngineLoad;
 use super::peer_loads::PeerLoads;
@@ -36,10 +36,25 @@
 const UNTOLD_MAX: usize = 48;
 /// Weight of reading a shared part that another engine holds, against the time it takes.
 const REREAD_WEIGHT: f64 = 2.0;
+/// Part of the decode engines that is kept for long outputs.
+const CALM_PART: f64 = 0.4;
+/// Weight of reading a prompt at one of them, against the time it takes.
+const CALM_READ_WEIGHT: f64 = 1.5;
+/// Outputs from this length on are long: at 10 ms a token they take 3 s, a good part of the
+/// deadlines.
+const LONG_OUTPUT_TOKENS: u32 = 250;
+/// Time by which a token takes longer where prompts are read in place, weighed against the first
+/// event.
+const SLOW_TOKEN_MS: f64 = 0.4;
+/// Cost of a short output on an engine for long ones, in ms.
+const SHORT_ON_CALM_MS: f64 = 20.0;
 /// Least urgent value that engines know.
 const PRIORITY_MAX: u8 = 9;
-/// Part of the target that a request may wait before an engine begins with it, if it is late then.
+/// Part of the target that a request of the least urgent ranks may wait before an engine begins
+/// with it, if it is late then; a more urgent one may wait a multiple of it, as it delays few.
 const WAITING_TARGET_PART: f64 = 0.6;
+/// Ranks that may wait longer than the least urgent ones.
+const URGENCY_STEPS: u8 = 2;
 /// Shortest time that a refused caller is asked to wait: queues last about that long.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
 /// Longest time that a refused caller is asked to wait.
@@ -69,6 +84,8 @@
     data_centre: &'a Name,
     limits: &'a EngineLimits,
     rank: u8,
+    /// Decode engines that are kept for long outputs.
+    calm: Vec<&'a Name>,
     now: Instant,
 }
 
@@ -118,6 +135,7 @@
             data_centre,
             limits,
             rank: route.rank,
+            calm: Vec::new(),
             now,
         };
         let free = |stage| {
@@ -126,6 +144,10 @@
                 .copied()
                 .filter(move |it| it.stage == Some(stage) && !tried.contains(&it.id))
         };
+        let demand = Demand {
+            calm: calm(candidates),
+            ..demand
+        };
         let in_place = self.cheapest(free(Stage::Decode), &demand, true);
         let Some(in_place) = in_place else {
             return Err(Refusal {
@@ -224,10 +246,17 @@
         let prefill_ms = self
             .speed
             .prefill_ms(demand.prompt.tokens, cached, is_in_place);
+        let mut placing_ms = 0.0;
+        if is_in_place {
+            placing_ms = self.output_ms(engine, demand);
+            if demand.calm.contains(&&engine.id) {
+                placing_ms += prefill_ms * CALM_READ_WEIGHT;
+            }
+        }
         let reread_ms = f64::from(reread) / self.speed.prefill_tokens_per_ms * REREAD_WEIGHT;
         Offer {
             engine,
-            cost_ms: prefill_ms + reread_ms + self.waiting_ms(engine, demand),
+            cost_ms: prefill_ms + placing_ms + reread_ms + self.waiting_ms(engine, demand),
             prefill_ms,
             cached,
         }
@@ -259,6 +288,16 @@
             + paused
     }
 
+    /// Returns what generating at an engine costs in ms because of the length of the output.
+    fn output_ms(&self, engine: &Endpoint, demand: &Demand<'_>) -> f64 {
+        let tokens = demand.prompt.output_tokens_hint.unwrap_or_default();
+        match (demand.calm.contains(&&engine.id), tokens >= LONG_OUTPUT_TOKENS) {
+            (true, false) => SHORT_ON_CALM_MS,
+            (false, true) => f64::from(tokens) * SLOW_TOKEN_MS,
+            _ => 0.0,
+        }
+    }
+
     /// Returns the engine that generates from a prefill at `prefill`, and its cost in ms.
     fn decoder_for<'a>(
         &self,
@@ -272,7 +311,7 @@
             } else {
                 REMOTE_MS
             };
-            self.waiting_ms(engine, demand) + moved
+            self.waiting_ms(engine, demand) + moved + self.output_ms(engine, demand)
         };
         decoders
             .map(|engine| (engine, cost(engine)))
@@ -413,6 +452,19 @@
     }
 }
 
+/// Returns the decode engines that read few prompts in place, so that long outputs are not slowed
+/// down by them; every daemon chooses the same ones.
+fn calm<'a>(candidates: &[&'a Endpoint]) -> Vec<&'a Name> {
+    let decoders = candidates
+        .iter()
+        .filter(|engine| engine.stage == Some(Stage::Decode));
+    let mut decoders: Vec<&Name> = decoders.map(|engine| &engine.id).collect();
+    decoders.sort_by_key(|id| xxh3_64(id.as_bytes()));
+    let count = (decoders.len() as f64 * CALM_PART).round() as usize;
+    decoders.truncate(count);
+    decoders
+}
+
 /// Returns the engine that all daemons prefer for a prefix.
 fn home<'a>(engines: &[&'a Endpoint], part: u64, data_centre: &Name) -> Option<&'a Endpoint> {
     let weight = |engine: &Endpoint| xxh3_64_with_seed(engine.id.as_bytes(), part);
@@ -440,7 +492,8 @@
     let own = Duration::from_secs_f64(placement.prefill_ms / 1e3);
     let waiting = placement.expected.saturating_sub(own);
     let is_late = placement.expected > route.target;
-    let waits_long = waiting > route.target.mul_f64(WAITING_TARGET_PART);
+    let urgency = URGENCY_STEPS.saturating_sub(route.rank) + 1;
+    let waits_long = waiting > route.target.mul_f64(WAITING_TARGET_PART * f64::from(urgency));
     if placement.expected <= patience && !(is_late && waits_long) {
         return None;
     }
