gateway: choose decode engines by the expected time of the whole output

Change: a model of the decode step (sequences, prompts read in place) ranks the engines; the expected first event is kept apart from the cost that ranks.

--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -21,6 +21,8 @@
 const APART_MS: f64 = 15.0;
 /// Cost of a failure rate of 1, in ms.
 const FAILURE_MS: f64 = 2_000.0;
+/// Part of its cold time by which an engine that has just started is slower.
+const COLD_PART: f64 = 10.0;
 /// Delay that a running sequence adds to another one's first event, in ms.
 const SEQUENCE_MS: f64 = 0.5;
 /// Part of the caller's patience that an expected first event may take, as estimates are low when
@@ -40,14 +42,12 @@
 const CALM_PART: f64 = 0.4;
 /// Weight of reading a prompt at one of them, against the time it takes.
 const CALM_READ_WEIGHT: f64 = 1.5;
-/// Outputs from this length on are long: at 10 ms a token they take 3 s, a good part of the
-/// deadlines.
-const LONG_OUTPUT_TOKENS: u32 = 250;
-/// Time by which a token takes longer where prompts are read in place, weighed against the first
-/// event.
-const SLOW_TOKEN_MS: f64 = 0.4;
-/// Cost of a short output on an engine for long ones, in ms.
-const SHORT_ON_CALM_MS: f64 = 20.0;
+/// Part of the time in which an engine for long outputs reads a prompt in place.
+const CALM_READING: f64 = 0.1;
+/// Part of the time in which the other decode engines do; of a loaded day on both deployments.
+const BUSY_READING: f64 = 0.4;
+/// Weight of the time of the whole output against that of the first event.
+const OUTPUT_WEIGHT: f64 = 0.1;
 /// Least urgent value that engines know.
 const PRIORITY_MAX: u8 = 9;
 /// Part of the target that a request of the least urgent ranks may wait before an engine begins
@@ -93,11 +93,23 @@
 #[derive(Debug)]
 struct Offer<'a> {
     engine: &'a Endpoint,
+    /// Expected time until the prompt is read.
+    first_ms: f64,
+    /// That time and what the choice costs other requests and the rest of this one.
     cost_ms: f64,
     prefill_ms: f64,
     cached: u32,
 }
 
+/// What it takes until an engine begins with a request, in ms.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    /// Expected time.
+    first_ms: f64,
+    /// That time and what speaks against the engine.
+    cost_ms: f64,
+}
+
 impl Engines {
     /// Opens the record with the speeds of the deployment's engines.
     #[must_use]
@@ -176,35 +188,28 @@
         demand: &Demand<'_>,
     ) -> Placement {
         let apart = apart.and_then(|prefill| {
-            let decoder = self.decoder_for(prefill.engine, decoders, demand)?;
+            let (decoder, waiting) = self.decoder_for(prefill.engine, decoders, demand)?;
             let transfer = demand.limits.transfer_time(demand.prompt.tokens);
-            let cost = prefill.cost_ms + decoder.1 + transfer.as_secs_f64() * 1e3 + APART_MS;
-            Some((cost, prefill, decoder.0))
+            let transfer_ms = transfer.as_secs_f64() * 1e3 + APART_MS;
+            let cost_ms = prefill.cost_ms + waiting.cost_ms + transfer_ms;
+            let first_ms = prefill.first_ms + waiting.first_ms + transfer_ms;
+            (cost_ms < in_place.cost_ms).then_some((first_ms, prefill, decoder))
         });
-        match apart {
-            Some((cost, prefill, decoder)) if cost < in_place.cost_ms => Placement {
-                prefill: Some(prefill.engine.id.clone()),
-                run: decoder.id.clone(),
-                expected: self.expected(cost),
-                prefill_ms: prefill.prefill_ms,
-                cached_tokens: prefill.cached,
-                priority: 0,
-            },
-            _ => Placement {
-                prefill: None,
-                run: in_place.engine.id.clone(),
-                expected: self.expected(in_place.cost_ms),
-                prefill_ms: in_place.prefill_ms,
-                cached_tokens: in_place.cached,
-                priority: 0,
-            },
+        let (first_ms, reader, decoder) = match apart {
+            Some((first_ms, prefill, decoder)) => (first_ms, prefill, Some(decoder)),
+            None => (in_place.first_ms, in_place, None),
+        };
+        let engine = reader.engine.id.clone();
+        Placement {
+            prefill: decoder.is_some().then(|| engine.clone()),
+            run: decoder.map_or(engine, |decoder| decoder.id.clone()),
+            expected: Duration::from_secs_f64(first_ms / 1e3) + self.speed.first_event,
+            prefill_ms: reader.prefill_ms,
+            cached_tokens: reader.cached,
+            priority: 0,
         }
     }
 
-    fn expected(&self, cost_ms: f64) -> Duration {
-        Duration::from_secs_f64(cost_ms / 1e3) + self.speed.first_event
-    }
-
     /// Returns the engine that reads the prompt soonest.
     fn cheapest<'a>(
         &self,
@@ -253,71 +258,73 @@
                 placing_ms += prefill_ms * CALM_READ_WEIGHT;
             }
         }
+        let waiting = self.waiting(engine, demand);
         let reread_ms = f64::from(reread) / self.speed.prefill_tokens_per_ms * REREAD_WEIGHT;
         Offer {
             engine,
-            cost_ms: prefill_ms + placing_ms + reread_ms + self.waiting_ms(engine, demand),
+            first_ms: prefill_ms + waiting.first_ms,
+            cost_ms: prefill_ms + placing_ms + reread_ms + waiting.cost_ms,
             prefill_ms,
             cached,
         }
     }
 
-    /// Returns the cost of an engine before it begins with a request, in ms.
-    fn waiting_ms(&self, engine: &Endpoint, demand: &Demand<'_>) -> f64 {
-        let remote = if engine.data_centre == *demand.data_centre {
-            0.0
-        } else {
-            REMOTE_MS
-        };
-        let cold = engine.cold.as_secs_f64() * 1e3 / 10.0;
+    /// Returns what it takes until an engine begins with a request.
+    fn waiting(&self, engine: &Endpoint, demand: &Demand<'_>) -> Waiting {
         let work = self.work(&engine.id);
-        let known = work.ahead_of(demand.rank) + f64::from(work.sequences) * SEQUENCE_MS;
-        let Some(load) = self.loads.get(&engine.id) else {
-            return remote + cold + known;
-        };
-        let paused = if load.health.is_usable(demand.now) {
-            0.0
-        } else {
-            PAUSED_MS
-        };
-        known
-            + load.delay_ms(demand.rank, demand.now)
-            + load.health.failure_rate() * FAILURE_MS
-            + remote
-            + cold
-            + paused
+        let cold_ms = engine.cold.as_secs_f64() * 1e3 / COLD_PART;
+        let mut first_ms = work.ahead_of(demand.rank) + cold_ms;
+        let mut cost_ms = f64::from(work.sequences) * SEQUENCE_MS;
+        if engine.data_centre != *demand.data_centre {
+            cost_ms += REMOTE_MS;
+        }
+        if let Some(load) = self.loads.get(&engine.id) {
+            first_ms += load.delay_ms(demand.rank, demand.now);
+            cost_ms += load.health.failure_rate() * FAILURE_MS;
+            if !load.health.is_usable(demand.now) {
+                cost_ms += PAUSED_MS;
+            }
+        }
+        Waiting {
+            first_ms,
+            cost_ms: first_ms + cost_ms,
+        }
     }
 
     /// Returns what generating at an engine costs in ms because of the length of the output.
     fn output_ms(&self, engine: &Endpoint, demand: &Demand<'_>) -> f64 {
         let tokens = demand.prompt.output_tokens_hint.unwrap_or_default();
-        match (demand.calm.contains(&&engine.id), tokens >= LONG_OUTPUT_TOKENS) {
-            (true, false) => SHORT_ON_CALM_MS,
-            (false, true) => f64::from(tokens) * SLOW_TOKEN_MS,
-            _ => 0.0,
-        }
+        let reading = if demand.calm.contains(&&engine.id) {
+            CALM_READING
+        } else {
+            BUSY_READING
+        };
+        let sequences = self.work(&engine.id).sequences;
+        let step = self.speed.step_ms(sequences, reading);
+        f64::from(tokens) * step * OUTPUT_WEIGHT
     }
 
-    /// Returns the engine that generates from a prefill at `prefill`, and its cost in ms.
+    /// Returns the engine that generates from a prefill at `prefill`.
     fn decoder_for<'a>(
         &self,
         prefill: &Endpoint,
         decoders: impl Iterator<Item = &'a Endpoint>,
         demand: &Demand<'_>,
-    ) -> Option<(&'a Endpoint, f64)> {
-        let cost = |engine: &Endpoint| {
-            let moved = if engine.data_centre == prefill.data_centre {
-                0.0
-            } else {
-                REMOTE_MS
-            };
-            self.waiting_ms(engine, demand) + moved + self.output_ms(engine, demand)
+    ) -> Option<(&'a Endpoint, Waiting)> {
+        let waiting = |engine: &Endpoint| {
+            let mut waiting = self.waiting(engine, demand);
+            if engine.data_centre != prefill.data_centre {
+                waiting.cost_ms += REMOTE_MS;
+            }
+            waiting.cost_ms += self.output_ms(engine, demand);
+            waiting
         };
         decoders
-            .map(|engine| (engine, cost(engine)))
+            .map(|engine| (engine, waiting(engine)))
             .min_by(|left, right| {
                 left.1
-                    .total_cmp(&right.1)
+                    .cost_ms
+                    .total_cmp(&right.1.cost_ms)
                     .then_with(|| left.0.id.cmp(&right.0.id))
             })
     }
--- a/policy/src/gateway/speed.rs
+++ b/policy/src/gateway/speed.rs
@@ -11,8 +11,12 @@
     pub in_place_part: f64,
     /// Quadratic part of a prefill: milliseconds for a million pairs of tokens.
     pub pairs_ms_per_million: f64,
-    /// Time of one decode step without other work.
-    pub step: Duration,
+    /// Time of one decode step without other work, in ms.
+    pub step_ms: f64,
+    /// Time by which each sequence lengthens a step, in ms.
+    pub sequence_ms: f64,
+    /// Time by which a piece of a prompt that is read in place lengthens a step, in ms.
+    pub piece_ms: f64,
     /// Time from the end of a prefill to the first event.
     pub first_event: Duration,
 }
@@ -23,13 +27,22 @@
             prefill_tokens_per_ms: 95.0,
             in_place_part: 0.4,
             pairs_ms_per_million: 0.15,
-            step: Duration::from_micros(3_500),
+            step_ms: 3.3,
+            sequence_ms: 0.065,
+            piece_ms: 9.0,
             first_event: Duration::from_millis(52),
         }
     }
 }
 
 impl Speed {
+    /// Returns the milliseconds of a decode step with `sequences`, while prompts are read in place
+    /// in the part `reading` of the time.
+    #[must_use]
+    pub fn step_ms(&self, sequences: u32, reading: f64) -> f64 {
+        self.step_ms + f64::from(sequences) * self.sequence_ms + reading * self.piece_ms
+    }
+
     /// Returns the milliseconds to read `tokens` of which the first `cached` are in the cache.
     #[must_use]
     pub fn prefill_ms(&self, tokens: u32, cached: u32, is_in_place: bool) -> f64 {
