--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -52,7 +52,9 @@
 const PRIORITY_MAX: u8 = 9;
 /// Part of the target that a request of the least urgent ranks may wait before an engine begins
 /// with it, if it is late then; a more urgent one may wait a multiple of it, as it delays few.
-const WAITING_TARGET_PART: f64 = 0.6;
+const WAITING_TARGET_PART: f64 = 0.4;
+/// Part of the target from which on a request counts as late: estimates are low while load grows.
+const LATE_TARGET_PART: f64 = 0.75;
 /// Ranks that may wait longer than the least urgent ones.
 const URGENCY_STEPS: u8 = 2;
 /// Shortest time that a refused caller is asked to wait: queues last about that long.
@@ -498,7 +500,7 @@
     let patience = patience(route).mul_f64(PATIENCE_PART).min(left);
     let own = Duration::from_secs_f64(placement.prefill_ms / 1e3);
     let waiting = placement.expected.saturating_sub(own);
-    let is_late = placement.expected > route.target;
+    let is_late = placement.expected > route.target.mul_f64(LATE_TARGET_PART);
     let urgency = URGENCY_STEPS.saturating_sub(route.rank) + 1;
     let waits_long = waiting > route.target.mul_f64(WAITING_TARGET_PART * f64::from(urgency));
     if placement.expected <= patience && !(is_late && waits_long) {
