--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -52,9 +52,9 @@
 const PRIORITY_MAX: u8 = 9;
 /// Part of the target that a request of the least urgent ranks may wait before an engine begins
 /// with it, if it is late then; a more urgent one may wait a multiple of it, as it delays few.
-const WAITING_TARGET_PART: f64 = 0.4;
+const WAITING_TARGET_PART: f64 = 0.3;
 /// Part of the target from which on a request counts as late: estimates are low while load grows.
-const LATE_TARGET_PART: f64 = 0.75;
+const LATE_TARGET_PART: f64 = 0.65;
 /// Ranks that may wait longer than the least urgent ones.
 const URGENCY_STEPS: u8 = 2;
 /// Shortest time that a refused caller is asked to wait: queues last about that long.
