--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -58,7 +58,7 @@
             }
         };
         excluded.push(engine.id.clone());
-        let (failure, passed) = match run(inquiry, &engine, &placement, purpose).await {
+        let (failure, passed) = match run(inquiry, limits, &engine, &placement, purpose).await {
             Attempt::Answered(response) => return response,
             Attempt::Failed(failure, passed) => (failure, passed),
         };
@@ -195,6 +195,7 @@
 /// Runs the request at an engine up to the first bytes of its answer.
 async fn run(
     inquiry: &Inquiry,
+    limits: &EngineLimits,
     engine: &Endpoint,
     placement: &Placement,
     purpose: Purpose,
@@ -231,6 +232,7 @@
                     first,
                     sequence,
                     engine: engine.id.clone(),
+                    event_tokens: limits.event_tokens,
                 };
                 return Attempt::Answered(pump::forward(inquiry, run));
             }
--- a/lib/src/gateway/pump.rs
+++ b/lib/src/gateway/pump.rs
@@ -22,6 +22,8 @@
     pub(super) first: Option<Bytes>,
     pub(super) sequence: Sequence,
     pub(super) engine: Name,
+    /// Tokens of one event.
+    pub(super) event_tokens: u32,
 }
 
 /// How a stream ended.
@@ -47,6 +49,7 @@
         route: inquiry.route.name.clone(),
         first_ms: millis(inquiry.elapsed()),
         left: inquiry.left(),
+        event_tokens: run.event_tokens,
         begun: Instant::now(),
         output_max: inquiry.arrival.prompt.output_tokens_max,
         output_hint: inquiry.arrival.prompt.output_tokens_hint,
@@ -62,6 +65,7 @@
     route: Name,
     first_ms: f64,
     left: Duration,
+    event_tokens: u32,
     /// When the first event arrived.
     begun: Instant,
     output_max: u32,
@@ -71,8 +75,12 @@
 impl Pump {
     async fn run(self, mut run: Run, sender: Sender<Piece>) {
         let mut sent_bytes = 0;
+        let mut events = 0;
         let first = run.first.take();
-        let work = relay(&mut run.exchange, first, &sender, &mut sent_bytes);
+        let work = relay(&mut run.exchange, first, &sender, |bytes| {
+            sent_bytes += bytes.len();
+            events += count_events(bytes);
+        });
         let end = tokio::time::timeout(self.left, work)
             .await
             .unwrap_or(End::TimeLimit);
@@ -87,6 +95,11 @@
             .time("stream.first_event_ms", self.first_ms as u64);
         match end {
             End::Complete => {
+                let tokens = events.saturating_sub(1) * self.event_tokens;
+                let millis = millis(self.begun.elapsed());
+                let mut engines = self.shared.engines.borrow_mut();
+                engines.observe_output(&run.engine, tokens, millis);
+                drop(engines);
                 run.sequence.end(Work::Done { millis: 0.0 });
                 run.exchange.release(&self.shared.client);
                 self.shared.metrics.count("streams.complete", 1);
@@ -102,18 +115,23 @@
     }
 }
 
+/// Counts the events that end in a piece of a stream.
+fn count_events(bytes: &[u8]) -> u32 {
+    bytes.windows(2).filter(|pair| pair == b"\n\n").count() as u32
+}
+
 async fn relay(
     exchange: &mut Exchange,
     first: Option<Bytes>,
     sender: &Sender<Piece>,
-    sent_bytes: &mut usize,
+    mut sent: impl FnMut(&[u8]),
 ) -> End {
     let mut next = first;
     loop {
         let Some(bytes) = next else {
             return End::Complete;
         };
-        *sent_bytes += bytes.len();
+        sent(&bytes);
         if sender.send(Piece::Data(bytes)).await.is_err() {
             return End::CallerLeft;
         }
--- a/policy/src/gateway/engine_load.rs
+++ b/policy/src/gateway/engine_load.rs
@@ -15,6 +15,13 @@
 /// Weight of a new delay against the decayed ones.
 const DELAY_STEP: f64 = 0.4;
 
+/// Part of the slowness that one output replaces; about seven form it.
+const SLOWNESS_STEP: f64 = 0.15;
+/// Bounds of the slowness that one output can show; engines that fail slowly are up to 8 times
+/// slower.
+const SLOWNESS_MIN: f64 = 0.5;
+const SLOWNESS_MAX: f64 = 8.0;
+
 /// How a piece of work at an endpoint ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Work {
@@ -42,9 +49,20 @@
     reading: Vec<(u8, f64)>,
     pub(crate) health: Health,
     delays: [Delay; RANKS],
+    slowness: Slowness,
     parts: HashMap<u64, Instant>,
 }
 
+/// Factor by which an engine is slower than the deployment's speeds say.
+#[derive(Clone, Copy, Debug)]
+struct Slowness(f64);
+
+impl Default for Slowness {
+    fn default() -> Self {
+        Self(1.0)
+    }
+}
+
 /// Delay that answers showed beyond the known work.
 #[derive(Clone, Copy, Debug, Default)]
 struct Delay {
@@ -80,6 +98,17 @@
         share
     }
 
+    /// Returns the factor by which the engine is slower than expected.
+    pub(crate) const fn slowness(&self) -> f64 {
+        self.slowness.0
+    }
+
+    /// Takes in how much longer a piece of work took than expected, as a factor.
+    pub(crate) fn observe_slowness(&mut self, factor: f64) {
+        let factor = factor.clamp(SLOWNESS_MIN, SLOWNESS_MAX);
+        self.slowness.0 += (factor - self.slowness.0) * SLOWNESS_STEP;
+    }
+
     /// Returns the delay beyond the known work that answers of a rank have shown lately.
     pub(crate) fn delay_ms(&self, rank: u8, now: Instant) -> f64 {
         let delay = self.delays[level(rank)];
@@ -124,6 +153,7 @@
     pub(crate) fn restarted(&mut self) {
         self.parts.clear();
         self.delays = [Delay::default(); RANKS];
+        self.slowness = Slowness::default();
         self.health = Health::default();
     }
 }
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -46,6 +46,8 @@
 const CALM_READING: f64 = 0.1;
 /// Part of the time in which the other decode engines do; of a loaded day on both deployments.
 const BUSY_READING: f64 = 0.4;
+/// Shortest output that shows how fast an engine is.
+const OUTPUT_TOKENS_MIN: u32 = 80;
 /// Weight of the time of the whole output against that of the first event.
 const OUTPUT_WEIGHT: f64 = 0.1;
 /// Least urgent value that engines know.
@@ -250,9 +252,11 @@
         } else {
             shared_tokens.saturating_sub(cached)
         };
-        let prefill_ms = self
-            .speed
-            .prefill_ms(demand.prompt.tokens, cached, is_in_place);
+        let slowness = load.map_or(1.0, EngineLoad::slowness);
+        let prefill_ms = slowness
+            * self
+                .speed
+                .prefill_ms(demand.prompt.tokens, cached, is_in_place);
         let mut placing_ms = 0.0;
         if is_in_place {
             placing_ms = self.output_ms(engine, demand);
@@ -302,10 +306,26 @@
             BUSY_READING
         };
         let sequences = self.work(&engine.id).sequences;
-        let step = self.speed.step_ms(sequences, reading);
+        let slowness = self
+            .loads
+            .get(&engine.id)
+            .map_or(1.0, EngineLoad::slowness);
+        let step = self.speed.step_ms(sequences, reading) * slowness;
         f64::from(tokens) * step * OUTPUT_WEIGHT
     }
 
+    /// Takes in that a sequence produced `tokens` in `millis` after its first event.
+    pub fn observe_output(&mut self, id: &Name, tokens: u32, millis: f64) {
+        if tokens < OUTPUT_TOKENS_MIN {
+            return;
+        }
+        let sequences = self.work(id).sequences;
+        let expected = self.speed.step_ms(sequences, BUSY_READING) * f64::from(tokens);
+        if let Some(load) = self.loads.get_mut(id) {
+            load.observe_slowness(millis / expected);
+        }
+    }
+
     /// Returns the engine that generates from a prefill at `prefill`.
     fn decoder_for<'a>(
         &self,
--- a/policy/src/gateway/service.rs
+++ b/policy/src/gateway/service.rs
@@ -26,6 +26,8 @@
     pub kv_token_bytes: f64,
     /// Bandwidth between engines, in Mbit/s.
     pub link_mbps: f64,
+    /// Tokens of one event of a stream.
+    pub event_tokens: u32,
     /// Time for which an engine keeps the KV cache of a prefill that was run apart.
     pub handle_ttl: Duration,
 }
