--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -41,7 +41,7 @@
 /// Part of the decode engines that is kept for long outputs.
 const CALM_PART: f64 = 0.4;
 /// Weight of reading a prompt at one of them, against the time it takes.
-const CALM_READ_WEIGHT: f64 = 1.5;
+const CALM_READ_WEIGHT: f64 = 3.0;
 /// Part of the time in which an engine for long outputs reads a prompt in place.
 const CALM_READING: f64 = 0.1;
 /// Part of the time in which the other decode engines do; of a loaded day on both deployments.
@@ -57,6 +57,9 @@
 const WAITING_TARGET_PART: f64 = 0.3;
 /// Part of the target from which on a request counts as late: estimates are low while load grows.
 const LATE_TARGET_PART: f64 = 0.65;
+/// The same for a request that is late by its own size. A shorter one with the same wait is on time
+/// and taken, so without the longer wait the longest prompts would seldom be served.
+const WAITING_TARGET_PART_LONG: f64 = 0.4;
 /// Ranks that may wait longer than the least urgent ones.
 const URGENCY_STEPS: u8 = 2;
 /// Shortest time that a refused caller is asked to wait: queues last about that long.
@@ -514,15 +517,20 @@
 ///
 /// While more is asked than the engines can read, every request would wait as long as the longest
 /// queue that is allowed. A short queue lets those that are taken be on time; the others learn at
-/// once when to come back. Only the waiting counts, not the request's own size, so long prompts are
-/// refused no more often than short ones.
+/// once when to come back. Only the waiting counts, not the request's own size.
 fn refusal(placement: &Placement, route: &Route, left: Duration) -> Option<Refusal> {
     let patience = patience(route).mul_f64(PATIENCE_PART).min(left);
     let own = Duration::from_secs_f64(placement.prefill_ms / 1e3);
     let waiting = placement.expected.saturating_sub(own);
     let is_late = placement.expected > route.target.mul_f64(LATE_TARGET_PART);
     let urgency = URGENCY_STEPS.saturating_sub(route.rank) + 1;
-    let waits_long = waiting > route.target.mul_f64(WAITING_TARGET_PART * f64::from(urgency));
+    let late = route.target.mul_f64(LATE_TARGET_PART);
+    let part = if own >= late {
+        WAITING_TARGET_PART_LONG
+    } else {
+        WAITING_TARGET_PART
+    };
+    let waits_long = waiting > route.target.mul_f64(part * f64::from(urgency));
     if placement.expected <= patience && !(is_late && waits_long) {
         return None;
     }
