gateway: take no streams late in a planned stop

Change: from 2.5 s after the start of a stop streams are refused as not run, to come back at another daemon; connections are closed only after 0.4 s without a request.

--- a/lib/src/gateway/caller.rs
+++ b/lib/src/gateway/caller.rs
@@ -3,7 +3,7 @@
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use ragwortgrade_policy::gateway::Limits;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -102,10 +102,10 @@
         }
     }
 
-    /// Closes the connections on which no request is being answered.
-    pub(super) fn close_idle(&self) {
+    /// Closes the connections that have had no request for a time.
+    pub(super) fn close_idle(&self, idle: Duration) {
         for caller in self.open.borrow().iter().filter_map(Weak::upgrade) {
-            if caller.is_idle() {
+            if caller.is_idle() && caller.idle_since.get().elapsed() >= idle {
                 caller.closing.notify_one();
             }
         }
--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -23,6 +23,9 @@
 const STOP_ACCEPTING_AFTER: Duration = Duration::from_millis(3_500);
 /// Time kept back before a planned stop must be over.
 const STOP_MARGIN: Duration = Duration::from_millis(600);
+/// Idle time after which a planned stop closes a connection; a caller that has just connected is
+/// about to send its request.
+const CLOSE_AFTER: Duration = Duration::from_millis(400);
 /// How often a planned stop looks whether all requests are done.
 const STOP_PAUSE: Duration = Duration::from_millis(100);
 
@@ -188,7 +191,7 @@
         _ = stopping.wait_for(|is_stopping| *is_stopping) => {}
     }
     let begun = Instant::now();
-    shared.is_draining.set(true);
+    shared.stop_begun.set(Some(shared.now()));
     log::info!(requests = shared.callers.requests(); "planned stop began");
     if let Some(lease) = shared.registration.take() {
         let store = Rc::clone(&shared.options.store);
@@ -204,7 +207,7 @@
     }
     let end = shared.options.stop_timeout.saturating_sub(STOP_MARGIN);
     loop {
-        shared.callers.close_idle();
+        shared.callers.close_idle(CLOSE_AFTER);
         let is_done = shared.callers.len() == 0;
         if is_done || begun.elapsed() >= end {
             log::info!(is_done = is_done, requests = shared.callers.requests(); "stopped");
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -85,7 +85,7 @@
     };
     let value = serde_json::to_vec(&registration).unwrap_or_default();
     let mut is_lost = false;
-    while !shared.is_draining.get() {
+    while !shared.is_stopping() {
         if let Err(error) = keep_registered(&shared, &key, &value, &mut is_lost).await {
             log::info!(error:% = error; "registration ended; registering again");
         }
@@ -203,10 +203,7 @@
     let mut last_sent = Vec::new();
     let mut unchanged = 0;
     loop {
-        let addresses = shared
-            .peers
-            .borrow()
-            .addresses(&shared.options.data_centre);
+        let addresses = shared.peers.borrow().addresses(&shared.options.data_centre);
         let pause = NEWS_PAUSE_PER_PEER * addresses.len() as u32;
         tokio::time::sleep(pause.max(NEWS_PAUSE_MIN)).await;
         let mut shares = shared.engines.borrow().own_shares();
@@ -222,7 +219,13 @@
         }
         last_sent.clone_from(&shares);
         sequence += 1;
-        let news = News::new(shared.options.name.clone(), started_ms, sequence, shares, parts);
+        let news = News::new(
+            shared.options.name.clone(),
+            started_ms,
+            sequence,
+            shares,
+            parts,
+        );
         let Ok(datagram) = postcard::to_allocvec(&news) else {
             continue;
         };
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -18,6 +18,8 @@
 
 /// Longest time to read a body; the operators' limits bound the head only.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which a caller that is refused by a stopping daemon reaches another one.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
 
 /// Answers one request of a caller.
 pub(super) async fn handle(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Answer> {
@@ -27,7 +29,7 @@
     // so what follows it on the connection is never read as a request.
     let closes = head.headers.contains_key(TRANSFER_ENCODING);
     let mut response = answer(&shared, head, body, begun).await;
-    if closes || shared.is_draining.get() {
+    if closes || shared.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -52,6 +54,10 @@
         Ok(inquiry) => inquiry,
         Err(response) => return response,
     };
+    if inquiry.repeat().is_stream() && shared.takes_no_streams() {
+        log::info!(request = inquiry.id(); "refused, as this daemon stops");
+        return status::not_run("stopping", RETRY_ELSEWHERE);
+    }
     let now = shared.now();
     shared.budgets.borrow_mut().request(&inquiry.service, now);
     let engine = catalog
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -14,6 +14,10 @@
 use crate::Clock;
 use crate::observe::Metrics;
 
+/// Time for which a daemon that stops takes streams: the balancer sends callers elsewhere after
+/// two misses of one a second, and a stream needs the rest of the time to end.
+const LAST_STREAM_AFTER: Duration = Duration::from_millis(2_500);
+
 /// State of the gateway; it lives on one thread.
 #[derive(Debug)]
 pub(super) struct Shared {
@@ -29,7 +33,8 @@
     pub(super) metrics: Metrics,
     /// Whether the registrations were read once.
     pub(super) is_registry_read: Cell<bool>,
-    pub(super) is_draining: Cell<bool>,
+    /// When a planned stop began.
+    pub(super) stop_begun: Cell<Option<Instant>>,
     /// Wakes those who wait for answers of the store that it will never send.
     pub(super) store_returned: Notify,
     pub(super) peers: RefCell<Peers>,
@@ -50,7 +55,7 @@
             client: Client::default(),
             metrics,
             is_registry_read: Cell::new(false),
-            is_draining: Cell::new(false),
+            stop_begun: Cell::new(None),
             store_returned: Notify::new(),
             peers: RefCell::default(),
             registration: Cell::new(None),
@@ -74,9 +79,21 @@
             .map_or_else(Limits::default, |catalog| *catalog.limits())
     }
 
+    /// Tells whether a planned stop has begun.
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stop_begun.get().is_some()
+    }
+
+    /// Tells whether a stream that begins now could be cut off by the planned stop.
+    pub(super) fn takes_no_streams(&self) -> bool {
+        let now = self.now();
+        let begun = self.stop_begun.get();
+        begun.is_some_and(|begun| now.since(begun) > LAST_STREAM_AFTER)
+    }
+
     /// Tells whether callers should be sent here.
     pub(super) fn is_ready(&self) -> bool {
-        !self.is_draining.get() && self.is_registry_read.get() && self.catalog.borrow().is_some()
+        !self.is_stopping() && self.is_registry_read.get() && self.catalog.borrow().is_some()
     }
 }
 
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -6,9 +6,7 @@
 
 use super::engine_load::EngineLoad;
 use super::peer_loads::PeerLoads;
-use super::{
-    Endpoint, EngineLimits, Placement, Prompt, Refusal, Route, Share, Speed, Stage, Work,
-};
+use super::{Endpoint, EngineLimits, Placement, Prompt, Refusal, Route, Share, Speed, Stage, Work};
 use crate::Instant;
 
 /// Engines of one stage up to which a prefix has one home in the whole fleet. In a larger fleet it
@@ -309,10 +307,7 @@
             BUSY_READING
         };
         let sequences = self.work(&engine.id).sequences;
-        let slowness = self
-            .loads
-            .get(&engine.id)
-            .map_or(1.0, EngineLoad::slowness);
+        let slowness = self.loads.get(&engine.id).map_or(1.0, EngineLoad::slowness);
         let step = self.speed.step_ms(sequences, reading) * slowness;
         f64::from(tokens) * step * OUTPUT_WEIGHT
     }
