gateway: test decisions, translation and the whole path against stand-ins

Change: builders and cases for placement, registrations, retries and plain services; stand-ins of the store and of workers with scripted answers; the gateway between them, with lost, crossed, late, truncated and unsigned answers, smuggled requests, a silent store and a planned stop. The test of a stream that breaks off found that events that had arrived were dropped with the error; they are sent first now.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -30,7 +30,7 @@
 mod store;
 
 pub use client::{Client, FetchError};
-pub use dialect::{Dialect, Dispatch, Purpose, Reply};
+pub use dialect::{Dialect, Dispatch, Purpose, Reply, Verdict};
 pub use handle::Gateway;
 pub use options::{Declarations, Options};
 pub use settings::Settings;
--- a/lib/src/gateway/answer.rs
+++ b/lib/src/gateway/answer.rs
@@ -20,7 +20,11 @@
 #[derive(Debug)]
 enum Content {
     Whole(Full<Bytes>),
-    Stream(Receiver<Piece>),
+    Stream {
+        pieces: Receiver<Piece>,
+        /// The stream broke off; what came before has been given the time to be sent.
+        is_broken: bool,
+    },
 }
 
 /// Part of a streamed answer.
@@ -47,7 +51,10 @@
 
     pub(super) const fn stream(pieces: Receiver<Piece>) -> Self {
         Self {
-            content: Content::Stream(pieces),
+            content: Content::Stream {
+                pieces,
+                is_broken: false,
+            },
             _in_flight: None,
         }
     }
@@ -66,31 +73,39 @@
 
     fn poll_frame(
         self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match &mut self.get_mut().content {
             Content::Whole(full) => Pin::new(full)
-                .poll_frame(context)
+                .poll_frame(cx)
                 .map_err(|never: Infallible| match never {}),
-            Content::Stream(pieces) => Poll::Ready(match ready!(pieces.poll_recv(context)) {
-                Some(Piece::Data(bytes)) => Some(Ok(Frame::data(bytes))),
-                Some(Piece::End) => None,
-                None => Some(Err(Truncated)),
-            }),
+            Content::Stream { pieces, is_broken } => {
+                Poll::Ready(match ready!(pieces.poll_recv(cx)) {
+                    Some(Piece::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                    Some(Piece::End) => None,
+                    None if *is_broken => Some(Err(Truncated)),
+                    None => {
+                        // An error drops what is buffered; the server sends it while it waits.
+                        *is_broken = true;
+                        cx.waker().wake_by_ref();
+                        return Poll::Pending;
+                    }
+                })
+            }
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.content {
             Content::Whole(full) => full.size_hint(),
-            Content::Stream(_) => SizeHint::default(),
+            Content::Stream { .. } => SizeHint::default(),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match &self.content {
             Content::Whole(full) => full.is_end_stream(),
-            Content::Stream(_) => false,
+            Content::Stream { .. } => false,
         }
     }
 }
--- a/lib/src/gateway/caller.rs
+++ b/lib/src/gateway/caller.rs
@@ -122,13 +122,13 @@
 impl AsyncRead for Watched {
     fn poll_read(
         self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut this.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
+        let before = buf.filled().len();
+        let result = Pin::new(&mut this.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
             this.caller.read();
         }
         result
@@ -138,26 +138,26 @@
 impl AsyncWrite for Watched {
     fn poll_write(
         self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
+        cx: &mut Context<'_>,
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
     }
 
-    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
         self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, buffers)
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -63,13 +63,23 @@
     },
 }
 
+/// Whether an endpoint took a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Verdict {
+    /// It did, as far as it says.
+    #[default]
+    Taken,
+    /// It states that it did not run the request.
+    NotRun,
+    /// Another endpoint listens at the address and did not run it.
+    WrongEndpoint,
+}
+
 /// What the head of an endpoint's answer says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Reply {
-    /// The endpoint states that it did not run the request.
-    pub is_not_run: bool,
-    /// Another endpoint listens at the address.
-    pub is_wrong_endpoint: bool,
+    /// Whether the endpoint took the request.
+    pub verdict: Verdict,
     /// The answer bears the endpoint's signature.
     pub is_signed: bool,
     /// Identity of the request that is answered.
--- a/lib/src/gateway/exchange.rs
+++ b/lib/src/gateway/exchange.rs
@@ -98,7 +98,7 @@
         let (head, body) = response.into_parts();
         let reply = dialect.reply(&head);
         let is_crossed = match (request_id, &reply.request_id) {
-            (Some(expected), Some(answered)) => expected.as_bytes() != &answered[..],
+            (Some(expected), Some(answered)) => expected.as_bytes() != answered.as_ref(),
             _ => false,
         };
         if is_crossed {
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -4,7 +4,6 @@
 };
 use ragwortgrade_schema::Name;
 
-use super::Purpose;
 use super::answer::Answer;
 use super::exchange::{Broken, Exchange};
 use super::plain::{failure_of, pass_on};
@@ -12,6 +11,7 @@
 use super::request::Inquiry;
 use super::shared::{PromptRead, Sequence, millis};
 use super::status::{self, RETRY_AFTER_DEFAULT};
+use super::{Purpose, Verdict};
 
 /// Time of a prefill call beside the reading of the prompt, in ms: the fixed time of an engine's
 /// first token and two crossings.
@@ -179,14 +179,11 @@
         .finish(&inquiry.shared.client)
         .await
         .map_err(broken)?;
-    if reply.is_wrong_endpoint {
-        return Err(Failure::WrongEndpoint);
-    }
-    if reply.is_not_run {
-        return Err(Failure::NotRun);
-    }
-    if !head.status.is_success() {
-        return Err(Failure::Failed);
+    match reply.verdict {
+        Verdict::WrongEndpoint => return Err(Failure::WrongEndpoint),
+        Verdict::NotRun => return Err(Failure::NotRun),
+        Verdict::Taken if !head.status.is_success() => return Err(Failure::Failed),
+        Verdict::Taken => {}
     }
     let dialect = &inquiry.shared.options.dialect;
     dialect.prefill_handle(&body).ok_or(Failure::Failed)
@@ -274,16 +271,13 @@
 
 fn judge(exchange: &Exchange) -> Option<Failure> {
     let reply = &exchange.reply;
-    if reply.is_wrong_endpoint {
-        Some(Failure::WrongEndpoint)
-    } else if reply.is_not_run {
-        Some(Failure::NotRun)
-    } else if exchange.head.status.is_success() && !reply.is_signed {
-        Some(Failure::Unknown)
-    } else if exchange.head.status.is_success() {
-        None
-    } else {
-        Some(Failure::Failed)
+    let is_success = exchange.head.status.is_success();
+    match reply.verdict {
+        Verdict::WrongEndpoint => Some(Failure::WrongEndpoint),
+        Verdict::NotRun => Some(Failure::NotRun),
+        Verdict::Taken if !is_success => Some(Failure::Failed),
+        Verdict::Taken if !reply.is_signed => Some(Failure::Unknown),
+        Verdict::Taken => None,
     }
 }
 
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -206,10 +206,10 @@
         let addresses = shared.peers.borrow().addresses(&shared.options.data_centre);
         let pause = NEWS_PAUSE_PER_PEER * addresses.len() as u32;
         tokio::time::sleep(pause.max(NEWS_PAUSE_MIN)).await;
-        let mut shares = shared.engines.borrow().own_shares();
-        shares.sort_by(|left, right| left.0.cmp(&right.0));
+        let mut work = shared.engines.borrow().own_shares();
+        work.sort_by(|left, right| left.0.cmp(&right.0));
         let parts = shared.engines.borrow_mut().take_untold();
-        unchanged = if shares == last_sent && parts.is_empty() {
+        unchanged = if work == last_sent && parts.is_empty() {
             unchanged + 1
         } else {
             0
@@ -217,13 +217,13 @@
         if unchanged % NEWS_REPEAT != 0 {
             continue;
         }
-        last_sent.clone_from(&shares);
+        last_sent.clone_from(&work);
         sequence += 1;
         let news = News::new(
             shared.options.name.clone(),
             started_ms,
             sequence,
-            shares,
+            work,
             parts,
         );
         let Ok(datagram) = postcard::to_allocvec(&news) else {
--- a/lib/src/gateway/plain.rs
+++ b/lib/src/gateway/plain.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use http::{Response, response};
+use http::{Response, StatusCode, response};
 use ragwortgrade_policy::gateway::{Endpoint, Failure, Outcome, Step, Work, next_step};
 use ragwortgrade_schema::Name;
 
@@ -8,8 +8,7 @@
 use super::request::Inquiry;
 use super::shared::PlainCall;
 use super::status::{self, RETRY_AFTER_DEFAULT};
-use super::{Purpose, Reply};
-use http::StatusCode;
+use super::{Purpose, Reply, Verdict};
 
 /// Answers a request to a plain service.
 pub(super) async fn answer(inquiry: &Inquiry) -> Response<Answer> {
@@ -89,16 +88,12 @@
 
 /// Returns what is wrong with an answer, if it is not simply passed on.
 fn judge(head: &response::Parts, reply: &Reply) -> Option<Failure> {
-    if reply.is_wrong_endpoint {
-        Some(Failure::WrongEndpoint)
-    } else if reply.is_not_run {
-        Some(Failure::NotRun)
-    } else if head.status.is_server_error() {
-        Some(Failure::Failed)
-    } else if head.status.is_success() && !reply.is_signed {
-        Some(Failure::Unknown)
-    } else {
-        None
+    match reply.verdict {
+        Verdict::WrongEndpoint => Some(Failure::WrongEndpoint),
+        Verdict::NotRun => Some(Failure::NotRun),
+        Verdict::Taken if head.status.is_server_error() => Some(Failure::Failed),
+        Verdict::Taken if head.status.is_success() && !reply.is_signed => Some(Failure::Unknown),
+        Verdict::Taken => None,
     }
 }
 
--- a/lib/src/gateway/pump.rs
+++ b/lib/src/gateway/pump.rs
@@ -97,9 +97,10 @@
             End::Complete => {
                 let tokens = events.saturating_sub(1) * self.event_tokens;
                 let millis = millis(self.begun.elapsed());
-                let mut engines = self.shared.engines.borrow_mut();
-                engines.observe_output(&run.engine, tokens, millis);
-                drop(engines);
+                self.shared
+                    .engines
+                    .borrow_mut()
+                    .observe_output(&run.engine, tokens, millis);
                 run.sequence.end(Work::Done { millis: 0.0 });
                 run.exchange.release(&self.shared.client);
                 self.shared.metrics.count("streams.complete", 1);
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -52,7 +52,7 @@
     };
     let inquiry = match inquire(shared, &catalog, head, body, begun) {
         Ok(inquiry) => inquiry,
-        Err(response) => return response,
+        Err(response) => return *response,
     };
     if inquiry.repeat().is_stream() && shared.takes_no_streams() {
         log::info!(request = inquiry.id(); "refused, as this daemon stops");
@@ -106,7 +106,7 @@
     head: Parts,
     body: Bytes,
     begun: Instant,
-) -> Result<Inquiry, Response<Answer>> {
+) -> Result<Inquiry, Box<Response<Answer>>> {
     let arrival = shared.options.dialect.arrival(&head);
     let Some(route) = catalog.route(&arrival.host, &arrival.path) else {
         log::info!(
@@ -115,14 +115,12 @@
             "no route"
         );
         shared.metrics.count("requests.no_route", 1);
-        return Err(status::own(StatusCode::NOT_FOUND, "no_route"));
+        return Err(Box::new(status::own(StatusCode::NOT_FOUND, "no_route")));
     };
     let id = arrival.id.as_deref().unwrap_or_default();
     let Some(service) = route.service_for(id).cloned() else {
-        return Err(status::not_run(
-            "route_without_service",
-            RETRY_AFTER_DEFAULT,
-        ));
+        let response = status::not_run("route_without_service", RETRY_AFTER_DEFAULT);
+        return Err(Box::new(response));
     };
     let deadline = arrival.deadline.unwrap_or(Duration::MAX);
     let time_limit = deadline.min(route.time_limit);
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -135,9 +135,9 @@
     ///
     /// Returns the refusal when no engine can be expected to answer in time.
     #[expect(clippy::too_many_arguments, reason = "inputs of one decision")]
-    pub fn place<'a>(
+    pub fn place(
         &self,
-        candidates: &[&'a Endpoint],
+        candidates: &[&Endpoint],
         prompt: &Prompt,
         route: &Route,
         limits: &EngineLimits,
--- a/policy/src/gateway/plain_pool.rs
+++ b/policy/src/gateway/plain_pool.rs
@@ -91,10 +91,9 @@
                 load.answer_ms += (millis - load.answer_ms) * MEAN_STEP;
                 load.health.succeeded();
             }
-            Work::Rejected => {}
             Work::Unreachable => load.health.unreachable(now),
             Work::Failed => load.health.failed(now),
-            Work::Abandoned => {}
+            Work::Rejected | Work::Abandoned => {}
         }
     }
 
--- /dev/null
+++ b/policy/tests/gateway_members.rs
@@ -0,0 +1,212 @@
+//! Registrations, routes, plain services and what follows a failed attempt.
+
+mod gateway_support;
+
+use gateway_support::{endpoint, route};
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::gateway::{
+    Catalog, Change, Endpoint, Failure, Health, Limits, Outcome, PlainPool, Registry, Repeat,
+    Route, State, Step, Work, next_step,
+};
+use ragwortgrade_schema::Name;
+use ragwortgrade_testutil::named_cases;
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn registry(ids: &[&str]) -> Registry {
+    let mut registry = Registry::default();
+    for id in ids {
+        registry.apply(Change::Put(endpoint(id, "shop")), at(0));
+    }
+    registry
+}
+
+fn usable(registry: &Registry) -> Vec<&str> {
+    let mut ids: Vec<&str> = registry.usable().map(|it| it.id.as_str()).collect();
+    ids.sort_unstable();
+    ids
+}
+
+#[test]
+fn a_removed_or_draining_endpoint_gets_no_new_work() {
+    let mut registry = registry(&["a", "b", "c"]);
+    let draining = Endpoint {
+        state: State::Draining,
+        ..endpoint("a", "shop")
+    };
+    registry.apply(Change::Put(draining), at(10));
+    registry.apply(Change::Removed("b".into()), at(10));
+    assert_eq!(usable(&registry), ["c"]);
+    registry.apply(Change::Unreadable("c".into()), at(20));
+    assert!(usable(&registry).is_empty());
+}
+
+#[test]
+fn a_registration_that_lapses_in_an_outage_has_time_to_return() {
+    let mut registry = registry(&["a", "b"]);
+    registry.source_lost();
+    registry.source_back(at(5_000));
+    registry.replace(Vec::new(), at(5_000));
+    assert_eq!(usable(&registry), ["a", "b"]);
+    registry.apply(Change::Put(endpoint("a", "shop")), at(6_500));
+    assert!(registry.expire(at(7_000)).is_empty());
+    assert_eq!(registry.expire(at(7_500)), [Name::from("b")]);
+    assert_eq!(usable(&registry), ["a"]);
+}
+
+#[test]
+fn without_an_outage_a_missing_registration_is_gone_at_once() {
+    let mut registry = registry(&["a", "b"]);
+    registry.replace(vec![endpoint("a", "shop")], at(5_000));
+    assert_eq!(usable(&registry), ["a"]);
+}
+
+#[test]
+fn an_endpoint_that_was_leaving_before_an_outage_does_not_return() {
+    let mut registry = registry(&["a"]);
+    let draining = Endpoint {
+        state: State::Draining,
+        ..endpoint("a", "shop")
+    };
+    registry.apply(Change::Put(draining), at(10));
+    registry.source_lost();
+    registry.apply(Change::Removed("a".into()), at(20));
+    assert!(registry.is_empty());
+}
+
+#[test]
+fn a_restart_under_the_same_identity_is_a_change() {
+    let mut registry = registry(&["a"]);
+    let same = Change::Put(endpoint("a", "shop"));
+    assert!(!registry.apply(same, at(1)));
+    let reborn = Endpoint {
+        born_ms: Some(7),
+        ..endpoint("a", "shop")
+    };
+    assert!(registry.apply(Change::Put(reborn), at(2)));
+}
+
+fn route_at(prefix: &str) -> Route {
+    Route {
+        name: prefix.into(),
+        prefix: prefix.into(),
+        ..route(0)
+    }
+}
+
+/// Guards against requests that take the route of a shorter prefix or of another host.
+fn takes(host: &str, path: &str, expected: Option<&str>) {
+    let routes = ["/a/", "/a/b/", "/c/"].map(route_at).to_vec();
+    let catalog = Catalog::new(1, Limits::default(), routes, Vec::new());
+    let found = catalog.route(host, path).map(|route| route.name.as_str());
+    assert_eq!(found, expected);
+}
+
+named_cases! { takes:
+    longest_prefix("shop.example", "/a/b/x", Some("/a/b/"));
+    shorter_prefix("shop.example", "/a/bx", Some("/a/"));
+    no_prefix("shop.example", "/ab/", None);
+    other_host("mill.example", "/a/", None);
+}
+
+#[test]
+fn shares_of_a_route_follow_the_weights() {
+    let route = Route {
+        shares: vec![("old".into(), 90), ("new".into(), 10)],
+        ..route(0)
+    };
+    let new = (0..10_000)
+        .filter(|number| {
+            let service = route.service_for(&format!("{number:x}")).unwrap();
+            service.as_str() == "new"
+        })
+        .count();
+    assert!((800..1_200).contains(&new), "{new}");
+}
+
+/// Guards against doubled orders and against promises that are not true.
+fn follows(failure: Failure, repeat: Repeat, may_have_run: bool, can_retry: bool, expected: Step) {
+    assert_eq!(
+        next_step(failure, repeat, may_have_run, can_retry),
+        expected
+    );
+}
+
+named_cases! { follows:
+    order_not_run(Failure::NotRun, Repeat::AtMostOnce, false, true, Step::Retry);
+    order_lost(Failure::Unknown, Repeat::AtMostOnce, true, true, Step::End(Outcome::Unknown));
+    order_not_run_after_a_loss(
+        Failure::NotRun, Repeat::AtMostOnce, true, true, Step::End(Outcome::Unknown));
+    order_refused_without_budget(
+        Failure::NotRun, Repeat::AtMostOnce, false, false, Step::End(Outcome::NotRun));
+    read_lost(Failure::Unknown, Repeat::Idempotent, true, true, Step::Retry);
+    read_failed(Failure::Failed, Repeat::Idempotent, true, false, Step::End(Outcome::PassOn));
+    stream_lost(Failure::Unknown, Repeat::Stream, true, true, Step::End(Outcome::Unknown));
+    resumable_stream_lost(Failure::Unknown, Repeat::ResumableStream, true, true, Step::Retry);
+}
+
+#[test]
+fn an_endpoint_that_fails_pauses_and_is_tried_by_one_request() {
+    let mut health = Health::default();
+    health.failed(at(0));
+    assert!(
+        health.is_usable(at(0)),
+        "one failure may be the request's fault"
+    );
+    health.failed(at(0));
+    assert!(!health.is_usable(at(400)));
+    assert!(health.is_usable(at(600)));
+    health.begin_trial(at(600));
+    assert!(!health.is_usable(at(601)), "the others wait for the trial");
+    health.succeeded();
+    assert!(health.is_usable(at(602)));
+}
+
+#[test]
+fn pauses_of_an_endpoint_are_bounded() {
+    let mut health = Health::default();
+    for _ in 0..50 {
+        health.unreachable(at(0));
+    }
+    assert!(health.is_usable(at(4_001)));
+}
+
+#[test]
+fn plain_calls_go_to_the_least_busy_endpoint_near() {
+    let far = Endpoint {
+        data_centre: "b".into(),
+        ..endpoint("far", "shop")
+    };
+    let endpoints = [endpoint("near-1", "shop"), endpoint("near-2", "shop"), far];
+    let mut pool = PlainPool::default();
+    let here = Name::from("a");
+    let mut chosen = Vec::new();
+    for _ in 0..8 {
+        let endpoint = pool.choose(endpoints.iter(), &[], &here, at(0)).unwrap();
+        pool.sent(&endpoint.id, at(0));
+        chosen.push(endpoint.id.clone());
+    }
+    assert_eq!(
+        chosen.iter().filter(|id| id.as_str() == "near-1").count(),
+        3
+    );
+    assert_eq!(chosen.iter().filter(|id| id.as_str() == "far").count(), 2);
+}
+
+#[test]
+fn plain_calls_leave_a_failing_endpoint() {
+    let endpoints = [endpoint("one", "shop"), endpoint("two", "shop")];
+    let mut pool = PlainPool::default();
+    for _ in 0..3 {
+        pool.sent(&"one".into(), at(0));
+        pool.ended(&"one".into(), Work::Failed, at(0));
+    }
+    let here = Name::from("a");
+    let chosen = pool.choose(endpoints.iter(), &[], &here, at(1)).unwrap();
+    assert_eq!(chosen.id.as_str(), "two");
+    let tried = [Name::from("two")];
+    let only = pool.choose(endpoints.iter(), &tried, &here, at(1)).unwrap();
+    assert_eq!(only.id.as_str(), "one");
+}
--- /dev/null
+++ b/policy/tests/gateway_placement.rs
@@ -0,0 +1,240 @@
+//! Placement of generations.
+
+mod gateway_support;
+
+use std::time::Duration;
+
+use gateway_support::{Fleet, prompt, route};
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::gateway::{RANKS, Share, Work};
+use ragwortgrade_schema::Name;
+use ragwortgrade_testutil::named_cases;
+
+const NOW: Instant = Instant::from_millis(1_000);
+
+fn share(rank: usize, prefill_ms: f64) -> Share {
+    let mut share = Share::default();
+    share.prefill_ms[rank] = prefill_ms;
+    share.longest_ms[rank] = prefill_ms;
+    share
+}
+
+#[test]
+fn a_short_prompt_is_read_in_place_and_a_long_one_apart() {
+    let fleet = Fleet::new(2, 4);
+    let short = fleet.place(&prompt(200, None), &route(0), NOW).unwrap();
+    assert_eq!(short.prefill, None);
+    let long = fleet.place(&prompt(20_000, None), &route(2), NOW).unwrap();
+    assert!(long.prefill.is_some());
+    assert!(long.run.starts_with("decode"));
+}
+
+#[test]
+fn requests_with_one_prefix_stay_together_on_every_daemon() {
+    let mut readers = Vec::new();
+    for _daemon in 0..5 {
+        let fleet = Fleet::new(4, 8);
+        let placement = fleet
+            .place(&prompt(12_000, Some(77)), &route(2), NOW)
+            .unwrap();
+        readers.push(placement.prefill.unwrap());
+    }
+    readers.dedup();
+    assert_eq!(readers.len(), 1, "{readers:?}");
+}
+
+#[test]
+fn a_prefix_that_a_peer_sent_elsewhere_is_followed() {
+    let mut fleet = Fleet::new(4, 8);
+    let home = fleet
+        .place(&prompt(12_000, Some(77)), &route(2), NOW)
+        .unwrap();
+    let home = home.prefill.unwrap();
+    let other = (0..4)
+        .map(|number| Name::from(format!("prefill-{number}")))
+        .find(|name| *name != home)
+        .unwrap();
+    fleet
+        .engines
+        .absorb_parts(vec![(other.clone(), 1), (other.clone(), 77)], NOW);
+    let placement = fleet
+        .place(&prompt(12_000, Some(77)), &route(2), NOW)
+        .unwrap();
+    assert_eq!(placement.prefill, Some(other));
+    assert!(placement.cached_tokens > 0);
+}
+
+#[test]
+fn work_of_a_peer_is_avoided_until_its_news_are_old() {
+    let mut fleet = Fleet::new(2, 2);
+    let busy = Name::from("prefill-0");
+    let news = vec![(busy.clone(), share(2, 300.0))];
+    fleet.engines.absorb(&"peer".into(), news, NOW);
+    for part in 0..20 {
+        let placement = fleet
+            .place(&prompt(12_000, Some(part)), &route(2), NOW)
+            .unwrap();
+        assert_ne!(placement.prefill, Some(busy.clone()));
+    }
+    let later = NOW + Duration::from_secs(10);
+    fleet.engines.absorb(&"other".into(), Vec::new(), later);
+    let used = (0..20).any(|part| {
+        let placement = fleet
+            .place(&prompt(12_000, Some(part)), &route(2), later)
+            .unwrap();
+        placement.prefill == Some(busy.clone())
+    });
+    assert!(used, "news of a peer that is gone must not count for ever");
+}
+
+/// Guards against urgent short requests behind a long prompt that is being read, and against
+/// counting waiting work that they overtake.
+fn waits_at_most(rank: u8, busy_rank: usize, busy_ms: f64, most_ms: u64) {
+    let mut fleet = Fleet::new(0, 1);
+    let news = vec![("decode-0".into(), share(busy_rank, busy_ms))];
+    fleet.engines.absorb(&"peer".into(), news, NOW);
+    let idle = Fleet::new(0, 1);
+    let request = prompt(500, None);
+    let expected = fleet.place(&request, &route(rank), NOW).unwrap().expected;
+    let free = idle.place(&request, &route(rank), NOW).unwrap().expected;
+    let waiting = expected.saturating_sub(free).as_millis() as u64;
+    assert!(waiting <= most_ms && waiting * 2 >= most_ms, "{waiting} ms");
+}
+
+named_cases! { waits_at_most:
+    behind_equal_work(1, 1, 100.0, 100);
+    behind_more_urgent_work(1, 0, 100.0, 100);
+    behind_the_rest_of_a_less_urgent_prompt(0, 2, 100.0, 70);
+}
+
+#[test]
+fn overload_is_refused_at_once_with_a_time_to_return() {
+    let mut fleet = Fleet::new(1, 1);
+    let waiting = Share {
+        longest_ms: share(2, 150.0).longest_ms,
+        ..share(2, 900.0)
+    };
+    let work = ["prefill-0", "decode-0"].map(|name| (name.into(), waiting));
+    fleet.engines.absorb(&"peer".into(), work.to_vec(), NOW);
+    let refusal = fleet
+        .place(&prompt(8_000, None), &route(2), NOW)
+        .unwrap_err();
+    assert!(refusal.retry_after >= Duration::from_millis(250));
+    assert!(refusal.retry_after <= Duration::from_secs(2));
+    // A request that is more urgent than all that waits is taken.
+    assert!(fleet.place(&prompt(500, None), &route(0), NOW).is_ok());
+}
+
+#[test]
+fn a_prompt_that_is_late_by_its_size_alone_is_taken() {
+    let fleet = Fleet::new(1, 1);
+    let placement = fleet.place(&prompt(60_000, None), &route(2), NOW).unwrap();
+    assert!(placement.expected > route(2).target);
+}
+
+#[test]
+fn no_engine_is_a_refusal() {
+    let fleet = Fleet::new(2, 0);
+    assert!(fleet.place(&prompt(500, None), &route(0), NOW).is_err());
+}
+
+#[test]
+fn an_engine_that_fails_is_left_out_and_tried_again() {
+    let mut fleet = Fleet::new(0, 2);
+    let request = prompt(500, None);
+    let first = fleet.place(&request, &route(0), NOW).unwrap().run;
+    for _ in 0..2 {
+        fleet.engines.sequence_sent(&first, &request, NOW);
+        fleet.engines.sequence_ended(&first, Work::Failed, NOW);
+    }
+    assert_ne!(fleet.place(&request, &route(0), NOW).unwrap().run, first);
+    let tried = vec![fleet.place(&request, &route(0), NOW).unwrap().run];
+    let only = fleet
+        .place_without(&request, &route(0), &tried, NOW)
+        .unwrap();
+    assert_eq!(
+        only.run, first,
+        "a failing engine is used when there is no other"
+    );
+}
+
+#[test]
+fn ended_work_is_forgotten() {
+    let mut fleet = Fleet::new(1, 1);
+    let request = prompt(8_000, Some(5));
+    let id = Name::from("prefill-0");
+    fleet.engines.prefill_sent(&id, 2, 80.0, &request, NOW);
+    assert!(fleet.engines.known_wait_ms(&id, 2) > 0.0);
+    let done = Work::Done { millis: 90.0 };
+    fleet.engines.prefill_ended(&id, 2, 80.0, 90.0, done, NOW);
+    assert!(fleet.engines.known_wait_ms(&id, 2).abs() < f64::EPSILON);
+    assert!(fleet.engines.own_shares().is_empty());
+    assert_eq!(fleet.engines.take_untold().len(), request.shared().len());
+    assert_eq!(share(0, 0.0).prefill_ms.len(), RANKS);
+}
+
+#[test]
+fn an_engine_that_turned_slow_gets_less() {
+    let mut fleet = Fleet::new(0, 2);
+    let request = prompt(500, None);
+    let first = fleet.place(&request, &route(0), NOW).unwrap().run;
+    fleet.engines.sequence_sent(&first, &request, NOW);
+    for _ in 0..20 {
+        fleet.engines.observe_output(&first, 200, 8_000.0);
+    }
+    fleet
+        .engines
+        .sequence_ended(&first, Work::Done { millis: 0.0 }, NOW);
+    assert_ne!(fleet.place(&request, &route(0), NOW).unwrap().run, first);
+}
+
+/// Plays a burst of twice what the engines can read; those that are taken must be on time, in
+/// place of all being late.
+#[test]
+fn a_burst_beyond_the_capacity_leaves_most_of_it_on_time() {
+    const ENGINES: usize = 2;
+    const GAP_MS: u64 = 30;
+    let mut fleet = Fleet::new(ENGINES, 1);
+    let route = route(2);
+    let mut free_at = [0.0_f64; ENGINES];
+    let (mut taken, mut on_time) = (0, 0);
+    let mut running: Vec<(f64, Name, f64)> = Vec::new();
+    for number in 0..300 {
+        let millis = number * GAP_MS;
+        let now = Instant::from_millis(millis);
+        let request = prompt(11_000, Some(1_000 + number));
+        running.retain(|(end, id, prefill_ms)| {
+            if *end <= millis as f64 {
+                let done = Work::Done {
+                    millis: *prefill_ms,
+                };
+                fleet
+                    .engines
+                    .prefill_ended(id, 2, *prefill_ms, 1e6, done, now);
+            }
+            *end > millis as f64
+        });
+        let Ok(placement) = fleet.place(&request, &route, now) else {
+            continue;
+        };
+        let Some(id) = placement.prefill else {
+            continue;
+        };
+        let engine: usize = id.trim_start_matches("prefill-").parse().unwrap();
+        let begin = free_at[engine].max(millis as f64);
+        free_at[engine] = begin + placement.prefill_ms;
+        let first_ms = free_at[engine] - millis as f64 + 80.0;
+        taken += 1;
+        on_time += u32::from(first_ms <= route.target.as_secs_f64() * 1e3);
+        fleet
+            .engines
+            .prefill_sent(&id, 2, placement.prefill_ms, &request, now);
+        running.push((free_at[engine], id, placement.prefill_ms));
+    }
+    let capacity = 300.0 * GAP_MS as f64 * ENGINES as f64 / 130.0;
+    assert!(
+        f64::from(on_time) > 0.9 * f64::from(taken),
+        "{on_time} of {taken}"
+    );
+    assert!(f64::from(taken) > 0.7 * capacity, "{taken} of {capacity}");
+}
--- /dev/null
+++ b/policy/tests/gateway_support/mod.rs
@@ -0,0 +1,132 @@
+//! Small builders for the tests of the gateway's decisions.
+#![allow(dead_code, reason = "each test file uses some of the builders")]
+
+use std::time::Duration;
+
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::gateway::{
+    Endpoint, EngineLimits, Engines, Part, Placement, Prompt, Refusal, Repeat, Route, Speed, Stage,
+    State,
+};
+use ragwortgrade_schema::Name;
+
+/// Tokens of the part that all prompts share.
+const SYSTEM_TOKENS: u32 = 500;
+/// Tokens of a document that some prompts share.
+const DOCUMENT_TOKENS: u32 = 5_000;
+
+pub struct Fleet {
+    pub engines: Engines,
+    endpoints: Vec<Endpoint>,
+}
+
+impl Fleet {
+    pub fn new(prefill: usize, decode: usize) -> Self {
+        let readers = (0..prefill).map(|number| engine("prefill", number, Stage::Prefill));
+        let decoders = (0..decode).map(|number| engine("decode", number, Stage::Decode));
+        Self {
+            engines: Engines::open(Speed::default()),
+            endpoints: readers.chain(decoders).collect(),
+        }
+    }
+
+    pub fn place(
+        &self,
+        prompt: &Prompt,
+        route: &Route,
+        now: Instant,
+    ) -> Result<Placement, Refusal> {
+        self.place_without(prompt, route, &[], now)
+    }
+
+    pub fn place_without(
+        &self,
+        prompt: &Prompt,
+        route: &Route,
+        tried: &[Name],
+        now: Instant,
+    ) -> Result<Placement, Refusal> {
+        let candidates: Vec<&Endpoint> = self.endpoints.iter().collect();
+        let left = Duration::from_secs(10);
+        self.engines.place(
+            &candidates,
+            prompt,
+            route,
+            &limits(),
+            left,
+            tried,
+            &"a".into(),
+            now,
+        )
+    }
+}
+
+pub fn endpoint(id: &str, service: &str) -> Endpoint {
+    Endpoint {
+        id: id.into(),
+        service: service.into(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        data_centre: "a".into(),
+        slots: 8,
+        state: State::Ready,
+        cold: Duration::ZERO,
+        stage: None,
+        born_ms: None,
+    }
+}
+
+fn engine(kind: &str, number: usize, stage: Stage) -> Endpoint {
+    Endpoint {
+        stage: Some(stage),
+        ..endpoint(&format!("{kind}-{number}"), "models")
+    }
+}
+
+fn limits() -> EngineLimits {
+    EngineLimits {
+        sequences_max: 64,
+        kv_tokens: 800_000,
+        kv_token_bytes: 35_136.0,
+        link_mbps: 550_000.0,
+        event_tokens: 10,
+        handle_ttl: Duration::from_secs(5),
+    }
+}
+
+/// A prompt of `tokens`; with a document it shares that with others.
+pub fn prompt(tokens: u32, document: Option<u64>) -> Prompt {
+    let mut parts = vec![Part {
+        id: 1,
+        tokens: SYSTEM_TOKENS.min(tokens / 2),
+    }];
+    parts.extend(document.map(|id| Part {
+        id,
+        tokens: DOCUMENT_TOKENS.min(tokens / 2),
+    }));
+    parts.push(Part {
+        id: u64::MAX,
+        tokens: tokens / 2,
+    });
+    Prompt {
+        tokens,
+        output_tokens_max: 100,
+        output_tokens_hint: Some(20),
+        parts,
+        ..Prompt::default()
+    }
+}
+
+pub fn route(rank: u8) -> Route {
+    Route {
+        name: "route".into(),
+        host: "shop.example".into(),
+        prefix: "/a/".into(),
+        repeat: Repeat::Stream,
+        time_limit: Duration::from_secs(10),
+        target: Duration::from_millis(500),
+        pause_target: Some(Duration::from_millis(250)),
+        rank,
+        attempts_max: 1,
+        shares: vec![("models".into(), 1)],
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -14,6 +14,7 @@
 mod plain;
 mod record_log;
 mod relay;
+pub mod site;
 mod standin;
 mod token_bucket;
 mod usage;
--- /dev/null
+++ b/standins/src/site/store.rs
@@ -0,0 +1,205 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::{Request, Response, Worker};
+
+/// The platform's key-value service, in memory.
+#[derive(Debug)]
+pub struct Store {
+    server: Worker,
+    state: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    /// Changes in their order; `None` is a removal.
+    history: Vec<(u64, String, Option<String>)>,
+    /// History up to this revision is not kept.
+    compacted: u64,
+    leases: u64,
+    is_silent: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    value: String,
+    revision: u64,
+}
+
+impl Store {
+    /// Listens on a port of loopback.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no port can be opened.
+    #[must_use]
+    pub fn bind() -> Self {
+        let state = Arc::new(Shared::default());
+        state.lock().revision = 1;
+        let shared = Arc::clone(&state);
+        let server = Worker::bind(move |request| shared.answer(request));
+        Self { server, state }
+    }
+
+    /// Returns where the service listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Writes a key with text that is already in the service's encoding.
+    pub fn write(&self, key: &str, encoded: &str) {
+        self.state.lock().write(key, encoded);
+        self.state.changed.notify_all();
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        self.state.lock().remove(key);
+        self.state.changed.notify_all();
+    }
+
+    /// Drops the history.
+    pub fn compact(&self) {
+        let mut state = self.state.lock();
+        state.compacted = state.revision;
+    }
+
+    /// Lets calls that arrive from now on go unanswered, or answers them again. A call that went
+    /// unanswered stays so.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.state.lock().is_silent = is_silent;
+    }
+
+    /// Returns the keys below a prefix.
+    #[must_use]
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.state.lock();
+        let keys = state.items.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn answer(&self, request: &Request) -> Response {
+        if self.lock().is_silent {
+            return Response::Silence;
+        }
+        let (path, query) = request
+            .target
+            .split_once('?')
+            .unwrap_or((&request.target, ""));
+        match path {
+            "/api/kv-range" => self.lock().range(parameter(query, "prefix")),
+            "/api/kv-watch" => self.watch(query),
+            "/api/kv-txn" => self.transaction(&request.body),
+            "/api/kv-lease" => {
+                let mut state = self.lock();
+                state.leases += 1;
+                good(&json!({ "lease": state.leases, "ttlMs": 10_000 }))
+            }
+            _ if path.starts_with("/api/kv-keep/") => good(&json!({ "ttlMs": 10_000 })),
+            _ if path.starts_with("/api/kv-lease-end/") => good(&json!({})),
+            _ => Response::whole(404, &[], "{}"),
+        }
+    }
+
+    fn watch(&self, query: &str) -> Response {
+        let prefix = parameter(query, "prefix");
+        let after = parameter(query, "after").parse().unwrap_or_default();
+        let wait_ms = parameter(query, "waitMs").parse().unwrap_or_default();
+        let end = Instant::now() + Duration::from_millis(wait_ms);
+        let mut state = self.lock();
+        loop {
+            if after < state.compacted {
+                return Response::whole(410, &[], "{}");
+            }
+            let events = state.events(prefix, after);
+            let left = end.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() {
+                let revision = state.revision;
+                return good(&json!({ "events": events, "storeRevision": revision }));
+            }
+            let waited = self.changed.wait_timeout(state, left);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    fn transaction(&self, body: &[u8]) -> Response {
+        let call: Value = serde_json::from_slice(body).unwrap_or_default();
+        let mut state = self.lock();
+        for put in call["puts"].as_array().into_iter().flatten() {
+            let key = put["key"].as_str().unwrap_or_default();
+            state.write(key, put["value"].as_str().unwrap_or_default());
+        }
+        self.changed.notify_all();
+        let revision = state.revision;
+        good(&json!({ "revision": revision }))
+    }
+}
+
+impl State {
+    fn write(&mut self, key: &str, value: &str) {
+        self.revision += 1;
+        let item = Item {
+            value: value.to_owned(),
+            revision: self.revision,
+        };
+        self.items.insert(key.to_owned(), item);
+        let change = (self.revision, key.to_owned(), Some(value.to_owned()));
+        self.history.push(change);
+    }
+
+    fn remove(&mut self, key: &str) {
+        self.revision += 1;
+        self.items.remove(key);
+        self.history.push((self.revision, key.to_owned(), None));
+    }
+
+    fn range(&self, prefix: &str) -> Response {
+        let items = self.items.iter().filter(|(key, _)| key.starts_with(prefix));
+        let items: Vec<Value> = items
+            .map(
+                |(key, item)| json!({ "key": key, "value": item.value, "revision": item.revision }),
+            )
+            .collect();
+        good(&json!({ "items": items, "morePages": false, "storeRevision": self.revision }))
+    }
+
+    fn events(&self, prefix: &str, after: u64) -> Vec<Value> {
+        let changes = self.history.iter();
+        let changes = changes.filter(|(at, key, _)| *at > after && key.starts_with(prefix));
+        changes
+            .map(|(at, key, value)| match value {
+                Some(value) => json!({ "key": key, "value": value, "revision": at }),
+                None => json!({ "key": key, "revision": at, "removed": true }),
+            })
+            .collect()
+    }
+}
+
+fn good(body: &Value) -> Response {
+    Response::whole(200, &[], &body.to_string())
+}
+
+fn parameter<'a>(query: &'a str, name: &str) -> &'a str {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let mut found = pairs.filter(|(key, _)| *key == name);
+    found.next().map_or("", |(_, value)| value)
+}
--- /dev/null
+++ b/standins/src/site/worker.rs
@@ -0,0 +1,72 @@
+use std::io::{BufReader, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+use super::{Request, Response};
+
+/// A worker whose answers the test decides, and that keeps what it was asked.
+#[derive(Debug)]
+pub struct Worker {
+    address: SocketAddr,
+    requests: Arc<Mutex<Vec<Request>>>,
+}
+
+type Answer = dyn Fn(&Request) -> Response + Send + Sync;
+
+impl Worker {
+    /// Listens on a port of loopback and answers each request with `answer`.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no port can be opened.
+    #[must_use]
+    pub fn bind(answer: impl Fn(&Request) -> Response + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+        let address = listener.local_addr().expect("the listener is bound");
+        let requests = Arc::new(Mutex::new(Vec::new()));
+        let answer: Arc<Answer> = Arc::new(answer);
+        let seen = Arc::clone(&requests);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (answer, seen) = (Arc::clone(&answer), Arc::clone(&seen));
+                thread::spawn(move || serve(stream, &*answer, &seen));
+            }
+        });
+        Self { address, requests }
+    }
+
+    /// Returns where the worker listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the requests so far.
+    #[must_use]
+    pub fn requests(&self) -> Vec<Request> {
+        let requests = self.requests.lock();
+        requests.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+fn serve(stream: TcpStream, answer: &Answer, seen: &Mutex<Vec<Request>>) {
+    let Ok(mut writer) = stream.try_clone() else {
+        return;
+    };
+    let mut reader = BufReader::new(stream);
+    while let Ok(Some(request)) = Request::read(&mut reader) {
+        let response = answer(&request);
+        seen.lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(request);
+        let is_written = match &response {
+            Response::Bytes(bytes) | Response::Last(bytes) => writer.write_all(bytes).is_ok(),
+            Response::Silence => true,
+            Response::Close => false,
+        };
+        if !is_written || matches!(response, Response::Last(_)) {
+            return;
+        }
+    }
+}
