--- a/lib/src/gateway/follower.rs
+++ b/lib/src/gateway/follower.rs
@@ -65,6 +65,7 @@
 ) {
     let mut revision = None;
     let mut failures: u32 = 0;
+    let mut outages = shared.outages();
     loop {
         let read = async {
             match revision {
@@ -75,7 +76,8 @@
         let result = tokio::select! {
             result = read => result,
             // A call that was sent while the store was silent is never answered.
-            () = shared.store_returned.notified() => {
+            () = shared.outage_after(outages) => {
+                outages = shared.outages();
                 failures = failures.max(1);
                 sink.lost();
                 revision = None;
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -20,7 +20,7 @@
 /// the operators allow about 3 s until a daemon follows them again after an outage.
 const RENEWAL_PAUSE: Duration = Duration::from_secs(1);
 /// Pause between two reads of the daemons' registrations.
-const READ_PAUSE: Duration = Duration::from_secs(1);
+const READ_PAUSE: Duration = Duration::from_secs(4);
 /// Shortest pause between two datagrams of news: below the time of most prefills.
 const NEWS_PAUSE_MIN: Duration = Duration::from_millis(20);
 /// Pause between two datagrams for each peer that gets them, so that the cost stays flat.
@@ -109,13 +109,13 @@
             Ok(()) if *is_lost => {
                 *is_lost = false;
                 log::info!("store answers renewals again");
-                shared.store_returned.notify_waiters();
+                shared.end_outage();
             }
             Ok(()) => {}
             Err(StoreError::LeaseEnded) => {
                 if *is_lost {
                     *is_lost = false;
-                    shared.store_returned.notify_waiters();
+                    shared.end_outage();
                 }
                 return Err(StoreError::LeaseEnded);
             }
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -35,8 +35,10 @@
     pub(super) is_registry_read: Cell<bool>,
     /// When a planned stop began.
     pub(super) stop_begun: Cell<Option<Instant>>,
+    /// Outages of the store that have ended.
+    outages: Cell<u64>,
     /// Wakes those who wait for answers of the store that it will never send.
-    pub(super) store_returned: Notify,
+    store_returned: Notify,
     pub(super) peers: RefCell<Peers>,
     /// Lease of this daemon's registration.
     pub(super) registration: Cell<Option<Lease>>,
@@ -56,6 +58,7 @@
             metrics,
             is_registry_read: Cell::new(false),
             stop_begun: Cell::new(None),
+            outages: Cell::new(0),
             store_returned: Notify::new(),
             peers: RefCell::default(),
             registration: Cell::new(None),
@@ -79,6 +82,24 @@
             .map_or_else(Limits::default, |catalog| *catalog.limits())
     }
 
+    /// Notes that the store answers after an outage.
+    pub(super) fn end_outage(&self) {
+        self.outages.set(self.outages.get() + 1);
+        self.store_returned.notify_waiters();
+    }
+
+    /// Returns the number of outages of the store that have ended.
+    pub(super) fn outages(&self) -> u64 {
+        self.outages.get()
+    }
+
+    /// Waits until the number of outages that have ended is not `known`.
+    pub(super) async fn outage_after(&self, known: u64) {
+        while self.outages.get() == known {
+            self.store_returned.notified().await;
+        }
+    }
+
     /// Tells whether a planned stop has begun.
     pub(super) fn is_stopping(&self) -> bool {
         self.stop_begun.get().is_some()
