--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -120,6 +120,9 @@
 fn refuse(inquiry: &Inquiry, refusal: Refusal) -> Response<Answer> {
     log::info!(
         request = inquiry.id(), route:% = inquiry.route.name, reason = refusal.reason,
+        expected_ms:? = refusal.expected.map(|expected| expected.as_millis()),
+        target_ms = inquiry.route.target.as_millis() as u64,
+        prompt_tokens = inquiry.arrival.prompt.tokens, engines = candidates(inquiry),
         retry_after_ms = refusal.retry_after.as_millis() as u64;
         "generation refused"
     );
@@ -130,6 +133,13 @@
     status::not_run(refusal.reason, refusal.retry_after)
 }
 
+/// Returns the number of engines that could be chosen.
+fn candidates(inquiry: &Inquiry) -> usize {
+    let registry = inquiry.shared.registry.borrow();
+    let usable = registry.usable();
+    usable.filter(|it| it.service == inquiry.service).count()
+}
+
 fn endpoint(inquiry: &Inquiry, id: &Name) -> Option<Endpoint> {
     inquiry.shared.registry.borrow().get(id).cloned()
 }
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -181,6 +181,7 @@
         let Some(in_place) = in_place else {
             return Err(Refusal {
                 reason: "no_engine",
+                expected: None,
                 retry_after: Duration::from_millis(500),
             });
         };
@@ -551,6 +552,7 @@
     let excess = waiting.saturating_sub(route.target / 2);
     Some(Refusal {
         reason: "queue_too_long",
+        expected: Some(placement.expected),
         retry_after: excess.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
     })
 }
--- a/policy/src/gateway/placement.rs
+++ b/policy/src/gateway/placement.rs
@@ -24,6 +24,8 @@
 pub struct Refusal {
     /// Short machine-readable reason.
     pub reason: &'static str,
+    /// Expected time to the first event, when an engine could have been chosen.
+    pub expected: Option<Duration>,
     /// Time after which there is likely to be room.
     pub retry_after: Duration,
 }
