--- a/cli/src/bin/ragwortgrade/gateway.rs
+++ b/cli/src/bin/ragwortgrade/gateway.rs
@@ -44,7 +44,7 @@
 /// Runs the gateway until a signal asks for its planned stop.
 fn serve(options: &Options, settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
-    observe::start_stdout_logging(settings.log_level)?;
+    let log = observe::start_stdout_logging(settings.log_level)?;
     let gateway = Gateway::spawn(move || ragwortgrade_platform::options(settings))?;
     for signal in signals.forever() {
         if signal != SIGHUP {
@@ -55,6 +55,7 @@
     if !gateway.drain() {
         log::warn!("requests were still open when the time to stop ended");
     }
+    log.flush();
     Ok(())
 }
 
--- a/lib/src/observe.rs
+++ b/lib/src/observe.rs
@@ -15,4 +15,4 @@
 pub use logging::start_logging;
 pub use metrics::Metrics;
 pub use recent::{Recent, recent};
-pub use stdout::start_stdout_logging;
+pub use stdout::{StdoutLog, start_stdout_logging};
--- a/lib/src/observe/stdout.rs
+++ b/lib/src/observe/stdout.rs
@@ -22,13 +22,24 @@
     dropped: AtomicU64,
 }
 
+/// Running log to standard output.
+#[derive(Debug)]
+pub struct StdoutLog(Arc<Buffer>);
+
+impl StdoutLog {
+    /// Writes the lines that wait; called before the process ends.
+    pub fn flush(&self) {
+        self.0.write();
+    }
+}
+
 /// Starts logging for the whole process as JSON lines on standard output. Lines beyond the buffer
 /// are dropped and counted; the next write tells how many.
 ///
 /// # Errors
 ///
 /// Fails when the process already has a logger or no thread can be started.
-pub fn start_stdout_logging(level: LevelFilter) -> Result<(), Error> {
+pub fn start_stdout_logging(level: LevelFilter) -> Result<StdoutLog, Error> {
     let buffer = Arc::new(Buffer::default());
     let lines = Arc::clone(&buffer);
     logging::dispatch(LevelFilter::Trace)
@@ -38,11 +49,17 @@
         .apply()
         .map_err(|_already_set| Error::LoggerInstalled)?;
     log::set_max_level(level);
+    let waiting = Arc::clone(&buffer);
     thread::Builder::new()
         .name("log".to_owned())
-        .spawn(move || buffer.write_forever())
+        .spawn(move || {
+            loop {
+                thread::sleep(WRITE_PAUSE);
+                waiting.write();
+            }
+        })
         .map_err(Error::Thread)?;
-    Ok(())
+    Ok(StdoutLog(buffer))
 }
 
 impl Buffer {
@@ -56,21 +73,19 @@
         bytes.push(b'\n');
     }
 
-    fn write_forever(&self) {
-        loop {
-            thread::sleep(WRITE_PAUSE);
-            let bytes = mem::take(&mut *self.lock());
-            if bytes.is_empty() {
-                continue;
-            }
-            let mut output = io::stdout().lock();
-            // Without a reader the lines are lost; there is nowhere else to say so.
-            let _unread = output.write_all(&bytes).and_then(|()| output.flush());
-            drop(output);
-            let dropped = self.dropped.swap(0, Ordering::Relaxed);
-            if dropped > 0 {
-                log::warn!(lines = dropped; "log lines were dropped");
-            }
+    /// Writes the lines that wait.
+    fn write(&self) {
+        let bytes = mem::take(&mut *self.lock());
+        if bytes.is_empty() {
+            return;
+        }
+        let mut output = io::stdout().lock();
+        // Without a reader the lines are lost; there is nowhere else to say so.
+        let _unread = output.write_all(&bytes).and_then(|()| output.flush());
+        drop(output);
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            log::warn!(lines = dropped; "log lines were dropped");
         }
     }
 
