gateway: split admission, affinity and running work into files of their own

Change: code moved, nothing else; doc comments head the new files. Conclusion: the tests of policy and platform pass.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -22,6 +22,7 @@
 mod pump;
 mod relay;
 mod request;
+mod running;
 mod server;
 mod settings;
 mod shared;
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -9,7 +9,7 @@
 use super::plain::{failure_of, pass_on};
 use super::pump::{self, Run};
 use super::request::Inquiry;
-use super::shared::{PromptRead, Sequence, millis};
+use super::running::{PromptRead, Sequence, millis};
 use super::status::{self, RETRY_AFTER_DEFAULT};
 use super::{Purpose, Verdict};
 
--- a/lib/src/gateway/plain.rs
+++ b/lib/src/gateway/plain.rs
@@ -6,7 +6,7 @@
 use super::answer::Answer;
 use super::exchange::Broken;
 use super::request::Inquiry;
-use super::shared::PlainCall;
+use super::running::PlainCall;
 use super::status::{self, RETRY_AFTER_DEFAULT};
 use super::{Purpose, Reply, Verdict};
 
--- a/lib/src/gateway/pump.rs
+++ b/lib/src/gateway/pump.rs
@@ -10,7 +10,8 @@
 use super::answer::{Answer, Piece};
 use super::exchange::Exchange;
 use super::request::Inquiry;
-use super::shared::{Sequence, Shared, millis};
+use super::running::{Sequence, millis};
+use super::shared::Shared;
 
 /// Pieces that wait for a slow caller; then the engine's connection is no longer read.
 const PIECES_MAX: usize = 16;
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -12,7 +12,8 @@
 
 use super::answer::Answer;
 use super::request::Inquiry;
-use super::shared::{Shared, millis};
+use super::running::millis;
+use super::shared::Shared;
 use super::status::{self, RETRY_AFTER_DEFAULT};
 use super::{generation, plain};
 
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -4,6 +4,8 @@
 //! about a request (endpoint, prefill apart or in place, priority, retry, refusal) is decided here
 //! from events and the time.
 
+mod admission;
+mod affinity;
 mod arrival;
 mod catalog;
 mod endpoint;
--- /dev/null
+++ b/policy/src/gateway/admission.rs
@@ -0,0 +1,73 @@
+//! Whether a generation is taken, and how urgent it is.
+
+use std::time::Duration;
+
+use super::{Placement, Refusal, Route};
+
+/// Part of the target from which on a request counts as late: estimates are low while load grows.
+const LATE_TARGET_PART: f64 = 0.65;
+/// Part of the target that a request of the least urgent ranks may wait before an engine begins
+/// with it, if it is late then; a more urgent one may wait a multiple of it, as it delays few.
+const WAITING_TARGET_PART: f64 = 0.3;
+/// The same for a request that is late by its own size. A shorter one with the same wait is on time
+/// and taken, so without the longer wait the longest prompts would seldom be served.
+const WAITING_TARGET_PART_LONG: f64 = 0.4;
+/// Ranks that may wait longer than the least urgent ones.
+const URGENCY_STEPS: u8 = 2;
+/// Shortest time that a refused caller is asked to wait: queues last about that long.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
+/// Longest time that a refused caller is asked to wait.
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
+/// Part of the caller's patience that an expected first event may take, as estimates are low when
+/// load grows.
+const PATIENCE_PART: f64 = 0.75;
+/// Shortest time after which callers leave a stream without a first event.
+const PATIENCE_MIN: Duration = Duration::from_secs(2);
+/// Targets after which callers leave a stream without a first event, if that is longer.
+const PATIENCE_TARGETS: u32 = 4;
+/// Longest pauses after which callers leave a stream, if that is longer.
+const PATIENCE_PAUSES: u32 = 8;
+/// Least urgent value that engines know.
+const PRIORITY_MAX: u8 = 9;
+
+/// Decides whether to refuse a request rather than to let it wait.
+///
+/// While more is asked than the engines can read, every request would wait as long as the longest
+/// queue that is allowed. A short queue lets those that are taken be on time; the others learn at
+/// once when to come back. Only the waiting counts, not the request's own size.
+pub(super) fn refusal(placement: &Placement, route: &Route, left: Duration) -> Option<Refusal> {
+    let patience = patience(route).mul_f64(PATIENCE_PART).min(left);
+    let own = Duration::from_secs_f64(placement.prefill_ms / 1e3);
+    let waiting = placement.expected.saturating_sub(own);
+    let is_late = placement.expected > route.target.mul_f64(LATE_TARGET_PART);
+    let urgency = URGENCY_STEPS.saturating_sub(route.rank) + 1;
+    let late = route.target.mul_f64(LATE_TARGET_PART);
+    let part = if own >= late {
+        WAITING_TARGET_PART_LONG
+    } else {
+        WAITING_TARGET_PART
+    };
+    let waits_long = waiting > route.target.mul_f64(part * f64::from(urgency));
+    if placement.expected <= patience && !(is_late && waits_long) {
+        return None;
+    }
+    let excess = waiting.saturating_sub(route.target / 2);
+    Some(Refusal {
+        reason: "queue_too_long",
+        expected: Some(placement.expected),
+        retry_after: excess.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
+    })
+}
+
+/// Returns the time after which callers leave a stream without a first event.
+fn patience(route: &Route) -> Duration {
+    let pauses = route.pause_target.unwrap_or_default() * PATIENCE_PAUSES;
+    PATIENCE_MIN
+        .max(route.target * PATIENCE_TARGETS)
+        .max(pauses)
+}
+
+/// Returns the urgency at an engine; requests of one rank keep their order.
+pub(super) fn priority(route: &Route) -> u8 {
+    route.rank.saturating_mul(2).min(PRIORITY_MAX)
+}
--- /dev/null
+++ b/policy/src/gateway/affinity.rs
@@ -0,0 +1,45 @@
+//! Choices that every daemon makes alike without telling the others.
+
+use ragwortgrade_schema::Name;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::{Endpoint, Stage};
+
+/// Engines of one stage up to which a prefix has one home in the whole fleet. In a larger fleet it
+/// has one in each data centre, where its requests are frequent enough.
+pub(super) const SHARED_HOMES_MAX: usize = 24;
+/// Part of the decode engines that is kept for long outputs.
+const CALM_PART: f64 = 0.4;
+
+/// Returns the decode engines that read few prompts in place, so that long outputs are not slowed
+/// down by them; every daemon chooses the same ones.
+pub(super) fn calm<'a>(candidates: &[&'a Endpoint]) -> Vec<&'a Name> {
+    let decoders = candidates
+        .iter()
+        .filter(|engine| engine.stage == Some(Stage::Decode));
+    let mut decoders: Vec<&Name> = decoders.map(|engine| &engine.id).collect();
+    decoders.sort_by_key(|id| xxh3_64(id.as_bytes()));
+    let count = (decoders.len() as f64 * CALM_PART).round() as usize;
+    decoders.truncate(count);
+    decoders
+}
+
+/// Returns the engine that all daemons prefer for a prefix.
+pub(super) fn home<'a>(
+    engines: &[&'a Endpoint],
+    part: u64,
+    data_centre: &Name,
+) -> Option<&'a Endpoint> {
+    let weight = |engine: &Endpoint| xxh3_64_with_seed(engine.id.as_bytes(), part);
+    let heaviest = |is_local: bool| {
+        engines
+            .iter()
+            .filter(|engine| !is_local || engine.data_centre == *data_centre)
+            .max_by_key(|engine| weight(engine))
+            .copied()
+    };
+    if engines.len() > SHARED_HOMES_MAX {
+        return heaviest(true).or_else(|| heaviest(false));
+    }
+    heaviest(false)
+}
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -2,16 +2,14 @@
 use std::time::Duration;
 
 use ragwortgrade_schema::Name;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::admission::{priority, refusal};
+use super::affinity::{SHARED_HOMES_MAX, calm, home};
 use super::engine_load::EngineLoad;
 use super::peer_loads::PeerLoads;
 use super::{Endpoint, EngineLimits, Placement, Prompt, Refusal, Route, Share, Speed, Stage, Work};
 use crate::Instant;
 
-/// Engines of one stage up to which a prefix has one home in the whole fleet. In a larger fleet it
-/// has one in each data centre, where its requests are frequent enough.
-const SHARED_HOMES_MAX: usize = 24;
 /// Cost of an engine in another data centre, in ms: two crossings and the priced bytes.
 const REMOTE_MS: f64 = 6.0;
 /// The same in a large fleet, where daemons know the work of their own data centre only and
@@ -28,21 +26,10 @@
 const COLD_PART: f64 = 10.0;
 /// Delay that a running sequence adds to another one's first event, in ms.
 const SEQUENCE_MS: f64 = 0.5;
-/// Part of the caller's patience that an expected first event may take, as estimates are low when
-/// load grows.
-const PATIENCE_PART: f64 = 0.75;
-/// Shortest time after which callers leave a stream without a first event.
-const PATIENCE_MIN: Duration = Duration::from_secs(2);
-/// Targets after which callers leave a stream without a first event, if that is longer.
-const PATIENCE_TARGETS: u32 = 4;
-/// Longest pauses after which callers leave a stream, if that is longer.
-const PATIENCE_PAUSES: u32 = 8;
 /// Shared parts that wait to be told; a datagram with more would be split.
 const UNTOLD_MAX: usize = 48;
 /// Weight of reading a shared part that another engine holds, against the time it takes.
 const REREAD_WEIGHT: f64 = 2.0;
-/// Part of the decode engines that is kept for long outputs.
-const CALM_PART: f64 = 0.4;
 /// Weight of reading a prompt at one of them, against the time it takes.
 const CALM_READ_WEIGHT: f64 = 3.0;
 /// Part of the time in which an engine for long outputs reads a prompt in place.
@@ -53,22 +40,6 @@
 const OUTPUT_TOKENS_MIN: u32 = 80;
 /// Weight of the time of the whole output against that of the first event.
 const OUTPUT_WEIGHT: f64 = 0.1;
-/// Least urgent value that engines know.
-const PRIORITY_MAX: u8 = 9;
-/// Part of the target that a request of the least urgent ranks may wait before an engine begins
-/// with it, if it is late then; a more urgent one may wait a multiple of it, as it delays few.
-const WAITING_TARGET_PART: f64 = 0.3;
-/// Part of the target from which on a request counts as late: estimates are low while load grows.
-const LATE_TARGET_PART: f64 = 0.65;
-/// The same for a request that is late by its own size. A shorter one with the same wait is on time
-/// and taken, so without the longer wait the longest prompts would seldom be served.
-const WAITING_TARGET_PART_LONG: f64 = 0.4;
-/// Ranks that may wait longer than the least urgent ones.
-const URGENCY_STEPS: u8 = 2;
-/// Shortest time that a refused caller is asked to wait: queues last about that long.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
-/// Longest time that a refused caller is asked to wait.
-const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
 /// Keeps paused engines behind all others, yet usable when there is no other.
 const PAUSED_MS: f64 = 1e5;
 
@@ -498,74 +469,3 @@
     let ahead = (sequences + 1).saturating_sub(slots);
     f64::from(ahead) * SLOT_HELD_MS / f64::from(slots.max(1))
 }
-
-/// Returns the decode engines that read few prompts in place, so that long outputs are not slowed
-/// down by them; every daemon chooses the same ones.
-fn calm<'a>(candidates: &[&'a Endpoint]) -> Vec<&'a Name> {
-    let decoders = candidates
-        .iter()
-        .filter(|engine| engine.stage == Some(Stage::Decode));
-    let mut decoders: Vec<&Name> = decoders.map(|engine| &engine.id).collect();
-    decoders.sort_by_key(|id| xxh3_64(id.as_bytes()));
-    let count = (decoders.len() as f64 * CALM_PART).round() as usize;
-    decoders.truncate(count);
-    decoders
-}
-
-/// Returns the engine that all daemons prefer for a prefix.
-fn home<'a>(engines: &[&'a Endpoint], part: u64, data_centre: &Name) -> Option<&'a Endpoint> {
-    let weight = |engine: &Endpoint| xxh3_64_with_seed(engine.id.as_bytes(), part);
-    let heaviest = |is_local: bool| {
-        engines
-            .iter()
-            .filter(|engine| !is_local || engine.data_centre == *data_centre)
-            .max_by_key(|engine| weight(engine))
-            .copied()
-    };
-    if engines.len() > SHARED_HOMES_MAX {
-        return heaviest(true).or_else(|| heaviest(false));
-    }
-    heaviest(false)
-}
-
-/// Decides whether to refuse a request rather than to let it wait.
-///
-/// While more is asked than the engines can read, every request would wait as long as the longest
-/// queue that is allowed. A short queue lets those that are taken be on time; the others learn at
-/// once when to come back. Only the waiting counts, not the request's own size.
-fn refusal(placement: &Placement, route: &Route, left: Duration) -> Option<Refusal> {
-    let patience = patience(route).mul_f64(PATIENCE_PART).min(left);
-    let own = Duration::from_secs_f64(placement.prefill_ms / 1e3);
-    let waiting = placement.expected.saturating_sub(own);
-    let is_late = placement.expected > route.target.mul_f64(LATE_TARGET_PART);
-    let urgency = URGENCY_STEPS.saturating_sub(route.rank) + 1;
-    let late = route.target.mul_f64(LATE_TARGET_PART);
-    let part = if own >= late {
-        WAITING_TARGET_PART_LONG
-    } else {
-        WAITING_TARGET_PART
-    };
-    let waits_long = waiting > route.target.mul_f64(part * f64::from(urgency));
-    if placement.expected <= patience && !(is_late && waits_long) {
-        return None;
-    }
-    let excess = waiting.saturating_sub(route.target / 2);
-    Some(Refusal {
-        reason: "queue_too_long",
-        expected: Some(placement.expected),
-        retry_after: excess.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
-    })
-}
-
-/// Returns the time after which callers leave a stream without a first event.
-fn patience(route: &Route) -> Duration {
-    let pauses = route.pause_target.unwrap_or_default() * PATIENCE_PAUSES;
-    PATIENCE_MIN
-        .max(route.target * PATIENCE_TARGETS)
-        .max(pauses)
-}
-
-/// Returns the urgency at an engine; requests of one rank keep their order.
-fn priority(route: &Route) -> u8 {
-    route.rank.saturating_mul(2).min(PRIORITY_MAX)
-}
