gateway: say what the weights of placement stand for

Cause: read as a newcomer, several weights had no reason and the demand was built twice. Change: comments, and one construction less; behaviour is the same.

--- a/policy/src/gateway/affinity.rs
+++ b/policy/src/gateway/affinity.rs
@@ -8,7 +8,8 @@
 /// Engines of one stage up to which a prefix has one home in the whole fleet. In a larger fleet it
 /// has one in each data centre, where its requests are frequent enough.
 pub(super) const SHARED_HOMES_MAX: usize = 24;
-/// Part of the decode engines that is kept for long outputs.
+/// Part of the decode engines that is kept for long outputs; rounds on the users' bench are in
+/// `docs/policy.md`.
 const CALM_PART: f64 = 0.4;
 
 /// Returns the decode engines that read few prompts in place, so that long outputs are not slowed
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -20,25 +20,30 @@
 /// Cost of a prefill apart beside its own time, in ms: the set-up of the transfer, one more
 /// crossing and a step of the decode engine.
 const APART_MS: f64 = 15.0;
-/// Cost of a failure rate of 1, in ms.
+/// Cost of a failure rate of 1, in ms: about the time that a caller waits before it leaves.
 const FAILURE_MS: f64 = 2_000.0;
-/// Part of its cold time by which an engine that has just started is slower.
+/// Divisor of the rest of an engine's cold time that counts as waiting: the engine works meanwhile,
+/// only more slowly.
 const COLD_PART: f64 = 10.0;
-/// Delay that a running sequence adds to another one's first event, in ms.
+/// Delay that a running sequence adds to another one's first event, in ms: some decode steps, each
+/// longer by the time of a sequence.
 const SEQUENCE_MS: f64 = 0.5;
 /// Shared parts that wait to be told; a datagram with more would be split.
 const UNTOLD_MAX: usize = 48;
-/// Weight of reading a shared part that another engine holds, against the time it takes.
+/// Weight of reading a shared part that another engine holds, against the time it takes: the time
+/// is lost for other requests too.
 const REREAD_WEIGHT: f64 = 2.0;
-/// Weight of reading a prompt at one of them, against the time it takes.
+/// Weight of reading a prompt at an engine that is kept for long outputs, against the time it takes:
+/// each of its outputs waits as long.
 const CALM_READ_WEIGHT: f64 = 3.0;
 /// Part of the time in which an engine for long outputs reads a prompt in place.
 const CALM_READING: f64 = 0.1;
 /// Part of the time in which the other decode engines do; of a loaded day on both deployments.
 const BUSY_READING: f64 = 0.4;
-/// Shortest output that shows how fast an engine is.
+/// Shortest output that shows how fast an engine is: eight events of ten tokens.
 const OUTPUT_TOKENS_MIN: u32 = 80;
-/// Weight of the time of the whole output against that of the first event.
+/// Weight of the time of the whole output against that of the first event, which callers notice
+/// most.
 const OUTPUT_WEIGHT: f64 = 0.1;
 /// Keeps paused engines behind all others, yet usable when there is no other.
 const PAUSED_MS: f64 = 1e5;
@@ -135,7 +140,7 @@
             } else {
                 REMOTE_MS
             },
-            calm: Vec::new(),
+            calm: calm(candidates),
             now,
         };
         let free = |stage| {
@@ -144,10 +149,6 @@
                 .copied()
                 .filter(move |it| it.stage == Some(stage) && !tried.contains(&it.id))
         };
-        let demand = Demand {
-            calm: calm(candidates),
-            ..demand
-        };
         let in_place = self.cheapest(free(Stage::Decode), &demand, true);
         let Some(in_place) = in_place else {
             return Err(Refusal {
