gateway: one place for what follows a failed attempt

Cause: read as a newcomer, calls and generations had the same end twice; and a retry of a resumable stream whose prefill failed could have been refused as not run although its first run may have begun. Change: ending.rs refuses and concludes for both; a refusal never promises what an attempt leaves open.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -11,6 +11,7 @@
 mod client;
 mod connection;
 mod dialect;
+mod ending;
 mod exchange;
 mod follower;
 mod generation;
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -1,16 +1,15 @@
-use http::{Response, StatusCode};
-use ragwortgrade_policy::gateway::{
-    Endpoint, EngineLimits, Failure, Outcome, Placement, Refusal, Step, Work, next_step,
-};
+use http::Response;
+use ragwortgrade_policy::gateway::{Endpoint, EngineLimits, Failure, Placement, Refusal, Work};
 use ragwortgrade_schema::Name;
 
 use super::answer::Answer;
+use super::ending::{conclude, refuse};
 use super::exchange::{Broken, Exchange};
 use super::plain::{failure_of, pass_on};
 use super::pump::{self, Run};
 use super::request::Inquiry;
 use super::running::{PromptRead, Sequence, millis};
-use super::status::{self, RETRY_AFTER_DEFAULT};
+use super::status::RETRY_AFTER_DEFAULT;
 use super::{Purpose, Verdict};
 
 /// Time of a prefill call beside the reading of the prompt, in ms: the fixed time of an engine's
@@ -37,7 +36,7 @@
     loop {
         let placement = match place(inquiry, limits, &excluded) {
             Ok(placement) => placement,
-            Err(refusal) => return refuse(inquiry, refusal),
+            Err(refusal) => return refuse_placement(inquiry, refusal),
         };
         let Some(engine) = endpoint(inquiry, &placement.run) else {
             excluded.push(placement.run);
@@ -52,7 +51,7 @@
             Err(failure) => {
                 excluded.extend(placement.prefill);
                 if failure != Failure::NotSent && !inquiry.take_retry() {
-                    return status::not_run("prefill_failed", RETRY_AFTER_DEFAULT);
+                    return refuse(inquiry, "prefill_failed", RETRY_AFTER_DEFAULT);
                 }
                 continue;
             }
@@ -62,25 +61,8 @@
             Attempt::Answered(response) => return response,
             Attempt::Failed(failure, passed) => (failure, passed),
         };
-        let is_repeat_allowed = !inquiry.may_have_run() || inquiry.repeat().allows_second_run();
-        let can_retry = is_repeat_allowed
-            && inquiry.has_attempts_left()
-            && (failure == Failure::NotSent || inquiry.take_retry());
-        match next_step(failure, inquiry.repeat(), inquiry.may_have_run(), can_retry) {
-            Step::Retry => {
-                log::info!(request = inquiry.id(), reason:? = failure; "retry");
-                inquiry.shared.metrics.count("retries.sent", 1);
-            }
-            Step::End(Outcome::PassOn) => {
-                return passed
-                    .unwrap_or_else(|| status::own(StatusCode::BAD_GATEWAY, "endpoint_failed"));
-            }
-            Step::End(Outcome::Unknown) => {
-                return status::own(StatusCode::BAD_GATEWAY, "outcome_unknown");
-            }
-            Step::End(Outcome::NotRun) => {
-                return status::not_run("not_run", RETRY_AFTER_DEFAULT);
-            }
+        if let Some(response) = conclude(inquiry, failure, passed) {
+            return response;
         }
     }
 }
@@ -117,7 +99,7 @@
     Ok(placement)
 }
 
-fn refuse(inquiry: &Inquiry, refusal: Refusal) -> Response<Answer> {
+fn refuse_placement(inquiry: &Inquiry, refusal: Refusal) -> Response<Answer> {
     log::info!(
         request = inquiry.id(), route:% = inquiry.route.name, reason = refusal.reason,
         expected_ms:? = refusal.expected.map(|expected| expected.as_millis()),
@@ -127,10 +109,7 @@
         "generation refused"
     );
     inquiry.shared.metrics.count("generations.refused", 1);
-    if inquiry.may_have_run() {
-        return status::own(StatusCode::BAD_GATEWAY, "outcome_unknown");
-    }
-    status::not_run(refusal.reason, refusal.retry_after)
+    refuse(inquiry, refusal.reason, refusal.retry_after)
 }
 
 /// Returns the number of engines that could be chosen.
--- a/lib/src/gateway/plain.rs
+++ b/lib/src/gateway/plain.rs
@@ -1,13 +1,14 @@
 use bytes::Bytes;
-use http::{Response, StatusCode, response};
-use ragwortgrade_policy::gateway::{Endpoint, Failure, Outcome, Step, Work, next_step};
+use http::{Response, response};
+use ragwortgrade_policy::gateway::{Endpoint, Failure, Work};
 use ragwortgrade_schema::Name;
 
 use super::answer::Answer;
+use super::ending::{conclude, refuse};
 use super::exchange::Broken;
 use super::request::Inquiry;
 use super::running::PlainCall;
-use super::status::{self, RETRY_AFTER_DEFAULT};
+use super::status::RETRY_AFTER_DEFAULT;
 use super::{Purpose, Reply, Verdict};
 
 /// Answers a request to a plain service.
@@ -15,7 +16,7 @@
     let mut tried: Vec<Name> = Vec::new();
     loop {
         let Some(endpoint) = choose(inquiry, &tried) else {
-            return without_endpoint(inquiry);
+            return refuse(inquiry, "no_endpoint", RETRY_AFTER_DEFAULT);
         };
         log::info!(
             request = inquiry.id(), route:% = inquiry.route.name, endpoint:% = endpoint.id,
@@ -44,27 +45,9 @@
             }
         };
         note_failure(inquiry, call, failure, had_run);
-        let is_repeat_allowed = !inquiry.may_have_run() || inquiry.repeat().allows_second_run();
-        let can_retry = is_repeat_allowed
-            && inquiry.has_attempts_left()
-            && (failure == Failure::NotSent || inquiry.take_retry());
-        match next_step(failure, inquiry.repeat(), inquiry.may_have_run(), can_retry) {
-            Step::Retry => {
-                log::info!(request = inquiry.id(), reason:? = failure; "retry");
-                inquiry.shared.metrics.count("retries.sent", 1);
-            }
-            Step::End(Outcome::PassOn) => {
-                if let Some((head, body)) = passed {
-                    return pass_on(inquiry, &head, body);
-                }
-                return status::own(StatusCode::BAD_GATEWAY, "endpoint_failed");
-            }
-            Step::End(Outcome::Unknown) => {
-                return status::own(StatusCode::BAD_GATEWAY, "outcome_unknown");
-            }
-            Step::End(Outcome::NotRun) => {
-                return status::not_run("not_run", RETRY_AFTER_DEFAULT);
-            }
+        let passed = passed.map(|(head, body)| pass_on(inquiry, &head, body));
+        if let Some(response) = conclude(inquiry, failure, passed) {
+            return response;
         }
     }
 }
@@ -123,13 +106,6 @@
     }
 }
 
-fn without_endpoint(inquiry: &Inquiry) -> Response<Answer> {
-    if inquiry.may_have_run() {
-        return status::own(StatusCode::BAD_GATEWAY, "outcome_unknown");
-    }
-    status::not_run("no_endpoint", RETRY_AFTER_DEFAULT)
-}
-
 /// Passes an endpoint's whole answer on unchanged.
 pub(super) fn pass_on(inquiry: &Inquiry, head: &response::Parts, body: Bytes) -> Response<Answer> {
     let mut response = Response::new(Answer::whole(body));
