gateway: notice an outage that begins before the registration

Only renewals told the followers that the store was away. A daemon whose lease or entry was still on its way when the store fell silent (a busy machine is enough) saw that call fail, tried again, and never counted an outage; its watch of the configuration was swallowed and stayed so for its full 22 s. A real fault: a daemon that starts as the store goes away follows neither the configuration nor the endpoints for that time.

Ruled out: the wait of the test (10 s) being short: the watch alone decides, and it lasts 22 s whatever the load. The follower's comparison of outages: an outage that ends while it pauses is seen.

Change: a failed grant or entry begins an outage as a failed renewal does.

--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -97,6 +97,9 @@
     while !shared.is_stopping() {
         if let Err(error) = keep_registered(&shared, &key, &value, &mut outage).await {
             log::info!(error:% = error; "registration ended; registering again");
+            if !matches!(error, StoreError::LeaseEnded) {
+                outage.begin(&error);
+            }
         }
         tokio::time::sleep(outage.pause()).await;
     }
@@ -126,7 +129,7 @@
     }
 }
 
-/// Whether the store answers this daemon, as its renewals show.
+/// Whether the store answers this daemon, as the calls for its registration show.
 #[derive(Debug)]
 struct Outage<'a> {
     shared: &'a Shared,
@@ -136,7 +139,7 @@
 impl Outage<'_> {
     fn begin(&mut self, error: &StoreError) {
         if !self.is_lost {
-            log::warn!(error:% = error; "store does not answer a renewal");
+            log::warn!(error:% = error; "store does not answer a call of the registration");
             self.shared.registry.borrow_mut().source_lost();
         }
         self.is_lost = true;
@@ -147,7 +150,7 @@
             return;
         }
         self.is_lost = false;
-        log::info!("store answers renewals again");
+        log::info!("store answers the registration again");
         let now = self.shared.now();
         self.shared.registry.borrow_mut().source_back(now);
         self.shared.end_outage();
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -30,6 +30,8 @@
     compacted: u64,
     leases: u64,
     is_silent: bool,
+    /// Path of the calls that go unanswered though the service is not silent.
+    unanswered_path: Option<String>,
 }
 
 #[derive(Clone, Debug)]
@@ -83,6 +85,11 @@
         self.state.lock().is_silent = is_silent;
     }
 
+    /// Lets calls of a path go unanswered, or those of none.
+    pub fn set_unanswered_path(&self, path: Option<&str>) {
+        self.state.lock().unanswered_path = path.map(str::to_owned);
+    }
+
     /// Returns the keys below a prefix.
     #[must_use]
     pub fn keys(&self, prefix: &str) -> Vec<String> {
@@ -98,13 +105,16 @@
     }
 
     fn answer(&self, request: &Request) -> Response {
-        if self.lock().is_silent {
-            return Response::Silence;
-        }
         let (path, query) = request
             .target
             .split_once('?')
             .unwrap_or((&request.target, ""));
+        {
+            let state = self.lock();
+            if state.is_silent || state.unanswered_path.as_deref() == Some(path) {
+                return Response::Silence;
+            }
+        }
         match path {
             "/api/kv-range" => self.lock().range(parameter(query, "prefix")),
             "/api/kv-watch" => self.watch(query),
