gateway: one home in a large fleet for long shared parts

Change: parts of 1,000 tokens or more have one home among all prefill engines. A part that is read in place is told once instead of twice. Registration and the exchange of news are files of their own.

--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -13,7 +13,7 @@
 
 use super::answer::Answer;
 use super::shared::Shared;
-use super::{Options, follower, peers, server, status};
+use super::{Options, follower, news_exchange, peers, registration, server, status};
 use crate::observe::{Board, Metrics};
 
 /// How often connections are checked against the operators' limits.
@@ -144,8 +144,8 @@
     tokio::task::spawn_local(follower::expire_endpoints(Rc::clone(&shared)));
     tokio::task::spawn_local(check(Rc::clone(&shared)));
     tokio::task::spawn_local(peers::follow_peers(Rc::clone(&shared)));
-    tokio::task::spawn_local(peers::register(Rc::clone(&shared), peers_address));
-    tokio::task::spawn_local(peers::exchange(Rc::clone(&shared), listeners.peers));
+    tokio::task::spawn_local(registration::register(Rc::clone(&shared), peers_address));
+    tokio::task::spawn_local(news_exchange::exchange(Rc::clone(&shared), listeners.peers));
     let asked = Rc::clone(&shared);
     let readiness = move |_: &str| server::readiness(&asked);
     tokio::task::spawn_local(server::serve_questions(listeners.readiness, readiness));
--- a/lib/src/gateway/news.rs
+++ b/lib/src/gateway/news.rs
@@ -1,20 +1,28 @@
-use ragwortgrade_policy::gateway::{RANKS, Share};
+use ragwortgrade_policy::gateway::{RANKS, Sent, Share};
 use ragwortgrade_schema::Name;
 use serde::{Deserialize, Serialize};
 
 /// What a daemon tells the others, in one datagram.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct News {
-    /// Daemon that tells.
+    pub(super) teller: Teller,
+    /// Number of the datagram; a lower one is late.
+    pub(super) sequence: u64,
+    /// Work on the engines.
+    shares: Vec<Row>,
+    /// Shared parts of prompts that were sent to engines since the datagram before: engine,
+    /// identity, whether it is long.
+    parts: Vec<(Name, u64, bool)>,
+}
+
+/// Who tells, and whose work.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) struct Teller {
     pub(super) daemon: Name,
     /// Start of its process, in Unix ms.
     pub(super) started_ms: u64,
-    /// Number of the datagram; a lower one is late.
-    pub(super) sequence: u64,
-    /// Its own work on the engines.
-    pub(super) shares: Vec<Row>,
-    /// Shared parts of prompts that it sent to engines since the datagram before.
-    pub(super) parts: Vec<(Name, u64)>,
+    /// Data centre whose daemons' work is added up; without one it is the daemon's own.
+    pub(super) sum_of: Option<Name>,
 }
 
 /// Work on one engine.
@@ -30,11 +38,10 @@
 
 impl News {
     pub(super) fn new(
-        daemon: Name,
-        started_ms: u64,
+        teller: Teller,
         sequence: u64,
         shares: Vec<(Name, Share)>,
-        parts: Vec<(Name, u64)>,
+        parts: Vec<Sent>,
     ) -> Self {
         let shares = shares.into_iter().map(|(engine, share)| Row {
             engine,
@@ -42,15 +49,27 @@
             longest_ms: share.longest_ms.map(|millis| millis.round() as u32),
             sequences: share.sequences,
         });
+        let parts = parts
+            .into_iter()
+            .map(|sent| (sent.engine, sent.part, sent.is_long));
         Self {
-            daemon,
-            started_ms,
+            teller,
             sequence,
             shares: shares.collect(),
-            parts,
+            parts: parts.collect(),
         }
     }
 
+    pub(super) fn parts(self) -> Vec<Sent> {
+        let parts = self.parts.into_iter();
+        let parts = parts.map(|(engine, part, is_long)| Sent {
+            engine,
+            part,
+            is_long,
+        });
+        parts.collect()
+    }
+
     pub(super) fn shares(&self) -> Vec<(Name, Share)> {
         let rows = self.shares.iter().map(|row| {
             let share = Share {
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -22,6 +22,7 @@
 mod route;
 mod service;
 mod speed;
+mod untold;
 
 pub use arrival::Arrival;
 pub use catalog::Catalog;
@@ -39,3 +40,4 @@
 pub use route::{Repeat, Route};
 pub use service::{EngineLimits, Service};
 pub use speed::Speed;
+pub use untold::Sent;
--- a/policy/src/gateway/affinity.rs
+++ b/policy/src/gateway/affinity.rs
@@ -5,8 +5,9 @@
 
 use super::{Endpoint, Stage};
 
-/// Engines of one stage up to which a prefix has one home in the whole fleet. In a larger fleet it
-/// has one in each data centre, where its requests are frequent enough.
+/// Engines up to which every prefix has one home in the whole fleet. In a larger fleet only long
+/// parts have, at the prefill engines; others have a home in each data centre, where their requests
+/// are frequent enough.
 pub(super) const SHARED_HOMES_MAX: usize = 24;
 /// Part of the decode engines that is kept for long outputs; rounds on the users' bench are in
 /// `docs/policy.md`.
@@ -25,22 +26,20 @@
     decoders
 }
 
-/// Returns the engine that all daemons prefer for a prefix.
+/// Returns the engine that all daemons prefer for a prefix: one in the data centre, if one is given
+/// and has engines, or else one of the fleet.
 pub(super) fn home<'a>(
     engines: &[&'a Endpoint],
     part: u64,
-    data_centre: &Name,
+    data_centre: Option<&Name>,
 ) -> Option<&'a Endpoint> {
     let weight = |engine: &Endpoint| xxh3_64_with_seed(engine.id.as_bytes(), part);
-    let heaviest = |is_local: bool| {
+    let heaviest = |data_centre: Option<&Name>| {
         engines
             .iter()
-            .filter(|engine| !is_local || engine.data_centre == *data_centre)
+            .filter(|engine| data_centre.is_none_or(|it| engine.data_centre == *it))
             .max_by_key(|engine| weight(engine))
             .copied()
     };
-    if engines.len() > SHARED_HOMES_MAX {
-        return heaviest(true).or_else(|| heaviest(false));
-    }
-    heaviest(false)
+    heaviest(data_centre).or_else(|| heaviest(None))
 }
--- a/policy/src/gateway/engine_load.rs
+++ b/policy/src/gateway/engine_load.rs
@@ -126,16 +126,20 @@
     }
 
     /// Returns how many tokens at the beginning of the prompt are expected in the cache.
+    ///
+    /// An engine that holds a long part holds what stands before it: other data centres tell only
+    /// the long ones.
     pub(crate) fn cached_tokens(&self, parts: &[Part], now: Instant) -> u32 {
-        parts
+        let is_held = |part: &Part| {
+            let used = self.parts.get(&part.id);
+            used.is_some_and(|used| now.since(*used) < CACHED_FOR)
+        };
+        let long = parts
             .iter()
-            .take_while(|part| {
-                self.parts
-                    .get(&part.id)
-                    .is_some_and(|used| now.since(*used) < CACHED_FOR)
-            })
-            .map(|part| part.tokens)
-            .sum()
+            .rposition(|part| part.is_long() && is_held(part));
+        let known = parts.iter().take_while(|part| is_held(part)).count();
+        let count = known.max(long.map_or(0, |index| index + 1));
+        parts[..count].iter().map(|part| part.tokens).sum()
     }
 
     /// Notes that the engine reads these parts.
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -7,6 +7,7 @@
 use super::affinity::{SHARED_HOMES_MAX, calm, home};
 use super::engine_load::EngineLoad;
 use super::peer_loads::PeerLoads;
+use super::untold::{Sent, Untold};
 use super::{Endpoint, EngineLimits, Placement, Prompt, Refusal, Route, Share, Speed, Stage, Work};
 use crate::Instant;
 
@@ -15,6 +16,8 @@
 /// The same in a large fleet, where daemons know the work of their own data centre only and
 /// another one's engines seem idle.
 const REMOTE_LARGE_MS: f64 = 150.0;
+/// The same for the home of a long part in a large fleet: the work there is known, but older.
+const REMOTE_HOME_MS: f64 = 20.0;
 /// Time for which a sequence holds its slot, in ms: an output of 250 tokens at 5 ms.
 const SLOT_HELD_MS: f64 = 1_250.0;
 /// Cost of a prefill apart beside its own time, in ms: the set-up of the transfer, one more
@@ -28,8 +31,6 @@
 /// Delay that a running sequence adds to another one's first event, in ms: some decode steps, each
 /// longer by the time of a sequence.
 const SEQUENCE_MS: f64 = 0.5;
-/// Shared parts that wait to be told; a datagram with more would be split.
-const UNTOLD_MAX: usize = 48;
 /// Weight of reading a shared part that another engine holds, against the time it takes: the time
 /// is lost for other requests too.
 const REREAD_WEIGHT: f64 = 2.0;
@@ -58,8 +59,8 @@
     speed: Speed,
     loads: HashMap<Name, EngineLoad>,
     peers: PeerLoads,
-    /// Shared parts that this daemon sent to engines and has not told the others yet.
-    untold: Vec<(Name, u64)>,
+    /// Shared parts that were sent to engines and that others have not been told of yet.
+    untold: Untold,
 }
 
 /// What a generation asks of the engines.
@@ -70,8 +71,8 @@
     data_centre: &'a Name,
     limits: &'a EngineLimits,
     rank: u8,
-    /// Cost of an engine in another data centre, in ms.
-    remote_ms: f64,
+    /// Whether the fleet is so large that data centres keep to their own engines.
+    is_large: bool,
     /// Decode engines that are kept for long outputs.
     calm: Vec<&'a Name>,
     now: Instant,
@@ -106,7 +107,7 @@
             speed,
             loads: HashMap::new(),
             peers: PeerLoads::default(),
-            untold: Vec::new(),
+            untold: Untold::default(),
         }
     }
 
@@ -135,11 +136,7 @@
             data_centre,
             limits,
             rank: route.rank,
-            remote_ms: if candidates.len() > SHARED_HOMES_MAX {
-                REMOTE_LARGE_MS
-            } else {
-                REMOTE_MS
-            },
+            is_large: candidates.len() > SHARED_HOMES_MAX,
             calm: calm(candidates),
             now,
         };
@@ -208,9 +205,11 @@
         is_in_place: bool,
     ) -> Option<Offer<'a>> {
         let engines: Vec<&Endpoint> = engines.collect();
+        let is_local = demand.is_large && (is_in_place || !demand.prompt.shares_long_part());
+        let data_centre = is_local.then_some(demand.data_centre);
         let home = demand
             .affinity
-            .and_then(|part| home(&engines, part, demand.data_centre));
+            .and_then(|part| home(&engines, part, data_centre));
         let offers = engines.into_iter().map(|engine| {
             let is_home = home.is_some_and(|it| it.id == engine.id);
             self.offer(engine, demand, is_in_place, is_home)
@@ -250,7 +249,8 @@
                 placing_ms += prefill_ms * CALM_READ_WEIGHT;
             }
         }
-        let waiting = self.waiting(engine, demand);
+        let mut waiting = self.waiting(engine, demand);
+        waiting.cost_ms += remote_ms(engine, demand, is_home);
         let reread_ms = f64::from(reread) / self.speed.prefill_tokens_per_ms * REREAD_WEIGHT;
         Offer {
             engine,
@@ -267,9 +267,6 @@
         let cold_ms = engine.cold.as_secs_f64() * 1e3 / COLD_PART;
         let mut first_ms = work.ahead_of(demand.rank) + cold_ms;
         let mut cost_ms = f64::from(work.sequences) * SEQUENCE_MS;
-        if engine.data_centre != *demand.data_centre {
-            cost_ms += demand.remote_ms;
-        }
         first_ms += slot_wait_ms(work.sequences, engine.slots);
         if let Some(load) = self.loads.get(&engine.id) {
             first_ms += load.delay_ms(demand.rank, demand.now);
@@ -319,6 +316,7 @@
     ) -> Option<(&'a Endpoint, Waiting)> {
         let waiting = |engine: &Endpoint| {
             let mut waiting = self.waiting(engine, demand);
+            waiting.cost_ms += remote_ms(engine, demand, false);
             if engine.data_centre != prefill.data_centre {
                 waiting.cost_ms += REMOTE_MS;
             }
@@ -415,24 +413,39 @@
     }
 
     fn note_shared(&mut self, id: &Name, prompt: &Prompt, now: Instant) {
-        let parts = || prompt.shared().iter().map(|part| part.id);
+        let shared = prompt.shared();
         let load = self.loads.entry(id.clone()).or_default();
-        load.note_parts(parts(), now);
-        if self.untold.len() < UNTOLD_MAX {
-            self.untold.extend(parts().map(|part| (id.clone(), part)));
+        load.note_parts(shared.iter().map(|part| part.id), now);
+        for part in shared {
+            self.untold.note(id, part);
         }
     }
 
-    /// Returns the shared parts that were sent to engines since the last call.
-    pub fn take_untold(&mut self) -> Vec<(Name, u64)> {
-        std::mem::take(&mut self.untold)
+    /// Returns the shared parts that were sent to engines since the last call, for the daemons that
+    /// are told everything.
+    pub fn take_untold(&mut self) -> Vec<Sent> {
+        self.untold.take_near()
+    }
+
+    /// Returns the long parts that were sent to engines since the last call, by this daemon or by
+    /// others of its data centre, for the other data centres.
+    pub fn take_untold_afar(&mut self) -> Vec<Sent> {
+        self.untold.take_far()
     }
 
-    /// Takes in shared parts that another daemon sent to engines.
-    pub fn absorb_parts(&mut self, parts: Vec<(Name, u64)>, now: Instant) {
-        for (engine, part) in parts {
-            let load = self.loads.entry(engine).or_default();
-            load.note_parts([part], now);
+    /// Takes in shared parts that another daemon of the data centre sent to engines.
+    pub fn absorb_parts(&mut self, parts: Vec<Sent>, now: Instant) {
+        for sent in &parts {
+            self.untold.forward(sent);
+        }
+        self.absorb_parts_afar(parts, now);
+    }
+
+    /// Takes in shared parts that daemons of another data centre sent to engines.
+    pub fn absorb_parts_afar(&mut self, parts: Vec<Sent>, now: Instant) {
+        for sent in parts {
+            let load = self.loads.entry(sent.engine).or_default();
+            load.note_parts([sent.part], now);
         }
     }
 
@@ -446,6 +459,21 @@
             .collect()
     }
 
+    /// Returns the work of the data centre's daemons on the engines that are of use to others.
+    pub fn data_centre_shares(&self, is_told: impl Fn(&Name) -> bool) -> Vec<(Name, Share)> {
+        let mut totals = self.peers.of_daemons();
+        for (id, load) in &self.loads {
+            totals.entry(id.clone()).or_default().add(&load.share());
+        }
+        totals.retain(|id, share| *share != Share::default() && is_told(id));
+        totals.into_iter().collect()
+    }
+
+    /// Takes in the work of another data centre; it replaces what was told of it before.
+    pub fn absorb_sum(&mut self, origin: &Name, shares: Vec<(Name, Share)>, now: Instant) {
+        self.peers.absorb_sum(origin, shares, now);
+    }
+
     /// Takes in another daemon's work; it replaces what that daemon told before.
     pub fn absorb(&mut self, peer: &Name, shares: Vec<(Name, Share)>, now: Instant) {
         self.peers.absorb(peer, shares, now);
@@ -465,6 +493,16 @@
     }
 }
 
+/// Returns the cost of the engine's distance, in ms.
+fn remote_ms(engine: &Endpoint, demand: &Demand<'_>, is_home: bool) -> f64 {
+    match engine.data_centre == *demand.data_centre {
+        true => 0.0,
+        false if !demand.is_large => REMOTE_MS,
+        false if is_home => REMOTE_HOME_MS,
+        false => REMOTE_LARGE_MS,
+    }
+}
+
 /// Returns the time until a slot is free when as many sequences run as there are slots, in ms.
 fn slot_wait_ms(sequences: u32, slots: u32) -> f64 {
     let ahead = (sequences + 1).saturating_sub(slots);
--- a/policy/src/gateway/peer_loads.rs
+++ b/policy/src/gateway/peer_loads.rs
@@ -57,9 +57,13 @@
 }
 
 /// What the other daemons have running on the engines, as they told lately.
+///
+/// Daemons of the own data centre tell their own work. In a large fleet, another data centre tells
+/// the sum of its daemons' work.
 #[derive(Debug, Default)]
 pub(crate) struct PeerLoads {
-    peers: HashMap<Name, News>,
+    daemons: HashMap<Name, News>,
+    data_centres: HashMap<Name, News>,
     totals: HashMap<Name, Share>,
 }
 
@@ -70,22 +74,45 @@
 }
 
 impl PeerLoads {
-    /// Replaces what a peer told before.
-    pub(crate) fn absorb(&mut self, peer: &Name, shares: Vec<(Name, Share)>, now: Instant) {
-        self.peers.insert(peer.clone(), News { at: now, shares });
-        self.peers
-            .retain(|_, news| now.since(news.at) < NEWS_LIFETIME);
+    /// Replaces what a daemon told before.
+    pub(crate) fn absorb(&mut self, daemon: &Name, shares: Vec<(Name, Share)>, now: Instant) {
+        let news = News { at: now, shares };
+        self.daemons.insert(daemon.clone(), news);
+        self.add_up(now);
+    }
+
+    /// Replaces what a data centre told before.
+    pub(crate) fn absorb_sum(&mut self, origin: &Name, shares: Vec<(Name, Share)>, now: Instant) {
+        let news = News { at: now, shares };
+        self.data_centres.insert(origin.clone(), news);
+        self.add_up(now);
+    }
+
+    fn add_up(&mut self, now: Instant) {
+        let is_young = |news: &News| now.since(news.at) < NEWS_LIFETIME;
+        self.daemons.retain(|_, news| is_young(news));
+        self.data_centres.retain(|_, news| is_young(news));
         self.totals.clear();
-        for news in self.peers.values() {
-            for (engine, share) in &news.shares {
-                let total = self.totals.entry(engine.clone()).or_default();
-                total.add(share);
-            }
-        }
+        let sources = self.daemons.values().chain(self.data_centres.values());
+        add_all(&mut self.totals, sources);
     }
 
     /// Returns the work of all other daemons on an engine.
     pub(crate) fn total(&self, engine: &Name) -> Share {
         self.totals.get(engine).copied().unwrap_or_default()
     }
+
+    /// Returns the work that daemons told themselves, added up for each engine.
+    pub(crate) fn of_daemons(&self) -> HashMap<Name, Share> {
+        let mut totals = HashMap::new();
+        add_all(&mut totals, self.daemons.values());
+        totals
+    }
+}
+
+fn add_all<'a>(totals: &mut HashMap<Name, Share>, sources: impl Iterator<Item = &'a News>) {
+    for (engine, share) in sources.flat_map(|news| &news.shares) {
+        let total = totals.entry(engine.clone()).or_default();
+        total.add(share);
+    }
 }
--- a/policy/src/gateway/prompt.rs
+++ b/policy/src/gateway/prompt.rs
@@ -1,5 +1,9 @@
 use ragwortgrade_schema::Name;
 
+/// Tokens from which on a part is long: reading it takes 10 ms of a prefill engine, several times
+/// what a crossing between data centres takes.
+const LONG_TOKENS: u32 = 1_000;
+
 /// What a caller says about the prompt of a generation.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Prompt {
@@ -24,6 +28,14 @@
     pub tokens: u32,
 }
 
+impl Part {
+    /// Tells whether reading the part again costs more than sending the request farther.
+    #[must_use]
+    pub const fn is_long(&self) -> bool {
+        self.tokens >= LONG_TOKENS
+    }
+}
+
 impl Prompt {
     /// Returns the parts that other requests share: all but the last.
     #[must_use]
@@ -31,6 +43,12 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// Tells whether a part that is shared is long.
+    #[must_use]
+    pub fn shares_long_part(&self) -> bool {
+        self.shared().iter().any(Part::is_long)
+    }
+
     /// Returns the identity of the longest shared prefix, by which requests are kept together.
     #[must_use]
     pub fn affinity(&self) -> Option<u64> {
--- a/policy/tests/gateway_placement.rs
+++ b/policy/tests/gateway_placement.rs
@@ -6,7 +6,7 @@
 
 use gateway_support::{Fleet, prompt, route};
 use ragwortgrade_policy::Instant;
-use ragwortgrade_policy::gateway::{RANKS, Share, Work};
+use ragwortgrade_policy::gateway::{RANKS, Sent, Share, Work};
 use ragwortgrade_schema::Name;
 use ragwortgrade_testutil::named_cases;
 
@@ -19,6 +19,14 @@
     share
 }
 
+fn sent(engine: &Name, part: u64) -> Sent {
+    Sent {
+        engine: engine.clone(),
+        part,
+        is_long: false,
+    }
+}
+
 #[test]
 fn a_short_prompt_is_read_in_place_and_a_long_one_apart() {
     let fleet = Fleet::new(2, 4);
@@ -56,7 +64,7 @@
         .unwrap();
     fleet
         .engines
-        .absorb_parts(vec![(other.clone(), 1), (other.clone(), 77)], NOW);
+        .absorb_parts(vec![sent(&other, 1), sent(&other, 77)], NOW);
     let placement = fleet
         .place(&prompt(12_000, Some(77)), &route(2), NOW)
         .unwrap();
@@ -87,6 +95,85 @@
     assert!(used, "news of a peer that is gone must not count for ever");
 }
 
+/// In a large fleet a document is read once, not once in each data centre; short shared parts are
+/// read in the data centre.
+fn readers_of(document_tokens: u32, expected: usize) {
+    let fleet = Fleet::of_two_data_centres(12, 28);
+    let mut prompt = prompt(16_000, Some(77));
+    prompt.parts[1].tokens = document_tokens;
+    let mut readers = ["a", "b"].map(|data_centre| {
+        let placement = fleet.place_from(data_centre, &prompt, &route(2));
+        placement.prefill.unwrap()
+    });
+    readers.sort();
+    let mut readers = readers.to_vec();
+    readers.dedup();
+    assert_eq!(readers.len(), expected, "{readers:?}");
+}
+
+named_cases! { readers_of:
+    a_long_document_in_a_large_fleet(5_000, 1);
+    a_short_document_in_a_large_fleet(400, 2);
+}
+
+#[test]
+fn work_that_another_data_centre_told_is_avoided_until_it_is_old() {
+    let mut fleet = Fleet::of_two_data_centres(12, 28);
+    let request = prompt(16_000, Some(77));
+    let home = fleet.place_from("a", &request, &route(2)).prefill.unwrap();
+    let sum = vec![(home.clone(), share(2, 900.0))];
+    fleet.engines.absorb_sum(&"b".into(), sum, NOW);
+    let placement = fleet.place_from("a", &request, &route(2));
+    assert_ne!(placement.prefill, Some(home.clone()));
+    // Sums replace each other and are not told on.
+    fleet.engines.absorb_sum(&"b".into(), Vec::new(), NOW);
+    let placement = fleet.place_from("a", &request, &route(2));
+    assert_eq!(placement.prefill, Some(home));
+    assert!(fleet.engines.data_centre_shares(|_| true).is_empty());
+}
+
+#[test]
+fn a_sum_holds_the_work_of_all_daemons_of_the_data_centre() {
+    let mut fleet = Fleet::new(2, 2);
+    let reader = Name::from("prefill-0");
+    let request = prompt(12_000, Some(77));
+    fleet.engines.prefill_sent(&reader, 2, 100.0, &request, NOW);
+    let news = vec![(reader.clone(), share(2, 50.0))];
+    fleet.engines.absorb(&"peer".into(), news, NOW);
+    let sum = fleet.engines.data_centre_shares(|id| *id == reader);
+    assert_eq!(sum.len(), 1);
+    assert!((sum[0].1.ahead_of(2) - 150.0).abs() < 1e-9);
+}
+
+#[test]
+fn only_long_parts_are_told_to_other_data_centres_and_once() {
+    let mut fleet = Fleet::new(2, 2);
+    let reader = Name::from("prefill-0");
+    let request = prompt(12_000, Some(77));
+    fleet.engines.prefill_sent(&reader, 2, 100.0, &request, NOW);
+    // An engine that reads in place is told twice of the same parts.
+    fleet.engines.sequence_sent(&reader, &request, NOW);
+    assert_eq!(fleet.engines.take_untold().len(), 2);
+    let told = fleet.engines.take_untold_afar();
+    let told: Vec<u64> = told.iter().map(|sent| sent.part).collect();
+    assert_eq!(told, [77]);
+    assert!(fleet.engines.take_untold_afar().is_empty());
+}
+
+#[test]
+fn a_long_part_that_was_told_alone_counts_with_what_stands_before_it() {
+    let mut fleet = Fleet::new(1, 1);
+    let reader = Name::from("prefill-0");
+    let long = Sent {
+        is_long: true,
+        ..sent(&reader, 77)
+    };
+    fleet.engines.absorb_parts_afar(vec![long], NOW);
+    let request = prompt(12_000, Some(77));
+    let placement = fleet.place(&request, &route(2), NOW).unwrap();
+    assert_eq!(placement.cached_tokens, 5_500);
+}
+
 /// Guards against urgent short requests behind a long prompt that is being read, and against
 /// counting waiting work that they overtake.
 fn waits_at_most(rank: u8, busy_rank: usize, busy_ms: f64, most_ms: u64) {
--- a/policy/tests/gateway_support/mod.rs
+++ b/policy/tests/gateway_support/mod.rs
@@ -30,6 +30,15 @@
         }
     }
 
+    /// A large fleet: engines in two data centres by turns.
+    pub fn of_two_data_centres(prefill: usize, decode: usize) -> Self {
+        let mut fleet = Self::new(prefill, decode);
+        for (number, endpoint) in fleet.endpoints.iter_mut().enumerate() {
+            endpoint.data_centre = if number % 2 == 0 { "a" } else { "b" }.into();
+        }
+        fleet
+    }
+
     pub fn place(
         &self,
         prompt: &Prompt,
@@ -39,6 +48,25 @@
         self.place_without(prompt, route, &[], now)
     }
 
+    /// Places a request that arrived in a data centre.
+    pub fn place_from(&self, data_centre: &str, prompt: &Prompt, route: &Route) -> Placement {
+        let candidates: Vec<&Endpoint> = self.endpoints.iter().collect();
+        let left = Duration::from_secs(10);
+        let now = Instant::from_millis(1_000);
+        let (limits, data_centre) = (limits(), data_centre.into());
+        let placed = self.engines.place(
+            &candidates,
+            prompt,
+            route,
+            &limits,
+            left,
+            &[],
+            &data_centre,
+            now,
+        );
+        placed.unwrap()
+    }
+
     pub fn place_without(
         &self,
         prompt: &Prompt,
