gateway: notice a settings file that changes without a signal

Change: SettingsFile holds the last text and settings; a thread looks at it every 2 s, a signal at once. The log level is applied; other changes are logged as needing a start. A faulty or unreadable file is logged once and leaves the settings as they are.

Tests: gateway_settings (three cases); there was no such function before. Not applied while running: retry ratio, leaving bound, addresses.

--- a/cli/src/bin/ragwortgrade/gateway.rs
+++ b/cli/src/bin/ragwortgrade/gateway.rs
@@ -2,8 +2,10 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
-use ragwortgrade_lib::gateway::{Gateway, Settings};
+use ragwortgrade_lib::gateway::{Gateway, SettingsFile};
 use ragwortgrade_lib::observe;
 use ragwortgrade_platform::SETTINGS_VARIABLE;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -11,6 +13,10 @@
 
 use super::{EXIT_FAILURE, EXIT_SETTINGS, Options};
 
+/// Pause between two looks at the settings file, which may change without a signal; operators
+/// expect a change within seconds.
+const SETTINGS_PAUSE: Duration = Duration::from_secs(2);
+
 /// Returns the path of the settings file that the platform's environment names.
 pub(super) fn settings_path() -> Result<PathBuf, lexopt::Error> {
     std::env::var_os(SETTINGS_VARIABLE)
@@ -21,8 +27,8 @@
 }
 
 pub(super) fn run(options: &Options) -> ExitCode {
-    let settings = match Settings::load(&options.settings) {
-        Ok(settings) => settings,
+    let file = match SettingsFile::open(options.settings.clone()) {
+        Ok(file) => file,
         Err(faults) => {
             eprintln!("{faults}");
             return ExitCode::from(EXIT_SETTINGS);
@@ -32,7 +38,7 @@
         println!("{}: no faults", options.settings.display());
         return ExitCode::SUCCESS;
     }
-    match serve(options, settings) {
+    match serve(file) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("ragwortgrade: {error}");
@@ -42,15 +48,27 @@
 }
 
 /// Runs the gateway until a signal asks for its planned stop.
-fn serve(options: &Options, settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+fn serve(file: SettingsFile) -> Result<(), Box<dyn std::error::Error>> {
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    let settings = file.settings().clone();
     let log = observe::start_stdout_logging(settings.log_level)?;
     let gateway = Gateway::spawn(move || ragwortgrade_platform::options(settings))?;
+    let file = Arc::new(Mutex::new(file));
+    let watched = Arc::clone(&file);
+    std::thread::Builder::new()
+        .name("settings".to_owned())
+        .spawn(move || {
+            loop {
+                std::thread::sleep(SETTINGS_PAUSE);
+                reload(&watched);
+            }
+        })?;
     for signal in signals.forever() {
         if signal != SIGHUP {
             break;
         }
-        reload(options);
+        log::info!("asked to read the settings again");
+        reload(&file);
     }
     if !gateway.drain() {
         log::warn!("requests were still open when the time to stop ended");
@@ -59,11 +77,16 @@
     Ok(())
 }
 
-fn reload(options: &Options) {
-    match Settings::load(&options.settings) {
-        Ok(settings) => {
-            log::set_max_level(settings.log_level);
-            log::info!("settings were read again");
+fn reload(file: &Mutex<SettingsFile>) {
+    let mut file = file.lock().unwrap_or_else(PoisonError::into_inner);
+    match file.refresh() {
+        Ok(None) => {}
+        Ok(Some(revision)) => {
+            log::set_max_level(revision.settings.log_level);
+            log::info!(
+                log_level:% = revision.settings.log_level, needs_start = revision.needs_start;
+                "settings changed"
+            );
         }
         Err(faults) => log::error!(faults:% = faults; "new settings are faulty; the old ones stay"),
     }
--- /dev/null
+++ b/cli/tests/gateway_settings.rs
@@ -0,0 +1,64 @@
+//! Settings of a gateway that change while it runs.
+
+use std::path::PathBuf;
+
+use log::LevelFilter;
+use ragwortgrade_lib::gateway::SettingsFile;
+
+const TEXT: &str = "[gateway]\nname = a-1\ndata_centre = a\ncallers_address = 127.0.0.1:0\n\
+    readiness_address = 127.0.0.1:0\npeers_address = 127.0.0.1:0\nmetrics_address =\n\
+    store_address = 127.0.0.1:9\nretry_ratio = 0.2\nleaving_bound_ms = 2000\n\
+    stop_timeout_seconds = 8\nopen_files_max = 1000\nlog_level = info\n";
+
+/// A settings file that is removed with the test.
+struct File(tempfile::TempDir);
+
+impl File {
+    fn new() -> Self {
+        let file = Self(tempfile::tempdir().unwrap());
+        file.write(TEXT);
+        file
+    }
+
+    fn path(&self) -> PathBuf {
+        self.0.path().join("gateway.ini")
+    }
+
+    fn write(&self, text: &str) {
+        std::fs::write(self.path(), text).unwrap();
+    }
+}
+
+#[test]
+fn a_change_without_a_signal_is_seen_once() {
+    let file = File::new();
+    let mut settings = SettingsFile::open(file.path()).unwrap();
+    assert_eq!(settings.refresh().unwrap(), None);
+    file.write(&TEXT.replace("= info", "= debug"));
+    let revision = settings.refresh().unwrap().unwrap();
+    assert_eq!(revision.settings.log_level, LevelFilter::Debug);
+    assert!(!revision.needs_start);
+    assert_eq!(settings.refresh().unwrap(), None);
+}
+
+#[test]
+fn what_is_read_only_at_the_start_is_told() {
+    let file = File::new();
+    let mut settings = SettingsFile::open(file.path()).unwrap();
+    file.write(&TEXT.replace("ratio = 0.2", "ratio = 0.1"));
+    assert!(settings.refresh().unwrap().unwrap().needs_start);
+}
+
+#[test]
+fn a_faulty_version_is_told_once_and_leaves_the_settings() {
+    let file = File::new();
+    let mut settings = SettingsFile::open(file.path()).unwrap();
+    file.write("[gateway]\nname = a-1\n");
+    assert!(settings.refresh().is_err());
+    assert_eq!(settings.refresh().unwrap(), None);
+    assert_eq!(&*settings.settings().data_centre, "a");
+    std::fs::remove_file(file.path()).unwrap();
+    assert!(settings.refresh().is_err());
+    file.write(TEXT);
+    assert!(!settings.refresh().unwrap().unwrap().needs_start);
+}
