--- a/standins/examples/soak/failures/healing.rs
+++ b/standins/examples/soak/failures/healing.rs
@@ -49,11 +49,12 @@
         let until = Instant::now() + CONFIGURATION_TIMEOUT;
         loop {
             let revision = self.platform_revision(deployment);
-            if revision.is_ok_and(|revision| revision >= self.highest_revision) {
+            if matches!(&revision, Ok(revision) if *revision >= self.highest_revision) {
                 return;
             }
             if Instant::now() > until {
-                eprintln!("configuration {} was lost", self.highest_revision);
+                let highest = self.highest_revision;
+                eprintln!("configuration {highest} was lost; the platform has {revision:?}");
                 return count(&self.ledger.config_reverts);
             }
             thread::sleep(RETRY);
