gateway: log the wait that a placement expects

Cause: read as a newcomer: a refusal and a placement depend on the queue at the chosen engine, which no log line gave; a test was named for an age that it does not play.

Change: queue_ms in "generation placed"; the test and two comments say what they mean.

--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -92,7 +92,8 @@
         request = inquiry.id(), route:% = inquiry.route.name, engine:% = placement.run,
         prefill = placement.prefill.as_deref().unwrap_or("in_place"),
         prompt_tokens = inquiry.arrival.prompt.tokens, cached_tokens = placement.cached_tokens,
-        expected_ms = placement.expected.as_millis() as u64, priority = placement.priority,
+        expected_ms = placement.expected.as_millis() as u64,
+        queue_ms = placement.queue.as_millis() as u64, priority = placement.priority,
         left_ms = inquiry.left().as_millis() as u64;
         "generation placed"
     );
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -13,10 +13,11 @@
 
 /// Cost of an engine in another data centre, in ms: two crossings and the priced bytes.
 const REMOTE_MS: f64 = 6.0;
-/// The same in a large fleet, where daemons know the work of their own data centre only and
-/// another one's engines seem idle.
+/// The same in a large fleet, where daemons know little of the work of other data centres, whose
+/// engines seem idle.
 const REMOTE_LARGE_MS: f64 = 150.0;
-/// The same for the home of a long part in a large fleet: the work there is known, but older.
+/// The same for the home of a long part in a large fleet: the work there is known from sums, which
+/// are older than news.
 const REMOTE_HOME_MS: f64 = 20.0;
 /// Time for which a sequence holds its slot, in ms: an output of 250 tokens at 5 ms.
 const SLOT_HELD_MS: f64 = 1_250.0;
--- a/policy/tests/gateway_placement.rs
+++ b/policy/tests/gateway_placement.rs
@@ -117,7 +117,7 @@
 }
 
 #[test]
-fn work_that_another_data_centre_told_is_avoided_until_it_is_old() {
+fn work_of_another_data_centre_is_avoided_until_its_next_sum() {
     let mut fleet = Fleet::of_two_data_centres(12, 28);
     let request = prompt(16_000, Some(77));
     let home = fleet.place_from("a", &request, &route(2)).prefill.unwrap();
