--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -11,7 +11,7 @@
 use ragwortgrade_policy::gateway::Catalog;
 
 use super::answer::Answer;
-use super::request::Inquiry;
+use super::request::{Inquiry, Progress};
 use super::running::millis;
 use super::shared::Shared;
 use super::status::{self, RETRY_AFTER_DEFAULT};
@@ -126,8 +126,8 @@
     let deadline = arrival.deadline.unwrap_or(Duration::MAX);
     let time_limit = deadline.min(route.time_limit);
     let route = route.clone();
-    Ok(Inquiry::new(
-        Rc::clone(shared),
+    Ok(Inquiry {
+        shared: Rc::clone(shared),
         arrival,
         head,
         body,
@@ -135,7 +135,8 @@
         service,
         begun,
         time_limit,
-    ))
+        progress: Progress::default(),
+    })
 }
 
 fn timed_out(inquiry: &Inquiry) -> Response<Answer> {
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -33,6 +33,12 @@
     pub(super) begun: Instant,
     /// Longest time until the final answer.
     pub(super) time_limit: Duration,
+    pub(super) progress: Progress,
+}
+
+/// What has been done about a request so far.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
     /// Whether an attempt leaves open that the request ran.
     may_have_run: Cell<bool>,
     /// Endpoints to which the request itself was sent.
@@ -40,31 +46,6 @@
 }
 
 impl Inquiry {
-    #[expect(clippy::too_many_arguments, reason = "parts of one request")]
-    pub(super) fn new(
-        shared: Rc<Shared>,
-        arrival: Arrival,
-        head: Parts,
-        body: Bytes,
-        route: Route,
-        service: Name,
-        begun: Instant,
-        time_limit: Duration,
-    ) -> Self {
-        Self {
-            shared,
-            arrival,
-            head,
-            body,
-            route,
-            service,
-            begun,
-            time_limit,
-            may_have_run: Cell::new(false),
-            sends: Cell::new(0),
-        }
-    }
-
     /// Identity for log lines.
     pub(super) fn id(&self) -> &str {
         self.arrival.id.as_deref().unwrap_or("-")
@@ -84,28 +65,30 @@
     }
 
     pub(super) fn may_have_run(&self) -> bool {
-        self.may_have_run.get()
+        self.progress.may_have_run.get()
     }
 
     /// Notes that the request may run now.
     pub(super) fn note_sent(&self) {
-        self.may_have_run.set(true);
-        self.sends.set(self.sends.get() + 1);
+        self.progress.may_have_run.set(true);
+        self.progress.sends.set(self.progress.sends.get() + 1);
     }
 
     /// Notes that the endpoint that was just asked did not run the request.
     pub(super) fn note_not_run(&self, was_running_before: bool) {
-        self.may_have_run.set(was_running_before);
+        self.progress.may_have_run.set(was_running_before);
     }
 
     /// Notes that the request did not leave this daemon.
     pub(super) fn note_not_sent(&self, was_running_before: bool) {
-        self.may_have_run.set(was_running_before);
-        self.sends.set(self.sends.get().saturating_sub(1));
+        self.progress.may_have_run.set(was_running_before);
+        self.progress
+            .sends
+            .set(self.progress.sends.get().saturating_sub(1));
     }
 
     pub(super) fn has_attempts_left(&self) -> bool {
-        self.sends.get() < self.route.attempts_max.max(1)
+        self.progress.sends.get() < self.route.attempts_max.max(1)
     }
 
     /// Takes a repeated send out of the service's budget.
