--- a/policy/examples/shifts/trace.rs
+++ b/policy/examples/shifts/trace.rs
@@ -1,7 +1,8 @@
 use std::path::Path;
 
 use ragwortgrade_schema::Name;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::failure::Failure;
 
@@ -20,8 +21,8 @@
     pub(crate) prompt_tokens: u32,
     /// Length of the answer.
     pub(crate) output_tokens: u32,
-    /// Identity of the prefix that other prompts share; 0 or empty for none.
-    #[serde(default)]
+    /// Identity of the prefix that other prompts share: a number or any text; 0 or empty for none.
+    #[serde(default, deserialize_with = "prefix_identity")]
     pub(crate) prefix_id: Option<u64>,
     /// Length of that prefix.
     #[serde(default)]
@@ -31,6 +32,16 @@
     pub(crate) deadline_ms: Option<u64>,
 }
 
+/// Reads an identity; text that is no number counts as its hash.
+fn prefix_identity<'de, D: Deserializer<'de>>(field: D) -> Result<Option<u64>, D::Error> {
+    let text = Option::<String>::deserialize(field)?.unwrap_or_default();
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let identity = text.parse().unwrap_or_else(|_| xxh3_64(text.as_bytes()));
+    Ok(Some(identity))
+}
+
 /// What a call needs.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
 #[serde(rename_all = "snake_case")]
--- a/policy/tests/shifts.rs
+++ b/policy/tests/shifts.rs
@@ -108,6 +108,31 @@
     assert_eq!(run(&arguments, &path).stdout, run(&arguments, &path).stdout);
 }
 
+/// Guards against traces whose prefixes are named by text: equal names are one prefix, and figures
+/// are those of numbers.
+#[test]
+fn a_prefix_may_be_any_text() {
+    let rows = |name: &dyn Fn(u64) -> String| {
+        let row = |at: u64| {
+            let prefix = name(at / 50 % 4);
+            format!("{at},undeclared,model,1,3000,80,{prefix},2000,4000")
+        };
+        let rows = (0..10_000).step_by(50).map(row);
+        let text: Vec<_> = std::iter::once(HEADER.to_owned()).chain(rows).collect();
+        text.join("\n")
+    };
+    let in_time = |name: &str, text: &str| {
+        let path = file(name, text);
+        let lines = lines(&run(&["--only", "ragwortgrade"], &path));
+        lines[0]["in_time"].as_u64().expect("a count")
+    };
+    let named = rows(&|index| format!("manual {index} / \u{e9}"));
+    let alone = rows(&|_| String::new());
+    let named = in_time("named.csv", &named);
+    assert!(named > 0);
+    assert!(named >= in_time("alone.csv", &alone));
+}
+
 /// Guards against a bound that does not notice overload, which would make every target empty.
 #[test]
 fn the_bound_notices_overload() {
