gateway: demand and offer in files of their own

Change: Demand with remote_ms in demand.rs, Offer and Waiting in offer.rs; moved only, no decision changes.

--- /dev/null
+++ b/policy/src/gateway/demand.rs
@@ -0,0 +1,43 @@
+use ragwortgrade_schema::Name;
+
+use super::{Endpoint, EngineLimits, Prompt};
+use crate::Instant;
+
+/// Cost of an engine in another data centre, in ms: two crossings and the priced bytes.
+pub(super) const REMOTE_MS: f64 = 6.0;
+/// The same in a large fleet, where daemons know little of the work of other data centres, whose
+/// engines seem idle.
+const REMOTE_LARGE_MS: f64 = 150.0;
+/// The same for the home of a long part in a large fleet: the work there is known from sums, which
+/// are older than news.
+const REMOTE_HOME_MS: f64 = 20.0;
+
+/// What a generation asks of the engines.
+#[derive(Debug)]
+pub(super) struct Demand<'a> {
+    pub(super) prompt: &'a Prompt,
+    pub(super) affinity: Option<u64>,
+    pub(super) data_centre: &'a Name,
+    pub(super) limits: &'a EngineLimits,
+    pub(super) rank: u8,
+    pub(super) priority: u8,
+    /// Weight of reading a shared part that another engine holds, against the time it takes.
+    pub(super) reread_weight: f64,
+    /// Whether the fleet is so large that data centres keep to their own engines.
+    pub(super) is_large: bool,
+    /// Decode engines that are kept for long outputs.
+    pub(super) calm: Vec<&'a Name>,
+    pub(super) now: Instant,
+}
+
+impl Demand<'_> {
+    /// Returns the cost of the engine's distance, in ms.
+    pub(super) fn remote_ms(&self, engine: &Endpoint, is_home: bool) -> f64 {
+        match engine.data_centre == *self.data_centre {
+            true => 0.0,
+            false if !self.is_large => REMOTE_MS,
+            false if is_home => REMOTE_HOME_MS,
+            false => REMOTE_LARGE_MS,
+        }
+    }
+}
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -5,20 +5,14 @@
 
 use super::admission::{self, is_late_by_size, priority, refusal};
 use super::affinity::{SHARED_HOMES_MAX, calm, home};
+use super::demand::{Demand, REMOTE_MS};
 use super::engine_load::EngineLoad;
+use super::offer::{Offer, Waiting};
 use super::peer_loads::PeerLoads;
 use super::untold::{Sent, Untold};
 use super::{Endpoint, EngineLimits, Placement, Prompt, Refusal, Route, Share, Speed, Stage, Work};
 use crate::Instant;
 
-/// Cost of an engine in another data centre, in ms: two crossings and the priced bytes.
-const REMOTE_MS: f64 = 6.0;
-/// The same in a large fleet, where daemons know little of the work of other data centres, whose
-/// engines seem idle.
-const REMOTE_LARGE_MS: f64 = 150.0;
-/// The same for the home of a long part in a large fleet: the work there is known from sums, which
-/// are older than news.
-const REMOTE_HOME_MS: f64 = 20.0;
 /// Time for which a sequence holds its slot, in ms: an output of 250 tokens at 5 ms.
 const SLOT_HELD_MS: f64 = 1_250.0;
 /// Cost of a prefill apart beside its own time, in ms: the set-up of the transfer, one more
@@ -72,52 +66,6 @@
     untold: Untold,
 }
 
-/// What a generation asks of the engines.
-#[derive(Debug)]
-struct Demand<'a> {
-    prompt: &'a Prompt,
-    affinity: Option<u64>,
-    data_centre: &'a Name,
-    limits: &'a EngineLimits,
-    rank: u8,
-    priority: u8,
-    /// Weight of reading a shared part that another engine holds, against the time it takes.
-    reread_weight: f64,
-    /// Whether the fleet is so large that data centres keep to their own engines.
-    is_large: bool,
-    /// Decode engines that are kept for long outputs.
-    calm: Vec<&'a Name>,
-    now: Instant,
-}
-
-/// An engine that could read the prompt.
-#[derive(Debug)]
-struct Offer<'a> {
-    engine: &'a Endpoint,
-    /// Expected time until the prompt is read.
-    first_ms: f64,
-    /// That time and what the choice costs other requests and the rest of this one.
-    cost_ms: f64,
-    prefill_ms: f64,
-    cached: u32,
-}
-
-/// What it takes until an engine begins with a request, in ms.
-#[derive(Clone, Copy, Debug)]
-struct Waiting {
-    /// Expected time.
-    first_ms: f64,
-    /// That time and what speaks against the engine.
-    cost_ms: f64,
-}
-
-impl Offer<'_> {
-    /// Returns the time that the request waits for others at the engine.
-    fn queue_ms(&self) -> f64 {
-        (self.first_ms - self.prefill_ms).max(0.0)
-    }
-}
-
 impl Engines {
     /// Opens the record with the speeds of the deployment's engines.
     #[must_use]
@@ -299,7 +247,7 @@
             }
         }
         let mut waiting = self.waiting(engine, demand);
-        waiting.cost_ms += remote_ms(engine, demand, is_home);
+        waiting.cost_ms += demand.remote_ms(engine, is_home);
         let reread_ms = f64::from(reread) / self.speed.prefill_tokens_per_ms * demand.reread_weight;
         Offer {
             engine,
@@ -365,7 +313,7 @@
     ) -> Option<(&'a Endpoint, Waiting)> {
         let waiting = |engine: &Endpoint| {
             let mut waiting = self.waiting(engine, demand);
-            waiting.cost_ms += remote_ms(engine, demand, false);
+            waiting.cost_ms += demand.remote_ms(engine, false);
             if engine.data_centre != prefill.data_centre {
                 waiting.cost_ms += REMOTE_MS;
             }
@@ -542,16 +490,6 @@
     }
 }
 
-/// Returns the cost of the engine's distance, in ms.
-fn remote_ms(engine: &Endpoint, demand: &Demand<'_>, is_home: bool) -> f64 {
-    match engine.data_centre == *demand.data_centre {
-        true => 0.0,
-        false if !demand.is_large => REMOTE_MS,
-        false if is_home => REMOTE_HOME_MS,
-        false => REMOTE_LARGE_MS,
-    }
-}
-
 /// Returns the time until a slot is free when as many sequences run as there are slots, in ms.
 fn slot_wait_ms(sequences: u32, slots: u32) -> f64 {
     let ahead = (sequences + 1).saturating_sub(slots);
--- /dev/null
+++ b/policy/src/gateway/offer.rs
@@ -0,0 +1,29 @@
+use super::Endpoint;
+
+/// An engine that could read the prompt.
+#[derive(Debug)]
+pub(super) struct Offer<'a> {
+    pub(super) engine: &'a Endpoint,
+    /// Expected time until the prompt is read.
+    pub(super) first_ms: f64,
+    /// That time and what the choice costs other requests and the rest of this one.
+    pub(super) cost_ms: f64,
+    pub(super) prefill_ms: f64,
+    pub(super) cached: u32,
+}
+
+/// What it takes until an engine begins with a request, in ms.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiting {
+    /// Expected time.
+    pub(super) first_ms: f64,
+    /// That time and what speaks against the engine.
+    pub(super) cost_ms: f64,
+}
+
+impl Offer<'_> {
+    /// Returns the time that the request waits for others at the engine.
+    pub(super) fn queue_ms(&self) -> f64 {
+        (self.first_ms - self.prefill_ms).max(0.0)
+    }
+}
