claims: record an outcome after the outage that kept it back

A caller's order stayed `in_progress` for 90 s after the last failure had healed. After that nobody recorded it, and the owner counts a claim without an outcome as running while its daemon lives, for up to 15 minutes. Change: outcomes that could not be recorded in time are tried in the background until they are. The soak prints what a request that is open for 15 s was answered last. The new test failed without the change ("the key stays in progress", 20 s).

--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -1,6 +1,7 @@
 //! At-most-once claims: the shards that this daemon owns, and how a request obtains a claim.
 
 mod claimant;
+mod outcomes;
 mod shard;
 
 use std::collections::HashSet;
@@ -11,6 +12,7 @@
 use std::time::Duration;
 
 pub(crate) use claimant::{Claimant, Claimed};
+pub(crate) use outcomes::Outcomes;
 use ragwortgrade_policy::claim::{Answer, Ask, Hash, Outcome, SHARDS, owner_of, shard_of};
 use ragwortgrade_schema::Name;
 use ragwortgrade_schema::peer::{
--- a/lib/src/claims/claimant.rs
+++ b/lib/src/claims/claimant.rs
@@ -4,12 +4,13 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use ragwortgrade_policy::Instant;
-use ragwortgrade_policy::claim::{Hash, owner_of, shard_of};
+use ragwortgrade_policy::claim::{Hash, shard_of};
 use ragwortgrade_schema::Name;
 use ragwortgrade_schema::peer::{
-    ClaimAnswer, ClaimOutcome, ClaimRequest, ClaimState, OutcomeKind, Recorded, Settled,
+    ClaimAnswer, ClaimOutcome, ClaimRequest, ClaimState, OutcomeKind, Recorded,
 };
 
+use super::outcomes;
 use crate::endpoint::PlainAnswer;
 use crate::front::{Code, Context, Refusal};
 
@@ -17,7 +18,7 @@
 const CLAIM_PATIENCE: Duration = Duration::from_secs(4);
 /// Time to record an outcome before the caller is answered, when it must be able to try again.
 const RELEASE_PATIENCE: Duration = Duration::from_secs(1);
-/// Time to record an outcome after the caller was answered.
+/// Time to record an outcome after the caller was answered, before it is left to the background.
 const SETTLE_PATIENCE: Duration = Duration::from_secs(20);
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Longest answer that is recorded (design section 5.2).
@@ -146,24 +147,16 @@
             outcome,
             recorded,
         };
-        loop {
-            if let Some(owner) = self.owner()
-                && let Ok(Settled::Recorded) = self.context.peers.settle(&owner, &outcome)
-            {
-                return;
-            }
+        while !outcomes::record(self.context.peers.as_ref(), &outcome) {
             if self.context.node.clock.now() >= end {
-                log::warn!(outcome:? = outcome.outcome; "outcome of a claim was not recorded");
-                return;
+                return self.context.outcomes.push(outcome);
             }
             thread::sleep(RETRY_PAUSE);
         }
     }
 
     fn owner(&self) -> Option<Name> {
-        let members = self.context.peers.members();
-        let settled = members.iter().filter(|member| !member.identity.draining);
-        owner_of(self.shard, settled.map(|member| &member.identity.id)).cloned()
+        outcomes::owner(self.context.peers.as_ref(), self.shard)
     }
 }
 
--- a/lib/src/front/context.rs
+++ b/lib/src/front/context.rs
@@ -15,6 +15,7 @@
 use super::{Code, Refusal, Streams};
 use crate::Node;
 use crate::attempt::Prober;
+use crate::claims::Outcomes;
 use crate::lock::lock;
 use crate::peer::Peers;
 use crate::trial::Trials;
@@ -32,6 +33,7 @@
     pub(crate) streams: Arc<Streams>,
     pub(crate) trials: Arc<Trials>,
     pub(crate) prober: Prober,
+    pub(crate) outcomes: Outcomes,
     /// Answers with the identity of another attempt, which were dropped.
     pub(crate) crossed: AtomicU64,
     limiter: Mutex<Limiter>,
@@ -51,6 +53,7 @@
     ) -> io::Result<Self> {
         Ok(Self {
             prober: Prober::spawn(Arc::clone(&node))?,
+            outcomes: Outcomes::spawn(Arc::clone(&peers))?,
             limiter: Mutex::new(Limiter::open(peers.members().len() as u32)),
             node,
             peers,
--- a/lib/tests/claims.rs
+++ b/lib/tests/claims.rs
@@ -3,10 +3,17 @@
 mod fakes;
 
 use std::thread;
+use std::time::{Duration, Instant};
 
 use fakes::{Answer, Failure, Outcome, Stage};
 use ragwortgrade_testutil::named_cases;
 
+/// Time in which a daemon tries to release a claim before it leaves that to the background, and
+/// some more.
+const RELEASE_TIME: Duration = Duration::from_millis(1_300);
+/// Longest time until an outcome is recorded after an outage: the owner's longest backoff is 2 s.
+const RECORDING_TIME: Duration = Duration::from_secs(20);
+
 /// Books with a key; the body is a part of the request's content.
 fn book(stage: &Stage, key: &str, body: &str) -> Answer {
     let headers = format!("X-Workspace: lab\r\nIdempotency-Key: {key}\r\n");
@@ -145,6 +152,26 @@
     a_write_that_did_not(Failure::Unreachable);
 }
 
+#[test]
+fn a_claim_that_was_given_up_in_an_outage_is_free_after_it() {
+    // Guards against a key that stays in progress for the life of a daemon that did not send the
+    // request and could not record so (soak, seed 31).
+    let stage = stage();
+    load_all_shards(&stage);
+    let runs = stage.plains.runs();
+    stage.key_value.fail_next_write(Failure::AnswerLostByOutage);
+    let answer = book(&stage, "k", "chair");
+    refused(&answer, 503, "claims_unavailable");
+    // The release is not recorded at once either.
+    thread::sleep(RELEASE_TIME);
+    stage.key_value.set_down(false);
+    let until = Instant::now() + RECORDING_TIME;
+    while book(&stage, "k", "chair").status != 200 {
+        assert!(Instant::now() < until, "the key stays in progress");
+    }
+    assert_eq!(stage.plains.runs(), runs + 1);
+}
+
 #[test]
 fn a_lost_grant_is_granted_again_to_the_same_attempt() {
     let stage = stage();
--- a/lib/tests/fakes/key_value.rs
+++ b/lib/tests/fakes/key_value.rs
@@ -12,6 +12,8 @@
     Unreachable,
     /// The call takes effect and its answer is lost.
     AnswerLost,
+    /// The same at the beginning of an outage.
+    AnswerLostByOutage,
 }
 
 /// A key-value service in memory.
@@ -107,7 +109,10 @@
                 state.entries.remove(&write.key);
             }
         }
-        if failure == Some(Failure::AnswerLost) {
+        if failure == Some(Failure::AnswerLostByOutage) {
+            state.down = true;
+        }
+        if failure.is_some() {
             let reason = "fake".to_owned();
             return Err(Error::AnswerLost { reason });
         }
--- a/standins/examples/soak/callers.rs
+++ b/standins/examples/soak/callers.rs
@@ -10,6 +10,7 @@
 
 use crate::ledger::{Ledger, Order, count};
 use crate::options::Options;
+use crate::waiting::Waiting;
 
 /// A prompt with this text crashes each engine that runs it.
 pub(crate) const CRASH_MARKER: &str = "crash-this-engine";
@@ -138,6 +139,7 @@
     /// Asks, and resumes a broken stream through another daemon.
     fn ask(&self, question: &Question, random: &mut ChaCha8Rng) -> Verdict {
         let give_up = Instant::now() + GIVE_UP;
+        let mut waiting = Waiting::begin();
         let mut received = 0;
         let mut last_event: Option<String> = None;
         let mut is_first = true;
@@ -160,6 +162,13 @@
                 }
                 _ => {}
             }
+            waiting.report(|| {
+                format!(
+                    "{} at token {received}, {entrance}: {:?}",
+                    name_of(question),
+                    answer.end
+                )
+            });
             if is_accused(&answer) && self.has_seen_two_deaths_since(deaths) {
                 count(&self.ledger.accused);
                 return Verdict::Unknown;
@@ -212,6 +221,7 @@
     /// Sends an order with a key, again and through other daemons until the outcome is known.
     fn order(&self, question: PlainQuestion, random: &mut ChaCha8Rng) -> Verdict {
         let give_up = Instant::now() + GIVE_UP;
+        let mut waiting = Waiting::begin();
         let mut all_not_run = true;
         let mut verdict;
         loop {
@@ -228,6 +238,7 @@
             if !retries || Instant::now() > give_up {
                 break;
             }
+            waiting.report(|| format!("{} with verdict {verdict:?} {code}", question.body));
             thread::sleep(RETRY);
         }
         if verdict == Verdict::Complete && random.random_bool(0.3) {
@@ -294,6 +305,14 @@
     }
 }
 
+/// Returns the beginning of a question's text, which names it.
+fn name_of(question: &Question) -> String {
+    let message = question.completion.messages.first();
+    message.map_or_else(String::new, |message| {
+        message.content.chars().take(24).collect()
+    })
+}
+
 /// Tells whether a daemon says that the content of the request crashes endpoints.
 fn is_accused(answer: &Answer) -> bool {
     let refusal = answer.refusal();
--- a/standins/examples/soak/main.rs
+++ b/standins/examples/soak/main.rs
@@ -11,6 +11,7 @@
 mod options;
 mod report;
 mod target;
+mod waiting;
 
 use std::env;
 use std::error::Error;
