gateway: tell work on engines at each change, to all data centres

Load: bursts of long prompts on the grown deployments, whose shared parts have one home in the fleet. Ruled out: later, more urgent prompts (38 ms of 244); the engines' own speed (about 30 ms). Change: a daemon tells its own work as soon as it changes, within the data centre all of it, to the other data centres of a large fleet its work on prefill engines. Sums, partners and the telling on of parts go. Work of peers is kept by engine, so that taking news in costs what the news hold.

--- a/lib/src/gateway/news.rs
+++ b/lib/src/gateway/news.rs
@@ -11,18 +11,16 @@
     /// Work on the engines.
     shares: Vec<Row>,
     /// Shared parts of prompts that were sent to engines since the datagram before: engine,
-    /// identity, whether it is long.
-    parts: Vec<(Name, u64, bool)>,
+    /// identity.
+    parts: Vec<(Name, u64)>,
 }
 
-/// Who tells, and whose work.
+/// Who tells.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct Teller {
     pub(super) daemon: Name,
     /// Start of its process, in Unix ms.
     pub(super) started_ms: u64,
-    /// Data centre whose daemons' work is added up; without one it is the daemon's own.
-    pub(super) sum_of: Option<Name>,
 }
 
 /// Work on one engine.
@@ -49,9 +47,7 @@
             longest_ms: share.longest_ms.map(|millis| millis.round() as u32),
             sequences: share.sequences,
         });
-        let parts = parts
-            .into_iter()
-            .map(|sent| (sent.engine, sent.part, sent.is_long));
+        let parts = parts.into_iter().map(|sent| (sent.engine, sent.part));
         Self {
             teller,
             sequence,
@@ -62,11 +58,7 @@
 
     pub(super) fn parts(self) -> Vec<Sent> {
         let parts = self.parts.into_iter();
-        let parts = parts.map(|(engine, part, is_long)| Sent {
-            engine,
-            part,
-            is_long,
-        });
+        let parts = parts.map(|(engine, part)| Sent { engine, part });
         parts.collect()
     }
 
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -1,5 +1,5 @@
+use std::collections::HashMap;
 use std::collections::hash_map::Entry;
-use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,9 +16,10 @@
 pub(super) const PREFIX: &str = "ragwortgrade/daemons/";
 /// Pause between two reads of the daemons' registrations.
 const READ_PAUSE: Duration = Duration::from_secs(4);
-/// Daemons up to which everyone tells everyone. In a larger fleet the engines of a data centre are
-/// used by its own daemons, and only they tell each other.
+/// Daemons up to which everyone tells everyone all work. In a larger fleet decode engines are used by
+/// the daemons of their data centre, and only they tell each other of them.
 const EVERYONE_MAX: usize = 16;
+
 /// Registration of a daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Registration {
@@ -30,48 +31,36 @@
 #[derive(Debug, Default)]
 pub(super) struct Peers {
     registered: HashMap<Name, Registration>,
-    /// Newest datagram of each daemon: start of its process and number. Sums are numbered apart.
-    newest: HashMap<(Name, bool), (u64, u64)>,
+    /// Newest datagram of each daemon: start of its process and number.
+    newest: HashMap<Name, (u64, u64)>,
 }
 
 impl Peers {
-    /// Returns where news are sent.
-    pub(super) fn addresses(&self, data_centre: &Name) -> Vec<SocketAddr> {
-        let is_small = self.registered.len() <= EVERYONE_MAX;
-        let told = self
-            .registered
-            .values()
-            .filter(|peer| is_small || peer.data_centre == *data_centre);
-        told.map(|peer| peer.address).collect()
+    /// Returns the daemons that are told all work: those of the data centre, or all of a small
+    /// fleet.
+    pub(super) fn near(&self, data_centre: &Name) -> Vec<SocketAddr> {
+        self.addresses(|peer| self.is_near(peer, data_centre))
     }
 
-    /// Returns the daemons in other data centres to which this one tells the sum of its own data
-    /// centre's work: in a large fleet each daemon is told by one of every other data centre.
-    pub(super) fn partners(&self, own: &Name, data_centre: &Name) -> Vec<SocketAddr> {
-        if self.registered.len() <= EVERYONE_MAX {
-            return Vec::new();
-        }
-        let mut by_data_centre: BTreeMap<&Name, Vec<&Name>> = BTreeMap::new();
-        for (name, registration) in &self.registered {
-            let names = by_data_centre.entry(&registration.data_centre).or_default();
-            names.push(name);
-        }
-        let near = by_data_centre.remove(data_centre).unwrap_or_default();
-        let rank = near.iter().filter(|name| **name < own).count();
-        let daemons = near.len() + 1;
-        let partners = by_data_centre.into_values().flat_map(|mut names| {
-            names.sort_unstable();
-            names.into_iter().skip(rank).step_by(daemons)
-        });
-        partners.map(|name| self.registered[name].address).collect()
+    /// Returns the daemons of a large fleet that are told only what concerns all of it.
+    pub(super) fn far(&self, data_centre: &Name) -> Vec<SocketAddr> {
+        self.addresses(|peer| !self.is_near(peer, data_centre))
+    }
+
+    fn is_near(&self, peer: &Registration, data_centre: &Name) -> bool {
+        self.registered.len() <= EVERYONE_MAX || peer.data_centre == *data_centre
+    }
+
+    fn addresses(&self, is_told: impl Fn(&Registration) -> bool) -> Vec<SocketAddr> {
+        let told = self.registered.values().filter(|peer| is_told(peer));
+        told.map(|peer| peer.address).collect()
     }
 
     /// Tells whether a datagram is newer than those that came before.
     pub(super) fn is_newer(&mut self, news: &News) -> bool {
         let teller = &news.teller;
         let number = (teller.started_ms, news.sequence);
-        let key = (teller.daemon.clone(), teller.sum_of.is_some());
-        match self.newest.entry(key) {
+        match self.newest.entry(teller.daemon.clone()) {
             Entry::Occupied(newest) if *newest.get() >= number => false,
             Entry::Occupied(mut newest) => {
                 newest.insert(number);
--- a/lib/src/gateway/running.rs
+++ b/lib/src/gateway/running.rs
@@ -75,6 +75,7 @@
         let expected_ms = engines.known_wait_ms(engine, rank) + prefill_ms + overhead_ms;
         engines.prefill_sent(engine, rank, prefill_ms, prompt, begun);
         drop(engines);
+        shared.note_work();
         Self {
             shared: Rc::clone(shared),
             engine: engine.clone(),
@@ -110,6 +111,8 @@
             self.work,
             now,
         );
+        drop(engines);
+        self.shared.note_work();
     }
 }
 
@@ -127,6 +130,7 @@
         let mut engines = shared.engines.borrow_mut();
         engines.sequence_sent(engine, prompt, now);
         drop(engines);
+        shared.note_work();
         Self {
             shared: Rc::clone(shared),
             engine: engine.clone(),
@@ -144,6 +148,8 @@
         let now = self.shared.now();
         let mut engines = self.shared.engines.borrow_mut();
         engines.sequence_ended(&self.engine, self.work, now);
+        drop(engines);
+        self.shared.note_work();
     }
 }
 
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -4,7 +4,7 @@
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::{Catalog, Engines, Limits, PlainPool, Registry};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use super::budgets::Budgets;
 use super::caller::Callers;
@@ -39,6 +39,8 @@
     /// Wakes those who wait for answers of the store that it will never send.
     store_returned: Notify,
     pub(super) peers: RefCell<Peers>,
+    /// Wakes those who tell this daemon's work on the engines.
+    work_changed: watch::Sender<()>,
     /// Lease of this daemon's registration.
     pub(super) registration: Cell<Option<Lease>>,
 }
@@ -60,6 +62,7 @@
             outages: Cell::new(0),
             store_returned: Notify::new(),
             peers: RefCell::default(),
+            work_changed: watch::Sender::default(),
             registration: Cell::new(None),
             options,
         })
@@ -99,6 +102,16 @@
         }
     }
 
+    /// Notes that this daemon's work on the engines changed.
+    pub(super) fn note_work(&self) {
+        self.work_changed.send_replace(());
+    }
+
+    /// Returns what tells changes of this daemon's work on the engines.
+    pub(super) fn work_changes(&self) -> watch::Receiver<()> {
+        self.work_changed.subscribe()
+    }
+
     /// Tells whether a planned stop has begun.
     pub(super) fn is_stopping(&self) -> bool {
         self.stop_begun.get().is_some()
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -424,22 +424,14 @@
         self.untold.take_near()
     }
 
-    /// Returns the long parts that were sent to engines since the last call, by this daemon or by
-    /// others of its data centre, for the other data centres.
+    /// Returns the long parts that were sent to engines since the last call, for the other data
+    /// centres.
     pub fn take_untold_afar(&mut self) -> Vec<Sent> {
         self.untold.take_far()
     }
 
-    /// Takes in shared parts that another daemon of the data centre sent to engines.
+    /// Takes in shared parts that another daemon sent to engines.
     pub fn absorb_parts(&mut self, parts: Vec<Sent>, now: Instant) {
-        for sent in &parts {
-            self.untold.forward(sent);
-        }
-        self.absorb_parts_afar(parts, now);
-    }
-
-    /// Takes in shared parts that daemons of another data centre sent to engines.
-    pub fn absorb_parts_afar(&mut self, parts: Vec<Sent>, now: Instant) {
         for sent in parts {
             let load = self.loads.entry(sent.engine).or_default();
             load.note_parts([sent.part], now);
@@ -456,21 +448,6 @@
             .collect()
     }
 
-    /// Returns the work of the data centre's daemons on the engines that are of use to others.
-    pub fn data_centre_shares(&self, is_told: impl Fn(&Name) -> bool) -> Vec<(Name, Share)> {
-        let mut totals = self.peers.of_daemons();
-        for (id, load) in &self.loads {
-            totals.entry(id.clone()).or_default().add(&load.share());
-        }
-        totals.retain(|id, share| *share != Share::default() && is_told(id));
-        totals.into_iter().collect()
-    }
-
-    /// Takes in the work of another data centre; it replaces what was told of it before.
-    pub fn absorb_sum(&mut self, origin: &Name, shares: Vec<(Name, Share)>, now: Instant) {
-        self.peers.absorb_sum(origin, shares, now);
-    }
-
     /// Takes in another daemon's work; it replaces what that daemon told before.
     pub fn absorb(&mut self, peer: &Name, shares: Vec<(Name, Share)>, now: Instant) {
         self.peers.absorb(peer, shares, now);
--- a/policy/src/gateway/peer_loads.rs
+++ b/policy/src/gateway/peer_loads.rs
@@ -58,61 +58,60 @@
 
 /// What the other daemons have running on the engines, as they told lately.
 ///
-/// Daemons of the own data centre tell their own work. In a large fleet, another data centre tells
-/// the sum of its daemons' work.
+/// In a large fleet, daemons of other data centres tell only their work on prefill engines.
 #[derive(Debug, Default)]
 pub(crate) struct PeerLoads {
+    /// When each daemon told last, and of which engines.
     daemons: HashMap<Name, News>,
-    data_centres: HashMap<Name, News>,
-    totals: HashMap<Name, Share>,
+    /// Work on each engine by daemon.
+    engines: HashMap<Name, HashMap<Name, Share>>,
 }
 
 #[derive(Debug)]
 struct News {
     at: Instant,
-    shares: Vec<(Name, Share)>,
+    engines: Vec<Name>,
 }
 
 impl PeerLoads {
     /// Replaces what a daemon told before.
     pub(crate) fn absorb(&mut self, daemon: &Name, shares: Vec<(Name, Share)>, now: Instant) {
-        let news = News { at: now, shares };
+        self.forget(daemon);
+        let engines = shares.iter().map(|(engine, _)| engine.clone()).collect();
+        for (engine, share) in shares {
+            let work = self.engines.entry(engine).or_default();
+            work.insert(daemon.clone(), share);
+        }
+        let news = News { at: now, engines };
         self.daemons.insert(daemon.clone(), news);
-        self.add_up(now);
+        self.expire(now);
     }
 
-    /// Replaces what a data centre told before.
-    pub(crate) fn absorb_sum(&mut self, origin: &Name, shares: Vec<(Name, Share)>, now: Instant) {
-        let news = News { at: now, shares };
-        self.data_centres.insert(origin.clone(), news);
-        self.add_up(now);
+    /// Forgets daemons that have told nothing lately: they may be gone.
+    fn expire(&mut self, now: Instant) {
+        let daemons = self.daemons.iter();
+        let old = daemons.filter(|(_, news)| now.since(news.at) >= NEWS_LIFETIME);
+        let old: Vec<Name> = old.map(|(daemon, _)| daemon.clone()).collect();
+        for daemon in old {
+            self.forget(&daemon);
+        }
     }
 
-    fn add_up(&mut self, now: Instant) {
-        let is_young = |news: &News| now.since(news.at) < NEWS_LIFETIME;
-        self.daemons.retain(|_, news| is_young(news));
-        self.data_centres.retain(|_, news| is_young(news));
-        self.totals.clear();
-        let sources = self.daemons.values().chain(self.data_centres.values());
-        add_all(&mut self.totals, sources);
+    fn forget(&mut self, daemon: &Name) {
+        let told = self.daemons.remove(daemon);
+        for engine in told.into_iter().flat_map(|news| news.engines) {
+            if let Some(work) = self.engines.get_mut(&engine) {
+                work.remove(daemon);
+            }
+        }
     }
 
     /// Returns the work of all other daemons on an engine.
     pub(crate) fn total(&self, engine: &Name) -> Share {
-        self.totals.get(engine).copied().unwrap_or_default()
-    }
-
-    /// Returns the work that daemons told themselves, added up for each engine.
-    pub(crate) fn of_daemons(&self) -> HashMap<Name, Share> {
-        let mut totals = HashMap::new();
-        add_all(&mut totals, self.daemons.values());
-        totals
-    }
-}
-
-fn add_all<'a>(totals: &mut HashMap<Name, Share>, sources: impl Iterator<Item = &'a News>) {
-    for (engine, share) in sources.flat_map(|news| &news.shares) {
-        let total = totals.entry(engine.clone()).or_default();
-        total.add(share);
+        let mut total = Share::default();
+        for share in self.engines.get(engine).into_iter().flatten() {
+            total.add(share.1);
+        }
+        total
     }
 }
--- a/policy/src/gateway/untold.rs
+++ b/policy/src/gateway/untold.rs
@@ -12,14 +12,11 @@
     pub engine: Name,
     /// Identity of the part.
     pub part: u64,
-    /// Whether it is long enough to be told to other data centres.
-    pub is_long: bool,
 }
 
 /// Shared parts that others have not been told of yet.
 ///
-/// Daemons of the data centre are told what this one sent; other data centres are told the long
-/// parts of the whole data centre.
+/// Daemons of the data centre are told all; other data centres are told the long ones.
 #[derive(Debug, Default)]
 pub(super) struct Untold {
     near: Vec<Sent>,
@@ -32,17 +29,11 @@
         let sent = Sent {
             engine: engine.clone(),
             part: part.id,
-            is_long: part.is_long(),
         };
-        self.forward(&sent);
-        push(&mut self.near, sent);
-    }
-
-    /// Notes a part that another daemon of the data centre sent to an engine.
-    pub(super) fn forward(&mut self, sent: &Sent) {
-        if sent.is_long {
+        if part.is_long() {
             push(&mut self.far, sent.clone());
         }
+        push(&mut self.near, sent);
     }
 
     pub(super) fn take_near(&mut self) -> Vec<Sent> {
