gateway: let late requests wait behind others of their rank; learn the pace of engines

Load: bursts of long prompts; a caller that is refused has one more try, which most often falls into the same burst. Change: what cannot be on time is read apart at a priority of its own, behind what can be of the same rank and before the next rank, if it is expected within half of the caller's patience and the decode engine's sequences do not slow each other by half. Work is told by priority instead of rank. The time beside the reading and a factor on it are followed as quantiles of placements without a queue, for each way to read.

--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -26,7 +26,7 @@
 /// How an attempt to generate ended before anything reached the caller.
 #[derive(Debug)]
 enum Attempt {
-    Answered(Response<Answer>),
+    Answered(Run),
     Failed(Failure, Option<Response<Answer>>),
 }
 
@@ -38,6 +38,7 @@
             Ok(placement) => placement,
             Err(refusal) => return refuse_placement(inquiry, refusal),
         };
+        let placed = inquiry.shared.now();
         let Some(engine) = endpoint(inquiry, &placement.run) else {
             excluded.push(placement.run);
             continue;
@@ -58,7 +59,14 @@
         };
         excluded.push(engine.id.clone());
         let (failure, passed) = match run(inquiry, limits, &engine, &placement, purpose).await {
-            Attempt::Answered(response) => return response,
+            Attempt::Answered(run) => {
+                let shared = &inquiry.shared;
+                let took_ms = millis(shared.now().since(placed));
+                let mut engines = shared.engines.borrow_mut();
+                engines.observe_first_event(&placement, took_ms);
+                drop(engines);
+                return pump::forward(inquiry, run);
+            }
             Attempt::Failed(failure, passed) => (failure, passed),
         };
         if let Some(response) = conclude(inquiry, failure, passed) {
@@ -136,7 +144,7 @@
     let read = PromptRead::begin(
         &inquiry.shared,
         id,
-        inquiry.route.rank,
+        placement.priority,
         placement.prefill_ms,
         CALL_OVERHEAD_MS,
         prompt,
@@ -196,7 +204,7 @@
         PromptRead::begin(
             shared,
             &engine.id,
-            inquiry.route.rank,
+            placement.priority,
             placement.prefill_ms,
             overhead_ms,
             prompt,
@@ -221,7 +229,7 @@
                     engine: engine.id.clone(),
                     event_tokens: limits.event_tokens,
                 };
-                return Attempt::Answered(pump::forward(inquiry, run));
+                return Attempt::Answered(run);
             }
             Some(failure) => {
                 let passed = whole(inquiry, exchange, first).await;
--- a/lib/src/gateway/news.rs
+++ b/lib/src/gateway/news.rs
@@ -1,4 +1,4 @@
-use ragwortgrade_policy::gateway::{RANKS, Sent, Share};
+use ragwortgrade_policy::gateway::{PRIORITIES, Sent, Share};
 use ragwortgrade_schema::Name;
 use serde::{Deserialize, Serialize};
 
@@ -27,10 +27,10 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct Row {
     engine: Name,
-    /// Prompts that are being read, in ms of the engine's time, for each rank.
-    prefill_ms: [u32; RANKS],
-    /// Longest single prompt of each rank, in the same unit.
-    longest_ms: [u32; RANKS],
+    /// Prompts that are being read, in ms of the engine's time, for each priority.
+    prefill_ms: [u32; PRIORITIES],
+    /// Longest single prompt of each priority, in the same unit.
+    longest_ms: [u32; PRIORITIES],
     sequences: u32,
 }
 
--- a/lib/src/gateway/news_exchange.rs
+++ b/lib/src/gateway/news_exchange.rs
@@ -62,7 +62,7 @@
         let mut last_sent = Vec::new();
         let mut sent_at = Instant::now();
         loop {
-            let changed = tokio::time::timeout(REPEAT_PAUSE, changes.changed()).await;
+            let woken = tokio::time::timeout(REPEAT_PAUSE, changes.changed()).await;
             let addresses = self.addresses(circle);
             if addresses.is_empty() {
                 continue;
@@ -73,7 +73,7 @@
             let work = self.work(circle);
             let parts = self.parts(circle);
             let is_repeat = work == last_sent && parts.is_empty();
-            if is_repeat && (changed.is_ok() || work.is_empty()) {
+            if is_repeat && (woken.is_ok() || work.is_empty()) {
                 continue;
             }
             last_sent.clone_from(&work);
--- a/lib/src/gateway/running.rs
+++ b/lib/src/gateway/running.rs
@@ -54,7 +54,7 @@
     shared: Rc<Shared>,
     engine: Name,
     begun: Instant,
-    rank: u8,
+    priority: u8,
     prefill_ms: f64,
     expected_ms: f64,
     work: Work,
@@ -65,22 +65,22 @@
     pub(super) fn begin(
         shared: &Rc<Shared>,
         engine: &Name,
-        rank: u8,
+        priority: u8,
         prefill_ms: f64,
         overhead_ms: f64,
         prompt: &Prompt,
     ) -> Self {
         let begun = shared.now();
         let mut engines = shared.engines.borrow_mut();
-        let expected_ms = engines.known_wait_ms(engine, rank) + prefill_ms + overhead_ms;
-        engines.prefill_sent(engine, rank, prefill_ms, prompt, begun);
+        let expected_ms = engines.known_wait_ms(engine, priority) + prefill_ms + overhead_ms;
+        engines.prefill_sent(engine, priority, prefill_ms, prompt, begun);
         drop(engines);
         shared.note_work();
         Self {
             shared: Rc::clone(shared),
             engine: engine.clone(),
             begun,
-            rank,
+            priority,
             prefill_ms,
             expected_ms,
             work: Work::Abandoned,
@@ -105,7 +105,7 @@
         let mut engines = self.shared.engines.borrow_mut();
         engines.prefill_ended(
             &self.engine,
-            self.rank,
+            self.priority,
             self.prefill_ms,
             self.expected_ms,
             self.work,
--- a/policy/src/gateway/admission.rs
+++ b/policy/src/gateway/admission.rs
@@ -27,9 +27,19 @@
 const PATIENCE_TARGETS: u32 = 4;
 /// Longest pauses after which callers leave a stream, if that is longer.
 const PATIENCE_PAUSES: u32 = 8;
+/// The same for a request that is expected late: requests that can be on time overtake it, also those
+/// that are yet to come.
+const LATE_PATIENCE_PART: f64 = 0.5;
 /// Least urgent value that engines know.
 const PRIORITY_MAX: u8 = 9;
 
+/// Whether a request can be on time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Class {
+    OnTime,
+    Late,
+}
+
 /// Decides whether to refuse a request rather than to let it wait.
 ///
 /// While more is asked than the engines can read, every request would wait as long as the longest
@@ -71,7 +81,17 @@
         .max(pauses)
 }
 
-/// Returns the urgency at an engine; requests of one rank keep their order.
-pub(super) fn priority(route: &Route) -> u8 {
-    route.rank.saturating_mul(2).min(PRIORITY_MAX)
+/// Tells whether a request that is late is worth waiting for the engine.
+pub(super) fn may_wait(placement: &Placement, route: &Route, left: Duration) -> bool {
+    placement.expected <= patience(route).mul_f64(LATE_PATIENCE_PART).min(left)
+}
+
+/// Returns the urgency at an engine: within a rank, what can be on time goes before what is late.
+pub(super) fn priority(route: &Route, class: Class) -> u8 {
+    let late = u8::from(class == Class::Late);
+    route
+        .rank
+        .saturating_mul(2)
+        .saturating_add(late)
+        .min(PRIORITY_MAX)
 }
--- a/policy/src/gateway/demand.rs
+++ b/policy/src/gateway/demand.rs
@@ -13,14 +13,16 @@
 const REMOTE_HOME_MS: f64 = 20.0;
 
 /// What a generation asks of the engines.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Demand<'a> {
     pub(super) prompt: &'a Prompt,
     pub(super) affinity: Option<u64>,
     pub(super) data_centre: &'a Name,
     pub(super) limits: &'a EngineLimits,
-    pub(super) rank: u8,
+    /// Urgency at the engine; 0 is the most urgent.
     pub(super) priority: u8,
+    /// Whether it cannot be on time.
+    pub(super) is_late: bool,
     /// Weight of reading a shared part that another engine holds, against the time it takes.
     pub(super) reread_weight: f64,
     /// Whether the fleet is so large that data centres keep to their own engines.
--- a/policy/src/gateway/engine_load.rs
+++ b/policy/src/gateway/engine_load.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use super::peer_loads::level;
-use super::{Health, Part, RANKS, Share};
+use super::{Health, PRIORITIES, Part, Share};
 use crate::Instant;
 
 /// Time for which a part that was read is expected to stay in the cache. The deployments price a
@@ -45,10 +45,10 @@
 pub(crate) struct EngineLoad {
     /// Sequences of this daemon.
     pub(crate) sequences: u32,
-    /// Prompts of this daemon that wait or are being read: rank and ms of the engine's time.
+    /// Prompts of this daemon that wait or are being read: priority and ms of the engine's time.
     reading: Vec<(u8, f64)>,
     pub(crate) health: Health,
-    delays: [Delay; RANKS],
+    delays: [Delay; PRIORITIES],
     slowness: Slowness,
     parts: HashMap<u64, Instant>,
 }
@@ -72,13 +72,13 @@
 
 impl EngineLoad {
     /// Notes a prompt that is sent.
-    pub(crate) fn begin_reading(&mut self, rank: u8, prefill_ms: f64) {
-        self.reading.push((rank, prefill_ms));
+    pub(crate) fn begin_reading(&mut self, priority: u8, prefill_ms: f64) {
+        self.reading.push((priority, prefill_ms));
     }
 
     /// Notes the end of a prompt that was noted with the same figures.
-    pub(crate) fn end_reading(&mut self, rank: u8, prefill_ms: f64) {
-        let same = |it: &(u8, f64)| it.0 == rank && it.1.total_cmp(&prefill_ms).is_eq();
+    pub(crate) fn end_reading(&mut self, priority: u8, prefill_ms: f64) {
+        let same = |it: &(u8, f64)| it.0 == priority && it.1.total_cmp(&prefill_ms).is_eq();
         if let Some(index) = self.reading.iter().position(same) {
             self.reading.swap_remove(index);
         }
@@ -90,8 +90,8 @@
             sequences: self.sequences,
             ..Share::default()
         };
-        for (rank, prefill_ms) in &self.reading {
-            let level = level(*rank);
+        for (priority, prefill_ms) in &self.reading {
+            let level = level(*priority);
             share.prefill_ms[level] += prefill_ms;
             share.longest_ms[level] = share.longest_ms[level].max(*prefill_ms);
         }
@@ -109,17 +109,17 @@
         self.slowness.0 += (factor - self.slowness.0) * SLOWNESS_STEP;
     }
 
-    /// Returns the delay beyond the known work that answers of a rank have shown lately.
-    pub(crate) fn delay_ms(&self, rank: u8, now: Instant) -> f64 {
-        let delay = self.delays[level(rank)];
+    /// Returns the delay beyond the known work that answers of a priority have shown lately.
+    pub(crate) fn delay_ms(&self, priority: u8, now: Instant) -> f64 {
+        let delay = self.delays[level(priority)];
         let age_ms = now.since(delay.at).as_secs_f64() * 1e3;
         delay.millis * 0.5_f64.powf(age_ms / DELAY_HALF_LIFE_MS)
     }
 
     /// Takes in how much longer an answer took than the known work explains.
-    pub(crate) fn observe_delay(&mut self, rank: u8, excess_ms: f64, now: Instant) {
-        let old = self.delay_ms(rank, now);
-        self.delays[level(rank)] = Delay {
+    pub(crate) fn observe_delay(&mut self, priority: u8, excess_ms: f64, now: Instant) {
+        let old = self.delay_ms(priority, now);
+        self.delays[level(priority)] = Delay {
             millis: old + (excess_ms.max(0.0) - old) * DELAY_STEP,
             at: now,
         };
@@ -156,7 +156,7 @@
     /// Forgets what the engine held before a restart.
     pub(crate) fn restarted(&mut self) {
         self.parts.clear();
-        self.delays = [Delay::default(); RANKS];
+        self.delays = [Delay::default(); PRIORITIES];
         self.slowness = Slowness::default();
         self.health = Health::default();
     }
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -3,11 +3,12 @@
 
 use ragwortgrade_schema::Name;
 
-use super::admission::{self, is_late_by_size, priority, refusal};
+use super::admission::{Class, is_late_by_size, may_wait, priority, refusal};
 use super::affinity::{SHARED_HOMES_MAX, calm, home};
 use super::demand::{Demand, REMOTE_MS};
 use super::engine_load::EngineLoad;
 use super::offer::{Offer, Waiting};
+use super::pace::Paces;
 use super::peer_loads::PeerLoads;
 use super::untold::{Sent, Untold};
 use super::{Endpoint, EngineLimits, Placement, Prompt, Refusal, Route, Share, Speed, Stage, Work};
@@ -49,6 +50,9 @@
 /// Weight of the time of the whole output against that of the first event, which callers notice
 /// most.
 const OUTPUT_WEIGHT: f64 = 0.1;
+/// Time of a decode step, against one without other sequences, from which on an engine takes no
+/// request that is late: outputs of the longest kinds then take most of their callers' time.
+const SLOWED_STEPS: f64 = 1.5;
 /// Keeps paused engines behind all others, yet usable when there is no other.
 const PAUSED_MS: f64 = 1e5;
 
@@ -57,9 +61,10 @@
 /// The other daemons tell their own work within a fraction of a second; what they do not explain,
 /// such as a slow engine, shows in the delays of the own answers. Requests with the same shared
 /// prefix go to the same engine from every daemon.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Engines {
     speed: Speed,
+    paces: Paces,
     loads: HashMap<Name, EngineLoad>,
     peers: PeerLoads,
     /// Shared parts that were sent to engines and that others have not been told of yet.
@@ -72,6 +77,7 @@
     pub fn open(speed: Speed) -> Self {
         Self {
             speed,
+            paces: Paces::new(&speed, APART_MS),
             loads: HashMap::new(),
             peers: PeerLoads::default(),
             untold: Untold::default(),
@@ -102,8 +108,8 @@
             affinity: prompt.affinity(),
             data_centre,
             limits,
-            rank: route.rank,
-            priority: priority(route),
+            priority: priority(route, Class::OnTime),
+            is_late: false,
             reread_weight: self.reread_weight(prompt, route),
             is_large: candidates.len() > SHARED_HOMES_MAX,
             calm: calm(candidates),
@@ -122,18 +128,37 @@
                 retry_after: Duration::from_millis(500),
             });
         };
-        let Some(refusal) = refusal(&placement, route, left) else {
+        let Some(refused) = refusal(&placement, route, left) else {
             return Ok(placement);
         };
-        // No engine stands idle while a request is refused for a queue elsewhere.
-        let demand = Demand {
+        // No engine stands idle while a request waits for a queue elsewhere.
+        let eager = Demand {
             reread_weight: 0.0,
-            ..demand
+            ..demand.clone()
         };
-        self.choose(free, &demand)
+        let idle = self
+            .choose(free, &eager)
             .filter(|placement| placement.queue <= IDLE_QUEUE)
-            .filter(|placement| admission::refusal(placement, route, left).is_none())
-            .ok_or(refusal)
+            .filter(|placement| refusal(placement, route, left).is_none());
+        if let Some(placement) = idle {
+            return Ok(placement);
+        }
+        let late = Demand {
+            priority: priority(route, Class::Late),
+            is_late: true,
+            ..demand
+        };
+        self.choose(free, &late)
+            .filter(|placement| may_wait(placement, route, left) && !self.is_slowed(&placement.run))
+            .ok_or(refused)
+    }
+
+    /// Tells whether an engine's sequences slow each other down so much that one more that is late
+    /// would make others late.
+    fn is_slowed(&self, id: &Name) -> bool {
+        let sequences = self.work(id).sequences;
+        let idle_ms = self.speed.step_ms(0, 0.0);
+        self.speed.step_ms(sequences, 0.0) > idle_ms * SLOWED_STEPS
     }
 
     /// Returns the weight of reading shared parts again, against the time it takes.
@@ -141,7 +166,7 @@
     /// A prompt that is late by its own size is not kept at a home with a queue: its shared parts
     /// are a small part of it, and it would be refused more often than others.
     fn reread_weight(&self, prompt: &Prompt, route: &Route) -> f64 {
-        let own_ms = self.speed.prefill_ms(prompt.tokens, 0, false);
+        let own_ms = self.paces.apart.factor * self.speed.prefill_ms(prompt.tokens, 0, false);
         if prompt.shared_tokens() < SHARED_TOKENS_MIN || is_late_by_size(own_ms, route) {
             REREAD_WEIGHT
         } else {
@@ -171,12 +196,13 @@
         let apart = apart.and_then(|prefill| {
             let (decoder, waiting) = self.decoder_for(prefill.engine, decoders, demand)?;
             let transfer = demand.limits.transfer_time(demand.prompt.tokens);
-            let transfer_ms = transfer.as_secs_f64() * 1e3 + APART_MS;
+            let apart_ms = self.paces.apart.overhead_ms - self.paces.in_place.overhead_ms;
+            let transfer_ms = transfer.as_secs_f64() * 1e3 + apart_ms;
             let cost_ms = prefill.cost_ms + waiting.cost_ms + transfer_ms;
             let first_ms = prefill.first_ms + waiting.first_ms + transfer_ms;
             let queue_ms = prefill.queue_ms() + waiting.first_ms;
             let way = (first_ms, queue_ms, prefill, Some(decoder));
-            (cost_ms < in_place.cost_ms).then_some(way)
+            (demand.is_late || cost_ms < in_place.cost_ms).then_some(way)
         });
         let (first_ms, queue_ms, reader, decoder) = match apart {
             Some(way) => way,
@@ -186,7 +212,7 @@
         Placement {
             prefill: decoder.is_some().then(|| engine.clone()),
             run: decoder.map_or(engine, |decoder| decoder.id.clone()),
-            expected: Duration::from_secs_f64(first_ms / 1e3) + self.speed.first_event,
+            expected: Duration::from_secs_f64((first_ms + self.paces.in_place.overhead_ms) / 1e3),
             queue: Duration::from_secs_f64(queue_ms / 1e3),
             prefill_ms: reader.prefill_ms,
             cached_tokens: reader.cached,
@@ -235,7 +261,13 @@
             shared_tokens.saturating_sub(cached)
         };
         let slowness = load.map_or(1.0, EngineLoad::slowness);
+        let pace = if is_in_place {
+            self.paces.in_place
+        } else {
+            self.paces.apart
+        };
         let prefill_ms = slowness
+            * pace.factor
             * self
                 .speed
                 .prefill_ms(demand.prompt.tokens, cached, is_in_place);
@@ -262,11 +294,11 @@
     fn waiting(&self, engine: &Endpoint, demand: &Demand<'_>) -> Waiting {
         let work = self.work(&engine.id);
         let cold_ms = engine.cold.as_secs_f64() * 1e3 / COLD_PART;
-        let mut first_ms = work.ahead_of(demand.rank) + cold_ms;
+        let mut first_ms = work.ahead_of(demand.priority) + cold_ms;
         let mut cost_ms = f64::from(work.sequences) * SEQUENCE_MS;
         first_ms += slot_wait_ms(work.sequences, engine.slots);
         if let Some(load) = self.loads.get(&engine.id) {
-            first_ms += load.delay_ms(demand.rank, demand.now);
+            first_ms += load.delay_ms(demand.priority, demand.now);
             cost_ms += load.health.failure_rate() * FAILURE_MS;
             if !load.health.is_usable(demand.now) {
                 cost_ms += PAUSED_MS;
@@ -292,6 +324,15 @@
         f64::from(tokens) * step * OUTPUT_WEIGHT
     }
 
+    /// Takes in the time from a placement to its first event, in ms.
+    pub fn observe_first_event(&mut self, placement: &Placement, took_ms: f64) {
+        let pace = match placement.prefill {
+            Some(_) => &mut self.paces.apart,
+            None => &mut self.paces.in_place,
+        };
+        pace.observe(placement, took_ms);
+    }
+
     /// Takes in that a sequence produced `tokens` in `millis` after its first event.
     pub fn observe_output(&mut self, id: &Name, tokens: u32, millis: f64) {
         if tokens < OUTPUT_TOKENS_MIN {
@@ -334,13 +375,13 @@
     pub fn prefill_sent(
         &mut self,
         id: &Name,
-        rank: u8,
+        priority: u8,
         prefill_ms: f64,
         prompt: &Prompt,
         now: Instant,
     ) {
         let load = self.loads.entry(id.clone()).or_default();
-        load.begin_reading(rank, prefill_ms);
+        load.begin_reading(priority, prefill_ms);
         load.health.begin_trial(now);
         self.note_shared(id, prompt, now);
     }
@@ -350,7 +391,7 @@
     pub fn prefill_ended(
         &mut self,
         id: &Name,
-        rank: u8,
+        priority: u8,
         prefill_ms: f64,
         expected_ms: f64,
         work: Work,
@@ -359,13 +400,13 @@
         let Some(load) = self.loads.get_mut(id) else {
             return;
         };
-        load.end_reading(rank, prefill_ms);
+        load.end_reading(priority, prefill_ms);
         match work {
             Work::Done { millis } => {
-                load.observe_delay(rank, millis - expected_ms, now);
+                load.observe_delay(priority, millis - expected_ms, now);
                 load.health.succeeded();
             }
-            Work::Rejected => load.observe_delay(rank, expected_ms.max(300.0), now),
+            Work::Rejected => load.observe_delay(priority, expected_ms.max(300.0), now),
             Work::Unreachable => load.health.unreachable(now),
             Work::Failed => load.health.failed(now),
             Work::Abandoned => {}
@@ -383,8 +424,8 @@
 
     /// Returns the wait of a request at an engine that the known work explains, in ms.
     #[must_use]
-    pub fn known_wait_ms(&self, id: &Name, rank: u8) -> f64 {
-        self.work(id).ahead_of(rank)
+    pub fn known_wait_ms(&self, id: &Name, priority: u8) -> f64 {
+        self.work(id).ahead_of(priority)
     }
 
     /// Notes that a sequence begins at an engine.
--- a/policy/src/gateway/peer_loads.rs
+++ b/policy/src/gateway/peer_loads.rs
@@ -9,8 +9,9 @@
 /// time of most requests.
 const NEWS_LIFETIME: Duration = Duration::from_millis(1_500);
 
-/// Ranks that are told apart; less urgent ones count as the last.
-pub const RANKS: usize = 4;
+/// Priorities at engines that are told apart, two for each of four ranks; less urgent ones count as
+/// the last.
+pub const PRIORITIES: usize = 8;
 
 /// Part of a prompt that is expected to be left while it is being read.
 const REMAINING_PART: f64 = 0.7;
@@ -18,10 +19,10 @@
 /// Work of one daemon on one engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Share {
-    /// Prompts that are being read, in ms of the engine's time, for each rank.
-    pub prefill_ms: [f64; RANKS],
-    /// Longest single prompt of each rank, in the same unit.
-    pub longest_ms: [f64; RANKS],
+    /// Prompts that are being read, in ms of the engine's time, for each priority.
+    pub prefill_ms: [f64; PRIORITIES],
+    /// Longest single prompt of each priority, in the same unit.
+    pub longest_ms: [f64; PRIORITIES],
     /// Sequences that run.
     pub sequences: u32,
 }
@@ -29,21 +30,21 @@
 impl Share {
     /// Adds the work of another daemon.
     pub(crate) fn add(&mut self, other: &Self) {
-        for rank in 0..RANKS {
-            self.prefill_ms[rank] += other.prefill_ms[rank];
-            self.longest_ms[rank] = self.longest_ms[rank].max(other.longest_ms[rank]);
+        for level in 0..PRIORITIES {
+            self.prefill_ms[level] += other.prefill_ms[level];
+            self.longest_ms[level] = self.longest_ms[level].max(other.longest_ms[level]);
         }
         self.sequences += other.sequences;
     }
 
-    /// Returns the work that an engine does before a request of a rank, in ms.
+    /// Returns the work that an engine does before a request of a priority, in ms.
     ///
     /// An engine reads one prompt at a time and finishes it before a more urgent one: what is less
     /// urgent delays a request by what is left of one prompt.
     #[must_use]
-    pub fn ahead_of(&self, rank: u8) -> f64 {
-        let (urgent, others) = self.prefill_ms.split_at(level(rank) + 1);
-        let longest = self.longest_ms[level(rank) + 1..].iter().copied();
+    pub fn ahead_of(&self, priority: u8) -> f64 {
+        let (urgent, others) = self.prefill_ms.split_at(level(priority) + 1);
+        let longest = self.longest_ms[level(priority) + 1..].iter().copied();
         let longest = longest.fold(0.0, f64::max);
         let urgent: f64 = urgent.iter().sum();
         let others: f64 = others.iter().sum();
@@ -51,9 +52,9 @@
     }
 }
 
-/// Returns the index of a rank.
-pub(crate) fn level(rank: u8) -> usize {
-    usize::from(rank).min(RANKS - 1)
+/// Returns the index of a priority.
+pub(crate) fn level(priority: u8) -> usize {
+    usize::from(priority).min(PRIORITIES - 1)
 }
 
 /// What the other daemons have running on the engines, as they told lately.
