gateway: avoid engines that stand still and read their prompts elsewhere

Load: engines that go dark without breaking their connections, while their registration lasts (three heartbeats); engines with work that nobody told of. Cause: a silent prefill call was waited for until the caller left, and an abandoned call counted for nothing, so further requests went to the engine. Change: a prompt that is not read after twice its expected time counts as more work, in the daemon's own view and in its news. A prefill call is left after three times the expected time, 0.9 s at least, and the prompt is placed anew out of the retry budget; further prefill calls count as attempts, so a route with one attempt then reads in place.

--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -1,5 +1,9 @@
+use std::time::Duration;
+
 use http::Response;
-use ragwortgrade_policy::gateway::{Endpoint, EngineLimits, Failure, Placement, Refusal, Work};
+use ragwortgrade_policy::gateway::{
+    Endpoint, EngineLimits, Failure, Placement, Refusal, Stage, Work,
+};
 use ragwortgrade_schema::Name;
 
 use super::answer::Answer;
@@ -16,6 +20,12 @@
 /// first token and two crossings.
 const CALL_OVERHEAD_MS: f64 = 65.0;
 
+/// Shortest time after which an engine that does not answer a prefill call is left: callers leave
+/// after 2 s, and the prompt is then to be read elsewhere.
+const PREFILL_PATIENCE_MIN: Duration = Duration::from_millis(900);
+/// The same in expected times, if that is longer.
+const PREFILL_PATIENCE_TIMES: u32 = 3;
+
 /// KV cache of a prompt that an engine keeps for another one.
 #[derive(Debug)]
 struct Cache {
@@ -51,8 +61,11 @@
             Ok(None) => Purpose::Run,
             Err(failure) => {
                 excluded.extend(placement.prefill);
-                if failure != Failure::NotSent && !inquiry.take_retry() {
-                    return refuse(inquiry, "prefill_failed", RETRY_AFTER_DEFAULT);
+                if failure != Failure::NotSent {
+                    inquiry.note_failed_read();
+                    if !inquiry.take_retry() {
+                        return refuse(inquiry, "prefill_failed", RETRY_AFTER_DEFAULT);
+                    }
                 }
                 continue;
             }
@@ -85,6 +98,7 @@
     let candidates: Vec<&Endpoint> = registry
         .usable()
         .filter(|it| it.service == inquiry.service)
+        .filter(|it| it.stage != Some(Stage::Prefill) || inquiry.may_read_apart())
         .collect();
     let placement = shared.engines.borrow().place(
         &candidates,
@@ -149,7 +163,10 @@
         CALL_OVERHEAD_MS,
         prompt,
     );
-    let result = read_prompt(inquiry, &engine, placement.priority).await;
+    let patience = prefill_patience(placement);
+    let reading = read_prompt(inquiry, &engine, placement.priority);
+    let result = tokio::time::timeout(patience, reading).await;
+    let result = result.unwrap_or(Err(Failure::Unknown));
     match result {
         Ok(handle) => {
             let took_ms = read.done();
@@ -167,6 +184,13 @@
     }
 }
 
+/// Returns the longest time to wait for a prompt that is read apart.
+///
+/// Such a call may be repeated, so a silent engine is left while the caller still waits.
+fn prefill_patience(placement: &Placement) -> Duration {
+    PREFILL_PATIENCE_MIN.max(placement.expected * PREFILL_PATIENCE_TIMES)
+}
+
 async fn read_prompt(inquiry: &Inquiry, engine: &Endpoint, priority: u8) -> Result<Name, Failure> {
     let broken = |broken: Broken| failure_of(&broken);
     let exchange = inquiry
--- a/lib/src/gateway/news_exchange.rs
+++ b/lib/src/gateway/news_exchange.rs
@@ -97,7 +97,7 @@
             let engine = registry.get(id);
             engine.is_some_and(|engine| engine.stage == Some(Stage::Prefill))
         };
-        let mut work = self.shared.engines.borrow().own_shares();
+        let mut work = self.shared.engines.borrow().own_shares(self.shared.now());
         work.retain(|(id, _)| circle == Circle::Near || is_prefill(id));
         work.sort_by(|left, right| left.0.cmp(&right.0));
         work
--- a/lib/src/gateway/pump.rs
+++ b/lib/src/gateway/pump.rs
@@ -98,10 +98,12 @@
             End::Complete => {
                 let tokens = events.saturating_sub(1) * self.event_tokens;
                 let millis = millis(self.begun.elapsed());
-                self.shared
-                    .engines
-                    .borrow_mut()
-                    .observe_output(&run.engine, tokens, millis);
+                self.shared.engines.borrow_mut().observe_output(
+                    &run.engine,
+                    tokens,
+                    millis,
+                    self.shared.now(),
+                );
                 run.sequence.end(Work::Done { millis: 0.0 });
                 run.exchange.release(&self.shared.client);
                 self.shared.metrics.count("streams.complete", 1);
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -7,7 +7,7 @@
 use http::{Request, Uri, Version};
 use http_body_util::Full;
 use ragwortgrade_policy::Instant;
-use ragwortgrade_policy::gateway::{Arrival, Endpoint, Repeat, Route};
+use ragwortgrade_policy::gateway::{Arrival, Endpoint, Repeat, Route, may_read_apart};
 use ragwortgrade_schema::Name;
 
 use super::exchange::{Broken, Exchange, Patience};
@@ -43,6 +43,8 @@
     may_have_run: Cell<bool>,
     /// Endpoints to which the request itself was sent.
     sends: Cell<u32>,
+    /// Prefill calls that were sent and brought nothing.
+    failed_reads: Cell<u32>,
 }
 
 impl Inquiry {
@@ -87,6 +89,18 @@
             .set(self.progress.sends.get().saturating_sub(1));
     }
 
+    /// Notes that a prefill call was sent and brought nothing.
+    pub(super) fn note_failed_read(&self) {
+        let failed = self.progress.failed_reads.get();
+        self.progress.failed_reads.set(failed + 1);
+    }
+
+    /// Tells whether the attempts that are left allow another prefill call before the run.
+    pub(super) fn may_read_apart(&self) -> bool {
+        let attempts = self.progress.sends.get() + self.progress.failed_reads.get();
+        may_read_apart(attempts, self.route.attempts_max)
+    }
+
     pub(super) fn has_attempts_left(&self) -> bool {
         self.progress.sends.get() < self.route.attempts_max.max(1)
     }
--- a/lib/src/gateway/running.rs
+++ b/lib/src/gateway/running.rs
@@ -72,8 +72,8 @@
     ) -> Self {
         let begun = shared.now();
         let mut engines = shared.engines.borrow_mut();
-        let expected_ms = engines.known_wait_ms(engine, priority) + prefill_ms + overhead_ms;
-        engines.prefill_sent(engine, priority, prefill_ms, prompt, begun);
+        let expected_ms = engines.known_wait_ms(engine, priority, begun) + prefill_ms + overhead_ms;
+        engines.prefill_sent(engine, priority, prefill_ms, expected_ms, prompt, begun);
         drop(engines);
         shared.note_work();
         Self {
--- a/policy/src/gateway/engine_load.rs
+++ b/policy/src/gateway/engine_load.rs
@@ -15,6 +15,9 @@
 /// Weight of a new delay against the decayed ones.
 const DELAY_STEP: f64 = 0.4;
 
+/// Longest time for which one overdue prompt counts: longer than any queue that is taken.
+const OVERDUE_MAX_MS: f64 = 2_000.0;
+
 /// Part of the slowness that one output replaces; about seven form it.
 const SLOWNESS_STEP: f64 = 0.15;
 /// Bounds of the slowness that one output can show; engines that fail slowly are up to 8 times
@@ -45,14 +48,33 @@
 pub(crate) struct EngineLoad {
     /// Sequences of this daemon.
     pub(crate) sequences: u32,
-    /// Prompts of this daemon that wait or are being read: priority and ms of the engine's time.
-    reading: Vec<(u8, f64)>,
+    /// Prompts of this daemon that wait or are being read.
+    reading: Vec<Reading>,
     pub(crate) health: Health,
     delays: [Delay; PRIORITIES],
     slowness: Slowness,
     parts: HashMap<u64, Instant>,
 }
 
+/// A prompt that waits or is being read.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    priority: u8,
+    /// Expected time of the engine, in ms.
+    prefill_ms: f64,
+    /// When its end is expected.
+    due: Instant,
+}
+
+impl Reading {
+    /// Returns the work that the engine is expected to have with it, in ms: a prompt that is overdue
+    /// shows that the engine stands still or has work that nobody told of.
+    fn work_ms(&self, now: Instant) -> f64 {
+        let overdue_ms = now.since(self.due).as_secs_f64() * 1e3;
+        self.prefill_ms + overdue_ms.min(OVERDUE_MAX_MS)
+    }
+}
+
 /// Factor by which an engine is slower than the deployment's speeds say.
 #[derive(Clone, Copy, Debug)]
 struct Slowness(f64);
@@ -72,28 +94,34 @@
 
 impl EngineLoad {
     /// Notes a prompt that is sent.
-    pub(crate) fn begin_reading(&mut self, priority: u8, prefill_ms: f64) {
-        self.reading.push((priority, prefill_ms));
+    pub(crate) fn begin_reading(&mut self, priority: u8, prefill_ms: f64, due: Instant) {
+        self.reading.push(Reading {
+            priority,
+            prefill_ms,
+            due,
+        });
     }
 
     /// Notes the end of a prompt that was noted with the same figures.
     pub(crate) fn end_reading(&mut self, priority: u8, prefill_ms: f64) {
-        let same = |it: &(u8, f64)| it.0 == priority && it.1.total_cmp(&prefill_ms).is_eq();
+        let same =
+            |it: &Reading| it.priority == priority && it.prefill_ms.total_cmp(&prefill_ms).is_eq();
         if let Some(index) = self.reading.iter().position(same) {
             self.reading.swap_remove(index);
         }
     }
 
     /// Returns the work of this daemon.
-    pub(crate) fn share(&self) -> Share {
+    pub(crate) fn share(&self, now: Instant) -> Share {
         let mut share = Share {
             sequences: self.sequences,
             ..Share::default()
         };
-        for (priority, prefill_ms) in &self.reading {
-            let level = level(*priority);
-            share.prefill_ms[level] += prefill_ms;
-            share.longest_ms[level] = share.longest_ms[level].max(*prefill_ms);
+        for reading in &self.reading {
+            let level = level(reading.priority);
+            let work_ms = reading.work_ms(now);
+            share.prefill_ms[level] += work_ms;
+            share.longest_ms[level] = share.longest_ms[level].max(work_ms);
         }
         share
     }
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -53,6 +53,9 @@
 /// Time of a decode step, against one without other sequences, from which on an engine takes no
 /// request that is late: outputs of the longest kinds then take most of their callers' time.
 const SLOWED_STEPS: f64 = 1.5;
+/// Part of the expected time after which a reading is overdue: more urgent prompts that come later
+/// explain as much.
+const OVERDUE_FROM: f64 = 2.0;
 /// Keeps paused engines behind all others, yet usable when there is no other.
 const PAUSED_MS: f64 = 1e5;
 
@@ -149,14 +152,16 @@
             ..demand
         };
         self.choose(free, &late)
-            .filter(|placement| may_wait(placement, route, left) && !self.is_slowed(&placement.run))
+            .filter(|placement| {
+                may_wait(placement, route, left) && !self.is_slowed(&placement.run, now)
+            })
             .ok_or(refused)
     }
 
     /// Tells whether an engine's sequences slow each other down so much that one more that is late
     /// would make others late.
-    fn is_slowed(&self, id: &Name) -> bool {
-        let sequences = self.work(id).sequences;
+    fn is_slowed(&self, id: &Name, now: Instant) -> bool {
+        let sequences = self.work(id, now).sequences;
         let idle_ms = self.speed.step_ms(0, 0.0);
         self.speed.step_ms(sequences, 0.0) > idle_ms * SLOWED_STEPS
     }
@@ -292,7 +297,7 @@
 
     /// Returns what it takes until an engine begins with a request.
     fn waiting(&self, engine: &Endpoint, demand: &Demand<'_>) -> Waiting {
-        let work = self.work(&engine.id);
+        let work = self.work(&engine.id, demand.now);
         let cold_ms = engine.cold.as_secs_f64() * 1e3 / COLD_PART;
         let mut first_ms = work.ahead_of(demand.priority) + cold_ms;
         let mut cost_ms = f64::from(work.sequences) * SEQUENCE_MS;
@@ -318,7 +323,7 @@
         } else {
             BUSY_READING
         };
-        let sequences = self.work(&engine.id).sequences;
+        let sequences = self.work(&engine.id, demand.now).sequences;
         let slowness = self.loads.get(&engine.id).map_or(1.0, EngineLoad::slowness);
         let step = self.speed.step_ms(sequences, reading) * slowness;
         f64::from(tokens) * step * OUTPUT_WEIGHT
@@ -334,11 +339,11 @@
     }
 
     /// Takes in that a sequence produced `tokens` in `millis` after its first event.
-    pub fn observe_output(&mut self, id: &Name, tokens: u32, millis: f64) {
+    pub fn observe_output(&mut self, id: &Name, tokens: u32, millis: f64, now: Instant) {
         if tokens < OUTPUT_TOKENS_MIN {
             return;
         }
-        let sequences = self.work(id).sequences;
+        let sequences = self.work(id, now).sequences;
         let expected = self.speed.step_ms(sequences, BUSY_READING) * f64::from(tokens);
         if let Some(load) = self.loads.get_mut(id) {
             load.observe_slowness(millis / expected);
@@ -371,17 +376,21 @@
             })
     }
 
-    /// Notes that a prompt is sent to be read at an engine.
+    /// Notes that a prompt is sent to be read at an engine, which is expected to take `expected_ms`
+    /// with the known work.
+    #[expect(clippy::too_many_arguments, reason = "inputs of one event")]
     pub fn prefill_sent(
         &mut self,
         id: &Name,
         priority: u8,
         prefill_ms: f64,
+        expected_ms: f64,
         prompt: &Prompt,
         now: Instant,
     ) {
         let load = self.loads.entry(id.clone()).or_default();
-        load.begin_reading(priority, prefill_ms);
+        let due = now + Duration::from_secs_f64(expected_ms * OVERDUE_FROM / 1e3);
+        load.begin_reading(priority, prefill_ms, due);
         load.health.begin_trial(now);
         self.note_shared(id, prompt, now);
     }
@@ -414,18 +423,18 @@
     }
 
     /// Returns the work of all daemons on an engine, as far as it is known.
-    fn work(&self, id: &Name) -> Share {
+    fn work(&self, id: &Name, now: Instant) -> Share {
         let mut work = self.peers.total(id);
         if let Some(load) = self.loads.get(id) {
-            work.add(&load.share());
+            work.add(&load.share(now));
         }
         work
     }
 
     /// Returns the wait of a request at an engine that the known work explains, in ms.
     #[must_use]
-    pub fn known_wait_ms(&self, id: &Name, priority: u8) -> f64 {
-        self.work(id).ahead_of(priority)
+    pub fn known_wait_ms(&self, id: &Name, priority: u8, now: Instant) -> f64 {
+        self.work(id, now).ahead_of(priority)
     }
 
     /// Notes that a sequence begins at an engine.
@@ -481,9 +490,9 @@
 
     /// Returns this daemon's own work, for the other daemons.
     #[must_use]
-    pub fn own_shares(&self) -> Vec<(Name, Share)> {
+    pub fn own_shares(&self, now: Instant) -> Vec<(Name, Share)> {
         let loads = self.loads.iter();
-        let shares = loads.map(|(id, load)| (id.clone(), load.share()));
+        let shares = loads.map(|(id, load)| (id.clone(), load.share(now)));
         shares
             .filter(|(_, share)| *share != Share::default())
             .collect()
--- a/policy/src/gateway/outcome.rs
+++ b/policy/src/gateway/outcome.rs
@@ -43,6 +43,15 @@
     }
 }
 
+/// Tells whether a prompt may be read apart after `attempts` calls that did not end it, prefill calls
+/// and runs together.
+///
+/// The first prefill call is no attempt of its own, further ones are.
+#[must_use]
+pub fn may_read_apart(attempts: u32, attempts_max: u32) -> bool {
+    attempts < attempts_max.max(1)
+}
+
 /// Decides what follows a failed attempt.
 ///
 /// `may_have_run` tells whether any attempt so far leaves open that the request ran, `can_retry`
--- a/policy/tests/gateway_placement.rs
+++ b/policy/tests/gateway_placement.rs
@@ -128,7 +128,7 @@
     fleet.engines.absorb(&"b-1".into(), Vec::new(), NOW);
     let placement = fleet.place_from("a", &request, &route(2));
     assert_eq!(placement.prefill, Some(home));
-    assert!(fleet.engines.own_shares().is_empty());
+    assert!(fleet.engines.own_shares(NOW).is_empty());
 }
 
 #[test]
@@ -136,23 +136,48 @@
     let mut fleet = Fleet::new(2, 2);
     let reader = Name::from("prefill-0");
     let request = prompt(12_000, Some(77));
-    fleet.engines.prefill_sent(&reader, 2, 100.0, &request, NOW);
+    fleet
+        .engines
+        .prefill_sent(&reader, 2, 100.0, 170.0, &request, NOW);
     let mut tell = |daemon: &str, millis: f64| {
         let news = vec![(reader.clone(), share(2, millis))];
         fleet.engines.absorb(&daemon.into(), news, NOW);
-        fleet.engines.known_wait_ms(&reader, 2)
+        fleet.engines.known_wait_ms(&reader, 2, NOW)
     };
     assert!((tell("a-1", 50.0) - 150.0).abs() < 1e-9);
     assert!((tell("b-1", 30.0) - 180.0).abs() < 1e-9);
     assert!((tell("a-1", 10.0) - 140.0).abs() < 1e-9);
 }
 
+/// Guards against further requests at an engine that stands still without breaking its connections,
+/// until its registration lapses after seconds; the other daemons are told so too.
+#[test]
+fn an_engine_whose_prompts_are_overdue_is_avoided() {
+    let mut fleet = Fleet::new(2, 1);
+    let request = prompt(12_000, Some(77));
+    let place = |fleet: &Fleet, now| fleet.place(&request, &route(2), now).unwrap();
+    let home = place(&fleet, NOW).prefill.unwrap();
+    fleet
+        .engines
+        .prefill_sent(&home, 4, 60.0, 130.0, &request, NOW);
+    let in_time = NOW + Duration::from_millis(200);
+    assert_eq!(place(&fleet, in_time).prefill, Some(home.clone()));
+    let overdue = NOW + Duration::from_millis(800);
+    assert_ne!(place(&fleet, overdue).prefill, Some(home.clone()));
+    let told = fleet.engines.own_shares(overdue);
+    let mut peer = Fleet::new(2, 1);
+    peer.engines.absorb(&"silent".into(), told, overdue);
+    assert_ne!(place(&peer, overdue).prefill, Some(home));
+}
+
 #[test]
 fn only_long_parts_are_told_to_other_data_centres_and_once() {
     let mut fleet = Fleet::new(2, 2);
     let reader = Name::from("prefill-0");
     let request = prompt(12_000, Some(77));
-    fleet.engines.prefill_sent(&reader, 2, 100.0, &request, NOW);
+    fleet
+        .engines
+        .prefill_sent(&reader, 2, 100.0, 170.0, &request, NOW);
     // An engine that reads in place is told twice of the same parts.
     fleet.engines.sequence_sent(&reader, &request, NOW);
     assert_eq!(fleet.engines.take_untold().len(), 2);
@@ -328,12 +353,14 @@
     let mut fleet = Fleet::new(1, 1);
     let request = prompt(8_000, Some(5));
     let id = Name::from("prefill-0");
-    fleet.engines.prefill_sent(&id, 2, 80.0, &request, NOW);
-    assert!(fleet.engines.known_wait_ms(&id, 2) > 0.0);
+    fleet
+        .engines
+        .prefill_sent(&id, 2, 80.0, 150.0, &request, NOW);
+    assert!(fleet.engines.known_wait_ms(&id, 2, NOW) > 0.0);
     let done = Work::Done { millis: 90.0 };
     fleet.engines.prefill_ended(&id, 2, 80.0, 90.0, done, NOW);
-    assert!(fleet.engines.known_wait_ms(&id, 2).abs() < f64::EPSILON);
-    assert!(fleet.engines.own_shares().is_empty());
+    assert!(fleet.engines.known_wait_ms(&id, 2, NOW).abs() < f64::EPSILON);
+    assert!(fleet.engines.own_shares(NOW).is_empty());
     assert_eq!(fleet.engines.take_untold().len(), request.shared().len());
     assert_eq!(share(0, 0.0).prefill_ms.len(), PRIORITIES);
 }
@@ -345,7 +372,7 @@
     let first = fleet.place(&request, &route(0), NOW).unwrap().run;
     fleet.engines.sequence_sent(&first, &request, NOW);
     for _ in 0..20 {
-        fleet.engines.observe_output(&first, 200, 8_000.0);
+        fleet.engines.observe_output(&first, 200, 8_000.0, NOW);
     }
     fleet
         .engines
@@ -393,7 +420,7 @@
         on_time += u32::from(first_ms <= route.target.as_secs_f64() * 1e3);
         fleet
             .engines
-            .prefill_sent(&id, 2, placement.prefill_ms, &request, now);
+            .prefill_sent(&id, 2, placement.prefill_ms, 1e6, &request, now);
         running.push((free_at[engine], id, placement.prefill_ms));
     }
     let capacity = 300.0 * GAP_MS as f64 * ENGINES as f64 / 130.0;
