--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -378,7 +378,6 @@
 
     /// Notes that a prompt is sent to be read at an engine, which is expected to take `expected_ms`
     /// with the known work.
-    #[expect(clippy::too_many_arguments, reason = "inputs of one event")]
     pub fn prefill_sent(
         &mut self,
         id: &Name,
