standins: a test of connections beside those that others keep open

Ruled out: the stand-in's handler and its lock. Not mended: the threads for connections belong to the library behind rouille; the test stays, ignored and listed.

--- /dev/null
+++ b/standins/tests/connections.rs
@@ -0,0 +1,60 @@
+//! Connections of callers beside those that others keep open.
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ragwortgrade_standins::{VmList, VmListSettings};
+
+/// Connections that are opened at once.
+const CONNECTIONS: usize = 6;
+/// Time for which each is kept open after its answer, as a pool of connections does.
+const KEPT: Duration = Duration::from_millis(400);
+/// Longest time of an answer: well below the time for which others keep their connections.
+const ANSWER_MAX: Duration = Duration::from_millis(250);
+/// Pauses between rounds; the longest lets the server's idle threads end.
+const PAUSES: [Duration; 3] = [
+    Duration::from_millis(5),
+    Duration::from_millis(5),
+    Duration::from_millis(1_500),
+];
+const ROUNDS: usize = 66;
+
+/// Asks once and returns the time to the first byte of the answer.
+fn ask(address: SocketAddr) -> Duration {
+    let mut stream = TcpStream::connect(address).unwrap();
+    let begun = Instant::now();
+    stream
+        .write_all(b"GET /vms HTTP/1.1\r\nHost: list\r\n\r\n")
+        .unwrap();
+    let length = stream.read(&mut [0; 1024]).unwrap();
+    let took = begun.elapsed();
+    assert!(length > 0);
+    thread::sleep(KEPT);
+    took
+}
+
+/// Guards against a call that waits until another caller closes its connection.
+#[test]
+#[ignore = "KNOWN-RED: the HTTP library of the stand-ins lets a connection wait for another's end"]
+fn a_connection_does_not_wait_for_the_end_of_others() {
+    let list = VmList::bind(VmListSettings {
+        address: "127.0.0.1:0".to_owned(),
+        ..VmListSettings::default()
+    });
+    let list = list.unwrap();
+    let address = list.address();
+    let mut longest = Duration::ZERO;
+    for pause in PAUSES.iter().cycle().take(ROUNDS) {
+        let callers: Vec<_> = (0..CONNECTIONS)
+            .map(|_| thread::spawn(move || ask(address)))
+            .collect();
+        for caller in callers {
+            longest = longest.max(caller.join().unwrap());
+        }
+        thread::sleep(*pause);
+    }
+    list.stop();
+    assert!(longest < ANSWER_MAX, "{longest:?}");
+}
