--- a/policy/src/gateway/admission.rs
+++ b/policy/src/gateway/admission.rs
@@ -5,7 +5,8 @@
 use super::{Placement, Refusal, Route};
 
 /// Part of the target from which on a request counts as late: estimates are low while load grows.
-const LATE_TARGET_PART: f64 = 0.65;
+/// Rounds on the users' bench are in `docs/policy.md`.
+const LATE_TARGET_PART: f64 = 0.8;
 /// Part of the target that a request of the least urgent ranks may wait before an engine begins
 /// with it, if it is late then; a more urgent one may wait a multiple of it, as it delays few.
 const WAITING_TARGET_PART: f64 = 0.3;
