gateway: keep learned times above zero

Cause: read in the diff: the learned time beside the reading could fall below zero where short prompts take longer by the estimate than in truth, and a negative duration ends the process. Ruled out: the factor, which is bounded. Change: bounded at zero, test with answers that take no time.

--- a/policy/src/gateway/admission.rs
+++ b/policy/src/gateway/admission.rs
@@ -22,15 +22,15 @@
 /// Part of the caller's patience that an expected first event may take, as estimates are low when
 /// load grows.
 const PATIENCE_PART: f64 = 0.75;
+/// The same for a request that is expected late: requests that can be on time overtake it, also those
+/// that are yet to come. Half of the patience is left for them.
+const LATE_PATIENCE_PART: f64 = 0.5;
 /// Shortest time after which callers leave a stream without a first event.
 const PATIENCE_MIN: Duration = Duration::from_secs(2);
 /// Targets after which callers leave a stream without a first event, if that is longer.
 const PATIENCE_TARGETS: u32 = 4;
 /// Longest pauses after which callers leave a stream, if that is longer.
 const PATIENCE_PAUSES: u32 = 8;
-/// The same for a request that is expected late: requests that can be on time overtake it, also those
-/// that are yet to come.
-const LATE_PATIENCE_PART: f64 = 0.5;
 /// Least urgent value that engines know.
 const PRIORITY_MAX: u8 = 9;
 
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -214,10 +214,11 @@
             None => (in_place.first_ms, in_place.queue_ms(), in_place, None),
         };
         let engine = reader.engine.id.clone();
+        let expected_ms = first_ms + self.paces.in_place.overhead_ms;
         Placement {
             prefill: decoder.is_some().then(|| engine.clone()),
             run: decoder.map_or(engine, |decoder| decoder.id.clone()),
-            expected: Duration::from_secs_f64((first_ms + self.paces.in_place.overhead_ms) / 1e3),
+            expected: Duration::from_secs_f64(expected_ms.max(0.0) / 1e3),
             queue: Duration::from_secs_f64(queue_ms / 1e3),
             prefill_ms: reader.prefill_ms,
             cached_tokens: reader.cached,
--- a/policy/src/gateway/pace.rs
+++ b/policy/src/gateway/pace.rs
@@ -47,7 +47,7 @@
         let reading_ms = placement.prefill_ms;
         if reading_ms < READING_SHORT_MS {
             let step = step(took_ms > self.overhead_ms + reading_ms);
-            self.overhead_ms += step * OVERHEAD_STEP_MS;
+            self.overhead_ms = (self.overhead_ms + step * OVERHEAD_STEP_MS).max(0.0);
         } else if reading_ms > READING_LONG_MS {
             let step = step(took_ms > self.overhead_ms + reading_ms);
             let factor = self.factor * (1.0 + step * FACTOR_STEP);
--- a/policy/tests/gateway_placement.rs
+++ b/policy/tests/gateway_placement.rs
@@ -277,6 +277,18 @@
     of_decode_engines_that_are_slower(2.0, 2_000);
 }
 
+#[test]
+fn answers_faster_than_any_estimate_leave_estimates_usable() {
+    let mut fleet = Fleet::new(1, 1);
+    let request = prompt(300, None);
+    for _ in 0..1_000 {
+        let placement = fleet.place(&request, &route(2), NOW).unwrap();
+        fleet.engines.observe_first_event(&placement, 0.0);
+    }
+    let placement = fleet.place(&request, &route(2), NOW).unwrap();
+    assert!(placement.expected >= Duration::from_secs_f64(placement.prefill_ms / 1e3));
+}
+
 /// Guards against urgent short requests behind a long prompt that is being read, and against
 /// counting waiting work that they overtake.
 fn waits_at_most(rank: u8, busy_rank: usize, busy_ms: f64, most_ms: u64) {
