gateway: no late request where outputs slow each other by a quarter

Load: bursts with endpoints away, on which long outputs run into their callers' deadline. Change: the bound is 1.25 of an idle step instead of 1.5.

--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -52,7 +52,7 @@
 const OUTPUT_WEIGHT: f64 = 0.1;
 /// Time of a decode step, against one without other sequences, from which on an engine takes no
 /// request that is late: outputs of the longest kinds then take most of their callers' time.
-const SLOWED_STEPS: f64 = 1.5;
+const SLOWED_STEPS: f64 = 1.25;
 /// Part of the expected time after which a reading is overdue: more urgent prompts that come later
 /// explain as much.
 const OVERDUE_FROM: f64 = 2.0;
