--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -1,5 +1,3 @@
-use std::time::Duration;
-
 use http::Response;
 use ragwortgrade_policy::gateway::{
     Endpoint, EngineLimits, Failure, Placement, Refusal, Stage, Work,
@@ -20,12 +18,6 @@
 /// first token and two crossings.
 const CALL_OVERHEAD_MS: f64 = 65.0;
 
-/// Shortest time after which an engine that does not answer a prefill call is left: callers leave
-/// after 2 s, and the prompt is then to be read elsewhere.
-const PREFILL_PATIENCE_MIN: Duration = Duration::from_millis(900);
-/// The same in expected times, if that is longer.
-const PREFILL_PATIENCE_TIMES: u32 = 3;
-
 /// KV cache of a prompt that an engine keeps for another one.
 #[derive(Debug)]
 struct Cache {
@@ -163,9 +155,8 @@
         CALL_OVERHEAD_MS,
         prompt,
     );
-    let patience = prefill_patience(placement);
     let reading = read_prompt(inquiry, &engine, placement.priority);
-    let result = tokio::time::timeout(patience, reading).await;
+    let result = tokio::time::timeout(placement.prefill_patience(), reading).await;
     let result = result.unwrap_or(Err(Failure::Unknown));
     match result {
         Ok(handle) => {
@@ -184,13 +175,6 @@
     }
 }
 
-/// Returns the longest time to wait for a prompt that is read apart.
-///
-/// Such a call may be repeated, so a silent engine is left while the caller still waits.
-fn prefill_patience(placement: &Placement) -> Duration {
-    PREFILL_PATIENCE_MIN.max(placement.expected * PREFILL_PATIENCE_TIMES)
-}
-
 async fn read_prompt(inquiry: &Inquiry, engine: &Endpoint, priority: u8) -> Result<Name, Failure> {
     let broken = |broken: Broken| failure_of(&broken);
     let exchange = inquiry
--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -113,10 +113,6 @@
     }
 }
 
-async fn exchange_news(shared: Rc<Shared>, socket: UdpSocket) {
-    news_exchange::exchange(&shared, socket).await;
-}
-
 async fn serve(
     options: Options,
     started: std_mpsc::Sender<io::Result<Addresses>>,
@@ -149,7 +145,7 @@
     tokio::task::spawn_local(check(Rc::clone(&shared)));
     tokio::task::spawn_local(peers::follow_peers(Rc::clone(&shared)));
     tokio::task::spawn_local(registration::register(Rc::clone(&shared), peers_address));
-    tokio::task::spawn_local(exchange_news(Rc::clone(&shared), listeners.peers));
+    tokio::task::spawn_local(news_exchange::exchange(Rc::clone(&shared), listeners.peers));
     let asked = Rc::clone(&shared);
     let readiness = move |_: &str| server::readiness(&asked);
     tokio::task::spawn_local(server::serve_questions(listeners.readiness, readiness));
--- a/lib/src/gateway/news_exchange.rs
+++ b/lib/src/gateway/news_exchange.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use ragwortgrade_policy::gateway::{Sent, Share, Stage};
@@ -32,9 +33,9 @@
 }
 
 /// Exchanges news with the other daemons until the task is ended.
-pub(super) async fn exchange(shared: &Shared, socket: UdpSocket) {
+pub(super) async fn exchange(shared: Rc<Shared>, socket: UdpSocket) {
     let outlet = Outlet {
-        shared,
+        shared: &shared,
         socket: &socket,
         started_ms: shared.clock.unix_ms(),
         sequence: Cell::new(0),
@@ -42,7 +43,7 @@
     tokio::join!(
         outlet.send_news(Circle::Near),
         outlet.send_news(Circle::Far),
-        receive_news(shared, &socket)
+        receive_news(&shared, &socket)
     );
 }
 
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -7,7 +7,7 @@
 use http::{Request, Uri, Version};
 use http_body_util::Full;
 use ragwortgrade_policy::Instant;
-use ragwortgrade_policy::gateway::{Arrival, Endpoint, Repeat, Route, may_read_apart};
+use ragwortgrade_policy::gateway::{Arrival, Endpoint, Repeat, Route, has_attempts_left};
 use ragwortgrade_schema::Name;
 
 use super::exchange::{Broken, Exchange, Patience};
@@ -98,11 +98,11 @@
     /// Tells whether the attempts that are left allow another prefill call before the run.
     pub(super) fn may_read_apart(&self) -> bool {
         let attempts = self.progress.sends.get() + self.progress.failed_reads.get();
-        may_read_apart(attempts, self.route.attempts_max)
+        has_attempts_left(attempts, self.route.attempts_max)
     }
 
     pub(super) fn has_attempts_left(&self) -> bool {
-        self.progress.sends.get() < self.route.attempts_max.max(1)
+        has_attempts_left(self.progress.sends.get(), self.route.attempts_max)
     }
 
     /// Takes a repeated send out of the service's budget.
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -34,7 +34,7 @@
 pub use engines::Engines;
 pub use health::Health;
 pub use limits::Limits;
-pub use outcome::{Failure, Outcome, Step, may_read_apart, next_step};
+pub use outcome::{Failure, Outcome, Step, has_attempts_left, next_step};
 pub use peer_loads::{PRIORITIES, Share};
 pub use placement::{Placement, Refusal};
 pub use plain_pool::PlainPool;
--- a/policy/src/gateway/engine_load.rs
+++ b/policy/src/gateway/engine_load.rs
@@ -17,6 +17,9 @@
 
 /// Longest time for which one overdue prompt counts: longer than any queue that is taken.
 const OVERDUE_MAX_MS: f64 = 2_000.0;
+/// Part of the expected time after which a reading is overdue: more urgent prompts that come later
+/// explain as much.
+const OVERDUE_FROM: f64 = 2.0;
 
 /// Part of the slowness that one output replaces; about seven form it.
 const SLOWNESS_STEP: f64 = 0.15;
@@ -62,7 +65,7 @@
     priority: u8,
     /// Expected time of the engine, in ms.
     prefill_ms: f64,
-    /// When its end is expected.
+    /// When it is overdue.
     due: Instant,
 }
 
@@ -93,8 +96,15 @@
 }
 
 impl EngineLoad {
-    /// Notes a prompt that is sent.
-    pub(crate) fn begin_reading(&mut self, priority: u8, prefill_ms: f64, due: Instant) {
+    /// Notes a prompt that is sent and expected to be read after `expected_ms`.
+    pub(crate) fn begin_reading(
+        &mut self,
+        priority: u8,
+        prefill_ms: f64,
+        expected_ms: f64,
+        now: Instant,
+    ) {
+        let due = now + Duration::from_secs_f64(expected_ms * OVERDUE_FROM / 1e3);
         self.reading.push(Reading {
             priority,
             prefill_ms,
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -7,18 +7,13 @@
 use super::affinity::{SHARED_HOMES_MAX, calm, home};
 use super::demand::{Demand, REMOTE_MS};
 use super::engine_load::EngineLoad;
-use super::offer::{Offer, Waiting};
+use super::offer::{Offer, Waiting, slot_wait_ms};
 use super::pace::Paces;
 use super::peer_loads::PeerLoads;
 use super::untold::{Sent, Untold};
 use super::{Endpoint, EngineLimits, Placement, Prompt, Refusal, Route, Share, Speed, Stage, Work};
 use crate::Instant;
 
-/// Time for which a sequence holds its slot, in ms: an output of 250 tokens at 5 ms.
-const SLOT_HELD_MS: f64 = 1_250.0;
-/// Cost of a prefill apart beside its own time, in ms: the set-up of the transfer, one more
-/// crossing and a step of the decode engine.
-const APART_MS: f64 = 15.0;
 /// Cost of a failure rate of 1, in ms: about the time that a caller waits before it leaves.
 const FAILURE_MS: f64 = 2_000.0;
 /// Divisor of the rest of an engine's cold time that counts as waiting: the engine works meanwhile,
@@ -53,9 +48,6 @@
 /// Time of a decode step, against one without other sequences, from which on an engine takes no
 /// request that is late: outputs of the longest kinds then take most of their callers' time.
 const SLOWED_STEPS: f64 = 1.25;
-/// Part of the expected time after which a reading is overdue: more urgent prompts that come later
-/// explain as much.
-const OVERDUE_FROM: f64 = 2.0;
 /// Keeps paused engines behind all others, yet usable when there is no other.
 const PAUSED_MS: f64 = 1e5;
 
@@ -80,7 +72,7 @@
     pub fn open(speed: Speed) -> Self {
         Self {
             speed,
-            paces: Paces::new(&speed, APART_MS),
+            paces: Paces::new(&speed),
             loads: HashMap::new(),
             peers: PeerLoads::default(),
             untold: Untold::default(),
@@ -267,13 +259,8 @@
             shared_tokens.saturating_sub(cached)
         };
         let slowness = load.map_or(1.0, EngineLoad::slowness);
-        let pace = if is_in_place {
-            self.paces.in_place
-        } else {
-            self.paces.apart
-        };
         let prefill_ms = slowness
-            * pace.factor
+            * self.paces.of(is_in_place).factor
             * self
                 .speed
                 .prefill_ms(demand.prompt.tokens, cached, is_in_place);
@@ -332,11 +319,7 @@
 
     /// Takes in the time from a placement to its first event, in ms.
     pub fn observe_first_event(&mut self, placement: &Placement, took_ms: f64) {
-        let pace = match placement.prefill {
-            Some(_) => &mut self.paces.apart,
-            None => &mut self.paces.in_place,
-        };
-        pace.observe(placement, took_ms);
+        self.paces.observe(placement, took_ms);
     }
 
     /// Takes in that a sequence produced `tokens` in `millis` after its first event.
@@ -389,8 +372,7 @@
         now: Instant,
     ) {
         let load = self.loads.entry(id.clone()).or_default();
-        let due = now + Duration::from_secs_f64(expected_ms * OVERDUE_FROM / 1e3);
-        load.begin_reading(priority, prefill_ms, due);
+        load.begin_reading(priority, prefill_ms, expected_ms, now);
         load.health.begin_trial(now);
         self.note_shared(id, prompt, now);
     }
@@ -516,9 +498,3 @@
             .retain(|id, load| load.sequences > 0 || is_known(id));
     }
 }
-
-/// Returns the time until a slot is free when as many sequences run as there are slots, in ms.
-fn slot_wait_ms(sequences: u32, slots: u32) -> f64 {
-    let ahead = (sequences + 1).saturating_sub(slots);
-    f64::from(ahead) * SLOT_HELD_MS / f64::from(slots.max(1))
-}
--- a/policy/src/gateway/offer.rs
+++ b/policy/src/gateway/offer.rs
@@ -1,5 +1,8 @@
 use super::Endpoint;
 
+/// Time for which a sequence holds its slot, in ms: an output of 250 tokens at 5 ms.
+const SLOT_HELD_MS: f64 = 1_250.0;
+
 /// An engine that could read the prompt.
 #[derive(Debug)]
 pub(super) struct Offer<'a> {
@@ -27,3 +30,9 @@
         (self.first_ms - self.prefill_ms).max(0.0)
     }
 }
+
+/// Returns the time until a slot is free when as many sequences run as there are slots, in ms.
+pub(super) fn slot_wait_ms(sequences: u32, slots: u32) -> f64 {
+    let ahead = (sequences + 1).saturating_sub(slots);
+    f64::from(ahead) * SLOT_HELD_MS / f64::from(slots.max(1))
+}
--- a/policy/src/gateway/outcome.rs
+++ b/policy/src/gateway/outcome.rs
@@ -43,12 +43,11 @@
     }
 }
 
-/// Tells whether a prompt may be read apart after `attempts` calls that did not end it, prefill calls
-/// and runs together.
+/// Tells whether a request may be sent once more after `attempts`.
 ///
 /// The first prefill call is no attempt of its own, further ones are.
 #[must_use]
-pub fn may_read_apart(attempts: u32, attempts_max: u32) -> bool {
+pub fn has_attempts_left(attempts: u32, attempts_max: u32) -> bool {
     attempts < attempts_max.max(1)
 }
 
--- a/policy/src/gateway/pace.rs
+++ b/policy/src/gateway/pace.rs
@@ -2,6 +2,9 @@
 
 use super::{Placement, Speed};
 
+/// Time of a prefill apart beside its own time, in ms, until it is learned: the set-up of the
+/// transfer, one more crossing and a step of the decode engine.
+const APART_MS: f64 = 15.0;
 /// Longest queue of a placement that shows how fast an engine is: other requests explain little.
 const QUEUE_MAX: Duration = Duration::from_millis(5);
 /// Shortest reading that shows the factor, and longest one that shows the fixed time, in ms.
@@ -40,7 +43,7 @@
     }
 
     /// Takes in the time from a placement to its first event.
-    pub(super) fn observe(&mut self, placement: &Placement, took_ms: f64) {
+    fn observe(&mut self, placement: &Placement, took_ms: f64) {
         if placement.queue > QUEUE_MAX {
             return;
         }
@@ -69,12 +72,30 @@
 }
 
 impl Paces {
-    /// Starts from the speeds of the deployment; `apart_ms` is what the second engine adds.
-    pub(super) fn new(speed: &Speed, apart_ms: f64) -> Self {
+    /// Starts from the speeds of the deployment.
+    pub(super) fn new(speed: &Speed) -> Self {
         let first_ms = speed.first_event.as_secs_f64() * 1e3;
         Self {
             in_place: Pace::new(first_ms),
-            apart: Pace::new(first_ms + apart_ms),
+            apart: Pace::new(first_ms + APART_MS),
+        }
+    }
+
+    /// Returns the pace of a way to read a prompt.
+    pub(super) const fn of(&self, is_in_place: bool) -> Pace {
+        if is_in_place {
+            self.in_place
+        } else {
+            self.apart
         }
     }
+
+    /// Takes in the time from a placement to its first event.
+    pub(super) fn observe(&mut self, placement: &Placement, took_ms: f64) {
+        let pace = match placement.prefill {
+            Some(_) => &mut self.apart,
+            None => &mut self.in_place,
+        };
+        pace.observe(placement, took_ms);
+    }
 }
--- a/policy/src/gateway/placement.rs
+++ b/policy/src/gateway/placement.rs
@@ -2,6 +2,12 @@
 
 use ragwortgrade_schema::Name;
 
+/// Shortest time after which an engine that does not answer a prefill call is left: callers leave
+/// after 2 s, and the prompt is then to be read elsewhere.
+const PREFILL_PATIENCE_MIN: Duration = Duration::from_millis(900);
+/// The same in expected times, if that is longer.
+const PREFILL_PATIENCE_TIMES: u32 = 3;
+
 /// Where a generation runs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
@@ -21,6 +27,16 @@
     pub priority: u8,
 }
 
+impl Placement {
+    /// Returns the longest time to wait for the prompt to be read apart.
+    ///
+    /// Such a call may be repeated, so a silent engine is left while the caller still waits.
+    #[must_use]
+    pub fn prefill_patience(&self) -> Duration {
+        PREFILL_PATIENCE_MIN.max(self.expected * PREFILL_PATIENCE_TIMES)
+    }
+}
+
 /// Why a generation is not placed, and when to come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
