policy gateway: log the inputs and limits of a refusal

It now has the wait for others, the own prefill, the limit that was exceeded with its value, and why the request did not wait behind those that meet their target. No decision changes.

--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -1,6 +1,8 @@
+use std::time::Duration;
+
 use http::Response;
 use ragwortgrade_policy::gateway::{
-    CallOutcome, Endpoint, EngineLimits, Failure, Placement, Refusal, Stage,
+    CallOutcome, Endpoint, EngineLimits, Estimate, Failure, Placement, Refusal, Stage,
 };
 use ragwortgrade_schema::Name;
 
@@ -120,9 +122,15 @@
 }
 
 fn refuse_placement(context: &RequestContext, refusal: Refusal) -> Response<ResponseBody> {
+    let estimate = refusal.estimate.as_ref();
+    let estimate_ms = |time: fn(&Estimate) -> Duration| estimate.map(|it| time(it).as_millis());
     log::info!(
         request = context.id(), route:% = context.route.name, reason = refusal.reason,
-        expected_ms:? = refusal.expected.map(|expected| expected.as_millis()),
+        expected_ms:? = estimate_ms(|it| it.expected),
+        queue_ms:? = estimate_ms(|it| it.queue),
+        prefill_ms:? = estimate.map(|it| it.prefill_ms as u64),
+        limit = estimate.map(|it| it.limit), limit_ms:? = estimate_ms(|it| it.limit_time),
+        late_wait = estimate.map(|it| it.late_wait),
         target_ms = context.route.target.as_millis() as u64,
         prompt_tokens = context.metadata.prompt.tokens, engines = count_candidates(context),
         retry_after_ms = refusal.retry_after.as_millis() as u64;
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -40,7 +40,7 @@
 pub use limits::Limits;
 pub use outcome::{Failure, NextStep, Outcome, has_attempts_left, next_step};
 pub use peer_loads::{EngineWork, PRIORITY_LEVELS};
-pub use placement::{Placement, Refusal};
+pub use placement::{Estimate, Placement, Refusal};
 pub use plain_pool::PlainPool;
 pub use prompt::{Part, Prompt};
 pub use registry::{Change, Registry};
--- a/policy/src/gateway/admission.rs
+++ b/policy/src/gateway/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Placement, Refusal, Route};
+use super::{Estimate, Placement, Refusal, Route};
 
 /// Fraction of the target above which an estimate counts as missing it. Estimates are too low while
 /// load grows.
@@ -43,23 +43,33 @@
     Missed,
 }
 
-/// Returns a refusal if the request should not wait in a queue.
+/// Limit that the estimate for a placement exceeds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct ExceededLimit {
+    name: &'static str,
+    time: Duration,
+}
+
+/// Returns the limit that the placement exceeds, if the request should not wait in a queue.
 ///
 /// Under overload, every request would wait as long as the longest permitted queue. With a short
 /// queue, admitted requests meet their target and the others learn at once when to retry. The
 /// request's own prefill does not count as queueing. Whatever the queue, a request is refused if
 /// its first event is expected too close to the time after which its caller abandons it, or after
 /// its deadline.
-pub(super) fn refusal(
+pub(super) fn exceeded_limit(
     placement: &Placement,
     route: &Route,
     time_left: Duration,
-) -> Option<Refusal> {
-    let expected_max = abandon_after(route)
-        .mul_f64(ABANDON_FRACTION)
-        .min(time_left);
-    let prefill = Duration::from_secs_f64(placement.prefill_ms / 1e3);
-    let queue_wait = placement.expected.saturating_sub(prefill);
+) -> Option<ExceededLimit> {
+    let exceeded = |name, time| Some(ExceededLimit { name, time });
+    if placement.expected > time_left {
+        return exceeded("deadline", time_left);
+    }
+    let abandoned_after = abandon_after(route).mul_f64(ABANDON_FRACTION);
+    if placement.expected > abandoned_after {
+        return exceeded("abandonment", abandoned_after);
+    }
     let misses_target = placement.expected > route.target.mul_f64(MISSED_TARGET_FRACTION);
     let urgency = URGENCY_STEPS.saturating_sub(route.rank) + 1;
     let wait_fraction = if misses_target_by_size(placement.prefill_ms, route) {
@@ -67,16 +77,39 @@
     } else {
         WAIT_FRACTION_MAX
     };
-    let waits_long = queue_wait > route.target.mul_f64(wait_fraction * f64::from(urgency));
-    if placement.expected <= expected_max && !(misses_target && waits_long) {
-        return None;
+    let wait_max = route.target.mul_f64(wait_fraction * f64::from(urgency));
+    if misses_target && queue_wait(placement) > wait_max {
+        return exceeded("wait", wait_max);
     }
-    let excess = queue_wait.saturating_sub(route.target / 2);
-    Some(Refusal {
+    None
+}
+
+/// Returns the refusal of a request whose cheapest placement exceeds a limit.
+pub(super) fn refusal(
+    placement: &Placement,
+    route: &Route,
+    exceeded: ExceededLimit,
+    late_wait: &'static str,
+) -> Refusal {
+    let excess = queue_wait(placement).saturating_sub(route.target / 2);
+    Refusal {
         reason: "queue_too_long",
-        expected: Some(placement.expected),
+        estimate: Some(Estimate {
+            expected: placement.expected,
+            queue: placement.queue,
+            prefill_ms: placement.prefill_ms,
+            limit: exceeded.name,
+            limit_time: exceeded.time,
+            late_wait,
+        }),
         retry_after: excess.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
-    })
+    }
+}
+
+/// Returns the expected time to the first event apart from the request's own prefill.
+fn queue_wait(placement: &Placement) -> Duration {
+    let prefill = Duration::from_secs_f64(placement.prefill_ms / 1e3);
+    placement.expected.saturating_sub(prefill)
 }
 
 /// Returns whether the prefill alone takes so long that the request misses its target.
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -3,7 +3,9 @@
 
 use ragwortgrade_schema::Name;
 
-use super::admission::{TargetClass, may_wait, misses_target_by_size, priority, refusal};
+use super::admission::{
+    TargetClass, exceeded_limit, may_wait, misses_target_by_size, priority, refusal,
+};
 use super::affinity::{SMALL_FLEET_MAX, affinity_engine, reserved_decoders};
 use super::engine_load::{EngineLoad, REJECTION_DELAY_MIN_MS};
 use super::latency_model::LatencyModels;
@@ -125,11 +127,11 @@
         let Some(placement) = self.choose(of_stage, &request) else {
             return Err(Refusal {
                 reason: "no_engine",
-                expected: None,
+                estimate: None,
                 retry_after: Duration::from_millis(500),
             });
         };
-        let Some(refused) = refusal(&placement, route, time_left) else {
+        let Some(exceeded) = exceeded_limit(&placement, route, time_left) else {
             return Ok(placement);
         };
         // Before a queue causes a refusal, the request goes to an idle engine, even if that engine
@@ -141,7 +143,7 @@
         let idle_placement = self
             .choose(of_stage, &without_recompute_cost)
             .filter(|placement| placement.queue <= IDLE_QUEUE_MAX)
-            .filter(|placement| refusal(placement, route, time_left).is_none());
+            .filter(|placement| exceeded_limit(placement, route, time_left).is_none());
         if let Some(placement) = idle_placement {
             return Ok(placement);
         }
@@ -150,11 +152,16 @@
             misses_target: true,
             ..request
         };
-        self.choose(of_stage, &missed_target)
-            .filter(|placement| {
-                may_wait(placement, route, time_left) && !self.is_slowed(&placement.decode, now)
-            })
-            .ok_or(refused)
+        let late_placement = self
+            .choose(of_stage, &missed_target)
+            .filter(|placement| may_wait(placement, route, time_left));
+        match late_placement {
+            None => Err(refusal(&placement, route, exceeded, "too_long")),
+            Some(late_placement) if self.is_slowed(&late_placement.decode, now) => {
+                Err(refusal(&placement, route, exceeded, "decode_engine_slowed"))
+            }
+            Some(late_placement) => Ok(late_placement),
+        }
     }
 
     /// Returns whether the engine's sequences slow each other down so much that a further request
--- a/policy/src/gateway/placement.rs
+++ b/policy/src/gateway/placement.rs
@@ -39,12 +39,32 @@
 }
 
 /// Why a generation is refused, and when to retry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Refusal {
     /// Machine-readable reason.
     pub reason: &'static str,
-    /// Expected time to the first event, if an engine was available.
-    pub expected: Option<Duration>,
+    /// Estimate that led to the refusal, if an engine was available.
+    pub estimate: Option<Estimate>,
     /// Time after which a retry is likely to be admitted.
     pub retry_after: Duration,
 }
+
+/// Estimate for the cheapest placement of a generation that is refused, and the limits that it
+/// exceeds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// Expected time to the first event.
+    pub expected: Duration,
+    /// Part of the expected time during which the request would wait for other requests.
+    pub queue: Duration,
+    /// Expected engine time of the prefill, in ms.
+    pub prefill_ms: f64,
+    /// Machine-readable name of the exceeded limit: `wait` on the wait for other requests,
+    /// `abandonment` or `deadline` on the expected time.
+    pub limit: &'static str,
+    /// Value of that limit.
+    pub limit_time: Duration,
+    /// Why the request does not wait behind those that meet their target: `too_long`, or
+    /// `decode_engine_slowed` by its sequences.
+    pub late_wait: &'static str,
+}
--- a/policy/tests/gateway_placement.rs
+++ b/policy/tests/gateway_placement.rs
@@ -350,6 +350,39 @@
     assert!(fleet.place(&prompt(500, None), &route(0), NOW).is_ok());
 }
 
+/// Guards against refusals whose log line does not tell which limit led to them.
+fn refusal_names_the_exceeded_limits(
+    queue_ms: f64,
+    sequences: u32,
+    expected_limit: &str,
+    expected_late_wait: &str,
+) {
+    let mut fleet = Fleet::new(1, 1).with_slots(128);
+    let running = EngineWork {
+        sequences,
+        ..queued_work(2, queue_ms)
+    };
+    let work = ["prefill-0", "decode-0"].map(|name| (name.into(), running));
+    fleet
+        .engines
+        .update_peer(&"peer".into(), work.to_vec(), NOW);
+    let refusal = fleet
+        .place(&prompt(12_000, None), &route(2), NOW)
+        .unwrap_err();
+    let estimate = refusal.estimate.unwrap();
+    assert_eq!(estimate.limit, expected_limit);
+    assert_eq!(estimate.late_wait, expected_late_wait);
+    let prefill = Duration::from_secs_f64(estimate.prefill_ms / 1e3);
+    assert!(estimate.expected >= estimate.queue + prefill);
+    assert!(estimate.expected > estimate.limit_time);
+}
+
+named_cases! { refusal_names_the_exceeded_limits:
+    of_the_wait_beside_many_outputs(300.0, 60, "wait", "decode_engine_slowed");
+    of_the_wait_behind_a_long_queue(600.0, 6, "wait", "too_long");
+    of_the_abandonment_time(2_000.0, 6, "abandonment", "too_long");
+}
+
 #[test]
 fn a_prompt_that_misses_its_target_by_size_alone_is_admitted() {
     let fleet = Fleet::new(1, 1);
--- a/policy/tests/gateway_support/mod.rs
+++ b/policy/tests/gateway_support/mod.rs
@@ -40,6 +40,14 @@
         fleet
     }
 
+    /// Sets the number of requests that each engine runs at once.
+    pub fn with_slots(mut self, slots: u32) -> Self {
+        for endpoint in &mut self.endpoints {
+            endpoint.slots = slots;
+        }
+        self
+    }
+
     pub fn place(
         &self,
         prompt: &Prompt,
