policy gateway: owe every size of prompt a share of the admissions

Cause: a request was refused only if it waited long and missed its target as well, so that the permitted wait shrank with the time of its own prefill, from 320 ms for a short prompt to 85 ms for one of 23,000 tokens. Under overload, the short prompts keep the queues between the two. Class of fault: an admission test of deadlines starves large jobs.

Change: each size band of a route is owed 0.55 of the share of its prompts that are admitted, counted by error diffusion. While a band is owed an admission, the wait of its prompts and of smaller ones is limited without regard to their own prefill, and that of the smaller ones the more is owed. The longer wait of prompts that miss their target by size goes: it was a special case of this.

--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -99,22 +99,33 @@
         .filter(|it| it.service == context.service)
         .filter(|it| it.stage != Some(Stage::Prefill) || context.may_prefill_remotely())
         .collect();
-    let placement = shared.engines.borrow().place(
+    let prompt = &context.metadata.prompt;
+    let route = &context.route.name;
+    let wait_limit = shared.size_shares.borrow().wait_limit(route, prompt.tokens);
+    let result = shared.engines.borrow().place(
         &candidates,
-        &context.metadata.prompt,
+        prompt,
         &context.route,
         limits,
         context.time_left(),
+        wait_limit,
         excluded,
         &shared.options.data_centre,
         shared.now(),
-    )?;
+    );
+    // A retry is part of the request that was admitted.
+    if excluded.is_empty() {
+        let mut size_shares = shared.size_shares.borrow_mut();
+        size_shares.record(route, prompt.tokens, result.is_ok());
+    }
+    let placement = result?;
     log::info!(
         request = context.id(), route:% = context.route.name, engine:% = placement.decode,
         prefill = placement.prefill.as_deref().unwrap_or("in_place"),
         prompt_tokens = context.metadata.prompt.tokens, cached_tokens = placement.cached_tokens,
         expected_ms = placement.expected.as_millis() as u64,
         queue_ms = placement.queue.as_millis() as u64, priority = placement.priority,
+        wait_limit:? = wait_limit,
         left_ms = context.time_left().as_millis() as u64;
         "generation placed"
     );
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ragwortgrade_policy::Instant;
-use ragwortgrade_policy::gateway::{Catalog, Engines, Limits, PlainPool, Registry};
+use ragwortgrade_policy::gateway::{Catalog, Engines, Limits, PlainPool, Registry, SizeShares};
 use tokio::sync::{Notify, watch};
 
 use super::caller_connection::CallerConnections;
@@ -25,6 +25,7 @@
     pub(super) catalog: RefCell<Option<Rc<Catalog>>>,
     pub(super) registry: RefCell<Registry>,
     pub(super) engines: RefCell<Engines>,
+    pub(super) size_shares: RefCell<SizeShares>,
     pub(super) plain_pool: RefCell<PlainPool>,
     pub(super) retry_budgets: RefCell<RetryBudgets>,
     pub(super) callers: CallerConnections,
@@ -52,6 +53,7 @@
             catalog: RefCell::new(None),
             registry: RefCell::default(),
             engines: RefCell::new(Engines::open(options.speed)),
+            size_shares: RefCell::default(),
             plain_pool: RefCell::default(),
             retry_budgets: RefCell::new(RetryBudgets::new(
                 options.retry_ratio,
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -29,8 +29,10 @@
 mod request_metadata;
 mod route;
 mod service;
+mod size_shares;
 mod speed;
 mod unsent_parts;
+mod wait_limit;
 
 pub use catalog::Catalog;
 pub use endpoint::{Endpoint, EndpointState, Stage};
@@ -47,5 +49,7 @@
 pub use request_metadata::RequestMetadata;
 pub use route::{DeliverySemantics, Route};
 pub use service::{EngineLimits, Service};
+pub use size_shares::SizeShares;
 pub use speed::Speed;
 pub use unsent_parts::CachedPart;
+pub use wait_limit::WaitLimit;
--- a/policy/src/gateway/admission.rs
+++ b/policy/src/gateway/admission.rs
@@ -2,19 +2,15 @@
 
 use std::time::Duration;
 
-use super::{Estimate, Placement, Refusal, Route};
+use super::{Estimate, Placement, Refusal, Route, WaitLimit};
 
 /// Fraction of the target above which an estimate counts as missing it. Estimates are too low while
 /// load grows.
 const MISSED_TARGET_FRACTION: f64 = 0.8;
 /// Fraction of the target that a request of the least urgent ranks may wait for an engine if it
-/// will miss its target. More urgent requests may wait a multiple of it, since they delay few
-/// others.
+/// will miss its target, or while the limit is the same for all sizes. More urgent requests may
+/// wait a multiple of it, since they delay few others.
 const WAIT_FRACTION_MAX: f64 = 0.3;
-/// The same for a request whose own prefill already misses the target. A shorter request with the
-/// same wait meets its target and is admitted, so without a longer limit the longest prompts would
-/// seldom be served.
-const WAIT_FRACTION_MAX_MISSED_BY_SIZE: f64 = 0.4;
 /// Number of ranks whose requests may wait longer than those of the least urgent ranks.
 const URGENCY_STEPS: u8 = 2;
 /// Shortest retry time of a refusal: queues last about that long.
@@ -61,6 +57,7 @@
     placement: &Placement,
     route: &Route,
     time_left: Duration,
+    wait_limit: WaitLimit,
 ) -> Option<ExceededLimit> {
     let exceeded = |name, time| Some(ExceededLimit { name, time });
     if placement.expected > time_left {
@@ -70,16 +67,22 @@
     if placement.expected > abandoned_after {
         return exceeded("abandonment", abandoned_after);
     }
-    let misses_target = placement.expected > route.target.mul_f64(MISSED_TARGET_FRACTION);
     let urgency = URGENCY_STEPS.saturating_sub(route.rank) + 1;
-    let wait_fraction = if misses_target_by_size(placement.prefill_ms, route) {
-        WAIT_FRACTION_MAX_MISSED_BY_SIZE
-    } else {
-        WAIT_FRACTION_MAX
-    };
-    let wait_max = route.target.mul_f64(wait_fraction * f64::from(urgency));
-    if misses_target && queue_wait(placement) > wait_max {
-        return exceeded("wait", wait_max);
+    let wait_max = route.target.mul_f64(WAIT_FRACTION_MAX * f64::from(urgency));
+    match wait_limit {
+        WaitLimit::WhileTargetIsMet => {
+            let target_max = route.target.mul_f64(MISSED_TARGET_FRACTION);
+            let misses_target = placement.expected > target_max;
+            if misses_target && queue_wait(placement) > wait_max {
+                return exceeded("wait", wait_max);
+            }
+        }
+        WaitLimit::SameForAllSizes { fraction } => {
+            let wait_max = wait_max.mul_f64(fraction);
+            if placement.queue > wait_max {
+                return exceeded("wait_of_all_sizes", wait_max);
+            }
+        }
     }
     None
 }
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -15,7 +15,7 @@
 use super::unsent_parts::{CachedPart, UnsentParts};
 use super::{
     CallOutcome, Endpoint, EngineLimits, EngineWork, Placement, Prompt, Refusal, Route, Speed,
-    Stage,
+    Stage, WaitLimit,
 };
 use crate::Instant;
 
@@ -87,8 +87,8 @@
 
     /// Chooses where a generation runs.
     ///
-    /// `time_left` is the time until the caller's deadline or the route's time limit. Engines in
-    /// `tried` are excluded.
+    /// `time_left` is the time until the caller's deadline or the route's time limit. `wait_limit`
+    /// is that of the route's [`SizeShares`](super::SizeShares). Engines in `tried` are excluded.
     ///
     /// # Errors
     ///
@@ -102,6 +102,7 @@
         route: &Route,
         limits: &EngineLimits,
         time_left: Duration,
+        wait_limit: WaitLimit,
         tried: &[Name],
         data_centre: &Name,
         now: Instant,
@@ -131,7 +132,7 @@
                 retry_after: Duration::from_millis(500),
             });
         };
-        let Some(exceeded) = exceeded_limit(&placement, route, time_left) else {
+        let Some(exceeded) = exceeded_limit(&placement, route, time_left, wait_limit) else {
             return Ok(placement);
         };
         // Before a queue causes a refusal, the request goes to an idle engine, even if that engine
@@ -143,7 +144,7 @@
         let idle_placement = self
             .choose(of_stage, &without_recompute_cost)
             .filter(|placement| placement.queue <= IDLE_QUEUE_MAX)
-            .filter(|placement| exceeded_limit(placement, route, time_left).is_none());
+            .filter(|placement| exceeded_limit(placement, route, time_left, wait_limit).is_none());
         if let Some(placement) = idle_placement {
             return Ok(placement);
         }
--- a/policy/src/gateway/placement.rs
+++ b/policy/src/gateway/placement.rs
@@ -59,8 +59,8 @@
     pub queue: Duration,
     /// Expected engine time of the prefill, in ms.
     pub prefill_ms: f64,
-    /// Machine-readable name of the exceeded limit: `wait` on the wait for other requests,
-    /// `abandonment` or `deadline` on the expected time.
+    /// Machine-readable name of the exceeded limit: `wait` or `wait_of_all_sizes` on the wait for
+    /// other requests, `abandonment` or `deadline` on the expected time.
     pub limit: &'static str,
     /// Value of that limit.
     pub limit_time: Duration,
--- a/policy/tests/gateway_support/mod.rs
+++ b/policy/tests/gateway_support/mod.rs
@@ -6,7 +6,7 @@
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::{
     DeliverySemantics, Endpoint, EndpointState, EngineLimits, Engines, Part, Placement, Prompt,
-    Refusal, Route, Speed, Stage,
+    Refusal, Route, Speed, Stage, WaitLimit,
 };
 use ragwortgrade_schema::Name;
 
@@ -69,6 +69,7 @@
             route,
             &limits,
             time_left,
+            WaitLimit::default(),
             &[],
             &data_centre,
             now,
@@ -82,6 +83,17 @@
         route: &Route,
         tried: &[Name],
         now: Instant,
+    ) -> Result<Placement, Refusal> {
+        self.place_within(prompt, route, WaitLimit::default(), tried, now)
+    }
+
+    pub fn place_within(
+        &self,
+        prompt: &Prompt,
+        route: &Route,
+        wait_limit: WaitLimit,
+        tried: &[Name],
+        now: Instant,
     ) -> Result<Placement, Refusal> {
         let candidates: Vec<&Endpoint> = self.endpoints.iter().collect();
         let time_left = Duration::from_secs(10);
@@ -91,6 +103,7 @@
             route,
             &limits(),
             time_left,
+            wait_limit,
             tried,
             &"a".into(),
             now,
