gateway: bound what an endpoint can send without end

Cause: a whole body was collected without a limit (plain calls, remote prefills, errors of engines, the store), a stream was forwarded until its time limit whatever it held, and hyper skips any number of informational heads without yielding, so that one endpoint stopped the whole daemon. Heads of other kinds, chunk extensions and trailers were bounded by hyper already.

Change: whole bodies have a limit, and so has the sum of all heads of one response, at the connection's reads. A stream ends as broken when an event exceeds 256 KiB or there are more events than tokens. The rest of an engine's error is waited for 0.5 s.

--- a/lib/src/gateway/client.rs
+++ b/lib/src/gateway/client.rs
@@ -7,17 +7,24 @@
 use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{Request, Response};
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::client::conn::{TrySendError, http1};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
 use super::connection::{Connection, IdleConnection};
+use super::head_limit::HeadLimit;
 use super::socket;
 
 /// Maximum number of pooled connections per address: about that of its concurrent requests.
 const IDLE_PER_ADDRESS_MAX: usize = 16;
 
+/// Maximum size of the read buffer of a connection, and so of a response head, in bytes.
+pub(super) const BUFFER_BYTES_MAX: usize = 64 << 10;
+/// Maximum size of a response of the store, in bytes. The largest are the configuration and lists
+/// of registrations.
+const STORE_RESPONSE_BYTES_MAX: usize = 32 << 20;
+
 /// Maximum idle time of a reused connection to the store, which responds within milliseconds.
 const STORE_IDLE_MAX: Duration = Duration::from_secs(3);
 const STORE_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -49,6 +56,9 @@
     /// The connection failed before the response was complete.
     #[error("response lost: {0}")]
     Lost(#[from] hyper::Error),
+    /// The response exceeds what is accepted.
+    #[error("response is longer than {STORE_RESPONSE_BYTES_MAX} bytes")]
+    TooLong,
     /// The response was not complete within the timeout.
     #[error("request timed out")]
     TimedOut,
@@ -87,7 +97,14 @@
             .await
             .map_err(TrySendError::into_error)?;
         let (head, body) = response.into_parts();
-        let body = body.collect().await?.to_bytes();
+        let body = Limited::new(body, STORE_RESPONSE_BYTES_MAX);
+        let body = match body.collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => match error.downcast::<hyper::Error>() {
+                Ok(error) => return Err(FetchError::Lost(*error)),
+                Err(_too_long) => return Err(FetchError::TooLong),
+            },
+        };
         let connection_header = head.headers.get(CONNECTION);
         if connection_header.is_none_or(|value| !value.as_bytes().eq_ignore_ascii_case(b"close")) {
             self.return_to_pool(connection, STORE_IDLE_TIMEOUT);
@@ -146,9 +163,11 @@
 async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
     let stream = TcpStream::connect(address).await?;
     socket::configure_stream(&stream)?;
+    let head_limit = HeadLimit::default();
     let (sender, driver) = http1::Builder::new()
         .title_case_headers(true)
-        .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+        .max_buf_size(BUFFER_BYTES_MAX)
+        .handshake::<_, Full<Bytes>>(TokioIo::new(head_limit.clone().apply(stream)))
         .await?;
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = driver.await {
@@ -158,5 +177,6 @@
             );
         }
     });
-    Ok(Connection::new(address, sender, task.abort_handle()))
+    let task = task.abort_handle();
+    Ok(Connection::new(address, sender, task, head_limit))
 }
--- a/lib/src/gateway/connection.rs
+++ b/lib/src/gateway/connection.rs
@@ -9,6 +9,8 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::task::AbortHandle;
 
+use super::head_limit::HeadLimit;
+
 /// Fraction of the server's idle timeout after which a connection is not reused, so that a request
 /// does not race with the server closing it.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
@@ -20,6 +22,7 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     task: AbortOnDrop,
+    head_limit: HeadLimit,
     is_reused: bool,
 }
 
@@ -45,11 +48,13 @@
         address: SocketAddr,
         sender: SendRequest<Full<Bytes>>,
         task: AbortHandle,
+        head_limit: HeadLimit,
     ) -> Self {
         Self {
             address,
             sender,
             task: AbortOnDrop(task),
+            head_limit,
             is_reused: false,
         }
     }
@@ -66,7 +71,10 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
-        self.sender.try_send_request(request).await
+        self.head_limit.start();
+        let result = self.sender.try_send_request(request).await;
+        self.head_limit.stop();
+        result
     }
 
     pub(super) fn into_idle(self, idle_timeout: Duration) -> IdleConnection {
--- a/lib/src/gateway/exchange.rs
+++ b/lib/src/gateway/exchange.rs
@@ -44,6 +44,9 @@
     /// The request was sent, but the connection failed before the response was complete.
     #[error("response lost: {0}")]
     Lost(#[from] hyper::Error),
+    /// The body exceeds what is accepted.
+    #[error("response body is longer than {bytes_max} bytes")]
+    TooLong { bytes_max: usize },
     /// The response carries the ID of another request.
     #[error("response carries the ID of another request")]
     RequestIdMismatch,
@@ -131,14 +134,19 @@
         }
     }
 
-    /// Reads the body to its end and returns the connection to the pool.
+    /// Reads a body of at most `bytes_max` bytes to its end and returns the connection to the pool.
     pub(super) async fn read_to_end(
         mut self,
         client: &Client,
+        bytes_max: usize,
     ) -> Result<(response::Parts, ResponseInfo, Bytes), ExchangeError> {
         let mut body = Vec::new();
         while let Some(bytes) = self.next_data().await {
-            body.extend_from_slice(&bytes?);
+            let bytes = bytes?;
+            if body.len() + bytes.len() > bytes_max {
+                return Err(ExchangeError::TooLong { bytes_max });
+            }
+            body.extend_from_slice(&bytes);
         }
         let head = self.head.clone();
         let info = self.info.clone();
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -20,6 +20,12 @@
 /// time to first token and a network round trip.
 const PREFILL_CALL_OVERHEAD_MS: f64 = 65.0;
 
+/// Maximum size of an engine's response that is not a stream, in bytes: the result of a remote
+/// prefill or an error.
+const RESPONSE_BYTES_MAX: usize = 64 << 10;
+/// Timeout for the rest of an error response. The request can go on without it.
+const ERROR_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// KV cache that an engine has prefilled for another one.
 #[derive(Debug)]
 struct RemoteCache {
@@ -216,7 +222,7 @@
         .await
         .map_err(to_failure)?;
     let (head, info, body) = exchange
-        .read_to_end(&context.shared.client)
+        .read_to_end(&context.shared.client, RESPONSE_BYTES_MAX)
         .await
         .map_err(to_failure)?;
     match info.disposition {
@@ -323,14 +329,16 @@
 }
 
 /// Reads the rest of an engine's response to a failed attempt. The caller gets it only if the
-/// engine's own error is the final response.
+/// engine's own error is the final response and arrives complete.
 async fn read_error_response(
     context: &RequestContext,
     exchange: Exchange,
     first: Option<bytes::Bytes>,
 ) -> Option<Response<ResponseBody>> {
     let client = &context.shared.client;
-    let (head, _, rest) = exchange.read_to_end(client).await.ok()?;
+    let rest = exchange.read_to_end(client, RESPONSE_BYTES_MAX);
+    let rest = tokio::time::timeout(ERROR_RESPONSE_TIMEOUT, rest).await;
+    let (head, _, rest) = rest.ok()?.ok()?;
     let mut body = first.unwrap_or_default().to_vec();
     body.extend_from_slice(&rest);
     Some(forward_response(context, &head, body.into()))
--- a/lib/src/gateway/plain.rs
+++ b/lib/src/gateway/plain.rs
@@ -11,6 +11,10 @@
 use super::work_guard::CallGuard;
 use super::{Disposition, Operation, ResponseInfo};
 
+/// Maximum size of a plain service's response, in bytes. Responses are a few KB long; the limit
+/// leaves room in memory for dozens that reach it at once.
+const RESPONSE_BYTES_MAX: usize = 4 << 20;
+
 /// Handles a request to a plain service, with retries.
 pub(super) async fn respond(context: &RequestContext) -> Response<ResponseBody> {
     let mut tried: Vec<Name> = Vec::new();
@@ -67,7 +71,8 @@
     endpoint: &Endpoint,
 ) -> Result<(response::Parts, ResponseInfo, Bytes), ExchangeError> {
     let exchange = context.exchange(endpoint, None, Operation::Run).await?;
-    exchange.read_to_end(&context.shared.client).await
+    let client = &context.shared.client;
+    exchange.read_to_end(client, RESPONSE_BYTES_MAX).await
 }
 
 /// Returns how the attempt failed, or `None` if the response is forwarded.
--- a/lib/src/gateway/stream_forwarder.rs
+++ b/lib/src/gateway/stream_forwarder.rs
@@ -7,6 +7,7 @@
 use ragwortgrade_schema::Name;
 use tokio::sync::mpsc::{self, Sender};
 
+use super::event_counter::EventCounter;
 use super::exchange::Exchange;
 use super::request_context::RequestContext;
 use super::response_body::{Chunk, ResponseBody};
@@ -33,6 +34,8 @@
 enum StreamEnd {
     Complete,
     Broken,
+    /// The engine sent bytes that are not a stream of events.
+    Malformed,
     CallerLeft,
     TimeLimit,
 }
@@ -78,11 +81,11 @@
 impl StreamForwarder {
     async fn run(self, mut run: StartedRun, sender: Sender<Chunk>) {
         let mut sent_bytes = 0;
-        let mut events = 0;
+        let mut events = EventCounter::new(self.output_max);
         let first = run.first_bytes.take();
         let forwarding = forward_chunks(&mut run.exchange, first, &sender, |bytes| {
             sent_bytes += bytes.len();
-            events += count_events(bytes);
+            events.count(bytes)
         });
         let end = tokio::time::timeout(self.time_left, forwarding)
             .await
@@ -100,7 +103,7 @@
         match end {
             StreamEnd::Complete => {
                 // The time below starts with the first event, so its tokens do not count.
-                let tokens = events.saturating_sub(1) * self.event_tokens;
+                let tokens = events.events().saturating_sub(1) * self.event_tokens;
                 let elapsed_ms = millis(self.started_at.elapsed());
                 self.shared.engines.borrow_mut().observe_output(
                     &run.engine,
@@ -114,7 +117,7 @@
                 self.shared.metrics.count("streams.complete", 1);
                 drop(sender.send(Chunk::End).await);
             }
-            StreamEnd::Broken => {
+            StreamEnd::Broken | StreamEnd::Malformed => {
                 run.sequence.finish(CallOutcome::Failed);
                 self.shared.metrics.count("streams.broken", 1);
             }
@@ -124,23 +127,22 @@
     }
 }
 
-/// Counts the events that end in a chunk of a stream.
-fn count_events(bytes: &[u8]) -> u32 {
-    bytes.windows(2).filter(|pair| pair == b"\n\n").count() as u32
-}
-
+/// Forwards chunks until the stream ends. `on_chunk` returns whether the bytes so far can be a
+/// stream of events.
 async fn forward_chunks(
     exchange: &mut Exchange,
     first: Option<Bytes>,
     sender: &Sender<Chunk>,
-    mut on_chunk: impl FnMut(&[u8]),
+    mut on_chunk: impl FnMut(&[u8]) -> bool,
 ) -> StreamEnd {
     let mut next = first;
     loop {
         let Some(bytes) = next else {
             return StreamEnd::Complete;
         };
-        on_chunk(&bytes);
+        if !on_chunk(&bytes) {
+            return StreamEnd::Malformed;
+        }
         if sender.send(Chunk::Data(bytes)).await.is_err() {
             return StreamEnd::CallerLeft;
         }
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -5,6 +5,6 @@
 mod store;
 mod worker;
 
-pub use exchange::{Request, Response};
+pub use exchange::{ENDLESS_BYTES_MAX, Request, Response};
 pub use store::Store;
 pub use worker::Worker;
--- a/standins/src/site/exchange.rs
+++ b/standins/src/site/exchange.rs
@@ -1,6 +1,10 @@
 use std::io::{self, BufRead as _, BufReader, Read as _};
 use std::net::TcpStream;
 
+/// Bytes after which an endless response pauses, so that a peer without a limit does not use up the
+/// memory.
+pub const ENDLESS_BYTES_MAX: usize = 64 << 20;
+
 /// HTTP request received by a stand-in.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request {
@@ -21,6 +25,9 @@
     Bytes(Vec<u8>),
     /// Sends these bytes and closes the connection.
     BytesThenClose(Vec<u8>),
+    /// Sends the first bytes and then the others again and again, until the peer closes the
+    /// connection or [`ENDLESS_BYTES_MAX`] are sent; keeps it open then.
+    Endless(Vec<u8>, Vec<u8>),
     /// Closes the connection without a response.
     Close,
     /// Sends nothing and keeps the connection open until the peer closes it.
--- a/standins/src/site/worker.rs
+++ b/standins/src/site/worker.rs
@@ -1,15 +1,17 @@
 use std::io::{BufReader, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
-use super::{Request, Response};
+use super::{ENDLESS_BYTES_MAX, Request, Response};
 
 /// Worker that responds as the test defines and records the requests.
 #[derive(Debug)]
 pub struct Worker {
     address: SocketAddr,
     requests: Arc<Mutex<Vec<Request>>>,
+    endless_bytes: Arc<AtomicUsize>,
 }
 
 type Handler = dyn Fn(&Request) -> Response + Send + Sync;
@@ -26,14 +28,19 @@
         let address = listener.local_addr().expect("the listener is bound");
         let requests = Arc::new(Mutex::new(Vec::new()));
         let handler: Arc<Handler> = Arc::new(handler);
-        let recorded = Arc::clone(&requests);
+        let endless_bytes = Arc::new(AtomicUsize::new(0));
+        let recorded = (Arc::clone(&requests), Arc::clone(&endless_bytes));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (handler, recorded) = (Arc::clone(&handler), Arc::clone(&recorded));
-                thread::spawn(move || serve(stream, &*handler, &recorded));
+                let (handler, recorded) = (Arc::clone(&handler), recorded.clone());
+                thread::spawn(move || serve(stream, &*handler, &recorded.0, &recorded.1));
             }
         });
-        Self { address, requests }
+        Self {
+            address,
+            requests,
+            endless_bytes,
+        }
     }
 
     /// Returns the address that the worker listens on.
@@ -42,6 +49,12 @@
         self.address
     }
 
+    /// Returns the number of bytes that endless responses have sent so far.
+    #[must_use]
+    pub fn endless_bytes(&self) -> usize {
+        self.endless_bytes.load(Ordering::Relaxed)
+    }
+
     /// Returns the requests received so far.
     #[must_use]
     pub fn requests(&self) -> Vec<Request> {
@@ -50,7 +63,12 @@
     }
 }
 
-fn serve(stream: TcpStream, handler: &Handler, recorded: &Mutex<Vec<Request>>) {
+fn serve(
+    stream: TcpStream,
+    handler: &Handler,
+    recorded: &Mutex<Vec<Request>>,
+    endless_bytes: &AtomicUsize,
+) {
     let Ok(mut writer) = stream.try_clone() else {
         return;
     };
@@ -65,6 +83,10 @@
             Response::Bytes(bytes) | Response::BytesThenClose(bytes) => {
                 writer.write_all(bytes).is_ok()
             }
+            Response::Endless(start, repeated) => {
+                writer.write_all(start).is_ok()
+                    && send_endless(&mut writer, repeated, endless_bytes)
+            }
             Response::NoResponse => true,
             Response::Close => false,
         };
@@ -73,3 +95,14 @@
         }
     }
 }
+
+/// Sends bytes again and again; returns whether the connection is still open at the end.
+fn send_endless(writer: &mut TcpStream, repeated: &[u8], endless_bytes: &AtomicUsize) -> bool {
+    while endless_bytes.load(Ordering::Relaxed) < ENDLESS_BYTES_MAX {
+        if writer.write_all(repeated).is_err() {
+            return false;
+        }
+        endless_bytes.fetch_add(repeated.len(), Ordering::Relaxed);
+    }
+    true
+}
