--- a/lib/src/endpoint/http_engine.rs
+++ b/lib/src/endpoint/http_engine.rs
@@ -1,4 +1,4 @@
-use std::io::{BufRead as _, BufReader};
+use std::io::{self, BufRead as _, BufReader, Read as _};
 use std::time::Duration;
 
 use ragwortgrade_schema::engine::{
@@ -25,6 +25,10 @@
 const DONE: &str = "[DONE]";
 /// Empty lines that may follow the last event.
 const END_LINES_MAX: usize = 4;
+/// Maximum length of one line of a stream, in bytes.
+const LINE_BYTES_MAX: u64 = 64 << 10;
+/// Lines without data that may precede a token.
+const LINES_BEFORE_TOKEN_MAX: usize = 64;
 
 /// HTTP client of model engines.
 #[derive(Debug)]
@@ -144,11 +148,23 @@
 }
 
 impl HttpTokenStream {
+    /// Reads the next line of limited length; returns 0 at the end of the body.
+    fn read_line(&mut self) -> io::Result<usize> {
+        self.line.clear();
+        let read = (&mut self.lines)
+            .take(LINE_BYTES_MAX)
+            .read_line(&mut self.line)?;
+        if read as u64 == LINE_BYTES_MAX && !self.line.ends_with('\n') {
+            let reason = format!("line is longer than {LINE_BYTES_MAX} bytes");
+            return Err(io::Error::new(io::ErrorKind::InvalidData, reason));
+        }
+        Ok(read)
+    }
+
     /// Reads the end of the body, so that the connection can be reused.
     fn finish(&mut self) {
         for _ in 0..END_LINES_MAX {
-            self.line.clear();
-            match self.lines.read_line(&mut self.line) {
+            match self.read_line() {
                 Ok(0) => return,
                 Ok(_) => {}
                 Err(error) => {
@@ -162,12 +178,8 @@
 
 impl TokenStream for HttpTokenStream {
     fn next_token(&mut self) -> Result<Option<Token>, Error> {
-        loop {
-            self.line.clear();
-            let read = self
-                .lines
-                .read_line(&mut self.line)
-                .map_err(|error| classify_io(&error))?;
+        for _ in 0..=LINES_BEFORE_TOKEN_MAX {
+            let read = self.read_line().map_err(|error| classify_io(&error))?;
             if read == 0 {
                 return Err(Error::Broken {
                     reason: "stream ended early".to_owned(),
@@ -196,5 +208,8 @@
             self.next_index += 1;
             return Ok(Some(token));
         }
+        Err(Error::Malformed {
+            reason: format!("more than {LINES_BEFORE_TOKEN_MAX} lines without a token"),
+        })
     }
 }
