gateway: refuse calls that could outlast a drain

Cause: streams are refused after 2.5 s of a drain, calls were accepted until the process ended. Now a call whose time limit reaches beyond the drain is refused as not run, with the same short retry time; the first 2.5 s accept everything, as the load balancer still sends callers.

--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -12,7 +12,7 @@
 use tokio::task::LocalSet;
 
 use super::response_body::ResponseBody;
-use super::shared::Shared;
+use super::shared::{DRAIN_MARGIN, Shared};
 use super::{Options, load_exchange, local_response, peers, registration, server, store_watcher};
 use crate::observe::{Metrics, Registry};
 
@@ -21,8 +21,6 @@
 /// Time for which a drain waits for further callers before it closes idle connections: the load
 /// balancer probes once per second and stops sending callers after two failed probes.
 const DRAIN_ACCEPT_TIME: Duration = Duration::from_millis(3_500);
-/// Time before the end of the drain timeout at which a drain stops waiting for requests.
-const DRAIN_MARGIN: Duration = Duration::from_millis(600);
 /// Idle time after which a drain closes a connection; a caller that has just connected is about to
 /// send its request.
 const DRAIN_IDLE_TIMEOUT: Duration = Duration::from_millis(400);
--- a/lib/src/gateway/request_handler.rs
+++ b/lib/src/gateway/request_handler.rs
@@ -19,7 +19,7 @@
 
 /// Timeout for reading a body; the configured timeouts cover only the head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Retry delay of a stream that a draining daemon refuses. It is short, since the load balancer
+/// Retry delay of a request that a draining daemon refuses. It is short, since the load balancer
 /// sends the retry to another daemon.
 const RETRY_AFTER_DRAINING: Duration = Duration::from_millis(20);
 
@@ -60,8 +60,11 @@
         Ok(context) => context,
         Err(response) => return *response,
     };
-    if context.delivery().is_stream() && shared.refuses_streams() {
-        log::info!(request = context.id(); "stream refused: daemon is draining");
+    if shared.could_outlast_drain(context.delivery().is_stream(), context.time_limit) {
+        log::info!(
+            request = context.id(), route:% = context.route.name;
+            "request refused: daemon is draining"
+        );
         return local_response::not_run("stopping", RETRY_AFTER_DRAINING);
     }
     let now = shared.now();
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -13,9 +13,11 @@
 use crate::Clock;
 use crate::observe::Metrics;
 
-/// Time for which a draining daemon accepts streams: the load balancer stops sending callers after
-/// two failed probes, one per second, and a stream needs the rest of the drain timeout to end.
-const STREAM_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
+/// Time for which a draining daemon accepts every request: the load balancer stops sending callers
+/// after two failed probes, one per second, and a stream needs the rest of the drain timeout to end.
+const ACCEPT_TIME: Duration = Duration::from_millis(2_500);
+/// Time before the end of the drain timeout at which a drain stops waiting for requests.
+pub(super) const DRAIN_MARGIN: Duration = Duration::from_millis(600);
 
 /// State shared by the gateway's tasks, which all run on one thread.
 #[derive(Debug)]
@@ -122,11 +124,17 @@
         self.drain_started_at.get().is_some()
     }
 
-    /// Returns whether a stream that starts now could be cut off by the end of the drain.
-    pub(super) fn refuses_streams(&self) -> bool {
-        let now = self.now();
-        let started_at = self.drain_started_at.get();
-        started_at.is_some_and(|started_at| now.since(started_at) > STREAM_ACCEPT_TIME)
+    /// Returns whether a request that starts now could be cut off by the end of the drain.
+    ///
+    /// Early in a drain every request is accepted, since the load balancer still sends callers.
+    pub(super) fn could_outlast_drain(&self, is_stream: bool, time_limit: Duration) -> bool {
+        let Some(started_at) = self.drain_started_at.get() else {
+            return false;
+        };
+        let elapsed = self.now().since(started_at);
+        let drain_time = self.options.drain_timeout.saturating_sub(DRAIN_MARGIN);
+        let could_be_late = is_stream || elapsed.saturating_add(time_limit) > drain_time;
+        elapsed > ACCEPT_TIME && could_be_late
     }
 
     /// Returns whether the load balancer should send callers to this daemon.
