--- a/policy/src/gateway/size_shares.rs
+++ b/policy/src/gateway/size_shares.rs
@@ -18,6 +18,9 @@
 /// Number of size bands. Each is twice as wide as the one below, so the last one begins at 4
 /// million tokens.
 const BANDS: usize = 23;
+/// Bands below one that is owed an admission whose prompts wait less. Shorter prompts hardly delay
+/// those that are owed.
+const YIELDING_BANDS: usize = 2;
 
 /// Admissions of each route by the size of the prompt.
 ///
@@ -49,9 +52,9 @@
 }
 
 impl SizeShares {
-    /// Returns the limit on the wait of a prompt. While prompts of its size or larger are owed an
-    /// admission, the limit does not grow with the time that its own prefill leaves, and it is
-    /// shorter the more the larger ones are owed.
+    /// Returns the limit on the wait of a prompt. While prompts of its size or somewhat larger ones
+    /// are owed an admission, the limit does not grow with the time that its own prefill leaves, and
+    /// it is shorter the more the larger ones are owed.
     #[must_use]
     pub fn wait_limit(&self, route: &Name, prompt_tokens: u32) -> WaitLimit {
         let Some(shares) = self.routes.get(route) else {
@@ -59,8 +62,8 @@
         };
         let own_band = band(prompt_tokens);
         let owed = shares.owed[own_band];
-        let larger = shares.owed[own_band + 1..].iter().copied();
-        let owed_to_larger = larger.fold(0.0, f64::max);
+        let larger = shares.owed[own_band + 1..].iter().take(YIELDING_BANDS);
+        let owed_to_larger = larger.copied().fold(0.0, f64::max);
         if owed_to_larger > owed && owed_to_larger >= 1.0 {
             let fraction = (OWED_UNTIL_SHORTER / owed_to_larger).min(1.0);
             WaitLimit::SameForAllSizes { fraction }
