--- a/lib/src/front/chat.rs
+++ b/lib/src/front/chat.rs
@@ -110,7 +110,7 @@
             Ok(false) => self.run_streamed(events),
             Err(error) => Err(error),
         };
-        context.replay_buffers.end(&self.identity, served.is_ok());
+        context.replay_buffers.end(&self.identity);
         served
     }
 
--- a/lib/src/front/replay_buffers.rs
+++ b/lib/src/front/replay_buffers.rs
@@ -82,11 +82,19 @@
         }
     }
 
-    /// Marks a stream as ended; `finished` says whether every token was produced.
-    pub(crate) fn end(&self, request: &str, finished: bool) {
+    /// Records that every token of a stream was produced. Precedes the end that its caller reads,
+    /// since the caller may reconnect at once.
+    pub(crate) fn finish(&self, request: &str) {
         let mut state = self.lock();
         if let Some(buffer) = state.buffers.get_mut(request) {
-            buffer.finished = finished;
+            buffer.finished = true;
+        }
+    }
+
+    /// Marks a stream as ended, finished or not.
+    pub(crate) fn end(&self, request: &str) {
+        let mut state = self.lock();
+        if state.buffers.contains_key(request) {
             state.ended.push_back((Instant::now(), request.to_owned()));
         }
     }
--- a/lib/src/front/sinks.rs
+++ b/lib/src/front/sinks.rs
@@ -50,6 +50,7 @@
 
     pub(super) fn finish(mut self) -> io::Result<()> {
         self.start()?;
+        self.context.replay_buffers.finish(&self.identity);
         self.reply.end_events()
     }
 
