gateway: count events whose lines end in CRLF

Found on reading the diff: an engine that ends its lines with CRLF had no event by the new counter, so that a stream of more than 256 KiB would have been cut.

--- a/lib/src/gateway/event_counter.rs
+++ b/lib/src/gateway/event_counter.rs
@@ -39,6 +39,10 @@
     pub(super) fn count(&mut self, bytes: &[u8]) -> bool {
         for byte in bytes {
             self.unfinished_bytes += 1;
+            // Lines may end in CRLF, too.
+            if *byte == b'\r' {
+                continue;
+            }
             let is_newline = *byte == b'\n';
             if is_newline && self.ends_with_newline {
                 self.events = self.events.saturating_add(1);
