--- a/lib/tests/engine_stream.rs
+++ b/lib/tests/engine_stream.rs
@@ -32,7 +32,8 @@
     let engine = Worker::bind(move |_| {
         let head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n\r\n";
         let repeated = repeated.repeat(4_096).into_bytes();
-        Response::Endless(format!("{head}{start}").into_bytes(), repeated)
+        let start = format!("{head}{start}").into_bytes();
+        Response::Endless { start, repeated }
     });
     let client = HttpEngine::open();
     let mut stream = client
--- a/policy/tests/gateway_overload.rs
+++ b/policy/tests/gateway_overload.rs
@@ -118,16 +118,16 @@
     }
 
     fn report_sequences(&mut self) {
+        let running = EngineWork {
+            sequences: SEQUENCES,
+            ..EngineWork::default()
+        };
+        let names: Vec<String> = (0..DECODE_ENGINES)
+            .map(|number| format!("decode-{number}"))
+            .collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
         for (fleet, _) in &mut self.daemons {
-            let running = EngineWork {
-                sequences: SEQUENCES,
-                ..EngineWork::default()
-            };
-            let names = (0..DECODE_ENGINES).map(|number| format!("decode-{number}"));
-            let work = names.map(|name| (Name::from(name), running)).collect();
-            fleet
-                .engines
-                .update_peer(&"outputs".into(), work, Instant::FAR_FUTURE);
+            fleet.report_work(&names, running, Instant::FAR_FUTURE);
         }
     }
 
--- a/policy/tests/gateway_placement.rs
+++ b/policy/tests/gateway_placement.rs
@@ -337,10 +337,7 @@
         longest_ms: queued_work(2, 150.0).longest_ms,
         ..queued_work(2, 900.0)
     };
-    let work = ["prefill-0", "decode-0"].map(|name| (name.into(), queued));
-    fleet
-        .engines
-        .update_peer(&"peer".into(), work.to_vec(), NOW);
+    fleet.report_work(&["prefill-0", "decode-0"], queued, NOW);
     let refusal = fleet
         .place(&prompt(8_000, None), &route(2), NOW)
         .unwrap_err();
@@ -362,10 +359,7 @@
         sequences,
         ..queued_work(2, queue_ms)
     };
-    let work = ["prefill-0", "decode-0"].map(|name| (name.into(), running));
-    fleet
-        .engines
-        .update_peer(&"peer".into(), work.to_vec(), NOW);
+    fleet.report_work(&["prefill-0", "decode-0"], running, NOW);
     let refusal = fleet
         .place(&prompt(12_000, None), &route(2), NOW)
         .unwrap_err();
--- a/policy/tests/gateway_support/mod.rs
+++ b/policy/tests/gateway_support/mod.rs
@@ -5,8 +5,8 @@
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::{
-    DeliverySemantics, Endpoint, EndpointState, EngineLimits, Engines, Part, Placement, Prompt,
-    Refusal, Route, Speed, Stage, WaitLimit,
+    DeliverySemantics, Endpoint, EndpointState, EngineLimits, EngineWork, Engines, Part, Placement,
+    Prompt, Refusal, Route, Speed, Stage, WaitLimit,
 };
 use ragwortgrade_schema::Name;
 
@@ -48,6 +48,12 @@
         self
     }
 
+    /// Records that a peer has the same work on each of these engines.
+    pub fn report_work(&mut self, engines: &[&str], work: EngineWork, now: Instant) {
+        let work = engines.iter().map(|name| ((*name).into(), work)).collect();
+        self.engines.update_peer(&"peer".into(), work, now);
+    }
+
     pub fn place(
         &self,
         prompt: &Prompt,
--- a/standins/src/site/exchange.rs
+++ b/standins/src/site/exchange.rs
@@ -25,9 +25,14 @@
     Bytes(Vec<u8>),
     /// Sends these bytes and closes the connection.
     BytesThenClose(Vec<u8>),
-    /// Sends the first bytes and then the others again and again, until the peer closes the
-    /// connection or [`ENDLESS_BYTES_MAX`] are sent; keeps it open then.
-    Endless(Vec<u8>, Vec<u8>),
+    /// Sends bytes without end, until the peer closes the connection or [`ENDLESS_BYTES_MAX`] are
+    /// sent; keeps it open then.
+    Endless {
+        /// Bytes that are sent once.
+        start: Vec<u8>,
+        /// Bytes that are sent again and again.
+        repeated: Vec<u8>,
+    },
     /// Closes the connection without a response.
     Close,
     /// Sends nothing and keeps the connection open until the peer closes it.
--- a/standins/src/site/worker.rs
+++ b/standins/src/site/worker.rs
@@ -10,8 +10,14 @@
 #[derive(Debug)]
 pub struct Worker {
     address: SocketAddr,
-    requests: Arc<Mutex<Vec<Request>>>,
-    endless_bytes: Arc<AtomicUsize>,
+    record: Arc<Record>,
+}
+
+/// What a worker has received and sent.
+#[derive(Debug, Default)]
+struct Record {
+    requests: Mutex<Vec<Request>>,
+    endless_bytes: AtomicUsize,
 }
 
 type Handler = dyn Fn(&Request) -> Response + Send + Sync;
@@ -26,21 +32,16 @@
     pub fn bind(handler: impl Fn(&Request) -> Response + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
         let address = listener.local_addr().expect("the listener is bound");
-        let requests = Arc::new(Mutex::new(Vec::new()));
+        let record = Arc::new(Record::default());
         let handler: Arc<Handler> = Arc::new(handler);
-        let endless_bytes = Arc::new(AtomicUsize::new(0));
-        let recorded = (Arc::clone(&requests), Arc::clone(&endless_bytes));
+        let shared_record = Arc::clone(&record);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (handler, recorded) = (Arc::clone(&handler), recorded.clone());
-                thread::spawn(move || serve(stream, &*handler, &recorded.0, &recorded.1));
+                let (handler, record) = (Arc::clone(&handler), Arc::clone(&shared_record));
+                thread::spawn(move || serve(stream, &*handler, &record));
             }
         });
-        Self {
-            address,
-            requests,
-            endless_bytes,
-        }
+        Self { address, record }
     }
 
     /// Returns the address that the worker listens on.
@@ -52,30 +53,26 @@
     /// Returns the number of bytes that endless responses have sent so far.
     #[must_use]
     pub fn endless_bytes(&self) -> usize {
-        self.endless_bytes.load(Ordering::Relaxed)
+        self.record.endless_bytes.load(Ordering::Relaxed)
     }
 
     /// Returns the requests received so far.
     #[must_use]
     pub fn requests(&self) -> Vec<Request> {
-        let requests = self.requests.lock();
+        let requests = self.record.requests.lock();
         requests.unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
 
-fn serve(
-    stream: TcpStream,
-    handler: &Handler,
-    recorded: &Mutex<Vec<Request>>,
-    endless_bytes: &AtomicUsize,
-) {
+fn serve(stream: TcpStream, handler: &Handler, record: &Record) {
     let Ok(mut writer) = stream.try_clone() else {
         return;
     };
     let mut reader = BufReader::new(stream);
     while let Ok(Some(request)) = Request::read(&mut reader) {
         let response = handler(&request);
-        recorded
+        record
+            .requests
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .push(request);
@@ -83,9 +80,9 @@
             Response::Bytes(bytes) | Response::BytesThenClose(bytes) => {
                 writer.write_all(bytes).is_ok()
             }
-            Response::Endless(start, repeated) => {
+            Response::Endless { start, repeated } => {
                 writer.write_all(start).is_ok()
-                    && send_endless(&mut writer, repeated, endless_bytes)
+                    && send_endless(&mut writer, repeated, &record.endless_bytes)
             }
             Response::NoResponse => true,
             Response::Close => false,
