gateway: log the shared parts of placed and failed runs

BUDGET could not be traced: no line led from an engine that went away to the prompts that it was answering.

--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -131,7 +131,7 @@
         prompt_tokens = context.metadata.prompt.tokens, cached_tokens = placement.cached_tokens,
         expected_ms = placement.expected.as_millis() as u64,
         queue_ms = placement.queue.as_millis() as u64, priority = placement.priority,
-        wait_limit:? = wait_limit,
+        wait_limit:? = wait_limit, shared_parts = context.metadata.prompt.shared_ids(),
         left_ms = context.time_left().as_millis() as u64;
         "generation placed"
     );
@@ -290,7 +290,11 @@
             }
         },
         Err(error) => {
-            log::info!(request = context.id(), engine:% = engine.id, error:% = error; "run failed");
+            log::info!(
+                request = context.id(), engine:% = engine.id, engine_started_ms = engine.started_ms,
+                error:% = error, shared_parts = prompt.shared_ids();
+                "run failed"
+            );
             failure_from(&error)
         }
     };
--- a/policy/src/gateway/prompt.rs
+++ b/policy/src/gateway/prompt.rs
@@ -44,6 +44,13 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// Returns the identities of the shared parts as hexadecimal text, separated by commas.
+    #[must_use]
+    pub fn shared_ids(&self) -> String {
+        let ids = self.shared().iter().map(|part| format!("{:x}", part.id));
+        ids.collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the number of tokens in the shared parts.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
