gateway: break off streams that end inside an event

An engine that stops in the middle of an event and closes its connection, or ends its chunks there, was forwarded as a complete stream; without a length or chunks the connection's end is all that callers have, and a crash before the first byte looked like an empty, complete stream.

Change: a stream that ends inside an event ends as broken, and an unframed response without a byte counts as lost, which is also evidence of a crash. Events may end in LF, CRLF or CR (event streams of the WHATWG HTML standard allow all three); before, a stream of CR lines had no events.

Tests: platform/tests/unframed.rs, on the code before 4 of 12 fail: ends inside an event (unframed, and chunked), before the blank line, and without events. Whole unframed responses of plain services and resets were right already.

--- a/lib/src/gateway/event_counter.rs
+++ b/lib/src/gateway/event_counter.rs
@@ -10,7 +10,11 @@
     events_max: u32,
     /// Bytes of the event that has not ended yet.
     unfinished_bytes: usize,
-    ends_with_newline: bool,
+    /// Whether the event that has not ended yet has any text.
+    has_text: bool,
+    ends_with_line: bool,
+    /// Whether the last byte was a carriage return, with which a line feed makes one line end.
+    ends_with_cr: bool,
 }
 
 impl EventCounter {
@@ -25,7 +29,9 @@
             events: 0,
             events_max,
             unfinished_bytes: 0,
-            ends_with_newline: false,
+            has_text: false,
+            ends_with_line: false,
+            ends_with_cr: false,
         }
     }
 
@@ -34,22 +40,30 @@
         self.events
     }
 
+    /// Returns whether the bytes so far end inside an event.
+    pub(super) const fn is_inside_event(&self) -> bool {
+        self.has_text
+    }
+
     /// Counts the events that end in these bytes. Returns whether the bytes so far can be a stream
     /// of events; an endpoint in trouble may send other bytes without end.
     pub(super) fn count(&mut self, bytes: &[u8]) -> bool {
         for byte in bytes {
-            self.unfinished_bytes += 1;
-            // Lines may end in CRLF, too.
-            if *byte == b'\r' {
+            let is_rest_of_line_end = *byte == b'\n' && self.ends_with_cr;
+            self.ends_with_cr = *byte == b'\r';
+            if is_rest_of_line_end {
                 continue;
             }
-            let is_newline = *byte == b'\n';
-            if is_newline && self.ends_with_newline {
+            self.unfinished_bytes += 1;
+            let is_line_end = matches!(*byte, b'\r' | b'\n');
+            if is_line_end && self.ends_with_line {
                 self.events = self.events.saturating_add(1);
                 self.unfinished_bytes = 0;
-                self.ends_with_newline = false;
+                self.has_text = false;
+                self.ends_with_line = false;
             } else {
-                self.ends_with_newline = is_newline;
+                self.has_text |= !is_line_end;
+                self.ends_with_line = is_line_end;
             }
         }
         self.unfinished_bytes <= EVENT_BYTES_MAX && self.events <= self.events_max
--- a/lib/src/gateway/exchange.rs
+++ b/lib/src/gateway/exchange.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, response};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
@@ -44,6 +45,9 @@
     /// The request was sent, but the connection failed before the response was complete.
     #[error("response lost: {0}")]
     Lost(#[from] hyper::Error),
+    /// The connection ended before the first byte of a body that ends with it.
+    #[error("response ended with its connection before its first byte")]
+    Empty,
     /// The body exceeds what is accepted.
     #[error("response body is longer than {bytes_max} bytes")]
     TooLong { bytes_max: usize },
@@ -55,7 +59,7 @@
 impl ExchangeError {
     /// Returns whether the connection failed after the request was sent.
     pub(super) const fn is_connection_lost(&self) -> bool {
-        matches!(self, Self::Lost(_))
+        matches!(self, Self::Lost(_) | Self::Empty)
     }
 
     pub(super) const fn is_not_sent(&self) -> bool {
@@ -139,6 +143,18 @@
         }
     }
 
+    /// Returns the first bytes of a stream, or `None` if it is empty.
+    pub(super) async fn first_data(&mut self) -> Result<Option<Bytes>, ExchangeError> {
+        let first = self.next_data().await.transpose()?;
+        let headers = &self.head.headers;
+        let has_length = headers.contains_key(CONTENT_LENGTH);
+        let is_framed = has_length || headers.contains_key(TRANSFER_ENCODING);
+        if first.is_none() && !is_framed && self.head.status.is_success() {
+            return Err(ExchangeError::Empty);
+        }
+        Ok(first)
+    }
+
     /// Reads a body of at most `bytes_max` bytes to its end and returns the connection to the pool.
     pub(super) async fn read_to_end(
         mut self,
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -326,7 +326,7 @@
     operation: Operation,
 ) -> Result<(Exchange, Option<bytes::Bytes>), ExchangeError> {
     let mut exchange = context.exchange(engine, Some(priority), operation).await?;
-    let first = exchange.next_data().await.transpose()?;
+    let first = exchange.first_data().await?;
     Ok((exchange, first))
 }
 
--- a/lib/src/gateway/stream_forwarder.rs
+++ b/lib/src/gateway/stream_forwarder.rs
@@ -102,6 +102,10 @@
         let end = tokio::time::timeout(self.time_left, forwarding)
             .await
             .unwrap_or(StreamEnd::TimeLimit);
+        let end = match end {
+            StreamEnd::Complete if events.is_inside_event() => StreamEnd::Broken,
+            end => end,
+        };
         log::info!(
             request:% = self.request_id, route:% = self.route, engine:% = run.engine.id, end:? = end,
             first_ms = self.first_ms as u64,
--- a/standins/src/site/exchange.rs
+++ b/standins/src/site/exchange.rs
@@ -25,6 +25,8 @@
     Bytes(Vec<u8>),
     /// Sends these bytes and closes the connection.
     BytesThenClose(Vec<u8>),
+    /// Sends these bytes and resets the connection.
+    BytesThenReset(Vec<u8>),
     /// Sends bytes without end, until the peer closes the connection or [`ENDLESS_BYTES_MAX`] are
     /// sent; keeps it open then.
     Endless {
--- a/standins/src/site/worker.rs
+++ b/standins/src/site/worker.rs
@@ -4,9 +4,15 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
+use std::time::Duration;
+
+use socket2::SockRef;
 
 use super::{ENDLESS_BYTES_MAX, Request, Response};
 
+/// Time between the last bytes of a response and a reset.
+const RESET_DELAY: Duration = Duration::from_millis(50);
+
 /// Worker that responds as the test defines and records the requests.
 #[derive(Debug)]
 pub struct Worker {
@@ -112,6 +118,15 @@
             Response::Bytes(bytes) | Response::BytesThenClose(bytes) => {
                 writer.write_all(bytes).is_ok()
             }
+            Response::BytesThenReset(bytes) => {
+                if writer.write_all(bytes).is_err() {
+                    return;
+                }
+                // Lets the peer read the bytes before the reset discards them.
+                thread::sleep(RESET_DELAY);
+                let _set = SockRef::from(&writer).set_linger(Some(Duration::ZERO));
+                false
+            }
             Response::Endless { start, repeated } => {
                 writer.write_all(start).is_ok()
                     && send_endless(&mut writer, repeated, &record.endless_bytes)
