gateway: keep the limits that endpoints set on their requests

Cause: no code read the limit.

Change: each daemon counts the requests of all to an endpoint with a limit in a sliding window of 2 s, so that the limit holds for all daemons together. Limits and counts go with the load updates, as an extension beside the evidence of crashes; what a peer sent before its first report counts, so a restarted daemon is careful rather than free. Each daemon waits up to 0.3 s of its own before it takes a free place, as they would all take the same one. Without room at any endpoint a request is refused as not run, with the time at which there is room.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -37,6 +37,7 @@
 mod store;
 mod store_watcher;
 mod stream_forwarder;
+mod update_extension;
 mod work_guard;
 
 pub use client::{Client, FetchError};
--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -78,7 +78,7 @@
 }
 
 /// Information from the head of an endpoint's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseInfo {
     /// Whether the endpoint accepted the request.
     pub disposition: Disposition,
@@ -88,6 +88,8 @@
     pub request_id: Option<Bytes>,
     /// Idle timeout that the endpoint announces for the connection.
     pub idle_timeout: Option<Duration>,
+    /// Requests per second that the endpoint takes from all daemons together, if it sets a limit.
+    pub requests_per_second: Option<f64>,
     /// Whether the endpoint closes the connection after this response.
     pub closes_connection: bool,
 }
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -113,6 +113,8 @@
         .filter(|it| it.service == context.service)
         .filter(|it| it.stage != Some(Stage::Prefill) || context.may_prefill_remotely())
         .collect();
+    let limited = shared.limited(&candidates);
+    let unavailable = [excluded, &limited].concat();
     let prompt = &context.metadata.prompt;
     let route = &context.route.name;
     let wait_limit = shared.size_shares.borrow().wait_limit(route, prompt.tokens);
@@ -123,7 +125,7 @@
         limits,
         context.time_left(),
         wait_limit,
-        excluded,
+        &unavailable,
         &shared.options.data_centre,
         shared.now(),
     );
@@ -132,14 +134,27 @@
         let mut size_shares = shared.size_shares.borrow_mut();
         size_shares.record(route, prompt.tokens, result.is_ok());
     }
-    let placement = result?;
+    let placement = result.map_err(|refusal| {
+        if limited.is_empty() || refusal.reason != "no_engine" {
+            return refusal;
+        }
+        let rate_limits = shared.rate_limits.borrow();
+        Refusal {
+            reason: "endpoint_limits",
+            retry_after: rate_limits.retry_after(&limited, shared.now()),
+            ..refusal
+        }
+    })?;
+    for engine in placement.prefill.iter().chain([&placement.decode]) {
+        shared.record_placed(engine);
+    }
     log::info!(
         request = context.id(), route:% = context.route.name, engine:% = placement.decode,
         prefill = placement.prefill.as_deref().unwrap_or("in_place"),
         prompt_tokens = context.metadata.prompt.tokens, cached_tokens = placement.cached_tokens,
         expected_ms = placement.expected.as_millis() as u64,
         queue_ms = placement.queue.as_millis() as u64, priority = placement.priority,
-        wait_limit:? = wait_limit, shared_parts = context.metadata.prompt.shared_ids(),
+        wait_limit:? = wait_limit, limited_engines = limited.len(), shared_parts = context.metadata.prompt.shared_ids(),
         left_ms = context.time_left().as_millis() as u64;
         "generation placed"
     );
--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -238,6 +238,7 @@
         shared.callers.close_overdue(&shared.limits());
         shared.client.close_expired();
         shared.update_quarantine(Quarantine::expire);
+        shared.rate_limits.borrow_mut().expire(shared.now());
     }
 }
 
--- a/lib/src/gateway/load_exchange.rs
+++ b/lib/src/gateway/load_exchange.rs
@@ -13,6 +13,7 @@
 use super::evidence_report::EvidenceReport;
 use super::load_update::{LoadUpdate, Sender};
 use super::shared::Shared;
+use super::update_extension::UpdateExtension;
 
 /// Minimum interval between load updates: a fraction of the duration of most prefills.
 const SEND_INTERVAL_MIN: Duration = Duration::from_millis(5);
@@ -35,31 +36,36 @@
     Remote,
 }
 
-/// When evidence of crashes was last sent to a group.
+/// What was last sent to a group beside the work.
 #[derive(Debug, Default)]
-struct EvidenceSchedule {
-    changes: u64,
-    sent_at: Option<Instant>,
+struct ExtensionSchedule {
+    evidence_changes: u64,
+    limit_changes: u64,
+    repeated_at: Option<Instant>,
 }
 
-impl EvidenceSchedule {
-    /// Returns the evidence if it has changed, or if a repeat is due: it reaches daemons that have
+impl ExtensionSchedule {
+    /// Returns what has changed, or everything if a repeat is due: it reaches daemons that have
     /// missed it or have started since.
-    fn take_due(&mut self, shared: &Shared) -> Option<EvidenceReport> {
-        let quarantine = shared.quarantine.borrow();
+    fn take_due(&mut self, shared: &Shared) -> Option<UpdateExtension> {
         let is_repeat_due = self
-            .sent_at
-            .is_none_or(|sent_at| sent_at.elapsed() >= REPEAT_INTERVAL);
-        if quarantine.changes() == self.changes && !is_repeat_due {
-            return None;
-        }
-        let evidence = quarantine.evidence();
-        if evidence.is_empty() {
-            return None;
+            .repeated_at
+            .is_none_or(|repeated_at| repeated_at.elapsed() >= REPEAT_INTERVAL);
+        let now = shared.now();
+        let quarantine = shared.quarantine.borrow();
+        let evidence = (is_repeat_due || quarantine.changes() != self.evidence_changes)
+            .then(|| quarantine.evidence())
+            .filter(|evidence| !evidence.is_empty());
+        let evidence = evidence.map(|evidence| EvidenceReport::new(evidence, now));
+        let rate_limits = shared.rate_limits.borrow();
+        let limits = rate_limits.reports(if is_repeat_due { 0 } else { self.limit_changes });
+        self.evidence_changes = quarantine.changes();
+        self.limit_changes = rate_limits.changes();
+        if is_repeat_due {
+            self.repeated_at = Some(Instant::now());
         }
-        self.changes = quarantine.changes();
-        self.sent_at = Some(Instant::now());
-        Some(EvidenceReport::new(evidence, shared.now()))
+        let extension = UpdateExtension::new(evidence, limits, now);
+        (!extension.is_empty()).then_some(extension)
     }
 }
 
@@ -94,7 +100,7 @@
         let mut changes = self.shared.subscribe_work_changes();
         let mut last_sent = Vec::new();
         let mut sent_at = Instant::now();
-        let mut evidence_schedule = EvidenceSchedule::default();
+        let mut extension_schedule = ExtensionSchedule::default();
         loop {
             let wakeup = tokio::time::timeout(REPEAT_INTERVAL, changes.changed()).await;
             let addresses = self.addresses(group);
@@ -106,14 +112,14 @@
             changes.mark_unchanged();
             let work = self.work(group);
             let parts = self.parts(group);
-            let evidence = evidence_schedule.take_due(self.shared);
-            let is_repeat = work == last_sent && parts.is_empty() && evidence.is_none();
+            let extension = extension_schedule.take_due(self.shared);
+            let is_repeat = work == last_sent && parts.is_empty() && extension.is_none();
             if is_repeat && (wakeup.is_ok() || work.is_empty()) {
                 continue;
             }
             last_sent.clone_from(&work);
             sent_at = Instant::now();
-            self.send(work, parts, evidence, &addresses);
+            self.send(work, parts, extension, &addresses);
         }
     }
 
@@ -150,7 +156,7 @@
         &self,
         work: Vec<(Name, EngineWork)>,
         parts: Vec<CachedPart>,
-        evidence: Option<EvidenceReport>,
+        extension: Option<UpdateExtension>,
         addresses: &[SocketAddr],
     ) {
         self.sequence.set(self.sequence.get() + 1);
@@ -163,8 +169,8 @@
             return;
         };
         // Daemons of earlier versions ignore bytes after the load update.
-        if let Some(evidence) = evidence {
-            datagram.extend(postcard::to_allocvec(&evidence).unwrap_or_default());
+        if let Some(extension) = extension {
+            datagram.extend(postcard::to_allocvec(&extension).unwrap_or_default());
         }
         for address in addresses {
             // A send error has the effect of a lost datagram: the next update replaces the work in
@@ -195,18 +201,30 @@
             continue;
         }
         let now = shared.now();
+        let daemon = load_update.sender.daemon.clone();
         let mut engines = shared.engines.borrow_mut();
-        engines.update_peer(&load_update.sender.daemon, load_update.loads(), now);
+        engines.update_peer(&daemon, load_update.loads(), now);
         engines.record_peer_parts(load_update.parts(), now);
         drop(engines);
         if rest.is_empty() {
             continue;
         }
-        match postcard::from_bytes::<EvidenceReport>(rest) {
-            Ok(report) => shared.update_quarantine(|quarantine, now| {
+        let Ok(extension) = postcard::from_bytes::<UpdateExtension>(rest) else {
+            shared.metrics.count("news.unreadable", 1);
+            continue;
+        };
+        let reports = extension.rate_reports(now);
+        let changed = shared.rate_limits.borrow_mut().merge(&daemon, reports, now);
+        for (endpoint, per_second) in changed {
+            log::info!(
+                endpoint:% = endpoint, requests_per_second:? = per_second, reported_by:% = daemon;
+                "limit of an endpoint changed"
+            );
+        }
+        if let Some(report) = extension.evidence {
+            shared.update_quarantine(|quarantine, now| {
                 quarantine.merge(report.into_evidence(now), now);
-            }),
-            Err(_unreadable) => shared.metrics.count("news.unreadable", 1),
+            });
         }
     }
 }
--- a/lib/src/gateway/plain.rs
+++ b/lib/src/gateway/plain.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::{Response, response};
 use ragwortgrade_policy::gateway::{CallOutcome, Endpoint, Failure};
@@ -23,8 +25,9 @@
         if let Some(response) = refuse_quarantined(context) {
             return response;
         }
-        let Some(endpoint) = choose(context, &tried) else {
-            return refuse(context, "no_endpoint", RETRY_AFTER_DEFAULT);
+        let endpoint = match choose(context, &tried) {
+            Ok(endpoint) => endpoint,
+            Err((reason, retry_after)) => return refuse(context, reason, retry_after),
         };
         log::info!(
             request = context.id(), route:% = context.route.name, endpoint:% = endpoint.id,
@@ -67,13 +70,30 @@
     }
 }
 
-fn choose(context: &RequestContext, tried: &[Name]) -> Option<Endpoint> {
+/// Chooses an endpoint that was not tried.
+///
+/// # Errors
+///
+/// Returns why there is none, and the time after which there may be one.
+fn choose(context: &RequestContext, tried: &[Name]) -> Result<Endpoint, (&'static str, Duration)> {
     let shared = &context.shared;
     let registry = shared.registry.borrow();
     let usable = registry.usable().filter(|it| it.service == context.service);
+    let usable: Vec<&Endpoint> = usable.filter(|it| !tried.contains(&it.id)).collect();
+    let limited = shared.limited(&usable);
     let plain_pool = shared.plain_pool.borrow();
-    let chosen = plain_pool.choose(usable, tried, &shared.options.data_centre, shared.now());
-    chosen.cloned()
+    let data_centre = &shared.options.data_centre;
+    let chosen = plain_pool.choose(usable.iter().copied(), &limited, data_centre, shared.now());
+    let Some(chosen) = chosen else {
+        if limited.is_empty() {
+            return Err(("no_endpoint", RETRY_AFTER_DEFAULT));
+        }
+        let rate_limits = shared.rate_limits.borrow();
+        let retry_after = rate_limits.retry_after(&limited, shared.now());
+        return Err(("endpoint_limits", retry_after));
+    };
+    shared.record_placed(&chosen.id);
+    Ok(chosen.clone())
 }
 
 async fn attempt(
--- a/lib/src/gateway/request_context.rs
+++ b/lib/src/gateway/request_context.rs
@@ -156,7 +156,7 @@
             idle_max,
             connect_timeout: CONNECT_TIMEOUT,
         };
-        Exchange::start(
+        let exchange = Exchange::start(
             &self.shared.client,
             &*options.dialect,
             endpoint.address,
@@ -164,7 +164,9 @@
             self.metadata.id.as_deref(),
             connect_options,
         )
-        .await
+        .await?;
+        self.shared.observe_limit(endpoint, &exchange.info);
+        Ok(exchange)
     }
 }
 
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -4,15 +4,16 @@
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::{
-    Catalog, Engines, Limits, PlainPool, Quarantine, Registry, SizeShares,
+    Catalog, Endpoint, Engines, Limits, PlainPool, Quarantine, RateLimits, Registry, SizeShares,
 };
+use ragwortgrade_schema::Name;
 use tokio::sync::{Notify, watch};
 
 use super::caller_connection::CallerConnections;
 use super::crash_detector::CrashDetector;
 use super::peers::Peers;
 use super::retry_budgets::RetryBudgets;
-use super::{Client, LeaseId, Options};
+use super::{Client, Disposition, LeaseId, Options, ResponseInfo};
 use crate::Clock;
 use crate::observe::Metrics;
 
@@ -33,6 +34,7 @@
     pub(super) size_shares: RefCell<SizeShares>,
     pub(super) plain_pool: RefCell<PlainPool>,
     pub(super) quarantine: RefCell<Quarantine>,
+    pub(super) rate_limits: RefCell<RateLimits>,
     pub(super) crash_detector: CrashDetector,
     pub(super) retry_budgets: RefCell<RetryBudgets>,
     pub(super) callers: CallerConnections,
@@ -63,6 +65,7 @@
             size_shares: RefCell::default(),
             plain_pool: RefCell::default(),
             quarantine: RefCell::default(),
+            rate_limits: RefCell::default(),
             crash_detector: CrashDetector::default(),
             retry_budgets: RefCell::new(RetryBudgets::new(
                 options.retry_ratio,
@@ -117,6 +120,44 @@
         }
     }
 
+    /// Records the limit in a response of an endpoint, or that it has none.
+    pub(super) fn observe_limit(&self, endpoint: &Endpoint, info: &ResponseInfo) {
+        // A rejection without a limit may come from another endpoint at the same address.
+        if info.disposition != Disposition::Accepted && info.requests_per_second.is_none() {
+            return;
+        }
+        let per_second = info.requests_per_second;
+        let now = self.now();
+        let is_changed = self
+            .rate_limits
+            .borrow_mut()
+            .observe(&endpoint.id, per_second, now);
+        if is_changed {
+            log::info!(
+                endpoint:% = endpoint.id, requests_per_second:? = per_second;
+                "limit of an endpoint changed"
+            );
+            self.notify_work_changed();
+        }
+    }
+
+    /// Returns which of the endpoints take no request of this daemon now, because of their limits.
+    pub(super) fn limited(&self, endpoints: &[&Endpoint]) -> Vec<Name> {
+        let rate_limits = self.rate_limits.borrow();
+        let now = self.now();
+        let ids = endpoints.iter().map(|endpoint| &endpoint.id);
+        let limited = ids.filter(|id| !rate_limits.allows(id, &self.options.name, now));
+        limited.cloned().collect()
+    }
+
+    /// Counts a request of this daemon against the limit of its endpoint, if there is one.
+    pub(super) fn record_placed(&self, id: &Name) {
+        let now = self.now();
+        if self.rate_limits.borrow_mut().record_sent(id, now) {
+            self.notify_work_changed();
+        }
+    }
+
     /// Records that a store outage has ended.
     pub(super) fn record_outage_end(&self) {
         self.ended_outages.set(self.ended_outages.get() + 1);
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -278,6 +278,7 @@
         drop(registry);
         if is_restarted {
             self.shared.engines.borrow_mut().engine_restarted(&id);
+            self.shared.rate_limits.borrow_mut().endpoint_restarted(&id);
         }
     }
 
