policy quarantine: blame a part rather than a repeated request with it

A request with the part that is sent again crashed three engines; its content, the most specific suspect, was quarantined and explained these crashes, so that the part needed three more.

Change: a content is no suspect if a part of its prompt was in all crashes under it and in more. A lost run keeps the content apart from the parts.

Test: a_part_is_blamed_rather_than_a_repeated_request_with_it; without the rule the content is quarantined after the fourth crash.

--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -30,7 +30,8 @@
             endpoint: endpoint.id.clone(),
             endpoint_started_ms: endpoint.started_ms.unwrap_or_default(),
             at: shared.now(),
-            suspects: fingerprint.identities().collect(),
+            parts: fingerprint.shared_parts.clone(),
+            content: Some(fingerprint.content),
         };
         let key = (lost_run.endpoint.clone(), lost_run.endpoint_started_ms);
         let mut pending = shared.crash_detector.pending.borrow_mut();
--- a/lib/src/gateway/evidence_report.rs
+++ b/lib/src/gateway/evidence_report.rs
@@ -19,7 +19,8 @@
     endpoint: Name,
     endpoint_started_ms: u64,
     age_ms: u32,
-    suspects: Vec<u64>,
+    parts: Vec<u64>,
+    content: Option<u64>,
 }
 
 impl EvidenceReport {
@@ -29,7 +30,8 @@
             endpoint: run.endpoint,
             endpoint_started_ms: run.endpoint_started_ms,
             age_ms: age_ms(run.at),
-            suspects: run.suspects,
+            parts: run.parts,
+            content: run.content,
         });
         let begun = evidence.begun.into_iter();
         Self {
@@ -44,7 +46,8 @@
             endpoint: run.endpoint,
             endpoint_started_ms: run.endpoint_started_ms,
             at: at(run.age_ms),
-            suspects: run.suspects,
+            parts: run.parts,
+            content: run.content,
         });
         let begun = self.begun.into_iter();
         Evidence {
--- a/policy/src/gateway/lost_run.rs
+++ b/policy/src/gateway/lost_run.rs
@@ -11,11 +11,24 @@
     pub endpoint_started_ms: u64,
     /// When the run was lost.
     pub at: Instant,
-    /// Identities of the request that may have caused the crash, the most specific one last.
-    pub suspects: Vec<u64>,
+    /// Shared parts of the prompt that may have caused the crash, in the order of the prompt.
+    pub parts: Vec<u64>,
+    /// Content of the request, if it may have caused the crash.
+    pub content: Option<u64>,
 }
 
 impl LostRun {
+    /// Returns the identities that may have caused the crash, the most specific one last.
+    pub(super) fn suspects(&self) -> impl DoubleEndedIterator<Item = u64> {
+        self.parts.iter().copied().chain(self.content)
+    }
+
+    /// Removes an identity from the suspects.
+    pub(super) fn clear(&mut self, identity: u64) {
+        self.parts.retain(|part| *part != identity);
+        self.content = self.content.filter(|content| *content != identity);
+    }
+
     pub(super) fn is_same_crash(&self, other: &Self) -> bool {
         self.endpoint == other.endpoint && self.endpoint_started_ms == other.endpoint_started_ms
     }
--- a/policy/src/gateway/quarantine.rs
+++ b/policy/src/gateway/quarantine.rs
@@ -17,8 +17,8 @@
 const BEGIN_TIME: Duration = Duration::from_secs(30);
 /// Maximum number of lost runs that are kept, in memory and in a message.
 const LOST_RUNS_MAX: usize = 64;
-/// Maximum number of suspects that are kept for one lost run, the most specific ones.
-const SUSPECTS_PER_RUN_MAX: usize = 8;
+/// Maximum number of parts that are kept for one lost run, the last ones of the prompt.
+const PARTS_PER_RUN_MAX: usize = 8;
 /// Maximum number of identities for which the begin of an output is remembered.
 const BEGUN_MAX: usize = 4_096;
 /// Maximum number of cleared identities in one message.
@@ -76,7 +76,7 @@
         if self
             .lost_runs
             .iter()
-            .any(|run| run.suspects.contains(&content))
+            .any(|run| run.content == Some(content))
         {
             self.clear(content, now);
         }
@@ -142,13 +142,13 @@
         }
         let mut is_suspect = false;
         for run in &mut self.lost_runs {
-            if run.suspects.contains(&identity) && is_proven(at, run) {
-                run.suspects.retain(|it| *it != identity);
+            if run.suspects().any(|it| it == identity) && is_proven(at, run) {
+                run.clear(identity);
                 is_suspect = true;
             }
         }
         if is_suspect {
-            self.lost_runs.retain(|run| !run.suspects.is_empty());
+            self.lost_runs.retain(|run| run.suspects().next().is_some());
             self.note_cleared(identity);
             self.conclude(at);
         }
@@ -166,21 +166,22 @@
 
     /// Adds a lost run without the identities that are known to be sound. Returns whether it is new.
     fn add(&mut self, mut lost_run: LostRun) -> bool {
-        let (proven, mut suspects): (Vec<u64>, Vec<u64>) =
-            lost_run.suspects.iter().partition(|identity| {
-                let begun = self.begun.get(identity);
-                begun.is_some_and(|at| is_proven(*at, &lost_run))
-            });
+        let proven = lost_run.suspects().filter(|identity| {
+            let begun = self.begun.get(identity);
+            begun.is_some_and(|at| is_proven(*at, &lost_run))
+        });
+        let proven: Vec<u64> = proven.collect();
         for identity in proven {
+            lost_run.clear(identity);
             if !self.cleared.contains(&identity) {
                 self.note_cleared(identity);
             }
         }
-        suspects.drain(..suspects.len().saturating_sub(SUSPECTS_PER_RUN_MAX));
-        lost_run.suspects = suspects;
+        let surplus = lost_run.parts.len().saturating_sub(PARTS_PER_RUN_MAX);
+        lost_run.parts.drain(..surplus);
         let is_known =
-            |run: &LostRun| run.is_same_crash(&lost_run) && run.suspects == lost_run.suspects;
-        if lost_run.suspects.is_empty() || self.lost_runs.iter().any(is_known) {
+            |run: &LostRun| run.is_same_crash(&lost_run) && run.suspects().eq(lost_run.suspects());
+        if lost_run.suspects().next().is_none() || self.lost_runs.iter().any(is_known) {
             return false;
         }
         self.lost_runs.push(lost_run);
@@ -193,9 +194,8 @@
     /// Removes the oldest lost run, one that supports no quarantine if there is any.
     fn evict(&mut self) {
         let supports = |run: &LostRun| {
-            run.suspects
-                .iter()
-                .any(|it| self.quarantined.contains_key(it))
+            let mut suspects = run.suspects();
+            suspects.any(|it| self.quarantined.contains_key(&it))
         };
         let oldest = self.lost_runs.iter().enumerate();
         let oldest = oldest.min_by_key(|(_, run)| (supports(run), run.at));
--- a/policy/src/gateway/suspect.rs
+++ b/policy/src/gateway/suspect.rs
@@ -24,19 +24,28 @@
     pub(super) fn most_specific(lost_runs: &[&'a LostRun]) -> Option<Self> {
         let mut runs_by_identity: BTreeMap<u64, Vec<&LostRun>> = BTreeMap::new();
         for run in lost_runs {
-            for identity in &run.suspects {
-                runs_by_identity.entry(*identity).or_default().push(run);
+            for identity in run.suspects() {
+                runs_by_identity.entry(identity).or_default().push(run);
             }
         }
         let suspects = runs_by_identity.into_iter();
         let suspects =
             suspects.filter_map(|(identity, runs)| Some((identity, Self::new(identity, &runs)?)));
         let mut suspects: BTreeMap<u64, Self> = suspects.collect();
+        let contents = lost_runs
+            .iter()
+            .filter_map(|run| Some((run.content?, &run.parts)));
+        for (content, parts) in contents {
+            let explains = |part: &u64| is_further_suspect(&suspects, *part, content);
+            if parts.iter().any(explains) {
+                suspects.remove(&content);
+            }
+        }
         let mut times_last: BTreeMap<u64, usize> = BTreeMap::new();
         for run in lost_runs {
-            let mut from_last = run.suspects.iter().rev();
+            let mut from_last = run.suspects().rev();
             if let Some(identity) = from_last.find(|identity| suspects.contains_key(identity)) {
-                *times_last.entry(*identity).or_default() += 1;
+                *times_last.entry(identity).or_default() += 1;
             }
         }
         let (identity, _) = times_last.into_iter().max_by_key(|(_, times)| *times)?;
@@ -62,3 +71,14 @@
         })
     }
 }
+
+/// Returns whether a part explains the crashes under a content and more. The content of a request
+/// that is sent again is then as often in the lost runs as the part that causes the crashes.
+fn is_further_suspect(suspects: &BTreeMap<u64, Suspect<'_>>, part: u64, content: u64) -> bool {
+    let (Some(part), Some(content)) = (suspects.get(&part), suspects.get(&content)) else {
+        return false;
+    };
+    let is_under_part =
+        |crash: &&LostRun| part.crashes.iter().any(|other| other.is_same_crash(crash));
+    part.crashes.len() > content.crashes.len() && content.crashes.iter().all(is_under_part)
+}
--- a/policy/tests/fleet_simulation/mod.rs
+++ b/policy/tests/fleet_simulation/mod.rs
@@ -132,7 +132,8 @@
                         endpoint: format!("i-{engine}").into(),
                         endpoint_started_ms: engines[engine].starts,
                         at: now,
-                        suspects: run.request.identities().collect(),
+                        parts: run.request.shared_parts.clone(),
+                        content: Some(run.request.content),
                     };
                     daemons[run.daemon].record_lost_run(lost_run, now);
                 }
--- a/policy/tests/gateway_quarantine.rs
+++ b/policy/tests/gateway_quarantine.rs
@@ -36,7 +36,15 @@
         endpoint: engine.into(),
         endpoint_started_ms: 0,
         at: at(millis),
-        suspects: ids.to_vec(),
+        parts: ids.to_vec(),
+        content: None,
+    }
+}
+
+fn lost_run_of(request: &Fingerprint, engine: &str, millis: u64) -> LostRun {
+    LostRun {
+        content: Some(request.content),
+        ..lost_run(engine, millis, &request.shared_parts)
     }
 }
 
@@ -107,8 +115,7 @@
     let deadly = Fingerprint::new(&prompt, &[b"POST", b"/a", b"body"]);
     let mut quarantine = Quarantine::default();
     for (engine, millis) in [("a", 0), ("b", 500), ("c", 900)] {
-        let suspects: Vec<u64> = deadly.identities().collect();
-        quarantine.record_lost_run(lost_run(engine, millis, &suspects), at(millis));
+        quarantine.record_lost_run(lost_run_of(&deadly, engine, millis), at(millis));
     }
     assert!(quarantine.ends_at(&deadly, at(1_000)).is_some());
     for others in [
@@ -120,6 +127,23 @@
     }
 }
 
+/// Guards against a deadly part that goes on crashing engines, since its first crashes are blamed
+/// on one request that is sent again.
+#[test]
+fn a_part_is_blamed_rather_than_a_repeated_request_with_it() {
+    let request = |content| Fingerprint {
+        shared_parts: vec![FIRST, DEADLY],
+        content,
+    };
+    let mut quarantine = Quarantine::default();
+    for (engine, millis, content) in [("a", 0, 70), ("b", 200, 70), ("c", 400, 70), ("d", 600, 71)]
+    {
+        let run = lost_run_of(&request(content), engine, millis);
+        quarantine.record_lost_run(run, at(millis));
+    }
+    assert_eq!(quarantine.identities(at(1_000)), [DEADLY]);
+}
+
 const THREE_CRASHES: [Step; 3] = [
     Lost(0, "a", &[FIRST, DEADLY]),
     Lost(500, "b", &[FIRST, DEADLY]),
@@ -193,8 +217,8 @@
     }
     assert_eq!(quarantine.identities(at(3_000)), [DEADLY]);
     let evidence = quarantine.evidence();
-    let suspects = evidence.lost_runs.iter().map(|run| run.suspects.len());
-    assert!(evidence.lost_runs.len() <= 64 && suspects.sum::<usize>() <= 64 * 8);
+    let parts = evidence.lost_runs.iter().map(|run| run.parts.len());
+    assert!(evidence.lost_runs.len() <= 64 && parts.sum::<usize>() <= 64 * 8);
     quarantine.expire(at(3_000) + Duration::from_mins(10));
     assert_eq!(quarantine.evidence(), Evidence::default());
 }
