gateway: let the clock express times before the start of the process

A daemon that started after three crashes did not refuse what had caused them: ages that peers report reached back before the zero of its clock, where all times are equal, so that the crashes looked like one failure of several engines.

Change: the gateway's clock starts at one hour. Policy had tested restarts on one clock only.

--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -1,4 +1,4 @@
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ragwortgrade_policy::Instant;
 
@@ -8,21 +8,31 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: std::time::Instant,
+    /// What the clock showed at its start.
+    offset: Duration,
 }
 
 impl Clock {
     /// Starts a monotonic clock at zero.
     #[must_use]
     pub fn start() -> Self {
+        Self::start_at(Duration::ZERO)
+    }
+
+    /// Starts a monotonic clock at `offset`, so that it can express times before its start.
+    #[must_use]
+    pub fn start_at(offset: Duration) -> Self {
         Self {
             start: std::time::Instant::now(),
+            offset,
         }
     }
 
-    /// Returns the time since the start, as an [`Instant`] of the policy crate.
+    /// Returns the time on the clock, as an [`Instant`] of the policy crate.
     #[must_use]
     pub fn now(&self) -> Instant {
-        Instant::from_micros(self.start.elapsed().as_micros() as u64)
+        let elapsed = self.start.elapsed() + self.offset;
+        Instant::from_micros(elapsed.as_micros() as u64)
     }
 
     /// Returns the Unix time of the system clock in milliseconds.
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -20,6 +20,9 @@
 /// Time for which a draining daemon accepts every request: the load balancer stops sending callers
 /// after two failed probes, one per second, and a stream needs the rest of the drain timeout to end.
 const ACCEPT_TIME: Duration = Duration::from_millis(2_500);
+/// Time before the start of the process that its clock can express: peers report crashes of that
+/// time.
+const TIME_BEFORE_START: Duration = Duration::from_hours(1);
 /// Time before the end of the drain timeout at which a drain stops waiting for requests.
 pub(super) const DRAIN_MARGIN: Duration = Duration::from_millis(600);
 
@@ -58,7 +61,7 @@
 impl Shared {
     pub(super) fn new(options: Options, metrics: Metrics) -> Rc<Self> {
         Rc::new(Self {
-            clock: Clock::start(),
+            clock: Clock::start_at(TIME_BEFORE_START),
             catalog: RefCell::new(None),
             registry: RefCell::default(),
             engines: RefCell::new(Engines::open(options.speed)),
