gateway: tell starting daemons at once what crashes endpoints

Change: the first update of a process goes out as soon as it knows the others nearby, also without work, and each daemon that receives the first update of a process answers with its evidence of crashes and the limits of endpoints.

--- a/lib/src/gateway/load_exchange.rs
+++ b/lib/src/gateway/load_exchange.rs
@@ -80,11 +80,11 @@
     tokio::join!(
         publisher.publish_load(PeerGroup::Local),
         publisher.publish_load(PeerGroup::Remote),
-        receive_load_updates(&shared, &socket)
+        publisher.receive_load_updates()
     );
 }
 
-/// Sends this daemon's load updates.
+/// Sends this daemon's load updates, and receives those of others.
 struct LoadPublisher<'a> {
     shared: &'a Shared,
     socket: &'a UdpSocket,
@@ -98,7 +98,8 @@
     /// there is work.
     async fn publish_load(&self, group: PeerGroup) {
         let mut changes = self.shared.subscribe_work_changes();
-        let mut last_sent = Vec::new();
+        // The first update asks the daemons nearby for what they know, also without any work.
+        let mut last_sent = (group == PeerGroup::Remote).then(Vec::new);
         let mut sent_at = Instant::now();
         let mut extension_schedule = ExtensionSchedule::default();
         loop {
@@ -113,11 +114,12 @@
             let work = self.work(group);
             let parts = self.parts(group);
             let extension = extension_schedule.take_due(self.shared);
-            let is_repeat = work == last_sent && parts.is_empty() && extension.is_none();
+            let is_repeat =
+                last_sent.as_ref() == Some(&work) && parts.is_empty() && extension.is_none();
             if is_repeat && (wakeup.is_ok() || work.is_empty()) {
                 continue;
             }
-            last_sent.clone_from(&work);
+            last_sent = Some(work.clone());
             sent_at = Instant::now();
             self.send(work, parts, extension, &addresses);
         }
@@ -180,51 +182,65 @@
             }
         }
     }
-}
 
-async fn receive_load_updates(shared: &Shared, socket: &UdpSocket) {
-    let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
-    loop {
-        let length = match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
-            Err(error) => {
-                log::debug!(error:% = error; "load update could not be received");
+    /// Sends a new process what this daemon knows of crashes and limits. Its registration may not
+    /// have been read yet, so that it would not receive other load updates for seconds.
+    fn inform(&self, address: SocketAddr) {
+        let extension = ExtensionSchedule::default().take_due(self.shared);
+        if extension.is_some() {
+            let work = self.work(PeerGroup::Local);
+            self.send(work, Vec::new(), extension, &[address]);
+        }
+    }
+
+    async fn receive_load_updates(&self) {
+        let shared = self.shared;
+        let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
+        loop {
+            let (length, source) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    log::debug!(error:% = error; "load update could not be received");
+                    continue;
+                }
+            };
+            let parsed = postcard::take_from_bytes::<LoadUpdate>(&buffer[..length]);
+            let Ok((load_update, rest)) = parsed else {
+                shared.metrics.count("news.unreadable", 1);
                 continue;
+            };
+            if shared.peers.borrow().is_new_process(&load_update) {
+                self.inform(source);
+            }
+            if !shared.peers.borrow_mut().record_if_newer(&load_update) {
+                continue;
+            }
+            let now = shared.now();
+            let daemon = load_update.sender.daemon.clone();
+            let mut engines = shared.engines.borrow_mut();
+            engines.update_peer(&daemon, load_update.loads(), now);
+            engines.record_peer_parts(load_update.parts(), now);
+            drop(engines);
+            if rest.is_empty() {
+                continue;
+            }
+            let Ok(extension) = postcard::from_bytes::<UpdateExtension>(rest) else {
+                shared.metrics.count("news.unreadable", 1);
+                continue;
+            };
+            let reports = extension.rate_reports(now);
+            let changed = shared.rate_limits.borrow_mut().merge(&daemon, reports, now);
+            for (endpoint, per_second) in changed {
+                log::info!(
+                    endpoint:% = endpoint, requests_per_second:? = per_second, reported_by:% = daemon;
+                    "limit of an endpoint changed"
+                );
+            }
+            if let Some(report) = extension.evidence {
+                shared.update_quarantine(|quarantine, now| {
+                    quarantine.merge(report.into_evidence(now), now);
+                });
             }
-        };
-        let parsed = postcard::take_from_bytes::<LoadUpdate>(&buffer[..length]);
-        let Ok((load_update, rest)) = parsed else {
-            shared.metrics.count("news.unreadable", 1);
-            continue;
-        };
-        if !shared.peers.borrow_mut().record_if_newer(&load_update) {
-            continue;
-        }
-        let now = shared.now();
-        let daemon = load_update.sender.daemon.clone();
-        let mut engines = shared.engines.borrow_mut();
-        engines.update_peer(&daemon, load_update.loads(), now);
-        engines.record_peer_parts(load_update.parts(), now);
-        drop(engines);
-        if rest.is_empty() {
-            continue;
-        }
-        let Ok(extension) = postcard::from_bytes::<UpdateExtension>(rest) else {
-            shared.metrics.count("news.unreadable", 1);
-            continue;
-        };
-        let reports = extension.rate_reports(now);
-        let changed = shared.rate_limits.borrow_mut().merge(&daemon, reports, now);
-        for (endpoint, per_second) in changed {
-            log::info!(
-                endpoint:% = endpoint, requests_per_second:? = per_second, reported_by:% = daemon;
-                "limit of an endpoint changed"
-            );
-        }
-        if let Some(report) = extension.evidence {
-            shared.update_quarantine(|quarantine, now| {
-                quarantine.merge(report.into_evidence(now), now);
-            });
         }
     }
 }
