--- a/lib/src/gateway/evidence_report.rs
+++ b/lib/src/gateway/evidence_report.rs
@@ -5,8 +5,8 @@
 use ragwortgrade_schema::Name;
 use serde::{Deserialize, Serialize};
 
-/// Evidence of one daemon about crashes of endpoints, appended to a load update. Daemons do not share
-/// a clock, so times are sent as ages.
+/// Evidence of one daemon about crashes of endpoints. Daemons do not share a clock, so times are
+/// sent as ages.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct EvidenceReport {
     lost_runs: Vec<LostRunReport>,
--- a/lib/src/gateway/failure.rs
+++ b/lib/src/gateway/failure.rs
@@ -22,7 +22,7 @@
     local_response::not_run(reason, retry_after)
 }
 
-/// Refuses a request that is in quarantine, since endpoints crashed under it or a part of its prompt.
+/// Refuses a request under which, or under a part of whose prompt, endpoints crashed.
 pub(super) fn refuse_quarantined(context: &RequestContext) -> Option<Response<ResponseBody>> {
     let shared = &context.shared;
     let now = shared.now();
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -154,7 +154,8 @@
         prompt_tokens = context.metadata.prompt.tokens, cached_tokens = placement.cached_tokens,
         expected_ms = placement.expected.as_millis() as u64,
         queue_ms = placement.queue.as_millis() as u64, priority = placement.priority,
-        wait_limit:? = wait_limit, limited_engines = limited.len(), shared_parts = context.metadata.prompt.shared_ids(),
+        wait_limit:? = wait_limit, limited_engines = limited.len(),
+        shared_parts = context.metadata.prompt.shared_ids(),
         left_ms = context.time_left().as_millis() as u64;
         "generation placed"
     );
--- a/lib/src/gateway/stream_forwarder.rs
+++ b/lib/src/gateway/stream_forwarder.rs
@@ -110,7 +110,8 @@
             request:% = self.request_id, route:% = self.route, engine:% = run.engine.id, end:? = end,
             first_ms = self.first_ms as u64,
             total_ms = self.started_at.elapsed().as_millis() as u64,
-            bytes = sent_bytes, events = events.events(), output_max = self.output_max, output_hint:? = self.output_hint;
+            bytes = sent_bytes, events = events.events(),
+            output_max = self.output_max, output_hint:? = self.output_hint;
             "stream ended"
         );
         self.shared
--- a/policy/src/gateway/quarantine.rs
+++ b/policy/src/gateway/quarantine.rs
@@ -5,21 +5,21 @@
 use super::{Evidence, Fingerprint, LostRun};
 use crate::Instant;
 
-/// Time for which an identity is refused after the last crash under it. The first crash after that time
-/// renews the quarantine.
+/// Time for which an identity is refused after the last crash under it. The first crash after that
+/// time renews the quarantine.
 const QUARANTINE_TIME: Duration = Duration::from_mins(2);
 /// Time for which a crash is evidence.
 const EVIDENCE_TIME: Duration = Duration::from_mins(10);
-/// Time after the begin of an output for which crashes are not blamed on its shared parts.
+/// Time after an output has begun within which crashes are not blamed on its shared parts.
 const PROOF_TIME: Duration = Duration::from_secs(2);
-/// Time for which the begin of an output is remembered. Within it, other daemons have learned that
-/// they do not crash endpoints.
+/// Time for which it is remembered that an output has begun. Within it, the other daemons learn
+/// that its identities do not crash endpoints.
 const BEGIN_TIME: Duration = Duration::from_secs(30);
 /// Maximum number of lost runs that are kept, in memory and in a message.
 const LOST_RUNS_MAX: usize = 64;
 /// Maximum number of parts that are kept for one lost run, the last ones of the prompt.
 const PARTS_PER_RUN_MAX: usize = 8;
-/// Maximum number of identities for which the begin of an output is remembered.
+/// Maximum number of identities of outputs that have begun.
 const BEGUN_MAX: usize = 4_096;
 /// Maximum number of cleared identities in one message.
 const CLEARED_MAX: usize = 64;
@@ -164,7 +164,8 @@
         self.changes += 1;
     }
 
-    /// Adds a lost run without the identities that are known to be sound. Returns whether it is new.
+    /// Adds a lost run without the identities that are known to be sound. Returns whether it is
+    /// new.
     fn add(&mut self, mut lost_run: LostRun) -> bool {
         let proven = lost_run.suspects().filter(|identity| {
             let begun = self.begun.get(identity);
@@ -217,7 +218,7 @@
     }
 }
 
-/// Returns whether an output that began at `begun` shows that its identities did not cause the crash.
+/// Returns whether an output that began at `begun` clears its identities of a crash.
 fn is_proven(begun: Instant, lost_run: &LostRun) -> bool {
     lost_run.at <= begun + PROOF_TIME
 }
