gateway: list again when the store is restored from an older copy

Cause: a watch went on from a revision that the restored store gave out again, and so never got what had been written at or below it. Nothing noticed the restore: the absence fell into the pause between two watches, and the number that the store names in all responses was not read.

Change: policy::gateway::StoreEra decides for each response whether it belongs to the era in which its call was sent. The first response of another era, and every response to a call that was sent before, is discarded, all lists are read again, and registrations that are missing have the time to come back that they have after an outage. The pause between two watches ends with it.

Ruled out: a worker whose leaving is not written again; the new list lacks it.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -46,4 +46,6 @@
 pub use options::{DocumentFormat, Options};
 pub use settings::Settings;
 pub use settings_file::{SettingsChange, SettingsFile};
-pub use store::{Item, LeaseId, Page, Store, StoreError, Update, Updates};
+pub use store::{
+    Item, LeaseId, Page, Store, StoreError, StoreFuture, StoreResponse, Update, Updates,
+};
--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -199,7 +199,7 @@
     if let Some(lease) = shared.registration_lease.take() {
         let store = Rc::clone(&shared.options.store);
         tokio::task::spawn_local(async move {
-            if let Err(error) = store.revoke(lease).await {
+            if let Err(error) = store.revoke(lease).await.result {
                 log::info!(
                     error:% = error;
                     "registration lease could not be revoked; it expires after its TTL"
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -89,18 +89,10 @@
 
 /// Watches the registrations of the other daemons until the task is aborted.
 pub(super) async fn watch_peers(shared: Rc<Shared>) {
-    let store = Rc::clone(&shared.options.store);
     let handler = PeerHandler {
         shared: Rc::clone(&shared),
     };
-    list_and_watch(
-        &shared,
-        &*store,
-        REGISTRATION_PREFIX,
-        READ_INTERVAL,
-        &handler,
-    )
-    .await;
+    list_and_watch(&shared, REGISTRATION_PREFIX, READ_INTERVAL, &handler).await;
 }
 
 struct PeerHandler {
--- a/lib/src/gateway/registration.rs
+++ b/lib/src/gateway/registration.rs
@@ -34,7 +34,7 @@
     while !shared.is_draining() {
         if let Err(error) = keep_registered(&shared, &key, &value, &mut outage).await {
             log::info!(error:% = error; "registration failed or ended");
-            if !matches!(error, StoreError::LeaseNotFound) {
+            if !matches!(error, StoreError::LeaseNotFound | StoreError::Restored) {
                 outage.record_failure(&error);
             }
         }
@@ -51,17 +51,18 @@
     outage: &mut OutageTracker<'_>,
 ) -> Result<(), StoreError> {
     let store = &shared.options.store;
-    let lease = store.grant(REGISTRATION_TTL).await?;
+    let lease = shared.call_store(store.grant(REGISTRATION_TTL)).await?;
     outage.record_success();
-    store.put(key, value, lease).await?;
+    shared.call_store(store.put(key, value, lease)).await?;
     shared.registration_lease.set(Some(lease));
     loop {
         tokio::time::sleep(outage.interval()).await;
-        match store.renew(lease, outage.timeout()).await {
+        let renewal = store.renew(lease, outage.timeout());
+        match shared.call_store(renewal).await {
             Ok(()) => outage.record_success(),
-            Err(StoreError::LeaseNotFound) => {
+            Err(error @ (StoreError::LeaseNotFound | StoreError::Restored)) => {
                 outage.record_success();
-                return Err(StoreError::LeaseNotFound);
+                return Err(error);
             }
             Err(error) => outage.record_failure(&error),
         }
@@ -90,9 +91,7 @@
         }
         self.is_active = false;
         log::info!("store outage ended");
-        let now = self.shared.now();
-        self.shared.registry.borrow_mut().source_restored(now);
-        self.shared.record_outage_end();
+        self.shared.record_interruption();
     }
 
     /// Returns the time until the next renewal or registration.
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -4,7 +4,8 @@
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::{
-    Catalog, Endpoint, Engines, Limits, PlainPool, Quarantine, RateLimits, Registry, SizeShares,
+    Catalog, Endpoint, Engines, Limits, PlainPool, Quarantine, RateLimits, Registry, ResponseEra,
+    SizeShares, StoreEra,
 };
 use ragwortgrade_schema::Name;
 use tokio::sync::{Notify, watch};
@@ -13,7 +14,7 @@
 use super::crash_detector::CrashDetector;
 use super::peers::Peers;
 use super::retry_budgets::RetryBudgets;
-use super::{Client, Disposition, LeaseId, Options, ResponseInfo};
+use super::{Client, Disposition, LeaseId, Options, ResponseInfo, StoreError, StoreResponse};
 use crate::Clock;
 use crate::observe::Metrics;
 
@@ -47,9 +48,11 @@
     pub(super) is_registry_loaded: Cell<bool>,
     /// When the drain started, if it has.
     pub(super) drain_started_at: Cell<Option<Instant>>,
-    /// Number of store outages that have ended.
-    ended_outages: Cell<u64>,
-    /// Wakes tasks that wait for responses to calls that were lost in a store outage.
+    store_era: RefCell<StoreEra>,
+    /// Number of store outages that have ended, and of restores.
+    store_interruptions: Cell<u64>,
+    /// Wakes tasks whose calls were lost in an interruption of the store, or build on what they
+    /// read before it.
     store_recovered: Notify,
     pub(super) peers: RefCell<Peers>,
     /// Wakes the tasks that send load updates.
@@ -79,7 +82,8 @@
             metrics,
             is_registry_loaded: Cell::new(false),
             drain_started_at: Cell::new(None),
-            ended_outages: Cell::new(0),
+            store_era: RefCell::default(),
+            store_interruptions: Cell::new(0),
             store_recovered: Notify::new(),
             peers: RefCell::default(),
             work_changed: watch::Sender::default(),
@@ -161,20 +165,52 @@
         }
     }
 
-    /// Records that a store outage has ended.
-    pub(super) fn record_outage_end(&self) {
-        self.ended_outages.set(self.ended_outages.get() + 1);
+    /// Waits for the result of a call to the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Restored`] instead of the result if the store was restored from an
+    /// older copy since the call was sent, or if the response is the first one that shows it.
+    pub(super) async fn call_store<T>(
+        &self,
+        call: impl Future<Output = StoreResponse<T>>,
+    ) -> Result<T, StoreError> {
+        let sent_after = self.store_era.borrow().restores();
+        let StoreResponse { era, result } = call.await;
+        let response_era = self.store_era.borrow_mut().observe(sent_after, era);
+        match response_era {
+            ResponseEra::Current => result,
+            ResponseEra::Superseded => Err(StoreError::Restored),
+            ResponseEra::New => {
+                log::warn!(era:? = era; "store was restored from an older copy; reading it again");
+                self.metrics.count("store.restores", 1);
+                self.record_interruption();
+                Err(StoreError::Restored)
+            }
+        }
+    }
+
+    /// Records that a store outage has ended or that the store was restored from an older copy:
+    /// registrations may be missing for a while, and everything has to be read again.
+    pub(super) fn record_interruption(&self) {
+        let now = self.now();
+        let mut registry = self.registry.borrow_mut();
+        registry.source_lost();
+        registry.source_restored(now);
+        drop(registry);
+        let interruptions = self.store_interruptions.get();
+        self.store_interruptions.set(interruptions + 1);
         self.store_recovered.notify_waiters();
     }
 
-    /// Returns the number of store outages that have ended.
-    pub(super) fn ended_outages(&self) -> u64 {
-        self.ended_outages.get()
+    /// Returns the number of store outages that have ended, and of restores.
+    pub(super) fn store_interruptions(&self) -> u64 {
+        self.store_interruptions.get()
     }
 
-    /// Waits until the number of store outages that have ended differs from `known`.
-    pub(super) async fn wait_for_outage_end(&self, known: u64) {
-        while self.ended_outages.get() == known {
+    /// Waits until the number of interruptions of the store differs from `known`.
+    pub(super) async fn wait_for_interruption(&self, known: u64) {
+        while self.store_interruptions.get() == known {
             self.store_recovered.notified().await;
         }
     }
--- a/lib/src/gateway/store.rs
+++ b/lib/src/gateway/store.rs
@@ -1,18 +1,18 @@
+use std::time::Duration;
+
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use ragwortgrade_schema::Name;
-use std::time::Duration;
 
 use super::FetchError;
 
+/// Call to the store in progress.
+pub type StoreFuture<'a, T> = LocalBoxFuture<'a, StoreResponse<T>>;
+
 /// Key-value store of the configuration and the registrations.
 pub trait Store: std::fmt::Debug {
     /// Lists a page of the keys that begin with `prefix`, after the key `after`.
-    fn list<'a>(
-        &'a self,
-        prefix: &'a str,
-        after: Option<&'a str>,
-    ) -> LocalBoxFuture<'a, Result<Page, StoreError>>;
+    fn list<'a>(&'a self, prefix: &'a str, after: Option<&'a str>) -> StoreFuture<'a, Page>;
 
     /// Waits up to `wait` for changes below `prefix` that are newer than `revision`.
     fn watch<'a>(
@@ -20,28 +20,40 @@
         prefix: &'a str,
         revision: u64,
         wait: Duration,
-    ) -> LocalBoxFuture<'a, Result<Updates, StoreError>>;
+    ) -> StoreFuture<'a, Updates>;
 
     /// Grants a lease that expires after `ttl` unless it is renewed.
-    fn grant(&self, ttl: Duration) -> LocalBoxFuture<'_, Result<LeaseId, StoreError>>;
+    fn grant(&self, ttl: Duration) -> StoreFuture<'_, LeaseId>;
 
     /// Renews a lease within `timeout`.
-    fn renew(
-        &self,
-        lease: LeaseId,
-        timeout: Duration,
-    ) -> LocalBoxFuture<'_, Result<(), StoreError>>;
+    fn renew(&self, lease: LeaseId, timeout: Duration) -> StoreFuture<'_, ()>;
 
     /// Revokes a lease, which removes its keys.
-    fn revoke(&self, lease: LeaseId) -> LocalBoxFuture<'_, Result<(), StoreError>>;
+    fn revoke(&self, lease: LeaseId) -> StoreFuture<'_, ()>;
 
     /// Writes a key that is removed when the lease ends.
-    fn put<'a>(
-        &'a self,
-        key: &'a str,
-        value: &'a [u8],
-        lease: LeaseId,
-    ) -> LocalBoxFuture<'a, Result<(), StoreError>>;
+    fn put<'a>(&'a self, key: &'a str, value: &'a [u8], lease: LeaseId) -> StoreFuture<'a, ()>;
+}
+
+/// Response of the store to a call, or why there is none.
+#[derive(Debug)]
+pub struct StoreResponse<T> {
+    /// Number that the store names in all responses and that changes when it is restored from an
+    /// older copy; `None` if there is no response or it names none.
+    pub era: Option<u64>,
+    /// Result of the call.
+    pub result: Result<T, StoreError>,
+}
+
+impl<T> StoreResponse<T> {
+    /// Converts the value of a successful response.
+    #[must_use]
+    pub fn and_then<U>(self, convert: impl FnOnce(T) -> Result<U, StoreError>) -> StoreResponse<U> {
+        StoreResponse {
+            era: self.era,
+            result: self.result.and_then(convert),
+        }
+    }
 }
 
 /// ID of a lease in the store.
@@ -94,6 +106,10 @@
     /// The history after the requested revision has been discarded.
     #[error("history after the revision is no longer available")]
     Compacted,
+    /// The store was restored from an older copy since the state on which the call builds was
+    /// read.
+    #[error("store was restored from an older copy")]
+    Restored,
     /// The lease has expired or was revoked.
     #[error("lease has expired or was revoked")]
     LeaseNotFound,
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -5,7 +5,7 @@
 use ragwortgrade_schema::Name;
 
 use super::shared::Shared;
-use super::{Item, Store, StoreError, Update, Updates};
+use super::{Item, StoreError, Update, Updates};
 
 /// Maximum wait of one watch, which costs one call however long it waits.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
@@ -32,22 +32,20 @@
 /// Watches the operators' configuration until the task is aborted.
 pub(super) async fn watch_catalog(shared: Rc<Shared>) {
     let key = shared.options.documents.catalog_key();
-    let store = Rc::clone(&shared.options.store);
     let handler = CatalogHandler {
         shared: Rc::clone(&shared),
     };
-    list_and_watch(&shared, &*store, key, Duration::ZERO, &handler).await;
+    list_and_watch(&shared, key, Duration::ZERO, &handler).await;
 }
 
 /// Watches the endpoints' registrations until the task is aborted.
 pub(super) async fn watch_endpoints(shared: Rc<Shared>) {
     let prefix = shared.options.documents.endpoints_prefix();
-    let store = Rc::clone(&shared.options.store);
     let interval = shared.options.registration_read_interval;
     let handler = EndpointHandler {
         shared: Rc::clone(&shared),
     };
-    list_and_watch(&shared, &*store, prefix, interval, &handler).await;
+    list_and_watch(&shared, prefix, interval, &handler).await;
 }
 
 /// Removes endpoints whose registration expired during a store outage and was not renewed after it.
@@ -66,33 +64,35 @@
 }
 
 /// Lists the items below `prefix`, then watches them until the task is aborted, with a pause of
-/// `interval` between calls. After an error or a store outage the items are listed again.
+/// `interval` between calls. After an error, a store outage or a restore of the store from an older
+/// copy the items are listed again.
 pub(super) async fn list_and_watch(
     shared: &Shared,
-    store: &dyn Store,
     prefix: &str,
     interval: Duration,
     handler: &dyn WatchHandler,
 ) {
     let mut revision = None;
     let mut failures: u32 = 0;
-    let mut ended_outages = shared.ended_outages();
+    let mut interruptions = shared.store_interruptions();
     loop {
         let call = async {
             match revision {
-                None => list(store, prefix, handler).await,
-                Some(revision) => watch(store, prefix, revision, handler).await,
+                None => list(shared, prefix, handler).await,
+                Some(revision) => watch(shared, prefix, revision, handler).await,
             }
         };
         let result = tokio::select! {
-            result = call => result,
-            // Calls sent during an outage never get a response, so the pending one is dropped.
-            () = shared.wait_for_outage_end(ended_outages) => {
-                ended_outages = shared.ended_outages();
+            biased;
+            // Calls sent during an outage never get a response, and those sent before a restore may
+            // miss changes, so the pending one is dropped.
+            () = shared.wait_for_interruption(interruptions) => {
+                interruptions = shared.store_interruptions();
                 failures = 0;
                 revision = None;
                 continue;
             }
+            result = call => result,
         };
         match result {
             Ok(new_revision) => {
@@ -102,7 +102,15 @@
                 }
                 failures = 0;
                 revision = Some(new_revision);
-                tokio::time::sleep(interval).await;
+                tokio::select! {
+                    () = tokio::time::sleep(interval) => {}
+                    () = shared.wait_for_interruption(interruptions) => {}
+                }
+            }
+            Err(StoreError::Restored) => {
+                revision = None;
+                // Bounds the rate of calls to a store whose replicas name different eras.
+                tokio::time::sleep(RETRY_DELAY_BASE).await;
             }
             Err(StoreError::Compacted) => {
                 log::info!(
@@ -127,7 +135,7 @@
 
 /// Lists all items below the prefix for the handler; returns the revision from which to watch.
 async fn list(
-    store: &dyn Store,
+    shared: &Shared,
     prefix: &str,
     handler: &dyn WatchHandler,
 ) -> Result<u64, StoreError> {
@@ -135,7 +143,8 @@
     let mut first_revision = None;
     let mut after: Option<Name> = None;
     loop {
-        let page = store.list(prefix, after.as_deref()).await?;
+        let call = shared.options.store.list(prefix, after.as_deref());
+        let page = shared.call_store(call).await?;
         // The pages are not a snapshot: the watch delivers what changed after the first one.
         first_revision.get_or_insert(page.revision);
         after = page.items.last().map(|item| item.key.clone());
@@ -149,12 +158,13 @@
 }
 
 async fn watch(
-    store: &dyn Store,
+    shared: &Shared,
     prefix: &str,
     revision: u64,
     handler: &dyn WatchHandler,
 ) -> Result<u64, StoreError> {
-    let Updates { updates, revision } = store.watch(prefix, revision, WATCH_TIMEOUT).await?;
+    let call = shared.options.store.watch(prefix, revision, WATCH_TIMEOUT);
+    let Updates { updates, revision } = shared.call_store(call).await?;
     for update in updates {
         handler.on_update(update);
     }
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -1,11 +1,10 @@
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
-use super::{Request, Response, Worker};
+use super::{Request, Response, StoreCopy, Worker};
 
 /// In-memory stand-in for the key-value service of the users' platform.
 #[derive(Debug)]
@@ -22,24 +21,16 @@
 
 #[derive(Debug, Default)]
 struct State {
-    revision: u64,
-    items: BTreeMap<String, Item>,
-    /// Changes in order: revision, key, and the new value, or `None` for a removal.
-    history: Vec<(u64, String, Option<String>)>,
+    data: StoreCopy,
+    /// Rises each time that the data is replaced by an older copy; named in every response.
+    era: u64,
     /// Revision up to which the history is discarded; a watch after an older one gets status 410.
     compacted_revision: u64,
-    last_lease: u64,
     is_silent: bool,
     /// Path whose calls get no response even when `is_silent` is false.
     unanswered_path: Option<String>,
 }
 
-#[derive(Clone, Debug)]
-struct Item {
-    value: String,
-    revision: u64,
-}
-
 impl Store {
     /// Listens on a free loopback port.
     ///
@@ -49,7 +40,8 @@
     #[must_use]
     pub fn bind() -> Self {
         let shared = Arc::new(Shared::default());
-        shared.lock().revision = 1;
+        shared.lock().era = 1;
+        shared.lock().data = StoreCopy::empty();
         let handler = Arc::clone(&shared);
         let server = Worker::bind(move |request| handler.handle(request));
         Self { server, shared }
@@ -63,20 +55,35 @@
 
     /// Writes a value that is already encoded as the service stores it.
     pub fn write(&self, key: &str, encoded: &str) {
-        self.shared.lock().write(key, encoded);
+        self.shared.lock().data.write(key, encoded, 0);
         self.shared.changed.notify_all();
     }
 
     /// Removes a key.
     pub fn remove(&self, key: &str) {
-        self.shared.lock().remove(key);
+        self.shared.lock().data.remove(key);
+        self.shared.changed.notify_all();
+    }
+
+    /// Returns a copy of the current data.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        self.shared.lock().data.clone()
+    }
+
+    /// Replaces the data by an older copy: later changes and leases are gone, and their revisions
+    /// and lease numbers are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.shared.lock();
+        state.data = copy;
+        state.era += 1;
         self.shared.changed.notify_all();
     }
 
     /// Discards the history up to the current revision.
     pub fn compact(&self) {
         let mut state = self.shared.lock();
-        state.compacted_revision = state.revision;
+        state.compacted_revision = state.data.revision();
     }
 
     /// Sets whether new calls get no response. Calls that arrived during the silence never get one.
@@ -92,9 +99,7 @@
     /// Returns the keys that start with a prefix.
     #[must_use]
     pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let state = self.shared.lock();
-        let keys = state.items.keys().filter(|key| key.starts_with(prefix));
-        keys.cloned().collect()
+        self.shared.lock().data.keys(prefix)
     }
 }
 
@@ -114,99 +119,82 @@
                 return Response::NoResponse;
             }
         }
-        match path {
-            "/api/kv-range" => self.lock().range(parameter(query, "prefix")),
+        let (status, body) = match path {
+            "/api/kv-range" => (200, self.lock().data.range(parameter(query, "prefix"))),
             "/api/kv-watch" => self.watch(query),
             "/api/kv-txn" => self.transaction(&request.body),
-            "/api/kv-lease" => {
-                let mut state = self.lock();
-                state.last_lease += 1;
-                success(&json!({ "lease": state.last_lease, "ttlMs": 10_000 }))
-            }
-            _ if path.starts_with("/api/kv-keep/") => success(&json!({ "ttlMs": 10_000 })),
-            _ if path.starts_with("/api/kv-lease-end/") => success(&json!({})),
-            _ => Response::complete(404, &[], "{}"),
-        }
+            "/api/kv-lease" => (200, self.lock().data.grant_lease()),
+            _ => self.lease_call(path),
+        };
+        let era = self.lock().era.to_string();
+        Response::complete(status, &[("Store-Era", &era)], &body.to_string())
     }
 
-    fn watch(&self, query: &str) -> Response {
+    fn watch(&self, query: &str) -> (u16, Value) {
         let prefix = parameter(query, "prefix");
         let after = parameter(query, "after").parse().unwrap_or_default();
         let wait_ms = parameter(query, "waitMs").parse().unwrap_or_default();
         let end = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.lock();
         loop {
-            if after < state.compacted_revision {
-                return Response::complete(410, &[], "{}");
+            if after < state.compacted_revision || after > state.data.revision() {
+                return (410, json!({}));
             }
-            let events = state.events(prefix, after);
+            let events = state.data.events(prefix, after);
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                let revision = state.revision;
-                return success(&json!({ "events": events, "storeRevision": revision }));
+                let revision = state.data.revision();
+                return (200, json!({ "events": events, "storeRevision": revision }));
             }
             let waited = self.changed.wait_timeout(state, left);
             state = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
     }
 
-    fn transaction(&self, body: &[u8]) -> Response {
+    fn transaction(&self, body: &[u8]) -> (u16, Value) {
         let call: Value = serde_json::from_slice(body).unwrap_or_default();
         let mut state = self.lock();
-        for put in call["puts"].as_array().into_iter().flatten() {
+        let entries = |name: &str| call[name].as_array().cloned().unwrap_or_default();
+        let puts = entries("puts");
+        let lease = |put: &Value| put["lease"].as_u64().unwrap_or_default();
+        let is_known = |lease| lease == 0 || state.data.has_lease(lease);
+        if !puts.iter().all(|put| is_known(lease(put))) {
+            return (404, json!({}));
+        }
+        for put in &puts {
             let key = put["key"].as_str().unwrap_or_default();
-            state.write(key, put["value"].as_str().unwrap_or_default());
+            let value = put["value"].as_str().unwrap_or_default();
+            state.data.write(key, value, lease(put));
+        }
+        for key in entries("remove") {
+            state.data.remove(key.as_str().unwrap_or_default());
         }
         self.changed.notify_all();
-        let revision = state.revision;
-        success(&json!({ "revision": revision }))
+        (200, json!({ "revision": state.data.revision() }))
     }
-}
 
-impl State {
-    fn write(&mut self, key: &str, value: &str) {
-        self.revision += 1;
-        let item = Item {
-            value: value.to_owned(),
-            revision: self.revision,
+    /// Renews or ends a lease.
+    fn lease_call(&self, path: &str) -> (u16, Value) {
+        let mut state = self.lock();
+        let Some((call, lease)) = path.rsplit_once('/') else {
+            return (404, json!({}));
         };
-        self.items.insert(key.to_owned(), item);
-        let change = (self.revision, key.to_owned(), Some(value.to_owned()));
-        self.history.push(change);
-    }
-
-    fn remove(&mut self, key: &str) {
-        self.revision += 1;
-        self.items.remove(key);
-        self.history.push((self.revision, key.to_owned(), None));
-    }
-
-    fn range(&self, prefix: &str) -> Response {
-        let items = self.items.iter().filter(|(key, _)| key.starts_with(prefix));
-        let items: Vec<Value> = items
-            .map(
-                |(key, item)| json!({ "key": key, "value": item.value, "revision": item.revision }),
-            )
-            .collect();
-        success(&json!({ "items": items, "morePages": false, "storeRevision": self.revision }))
-    }
-
-    fn events(&self, prefix: &str, after: u64) -> Vec<Value> {
-        let changes = self.history.iter();
-        let changes = changes.filter(|(at, key, _)| *at > after && key.starts_with(prefix));
-        changes
-            .map(|(at, key, value)| match value {
-                Some(value) => json!({ "key": key, "value": value, "revision": at }),
-                None => json!({ "key": key, "revision": at, "removed": true }),
-            })
-            .collect()
+        let lease = lease.parse().unwrap_or_default();
+        if !state.data.has_lease(lease) {
+            return (404, json!({}));
+        }
+        match call {
+            "/api/kv-keep" => (200, json!({ "ttlMs": 10_000 })),
+            "/api/kv-lease-end" => {
+                state.data.end_lease(lease);
+                self.changed.notify_all();
+                (200, json!({}))
+            }
+            _ => (404, json!({})),
+        }
     }
 }
 
-fn success(body: &Value) -> Response {
-    Response::complete(200, &[], &body.to_string())
-}
-
 fn parameter<'a>(query: &'a str, name: &str) -> &'a str {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let mut found = pairs.filter(|(key, _)| *key == name);
--- /dev/null
+++ b/standins/src/site/store_copy.rs
@@ -0,0 +1,99 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde_json::{Value, json};
+
+/// Data of a [`Store`](super::Store) at one time.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    /// Changes in order: revision, key, and the new value, or `None` for a removal.
+    history: Vec<(u64, String, Option<String>)>,
+    last_lease: u64,
+    leases: BTreeSet<u64>,
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    value: String,
+    revision: u64,
+    /// Lease with which the item ends; 0 if it has none.
+    lease: u64,
+}
+
+impl StoreCopy {
+    pub(super) fn empty() -> Self {
+        Self {
+            revision: 1,
+            ..Self::default()
+        }
+    }
+
+    pub(super) const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub(super) fn keys(&self, prefix: &str) -> Vec<String> {
+        let keys = self.items.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
+    pub(super) fn has_lease(&self, lease: u64) -> bool {
+        self.leases.contains(&lease)
+    }
+
+    pub(super) fn write(&mut self, key: &str, value: &str, lease: u64) {
+        self.revision += 1;
+        let item = Item {
+            value: value.to_owned(),
+            revision: self.revision,
+            lease,
+        };
+        self.items.insert(key.to_owned(), item);
+        let change = (self.revision, key.to_owned(), Some(value.to_owned()));
+        self.history.push(change);
+    }
+
+    pub(super) fn remove(&mut self, key: &str) {
+        self.revision += 1;
+        self.items.remove(key);
+        self.history.push((self.revision, key.to_owned(), None));
+    }
+
+    pub(super) fn grant_lease(&mut self) -> Value {
+        self.last_lease += 1;
+        self.leases.insert(self.last_lease);
+        json!({ "lease": self.last_lease, "ttlMs": 10_000 })
+    }
+
+    pub(super) fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let items = self.items.iter();
+        let ended = items.filter(|(_, item)| item.lease == lease);
+        let ended: Vec<String> = ended.map(|(key, _)| key.clone()).collect();
+        for key in ended {
+            self.remove(&key);
+        }
+    }
+
+    pub(super) fn range(&self, prefix: &str) -> Value {
+        let items = self.items.iter().filter(|(key, _)| key.starts_with(prefix));
+        let items: Vec<Value> = items
+            .map(
+                |(key, item)| json!({ "key": key, "value": item.value, "revision": item.revision }),
+            )
+            .collect();
+        json!({ "items": items, "morePages": false, "storeRevision": self.revision })
+    }
+
+    pub(super) fn events(&self, prefix: &str, after: u64) -> Vec<Value> {
+        let changes = self.history.iter();
+        let changes = changes.filter(|(at, key, _)| *at > after && key.starts_with(prefix));
+        changes
+            .map(|(at, key, value)| match value {
+                Some(value) => json!({ "key": key, "value": value, "revision": at }),
+                None => json!({ "key": key, "revision": at, "removed": true }),
+            })
+            .collect()
+    }
+}
