policy registry: remember what left when the store is restored

Cause: the registry held only the latest registration. A listing replaced it, whatever had been known, and a process that starts late or was replaced under its identity was dropped at once or taken back to its predecessor.

Leaving is final for a process: only a later start, or a new registration after the end of the one before where the start is unknown, clears it. A registration that had ended and that an older copy lists again is used only once it is written again or still there after 10 s, in which that of a stopped endpoint ends. A listed earlier process does not replace a later one. Changes in a listing are logged.

--- a/lib/src/gateway/registration.rs
+++ b/lib/src/gateway/registration.rs
@@ -91,7 +91,7 @@
         }
         self.is_active = false;
         log::info!("store outage ended");
-        self.shared.record_interruption();
+        self.shared.record_outage_end();
     }
 
     /// Returns the time until the next renewal or registration.
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -183,21 +183,27 @@
             ResponseEra::Superseded => Err(StoreError::Restored),
             ResponseEra::New => {
                 log::warn!(era:? = era; "store was restored from an older copy; reading it again");
-                self.metrics.count("store.restores", 1);
-                self.record_interruption();
+                self.record_restore();
                 Err(StoreError::Restored)
             }
         }
     }
 
-    /// Records that a store outage has ended or that the store was restored from an older copy:
-    /// registrations may be missing for a while, and everything has to be read again.
-    pub(super) fn record_interruption(&self) {
+    /// Records that a store outage has ended.
+    pub(super) fn record_outage_end(&self) {
         let now = self.now();
-        let mut registry = self.registry.borrow_mut();
-        registry.source_lost();
-        registry.source_restored(now);
-        drop(registry);
+        self.registry.borrow_mut().source_restored(now);
+        self.record_interruption();
+    }
+
+    fn record_restore(&self) {
+        let now = self.now();
+        self.registry.borrow_mut().source_rolled_back(now);
+        self.metrics.count("store.restores", 1);
+        self.record_interruption();
+    }
+
+    fn record_interruption(&self) {
         let interruptions = self.store_interruptions.get();
         self.store_interruptions.set(interruptions + 1);
         self.store_recovered.notify_waiters();
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -48,7 +48,8 @@
     list_and_watch(&shared, prefix, interval, &handler).await;
 }
 
-/// Removes endpoints whose registration expired during a store outage and was not renewed after it.
+/// Removes endpoints whose registration expired during a store outage and was not renewed after it,
+/// and takes those into use again that a restored store still lists.
 pub(super) async fn expire_endpoints(shared: Rc<Shared>) {
     loop {
         tokio::time::sleep(EXPIRY_CHECK_INTERVAL).await;
@@ -60,6 +61,10 @@
                 "registration expired during a store outage and was not renewed"
             );
         }
+        let confirmed = shared.registry.borrow_mut().confirm(now);
+        for id in confirmed {
+            log::info!(endpoint:% = id; "endpoint is still registered in the restored store; used");
+        }
     }
 }
 
@@ -282,7 +287,11 @@
         if !registry.apply(change, now) {
             return;
         }
-        log::info!(endpoint:% = id, change = change_text; "registration changed");
+        let is_usable = registry.is_usable(&id);
+        log::info!(
+            endpoint:% = id, change = change_text, is_usable = is_usable;
+            "registration changed"
+        );
         let is_restarted = previous_started_ms.is_some()
             && registry.get(&id).map(|endpoint| endpoint.started_ms) != previous_started_ms;
         drop(registry);
@@ -308,8 +317,12 @@
             .collect();
         log::info!(items = items.len(), endpoints = endpoints.len(); "registrations listed");
         let now = self.shared.now();
-        self.shared.registry.borrow_mut().replace(endpoints, now);
-        self.shared.is_registry_loaded.set(true);
+        let changes = self.shared.registry.borrow_mut().replace(endpoints, now);
+        if self.shared.is_registry_loaded.replace(true) {
+            for change in changes {
+                log::info!(change:? = change; "registration changed in a listing");
+            }
+        }
         self.evict_unregistered();
     }
 
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -12,6 +12,7 @@
 mod admission;
 mod affinity;
 mod catalog;
+mod departures;
 mod endpoint;
 mod engine_load;
 mod engines;
--- a/policy/src/gateway/registry.rs
+++ b/policy/src/gateway/registry.rs
@@ -3,6 +3,7 @@
 
 use ragwortgrade_schema::Name;
 
+use super::departures::{Departures, Standing};
 use super::{Endpoint, EndpointState};
 use crate::Instant;
 
@@ -10,6 +11,9 @@
 /// documents "about two seconds". A daemon that was cut off itself must notice leaving endpoints
 /// within 3 s of its return.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2_100);
+/// Time after a rollback of the source in which the registration of a stopped endpoint, which the
+/// older copy has, ends: several heartbeats of endpoints.
+const OLD_REGISTRATION_TIME: Duration = Duration::from_secs(10);
 
 /// A change of one registration.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,19 +30,41 @@
 ///
 /// The source is the service that lists the registrations. A registration that lapses while the
 /// source is unavailable does not show that the endpoint stopped, so an endpoint that was not
-/// draining is retained until it has had time to register again.
+/// draining is retained until it has had time to register again. Nor does a registration in an
+/// older copy, to which the source was rolled back, show that an endpoint has returned.
 #[derive(Debug, Default)]
 pub struct Registry {
     endpoints: HashMap<Name, Entry>,
+    departures: Departures,
     is_source_lost: bool,
     source_restored: Option<Instant>,
+    source_rolled_back: Option<Instant>,
 }
 
 #[derive(Debug)]
 struct Entry {
     endpoint: Endpoint,
-    /// Whether the registration lapsed during or shortly after an outage of the source.
-    is_lapsed: bool,
+    status: Status,
+}
+
+/// What is known of a registration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Status {
+    /// It was written or listed last.
+    Registered,
+    /// It lapsed during or shortly after an outage of the source.
+    Lapsed,
+    /// It had ended, and an older copy lists it again.
+    Unconfirmed,
+}
+
+/// Where a registration was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// It was written since the last listing.
+    Written,
+    /// It stands in a listing and may be old.
+    Listed,
 }
 
 impl Registry {
@@ -46,8 +72,14 @@
     pub fn usable(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints
             .values()
+            .filter(|entry| entry.is_usable())
             .map(|entry| &entry.endpoint)
-            .filter(|endpoint| endpoint.state == EndpointState::Ready)
+    }
+
+    /// Returns whether an endpoint accepts new work.
+    #[must_use]
+    pub fn is_usable(&self, id: &Name) -> bool {
+        self.endpoints.get(id).is_some_and(Entry::is_usable)
     }
 
     /// Returns an endpoint by identity, whatever its state.
@@ -68,39 +100,43 @@
         self.endpoints.is_empty()
     }
 
+    /// Returns the number of endpoints that are remembered as leaving or gone.
+    #[must_use]
+    pub fn departures_len(&self) -> usize {
+        self.departures.len()
+    }
+
     /// Applies a change and returns whether it affects placement.
     pub fn apply(&mut self, change: Change, now: Instant) -> bool {
         match change {
-            Change::Put(endpoint) => {
-                let id = endpoint.id.clone();
-                let is_changed = self
-                    .get(&id)
-                    .is_none_or(|known| !is_equivalent(known, &endpoint));
-                let entry = Entry {
-                    endpoint,
-                    is_lapsed: false,
-                };
-                self.endpoints.insert(id, entry);
-                is_changed
-            }
+            Change::Put(endpoint) => self.put(endpoint, Origin::Written, now),
             Change::Removed(id) | Change::Unreadable(id) => self.remove(&id, now),
         }
     }
 
-    /// Replaces all registrations by a complete listing.
-    pub fn replace(&mut self, listed: Vec<Endpoint>, now: Instant) {
-        let missing: Vec<Name> = self
-            .endpoints
-            .keys()
-            .filter(|id| !listed.iter().any(|endpoint| endpoint.id == **id))
-            .cloned()
+    /// Replaces all registrations by a complete listing. Returns the changes that affect placement.
+    pub fn replace(&mut self, listed: Vec<Endpoint>, now: Instant) -> Vec<Change> {
+        let is_copy = self.may_list_old_copy(now);
+        let current: Vec<Endpoint> = listed
+            .into_iter()
+            .filter(|endpoint| !is_copy || !self.knows_later_start(endpoint))
             .collect();
+        let missing = self.endpoints.keys();
+        let missing = missing.filter(|id| !current.iter().any(|endpoint| endpoint.id == **id));
+        let missing: Vec<Name> = missing.cloned().collect();
+        let mut changes = Vec::new();
         for id in missing {
-            self.remove(&id, now);
+            if self.remove(&id, now) {
+                changes.push(Change::Removed(id));
+            }
         }
-        for endpoint in listed {
-            self.apply(Change::Put(endpoint), now);
+        for endpoint in current {
+            let id = endpoint.id.clone();
+            if self.put(endpoint, Origin::Listed, now) {
+                changes.extend(self.get(&id).cloned().map(Change::Put));
+            }
         }
+        changes
     }
 
     /// Records that the source does not answer.
@@ -116,31 +152,98 @@
         }
     }
 
+    /// Records that the source was rolled back to an older copy of the registrations, which those
+    /// that were written since are missing in.
+    pub fn source_rolled_back(&mut self, now: Instant) {
+        self.is_source_lost = false;
+        self.source_restored = Some(now);
+        self.source_rolled_back = Some(now);
+    }
+
     /// Removes and returns lapsed endpoints that have not registered again in time.
     pub fn expire(&mut self, now: Instant) -> Vec<Name> {
+        let endpoints = &self.endpoints;
+        self.departures.expire(now, |id| endpoints.contains_key(id));
         if self.is_source_unreliable(now) {
             return Vec::new();
         }
-        let expired: Vec<Name> = self
-            .endpoints
-            .iter()
-            .filter(|(_, entry)| entry.is_lapsed)
-            .map(|(id, _)| id.clone())
-            .collect();
+        let expired = self.with_status(Status::Lapsed);
         for id in &expired {
-            self.endpoints.remove(id);
+            self.end(id, now);
         }
         expired
     }
 
+    /// Returns the endpoints that an older copy has listed again and that are still registered after
+    /// the time in which the registration of a stopped one ends; they are usable from now on.
+    pub fn confirm(&mut self, now: Instant) -> Vec<Name> {
+        if self.may_list_old_copy(now) {
+            return Vec::new();
+        }
+        let confirmed = self.with_status(Status::Unconfirmed);
+        for id in &confirmed {
+            if let Some(entry) = self.endpoints.get_mut(id) {
+                entry.status = Status::Registered;
+                self.departures.record_registration(&entry.endpoint);
+            }
+        }
+        confirmed
+    }
+
+    fn put(&mut self, mut endpoint: Endpoint, origin: Origin, now: Instant) -> bool {
+        let is_copy = origin == Origin::Listed && self.may_list_old_copy(now);
+        if !is_copy {
+            self.departures.record_registration(&endpoint);
+        }
+        let mut status = Status::Registered;
+        match self.departures.standing(&endpoint) {
+            Standing::Present => {}
+            Standing::Leaving => endpoint.state = EndpointState::Draining,
+            Standing::Ended => status = Status::Unconfirmed,
+        }
+        if endpoint.state == EndpointState::Draining {
+            self.departures.announce(&endpoint, now);
+        }
+        let id = endpoint.id.clone();
+        let entry = Entry { endpoint, status };
+        let known = self.endpoints.get(&id);
+        let is_changed = known.is_none_or(|known| !known.is_equivalent(&entry));
+        self.endpoints.insert(id, entry);
+        is_changed
+    }
+
     fn remove(&mut self, id: &Name, now: Instant) -> bool {
         let is_unreliable = self.is_source_unreliable(now);
         match self.endpoints.get_mut(id) {
-            Some(entry) if is_unreliable && entry.endpoint.state == EndpointState::Ready => {
-                entry.is_lapsed = true;
+            Some(entry) if is_unreliable && entry.is_usable() => {
+                entry.status = Status::Lapsed;
                 false
             }
-            _ => self.endpoints.remove(id).is_some(),
+            _ => self.end(id, now),
+        }
+    }
+
+    /// Removes an endpoint, whose registration has ended; returns whether it was known.
+    fn end(&mut self, id: &Name, now: Instant) -> bool {
+        let Some(entry) = self.endpoints.remove(id) else {
+            return false;
+        };
+        self.departures.record_end(&entry.endpoint, now);
+        true
+    }
+
+    fn with_status(&self, status: Status) -> Vec<Name> {
+        let entries = self.endpoints.iter();
+        let matching = entries.filter(|(_, entry)| entry.status == status);
+        matching.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns whether a later start of the endpoint is known than its registration says.
+    fn knows_later_start(&self, endpoint: &Endpoint) -> bool {
+        let known = self.get(&endpoint.id).and_then(|known| known.started_ms);
+        match (known, endpoint.started_ms) {
+            (Some(known), Some(listed)) => known > listed,
+            _ => false,
         }
     }
 
@@ -152,13 +255,28 @@
                 .source_restored
                 .is_some_and(|restored_at| now.since(restored_at) < REREGISTRATION_TIME)
     }
+
+    /// Returns whether a listing may contain registrations of endpoints that have stopped since an
+    /// older copy was made.
+    fn may_list_old_copy(&self, now: Instant) -> bool {
+        self.source_rolled_back
+            .is_some_and(|rolled_back_at| now.since(rolled_back_at) < OLD_REGISTRATION_TIME)
+    }
 }
 
-/// Returns whether two registrations are equivalent for placement.
-fn is_equivalent(old: &Endpoint, new: &Endpoint) -> bool {
-    old.service == new.service
-        && old.address == new.address
-        && old.state == new.state
-        && old.stage == new.stage
-        && old.started_ms == new.started_ms
+impl Entry {
+    fn is_usable(&self) -> bool {
+        self.endpoint.state == EndpointState::Ready && self.status != Status::Unconfirmed
+    }
+
+    /// Returns whether two registrations are equivalent for placement.
+    fn is_equivalent(&self, new: &Self) -> bool {
+        let (old_endpoint, new_endpoint) = (&self.endpoint, &new.endpoint);
+        self.is_usable() == new.is_usable()
+            && old_endpoint.service == new_endpoint.service
+            && old_endpoint.address == new_endpoint.address
+            && old_endpoint.state == new_endpoint.state
+            && old_endpoint.stage == new_endpoint.stage
+            && old_endpoint.started_ms == new_endpoint.started_ms
+    }
 }
