gateway: neither renew nor end a lease of a store that was restored

A restored store grants the numbers of lost leases anew, to any daemon. A daemon that learned of the restore from a watch went on to renew its number: it kept another daemon's lease alive and was itself no longer registered, so that it got no load updates. A daemon that drained ended the lease, and with it the registration of the other.

Change: a daemon registers again once the number of restores differs from that before its lease was granted. A drain removes the daemon's own key instead of ending the lease, which then expires, and renewals stop with it.

Evidence, on the code before: lease_granted_anew_is_not_renewed (timed out waiting for the registration) and lease_granted_anew_is_not_ended (the other key is gone) fail; drained_daemon_is_no_longer_registered guards the drain.

--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -196,17 +196,7 @@
     let started_at = Instant::now();
     shared.drain_started_at.set(Some(shared.now()));
     log::info!(requests = shared.callers.requests_in_flight(); "drain started");
-    if let Some(lease) = shared.registration_lease.take() {
-        let store = Rc::clone(&shared.options.store);
-        tokio::task::spawn_local(async move {
-            if let Err(error) = store.revoke(lease).await.result {
-                log::info!(
-                    error:% = error;
-                    "registration lease could not be revoked; it expires after its TTL"
-                );
-            }
-        });
-    }
+    tokio::task::spawn_local(registration::unregister(Rc::clone(shared)));
     tokio::select! {
         () = callers.as_mut() => {}
         () = tokio::time::sleep(DRAIN_ACCEPT_TIME) => {}
--- a/lib/src/gateway/registration.rs
+++ b/lib/src/gateway/registration.rs
@@ -21,7 +21,7 @@
 
 /// Keeps this daemon registered until it drains, and detects store outages.
 pub(super) async fn register(shared: Rc<Shared>, address: SocketAddr) {
-    let key = format!("{REGISTRATION_PREFIX}{}", shared.options.name);
+    let key = key(&shared);
     let registration = Registration {
         address,
         data_centre: shared.options.data_centre.clone(),
@@ -32,18 +32,46 @@
         is_active: false,
     };
     while !shared.is_draining() {
-        if let Err(error) = keep_registered(&shared, &key, &value, &mut outage).await {
-            log::info!(error:% = error; "registration failed or ended");
-            if !matches!(error, StoreError::LeaseNotFound | StoreError::Restored) {
+        let Err(error) = keep_registered(&shared, &key, &value, &mut outage).await else {
+            return;
+        };
+        log::info!(error:% = error; "registration failed or ended");
+        let delay = match error {
+            StoreError::Restored => PROBE_INTERVAL,
+            StoreError::LeaseNotFound => outage.interval(),
+            _ => {
                 outage.record_failure(&error);
+                outage.interval()
             }
-        }
-        tokio::time::sleep(outage.interval()).await;
+        };
+        tokio::time::sleep(delay).await;
     }
 }
 
-/// Registers this daemon and renews the lease of its registration; returns only on an error that
-/// requires a new registration.
+/// Removes the registration of this daemon, if there is one.
+pub(super) async fn unregister(shared: Rc<Shared>) {
+    if !shared.is_registered.get() {
+        return;
+    }
+    let key = key(&shared);
+    // The lease is left to expire: after a restore of the store it may be another daemon's.
+    if let Err(error) = shared.options.store.remove(&key).await.result {
+        log::info!(
+            error:% = error;
+            "registration could not be removed; it expires with its lease"
+        );
+    }
+}
+
+fn key(shared: &Shared) -> String {
+    format!("{REGISTRATION_PREFIX}{}", shared.options.name)
+}
+
+/// Registers this daemon and renews the lease of its registration until the daemon drains.
+///
+/// # Errors
+///
+/// Fails when a new registration is required.
 async fn keep_registered(
     shared: &Shared,
     key: &str,
@@ -51,12 +79,20 @@
     outage: &mut OutageTracker<'_>,
 ) -> Result<(), StoreError> {
     let store = &shared.options.store;
+    let restores = shared.store_restores();
     let lease = shared.call_store(store.grant(REGISTRATION_TTL)).await?;
     outage.record_success();
     shared.call_store(store.put(key, value, lease)).await?;
-    shared.registration_lease.set(Some(lease));
+    shared.is_registered.set(true);
     loop {
         tokio::time::sleep(outage.interval()).await;
+        if shared.is_draining() {
+            return Ok(());
+        }
+        // The restored store may have granted the lease to another daemon.
+        if shared.store_restores() != restores {
+            return Err(StoreError::Restored);
+        }
         let renewal = store.renew(lease, outage.timeout());
         match shared.call_store(renewal).await {
             Ok(()) => outage.record_success(),
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -14,7 +14,7 @@
 use super::crash_detector::CrashDetector;
 use super::peers::Peers;
 use super::retry_budgets::RetryBudgets;
-use super::{Client, Disposition, LeaseId, Options, ResponseInfo, StoreError, StoreResponse};
+use super::{Client, Disposition, Options, ResponseInfo, StoreError, StoreResponse};
 use crate::Clock;
 use crate::observe::Metrics;
 
@@ -57,8 +57,8 @@
     pub(super) peers: RefCell<Peers>,
     /// Wakes the tasks that send load updates.
     work_changed: watch::Sender<()>,
-    /// Lease of this daemon's registration.
-    pub(super) registration_lease: Cell<Option<LeaseId>>,
+    /// Whether this daemon has registered.
+    pub(super) is_registered: Cell<bool>,
 }
 
 impl Shared {
@@ -87,7 +87,7 @@
             store_recovered: Notify::new(),
             peers: RefCell::default(),
             work_changed: watch::Sender::default(),
-            registration_lease: Cell::new(None),
+            is_registered: Cell::new(false),
             options,
         })
     }
@@ -175,7 +175,7 @@
         &self,
         call: impl Future<Output = StoreResponse<T>>,
     ) -> Result<T, StoreError> {
-        let sent_after = self.store_era.borrow().restores();
+        let sent_after = self.store_restores();
         let StoreResponse { era, result } = call.await;
         let response_era = self.store_era.borrow_mut().observe(sent_after, era);
         match response_era {
@@ -189,6 +189,11 @@
         }
     }
 
+    /// Returns the number of restores of the store that were noticed.
+    pub(super) fn store_restores(&self) -> u64 {
+        self.store_era.borrow().restores()
+    }
+
     /// Records that a store outage has ended.
     pub(super) fn record_outage_end(&self) {
         let now = self.now();
--- a/lib/src/gateway/store.rs
+++ b/lib/src/gateway/store.rs
@@ -28,11 +28,11 @@
     /// Renews a lease within `timeout`.
     fn renew(&self, lease: LeaseId, timeout: Duration) -> StoreFuture<'_, ()>;
 
-    /// Revokes a lease, which removes its keys.
-    fn revoke(&self, lease: LeaseId) -> StoreFuture<'_, ()>;
-
     /// Writes a key that is removed when the lease ends.
     fn put<'a>(&'a self, key: &'a str, value: &'a [u8], lease: LeaseId) -> StoreFuture<'a, ()>;
+
+    /// Removes a key.
+    fn remove<'a>(&'a self, key: &'a str) -> StoreFuture<'a, ()>;
 }
 
 /// Response of the store to a call, or why there is none.
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -59,6 +59,18 @@
         self.shared.changed.notify_all();
     }
 
+    /// Grants a lease and returns its number.
+    #[must_use]
+    pub fn grant_lease(&self) -> u64 {
+        self.shared.lock().data.grant_lease()
+    }
+
+    /// Writes an encoded value that is removed when the lease ends.
+    pub fn write_with_lease(&self, key: &str, encoded: &str, lease: u64) {
+        self.shared.lock().data.write(key, encoded, lease);
+        self.shared.changed.notify_all();
+    }
+
     /// Removes a key.
     pub fn remove(&self, key: &str) {
         self.shared.lock().data.remove(key);
@@ -96,6 +108,12 @@
         self.shared.lock().unanswered_path = path.map(str::to_owned);
     }
 
+    /// Returns the calls answered so far.
+    #[must_use]
+    pub fn requests(&self) -> Vec<Request> {
+        self.server.requests()
+    }
+
     /// Returns the keys that start with a prefix.
     #[must_use]
     pub fn keys(&self, prefix: &str) -> Vec<String> {
@@ -123,7 +141,10 @@
             "/api/kv-range" => (200, self.lock().data.range(parameter(query, "prefix"))),
             "/api/kv-watch" => self.watch(query),
             "/api/kv-txn" => self.transaction(&request.body),
-            "/api/kv-lease" => (200, self.lock().data.grant_lease()),
+            "/api/kv-lease" => {
+                let lease = self.lock().data.grant_lease();
+                (200, json!({ "lease": lease, "ttlMs": 10_000 }))
+            }
             _ => self.lease_call(path),
         };
         let era = self.lock().era.to_string();
--- a/standins/src/site/store_copy.rs
+++ b/standins/src/site/store_copy.rs
@@ -60,10 +60,10 @@
         self.history.push((self.revision, key.to_owned(), None));
     }
 
-    pub(super) fn grant_lease(&mut self) -> Value {
+    pub(super) fn grant_lease(&mut self) -> u64 {
         self.last_lease += 1;
         self.leases.insert(self.last_lease);
-        json!({ "lease": self.last_lease, "ttlMs": 10_000 })
+        self.last_lease
     }
 
     pub(super) fn end_lease(&mut self, lease: u64) {
