gateway: keep other daemons known over interruptions of the store

Callers saw nothing yet. A listing after an outage in which leases ran out, or from an older copy, lacks daemons that run. They were forgotten at once, and got no load updates until they had registered again and the next read, up to 4 s later, had found them: no evidence of crashes, no counts of requests to limited endpoints, no load. An older copy also brought back earlier addresses.

Change: policy::gateway::PeerDirectory keeps a daemon that is missing within 10 s of an interruption, and lets a copy add daemons but not change known ones. After that it goes by the registrations. Load updates to a stopped daemon are lost datagrams.

--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -221,7 +221,7 @@
 }
 
 /// Periodically closes callers' connections that exceed their timeouts and expired pooled ones to
-/// endpoints, and removes expired evidence of crashes.
+/// endpoints, and removes expired evidence of crashes, limits and registrations of daemons.
 async fn run_periodic_checks(shared: Rc<Shared>) {
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
@@ -229,6 +229,7 @@
         shared.client.close_expired();
         shared.update_quarantine(Quarantine::expire);
         shared.rate_limits.borrow_mut().expire(shared.now());
+        shared.peers.borrow_mut().directory.expire(shared.now());
     }
 }
 
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ragwortgrade_policy::gateway::{Peer, PeerDirectory};
 use ragwortgrade_schema::Name;
 use serde::{Deserialize, Serialize};
 
@@ -31,7 +32,7 @@
 /// The other daemons of the fleet.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
-    registrations: HashMap<Name, Registration>,
+    pub(super) directory: PeerDirectory,
     /// Latest load update of each daemon: start time of its process and sequence number.
     latest: HashMap<Name, (u64, u64)>,
 }
@@ -49,15 +50,12 @@
         self.addresses(|peer| !self.is_local(peer, data_centre))
     }
 
-    fn is_local(&self, peer: &Registration, data_centre: &Name) -> bool {
-        self.registrations.len() <= FULL_MESH_PEERS_MAX || peer.data_centre == *data_centre
+    fn is_local(&self, peer: &Peer, data_centre: &Name) -> bool {
+        self.directory.len() <= FULL_MESH_PEERS_MAX || peer.data_centre == *data_centre
     }
 
-    fn addresses(&self, is_recipient: impl Fn(&Registration) -> bool) -> Vec<SocketAddr> {
-        let recipients = self
-            .registrations
-            .values()
-            .filter(|peer| is_recipient(peer));
+    fn addresses(&self, is_recipient: impl Fn(&Peer) -> bool) -> Vec<SocketAddr> {
+        let recipients = self.directory.peers().filter(|peer| is_recipient(peer));
         recipients.map(|peer| peer.address).collect()
     }
 
@@ -100,45 +98,55 @@
 }
 
 impl PeerHandler {
-    fn apply_item(&self, item: &Item) {
-        let Some(name) = item.key.strip_prefix(REGISTRATION_PREFIX) else {
-            return;
-        };
+    /// Parses the registration of another daemon.
+    fn parse(&self, item: &Item) -> Option<(Name, Peer)> {
+        let name = item.key.strip_prefix(REGISTRATION_PREFIX)?;
         if *name == *self.shared.options.name {
-            return;
+            return None;
         }
         let parsed = item
             .value
             .as_ref()
             .and_then(|value| serde_json::from_slice::<Registration>(value).ok());
-        match parsed {
-            Some(registration) => {
-                let mut peers = self.shared.peers.borrow_mut();
-                peers.registrations.insert(name.into(), registration);
-            }
-            None => log::warn!(daemon = name; "registration of a daemon cannot be parsed"),
-        }
+        let Some(registration) = parsed else {
+            log::warn!(daemon = name; "registration of a daemon cannot be parsed");
+            return None;
+        };
+        let peer = Peer {
+            address: registration.address,
+            data_centre: registration.data_centre,
+        };
+        Some((name.into(), peer))
     }
 }
 
 impl WatchHandler for PeerHandler {
     fn on_list(&self, items: Vec<Item>) {
-        self.shared.peers.borrow_mut().registrations.clear();
-        for item in &items {
-            self.apply_item(item);
-        }
-        let daemons = self.shared.peers.borrow().registrations.len();
-        log::info!(daemons = daemons; "other daemons listed");
+        let listed: Vec<(Name, Peer)> = items.iter().filter_map(|item| self.parse(item)).collect();
+        let listed_len = listed.len();
+        let now = self.shared.now();
+        let mut peers = self.shared.peers.borrow_mut();
+        peers.directory.replace(listed, now);
+        log::info!(
+            daemons = peers.directory.len(), listed = listed_len;
+            "other daemons listed"
+        );
+        drop(peers);
         self.shared.notify_work_changed();
     }
 
     fn on_update(&self, update: Update) {
         match update {
-            Update::Written(item) => self.apply_item(&item),
+            Update::Written(item) => {
+                if let Some((name, peer)) = self.parse(&item) {
+                    self.shared.peers.borrow_mut().directory.put(name, peer);
+                }
+            }
             Update::Removed(key) => {
                 if let Some(name) = key.strip_prefix(REGISTRATION_PREFIX) {
-                    let name = Name::from(name);
-                    self.shared.peers.borrow_mut().registrations.remove(&name);
+                    let now = self.shared.now();
+                    let mut peers = self.shared.peers.borrow_mut();
+                    peers.directory.remove(&name.into(), now);
                 }
             }
         }
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -198,12 +198,14 @@
     pub(super) fn record_outage_end(&self) {
         let now = self.now();
         self.registry.borrow_mut().source_restored(now);
+        self.peers.borrow_mut().directory.source_restored(now);
         self.record_interruption();
     }
 
     fn record_restore(&self) {
         let now = self.now();
         self.registry.borrow_mut().source_rolled_back(now);
+        self.peers.borrow_mut().directory.source_rolled_back(now);
         self.metrics.count("store.restores", 1);
         self.record_interruption();
     }
