gateway: send nothing to endpoints that say in a response that they leave

Callers would see: requests cut off when an endpoint ends that has said in each response that it leaves, while its registration says ready, the store is away or an older copy of it is listed. The header was new and no code read it.

Change: such a response has the effect of a draining registration, for good and for that process: the same memory of departures, which only a later start or a new registration after the end of the one before clears. Runs, prefill calls, streams, failures and rejections are read at one place. A KV cache on an engine that leaves is still fetched. Daemons tell each other in their load updates, at most 64 endpoints for 10 s. A report of another daemon holds for 10 s, so that one daemon can't keep an endpoint out of use. Counted by service (endpoints.leaving.SERVICE).

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -10,6 +10,7 @@
 mod client;
 mod connection;
 mod crash_detector;
+mod departure_news;
 mod dialect;
 mod event_counter;
 mod evidence_report;
--- a/lib/src/gateway/load_exchange.rs
+++ b/lib/src/gateway/load_exchange.rs
@@ -10,6 +10,7 @@
 use ragwortgrade_schema::Name;
 use tokio::net::UdpSocket;
 
+use super::departure_news::DepartureNews;
 use super::evidence_report::EvidenceReport;
 use super::load_update::{LoadUpdate, Sender};
 use super::shared::Shared;
@@ -41,13 +42,14 @@
 struct ExtensionSchedule {
     evidence_changes: u64,
     limit_changes: u64,
+    departure_changes: u64,
     repeated_at: Option<Instant>,
 }
 
 impl ExtensionSchedule {
     /// Returns what has changed, or everything if a repeat is due: it reaches daemons that have
     /// missed it or have started since.
-    fn take_due(&mut self, shared: &Shared) -> Option<UpdateExtension> {
+    fn take_due(&mut self, shared: &Shared) -> Option<(UpdateExtension, DepartureNews)> {
         let is_repeat_due = self
             .repeated_at
             .is_none_or(|repeated_at| repeated_at.elapsed() >= REPEAT_INTERVAL);
@@ -59,13 +61,22 @@
         let evidence = evidence.map(|evidence| EvidenceReport::new(evidence, now));
         let rate_limits = shared.rate_limits.borrow();
         let limits = rate_limits.reports(if is_repeat_due { 0 } else { self.limit_changes });
+        let registry = shared.registry.borrow();
+        let departures = if is_repeat_due || registry.said_changes() != self.departure_changes {
+            registry.departure_reports(now)
+        } else {
+            Vec::new()
+        };
         self.evidence_changes = quarantine.changes();
         self.limit_changes = rate_limits.changes();
+        self.departure_changes = registry.said_changes();
         if is_repeat_due {
             self.repeated_at = Some(Instant::now());
         }
         let extension = UpdateExtension::new(evidence, limits, now);
-        (!extension.is_empty()).then_some(extension)
+        let departures = DepartureNews::new(departures, now);
+        let is_due = !extension.is_empty() || !departures.is_empty();
+        is_due.then_some((extension, departures))
     }
 }
 
@@ -158,7 +169,7 @@
         &self,
         work: Vec<(Name, EngineWork)>,
         parts: Vec<CachedPart>,
-        extension: Option<UpdateExtension>,
+        extension: Option<(UpdateExtension, DepartureNews)>,
         addresses: &[SocketAddr],
     ) {
         self.sequence.set(self.sequence.get() + 1);
@@ -171,8 +182,11 @@
             return;
         };
         // Daemons of earlier versions ignore bytes after the load update.
-        if let Some(extension) = extension {
+        if let Some((extension, departures)) = extension {
             datagram.extend(postcard::to_allocvec(&extension).unwrap_or_default());
+            if !departures.is_empty() {
+                datagram.extend(postcard::to_allocvec(&departures).unwrap_or_default());
+            }
         }
         for address in addresses {
             // A send error has the effect of a lost datagram: the next update replaces the work in
@@ -183,7 +197,24 @@
         }
     }
 
-    /// Sends a new process what this daemon knows of crashes and limits. Its registration may not
+    /// Reads which endpoints have said to another daemon that they leave.
+    fn receive_departures(&self, bytes: &[u8], daemon: &Name) {
+        let shared = self.shared;
+        let Ok(news) = postcard::from_bytes::<DepartureNews>(bytes) else {
+            shared.metrics.count("news.unreadable", 1);
+            return;
+        };
+        let now = shared.now();
+        let mut registry = shared.registry.borrow_mut();
+        for endpoint in registry.merge_departures(news.into_reports(now), now) {
+            log::info!(
+                endpoint:% = endpoint, reported_by:% = daemon;
+                "endpoint says that it leaves"
+            );
+        }
+    }
+
+    /// Sends a new process what this daemon knows of crashes, limits and departures. Its registration may not
     /// have been read yet, so that it would not receive other load updates for seconds.
     fn inform(&self, address: SocketAddr) {
         let extension = ExtensionSchedule::default().take_due(self.shared);
@@ -224,10 +255,14 @@
             if rest.is_empty() {
                 continue;
             }
-            let Ok(extension) = postcard::from_bytes::<UpdateExtension>(rest) else {
+            let parsed = postcard::take_from_bytes::<UpdateExtension>(rest);
+            let Ok((extension, rest)) = parsed else {
                 shared.metrics.count("news.unreadable", 1);
                 continue;
             };
+            if !rest.is_empty() {
+                self.receive_departures(rest, &daemon);
+            }
             let reports = extension.rate_reports(now);
             let changed = shared.rate_limits.borrow_mut().merge(&daemon, reports, now);
             for (endpoint, per_second) in changed {
--- a/lib/src/gateway/request_context.rs
+++ b/lib/src/gateway/request_context.rs
@@ -165,7 +165,8 @@
             connect_options,
         )
         .await?;
-        self.shared.observe_limit(endpoint, &exchange.info);
+        self.shared
+            .observe_response(endpoint, &exchange.info, self.id());
         Ok(exchange)
     }
 }
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -127,8 +127,40 @@
         }
     }
 
+    /// Records what an endpoint says of itself in a response.
+    pub(super) fn observe_response(
+        &self,
+        endpoint: &Endpoint,
+        info: &ResponseInfo,
+        request_id: &str,
+    ) {
+        self.observe_limit(endpoint, info);
+        if info.is_leaving && info.disposition != Disposition::WrongEndpoint {
+            self.observe_leaving(endpoint, request_id);
+        }
+    }
+
+    fn observe_leaving(&self, endpoint: &Endpoint, request_id: &str) {
+        let now = self.now();
+        let is_first =
+            self.registry
+                .borrow_mut()
+                .record_said_leaving(&endpoint.id, endpoint.started_ms, now);
+        if !is_first {
+            return;
+        }
+        log::info!(
+            endpoint:% = endpoint.id, service:% = endpoint.service,
+            endpoint_started_ms = endpoint.started_ms, request = request_id;
+            "endpoint says that it leaves"
+        );
+        self.metrics
+            .count(&format!("endpoints.leaving.{}", endpoint.service), 1);
+        self.notify_work_changed();
+    }
+
     /// Records the limit in a response of an endpoint, or that it has none.
-    pub(super) fn observe_limit(&self, endpoint: &Endpoint, info: &ResponseInfo) {
+    fn observe_limit(&self, endpoint: &Endpoint, info: &ResponseInfo) {
         // A rejection without a limit may come from another endpoint at the same address.
         if info.disposition != Disposition::Accepted && info.requests_per_second.is_none() {
             return;
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -65,6 +65,10 @@
         for id in confirmed {
             log::info!(endpoint:% = id; "endpoint is still registered in the restored store; used");
         }
+        let expired_reports = shared.registry.borrow_mut().expire_reports(now);
+        for id in expired_reports {
+            log::info!(endpoint:% = id; "report that the endpoint leaves has expired; used");
+        }
     }
 }
 
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -12,6 +12,7 @@
 mod admission;
 mod affinity;
 mod catalog;
+mod departure_report;
 mod departures;
 mod endpoint;
 mod engine_load;
@@ -47,6 +48,7 @@
 mod wait_limit;
 
 pub use catalog::Catalog;
+pub use departure_report::DepartureReport;
 pub use endpoint::{Endpoint, EndpointState, Stage};
 pub use engine_load::CallOutcome;
 pub use engines::Engines;
--- a/policy/src/gateway/departures.rs
+++ b/policy/src/gateway/departures.rs
@@ -30,6 +30,8 @@
     is_announced: bool,
     /// Whether the registration has ended since.
     has_ended: bool,
+    /// When this daemon last read in a response of the endpoint that it leaves.
+    said_at: Option<Instant>,
     recorded_at: Instant,
 }
 
@@ -49,15 +51,37 @@
         self.departures.len()
     }
 
-    /// Records that an endpoint said that it leaves.
-    pub(super) fn announce(&mut self, endpoint: &Endpoint, now: Instant) {
-        self.insert(endpoint, true, false, now);
+    /// Records that a registration says that its endpoint leaves.
+    pub(super) fn record_draining(&mut self, endpoint: &Endpoint, now: Instant) {
+        let departure = self.entry(&endpoint.id, endpoint.started_ms, now);
+        departure.is_announced = true;
+        departure.has_ended = false;
+    }
+
+    /// Records that a response of an endpoint says that it leaves; `started_ms` is the start of the
+    /// process to which the request was sent. Returns whether it is the first one.
+    pub(super) fn record_said(&mut self, id: &Name, started_ms: Option<u64>, now: Instant) -> bool {
+        let departure = self.entry(id, started_ms, now);
+        departure.is_announced = true;
+        departure.said_at.replace(now).is_none()
     }
 
     /// Records that the registration of an endpoint has ended.
     pub(super) fn record_end(&mut self, endpoint: &Endpoint, now: Instant) {
         let is_announced = self.standing(endpoint) == Standing::Leaving;
-        self.insert(endpoint, is_announced, true, now);
+        let departure = self.entry(&endpoint.id, endpoint.started_ms, now);
+        departure.is_announced = is_announced;
+        departure.has_ended = true;
+    }
+
+    /// Returns the endpoints that said in a response that they leave, with the starts of their
+    /// processes and the times of the responses.
+    pub(super) fn said(&self) -> impl Iterator<Item = (&Name, Option<u64>, Instant)> {
+        let departures = self.departures.iter();
+        departures.filter_map(|(id, departure)| {
+            let said_at = departure.said_at.filter(|_| departure.is_announced)?;
+            Some((id, departure.started_ms, said_at))
+        })
     }
 
     /// Returns what is known about the endpoint of a registration.
@@ -95,24 +119,28 @@
         });
     }
 
-    fn insert(&mut self, endpoint: &Endpoint, is_announced: bool, has_ended: bool, now: Instant) {
-        let known = self.departures.get(&endpoint.id);
-        let known_started_ms = known.and_then(|departure| departure.started_ms);
-        if known.is_none() && self.departures.len() >= DEPARTURES_MAX {
-            let oldest = self
-                .departures
-                .iter()
-                .min_by_key(|(_, departure)| departure.recorded_at);
-            if let Some(id) = oldest.map(|(id, _)| id.clone()) {
-                self.departures.remove(&id);
+    /// Returns the departure of an endpoint, which is created if there is none, and renews it.
+    fn entry(&mut self, id: &Name, started_ms: Option<u64>, now: Instant) -> &mut Departure {
+        if !self.departures.contains_key(id) && self.departures.len() >= DEPARTURES_MAX {
+            let departures = self.departures.iter();
+            let oldest = departures.min_by_key(|(_, departure)| departure.recorded_at);
+            if let Some(oldest) = oldest.map(|(oldest, _)| oldest.clone()) {
+                self.departures.remove(&oldest);
             }
         }
-        let departure = Departure {
-            started_ms: known_started_ms.max(endpoint.started_ms),
-            is_announced,
-            has_ended,
+        let departure = self.departures.entry(id.clone()).or_insert(Departure {
+            started_ms,
+            is_announced: false,
+            has_ended: false,
+            said_at: None,
             recorded_at: now,
-        };
-        self.departures.insert(endpoint.id.clone(), departure);
+        });
+        if departure.started_ms < started_ms {
+            // What an earlier process said is void.
+            departure.said_at = None;
+        }
+        departure.started_ms = departure.started_ms.max(started_ms);
+        departure.recorded_at = now;
+        departure
     }
 }
--- a/policy/src/gateway/registry.rs
+++ b/policy/src/gateway/registry.rs
@@ -1,10 +1,11 @@
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
 use ragwortgrade_schema::Name;
 
 use super::departures::{Departures, Standing};
-use super::{Endpoint, EndpointState};
+use super::{DepartureReport, Endpoint, EndpointState};
 use crate::Instant;
 
 /// Time after the source is restored within which a live endpoint registers again; the platform
@@ -14,6 +15,11 @@
 /// Time after a rollback of the source in which the registration of a stopped endpoint, which the
 /// older copy has, ends: several heartbeats of endpoints.
 const OLD_REGISTRATION_TIME: Duration = Duration::from_secs(10);
+/// Time for which another daemon's report that an endpoint leaves holds. Endpoints that leave also
+/// register it.
+const REPORT_TIME: Duration = Duration::from_secs(10);
+/// Maximum number of reports that a daemon sends, or takes from another one at once.
+const REPORTS_MAX: usize = 64;
 
 /// A change of one registration.
 #[derive(Clone, Debug, PartialEq)]
@@ -39,12 +45,16 @@
     is_source_lost: bool,
     source_restored: Option<Instant>,
     source_rolled_back: Option<Instant>,
+    /// Number of endpoints that said in a response that they leave.
+    said_changes: u64,
 }
 
 #[derive(Debug)]
 struct Entry {
     endpoint: Endpoint,
     status: Status,
+    /// End of the time for which another daemon's report that the endpoint leaves holds.
+    reported_until: Option<Instant>,
 }
 
 /// What is known of a registration.
@@ -139,6 +149,93 @@
         changes
     }
 
+    /// Records that a response of an endpoint says that it leaves; `started_ms` is the start of the
+    /// process to which the request was sent. Returns whether it is the first such response.
+    pub fn record_said_leaving(
+        &mut self,
+        id: &Name,
+        started_ms: Option<u64>,
+        now: Instant,
+    ) -> bool {
+        let entry = self.endpoints.get_mut(id);
+        if entry
+            .as_ref()
+            .is_some_and(|entry| entry.endpoint.started_ms > started_ms)
+        {
+            return false;
+        }
+        if let Some(entry) = entry {
+            entry.endpoint.state = EndpointState::Draining;
+        }
+        let is_first = self.departures.record_said(id, started_ms, now);
+        if is_first {
+            self.said_changes += 1;
+        }
+        is_first
+    }
+
+    /// Returns the number of endpoints so far that said in a response that they leave.
+    #[must_use]
+    pub const fn said_changes(&self) -> u64 {
+        self.said_changes
+    }
+
+    /// Returns what other daemons should learn of endpoints that said in a response that they
+    /// leave: the latest ones.
+    #[must_use]
+    pub fn departure_reports(&self, now: Instant) -> Vec<DepartureReport> {
+        let said = self.departures.said();
+        let recent = said.filter(|(.., said_at)| now.since(*said_at) < REPORT_TIME);
+        let mut reports: Vec<DepartureReport> = recent
+            .map(|(id, started_ms, said_at)| DepartureReport {
+                endpoint: id.clone(),
+                started_ms,
+                said_at,
+            })
+            .collect();
+        reports.sort_by_key(|report| Reverse(report.said_at));
+        reports.truncate(REPORTS_MAX);
+        reports
+    }
+
+    /// Adds the reports of another daemon; their times are on this daemon's clock. Returns the
+    /// endpoints that are not usable any more.
+    ///
+    /// Unlike what an endpoint says to this daemon, a report holds for a limited time.
+    pub fn merge_departures(&mut self, reports: Vec<DepartureReport>, now: Instant) -> Vec<Name> {
+        let mut changed = Vec::new();
+        for report in reports.into_iter().take(REPORTS_MAX) {
+            let until = report.said_at.min(now) + REPORT_TIME;
+            let Some(entry) = self.endpoints.get_mut(&report.endpoint) else {
+                continue;
+            };
+            if until <= now || entry.endpoint.started_ms != report.started_ms {
+                continue;
+            }
+            let was_usable = entry.is_usable();
+            entry.reported_until = entry.reported_until.max(Some(until));
+            if was_usable {
+                changed.push(report.endpoint);
+            }
+        }
+        changed
+    }
+
+    /// Returns the endpoints whose departure other daemons have reported and that neither said it
+    /// to this daemon nor registered it in time; they are usable again.
+    pub fn expire_reports(&mut self, now: Instant) -> Vec<Name> {
+        let mut expired = Vec::new();
+        for (id, entry) in &mut self.endpoints {
+            if entry.reported_until.is_some_and(|until| until <= now) {
+                entry.reported_until = None;
+                if entry.is_usable() {
+                    expired.push(id.clone());
+                }
+            }
+        }
+        expired
+    }
+
     /// Records that the source does not answer.
     pub fn source_lost(&mut self) {
         self.is_source_lost = true;
@@ -202,11 +299,16 @@
             Standing::Ended => status = Status::Unconfirmed,
         }
         if endpoint.state == EndpointState::Draining {
-            self.departures.announce(&endpoint, now);
+            self.departures.record_draining(&endpoint, now);
         }
         let id = endpoint.id.clone();
-        let entry = Entry { endpoint, status };
         let known = self.endpoints.get(&id);
+        let same_process = known.filter(|known| known.endpoint.started_ms == endpoint.started_ms);
+        let entry = Entry {
+            reported_until: same_process.and_then(|known| known.reported_until),
+            endpoint,
+            status,
+        };
         let is_changed = known.is_none_or(|known| !known.is_equivalent(&entry));
         self.endpoints.insert(id, entry);
         is_changed
@@ -266,7 +368,9 @@
 
 impl Entry {
     fn is_usable(&self) -> bool {
-        self.endpoint.state == EndpointState::Ready && self.status != Status::Unconfirmed
+        self.endpoint.state == EndpointState::Ready
+            && self.status != Status::Unconfirmed
+            && self.reported_until.is_none()
     }
 
     /// Returns whether two registrations are equivalent for placement.
--- a/policy/tests/gateway_departures.rs
+++ b/policy/tests/gateway_departures.rs
@@ -167,3 +167,89 @@
     registry.expire(at(70_000));
     assert_eq!(registry.departures_len(), 0);
 }
+
+/// Registers an endpoint that then says in a response that it leaves.
+fn said_leaving(started_ms: Option<u64>) -> Registry {
+    let mut registry = Registry::default();
+    registry.apply(Change::Put(registration(Ready, started_ms)), at(0));
+    assert!(registry.record_said_leaving(&"a".into(), started_ms, at(100)));
+    assert!(!registry.record_said_leaving(&"a".into(), started_ms, at(150)));
+    registry
+}
+
+#[test]
+fn what_an_endpoint_says_goes_before_its_registration() {
+    let mut registry = said_leaving(Some(5));
+    registry.apply(Change::Put(registration(Ready, Some(5))), at(200));
+    assert!(!registry.is_usable(&"a".into()));
+    registry.apply(Change::Put(registration(Ready, Some(6))), at(300));
+    assert!(registry.is_usable(&"a".into()));
+    // A late response of the process before.
+    assert!(!registry.record_said_leaving(&"a".into(), Some(5), at(400)));
+    assert!(registry.is_usable(&"a".into()));
+}
+
+#[test]
+fn what_an_endpoint_says_holds_after_its_registration_has_ended() {
+    let mut registry = said_leaving(Some(5));
+    registry.apply(Change::Removed("a".into()), at(200));
+    registry.apply(Change::Put(registration(Ready, Some(5))), at(300));
+    assert!(!registry.is_usable(&"a".into()));
+}
+
+/// Guards against one daemon that makes all others refuse an endpoint for good.
+#[test]
+fn reports_of_other_daemons_hold_for_a_limited_time() {
+    let reports = said_leaving(Some(5)).departure_reports(at(200));
+    let mut registry = Registry::default();
+    registry.apply(Change::Put(registration(Ready, Some(5))), at(0));
+    assert_eq!(
+        registry.merge_departures(reports.clone(), at(200)),
+        [Name::from("a")]
+    );
+    assert!(!registry.is_usable(&"a".into()));
+    registry.apply(Change::Put(registration(Ready, Some(5))), at(300));
+    assert!(!registry.is_usable(&"a".into()));
+    assert!(
+        registry.departure_reports(at(300)).is_empty(),
+        "reports are not passed on"
+    );
+    assert!(registry.expire_reports(at(10_000)).is_empty());
+    assert_eq!(registry.expire_reports(at(10_200)), [Name::from("a")]);
+    assert!(registry.is_usable(&"a".into()));
+    assert!(
+        registry.merge_departures(reports, at(10_300)).is_empty(),
+        "too old"
+    );
+}
+
+#[test]
+fn reports_concern_one_process() {
+    let reports = said_leaving(Some(5)).departure_reports(at(200));
+    let mut registry = Registry::default();
+    registry.apply(Change::Put(registration(Ready, Some(6))), at(0));
+    assert!(
+        registry
+            .merge_departures(reports.clone(), at(200))
+            .is_empty()
+    );
+    let mut registry = Registry::default();
+    registry.apply(Change::Put(registration(Ready, Some(5))), at(0));
+    registry.merge_departures(reports, at(200));
+    registry.apply(Change::Put(registration(Ready, Some(6))), at(300));
+    assert!(registry.is_usable(&"a".into()));
+}
+
+#[test]
+fn reports_are_bounded_in_age_and_number() {
+    let mut registry = Registry::default();
+    for number in 0..100 {
+        let id = Name::from(format!("left-{number}"));
+        registry.apply(Change::Put(endpoint(&id, "shop")), at(number));
+        registry.record_said_leaving(&id, None, at(number));
+    }
+    let reports = registry.departure_reports(at(200));
+    assert_eq!(reports.len(), 64);
+    assert_eq!(reports[0].endpoint.as_str(), "left-99");
+    assert!(registry.departure_reports(at(10_100)).is_empty());
+}
