gateway: look again at the decode engine after a remote prefill

Callers would see: a run on an engine that had said up to 0.9 s before, during the remote prefill of the prompt, that it leaves or that was registered as draining. The engine was looked up before the prefill and not again.

Change: after the prefill the engine must still accept requests. Otherwise another decode engine, chosen as for a placement, fetches the KV cache, so that the prompt is not prefilled again; if there is none the request is placed anew, and refused as not run.

--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -2,7 +2,7 @@
 
 use http::Response;
 use ragwortgrade_policy::gateway::{
-    CallOutcome, Endpoint, EngineLimits, Estimate, Failure, Placement, Refusal, Stage,
+    CallOutcome, Endpoint, EngineLimits, Estimate, Failure, Placement, Refusal, Registry, Stage,
 };
 use ragwortgrade_schema::Name;
 
@@ -52,21 +52,13 @@
         if let Some(response) = refuse_quarantined(context) {
             return response;
         }
-        let placement = match place(context, limits, &excluded) {
+        let mut placement = match place(context, limits, &excluded) {
             Ok(placement) => placement,
             Err(refusal) => return refuse_placement(context, refusal),
         };
         let placed_at = context.shared.now();
-        let Some(engine) = find_endpoint(context, &placement.decode) else {
-            excluded.push(placement.decode);
-            continue;
-        };
-        let operation = match prefill_remotely(context, &placement).await {
-            Ok(Some(cache)) => Operation::RunWithCache {
-                source: cache.engine.address,
-                handle: cache.handle,
-            },
-            Ok(None) => Operation::Run,
+        let cache = match prefill_remotely(context, &placement).await {
+            Ok(cache) => cache,
             Err(failure) => {
                 excluded.extend(placement.prefill);
                 if failure != Failure::NotSent {
@@ -82,7 +74,15 @@
         if let Some(response) = refuse_quarantined(context) {
             return response;
         }
-        excluded.push(engine.id.clone());
+        let engine = decode_engine(context, limits, &mut placement, cache.as_ref(), &excluded);
+        excluded.push(placement.decode.clone());
+        let Some(engine) = engine else {
+            continue;
+        };
+        let operation = cache.map_or(Operation::Run, |cache| Operation::RunWithCache {
+            source: cache.engine.address,
+            handle: cache.handle,
+        });
         let (failure, endpoint_response) =
             match start_run(context, limits, &engine, &placement, operation).await {
                 Attempt::Started(run) => {
@@ -108,11 +108,7 @@
 ) -> Result<Placement, Refusal> {
     let shared = &context.shared;
     let registry = shared.registry.borrow();
-    let candidates: Vec<&Endpoint> = registry
-        .usable()
-        .filter(|it| it.service == context.service)
-        .filter(|it| it.stage != Some(Stage::Prefill) || context.may_prefill_remotely())
-        .collect();
+    let candidates = candidates(context, &registry);
     let limited = shared.limited(&candidates);
     let unavailable = [excluded, &limited].concat();
     let prompt = &context.metadata.prompt;
@@ -162,6 +158,52 @@
     Ok(placement)
 }
 
+/// Returns the engines to which the request may be sent.
+fn candidates<'a>(context: &RequestContext, registry: &'a Registry) -> Vec<&'a Endpoint> {
+    registry
+        .usable()
+        .filter(|it| it.service == context.service)
+        .filter(|it| it.stage != Some(Stage::Prefill) || context.may_prefill_remotely())
+        .collect()
+}
+
+/// Returns the decode engine of a placement. If it no longer accepts requests after a remote
+/// prefill, the placement is changed to another engine that can fetch the KV cache. Returns `None`
+/// if there is none, or if the request has to be placed again.
+fn decode_engine(
+    context: &RequestContext,
+    limits: &EngineLimits,
+    placement: &mut Placement,
+    cache: Option<&RemoteCache>,
+    excluded: &[Name],
+) -> Option<Endpoint> {
+    let shared = &context.shared;
+    let registry = shared.registry.borrow();
+    if registry.is_usable(&placement.decode) {
+        return registry.get(&placement.decode).cloned();
+    }
+    let candidates = candidates(context, &registry);
+    let unavailable = [excluded, &shared.limited(&candidates)].concat();
+    let replacement = shared.engines.borrow().replace_decoder(
+        placement,
+        &cache?.engine,
+        &candidates,
+        &context.metadata.prompt,
+        &context.route,
+        limits,
+        &unavailable,
+        &shared.options.data_centre,
+        shared.now(),
+    )?;
+    log::info!(
+        request = context.id(), engine:% = placement.decode, replacement:% = replacement;
+        "decode engine left during the remote prefill; replaced"
+    );
+    shared.record_placed(&replacement);
+    placement.decode = replacement;
+    registry.get(&placement.decode).cloned()
+}
+
 fn refuse_placement(context: &RequestContext, refusal: Refusal) -> Response<ResponseBody> {
     let estimate = refusal.estimate.as_ref();
     let estimate_ms = |time: fn(&Estimate) -> Duration| estimate.map(|it| time(it).as_millis());
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -107,18 +107,7 @@
         data_centre: &Name,
         now: Instant,
     ) -> Result<Placement, Refusal> {
-        let request = PlacementRequest {
-            prompt,
-            affinity_key: prompt.affinity_key(),
-            data_centre,
-            limits,
-            priority: priority(route, TargetClass::Met),
-            misses_target: false,
-            recompute_weight: self.recompute_weight(prompt, route),
-            is_large_fleet: candidates.len() > SMALL_FLEET_MAX,
-            reserved_decoders: reserved_decoders(candidates),
-            now,
-        };
+        let request = self.request(candidates, prompt, route, limits, data_centre, now);
         let of_stage = |stage| {
             candidates
                 .iter()
@@ -165,6 +154,57 @@
         }
     }
 
+    /// Chooses another decode engine for a prompt that was prefilled on `prefill` as placed; `None`
+    /// if there is none. Engines in `tried` are excluded.
+    #[expect(clippy::too_many_arguments, reason = "inputs of one decision")]
+    #[must_use]
+    pub fn replace_decoder(
+        &self,
+        placement: &Placement,
+        prefill: &Endpoint,
+        candidates: &[&Endpoint],
+        prompt: &Prompt,
+        route: &Route,
+        limits: &EngineLimits,
+        tried: &[Name],
+        data_centre: &Name,
+        now: Instant,
+    ) -> Option<Name> {
+        let request = PlacementRequest {
+            priority: placement.priority,
+            ..self.request(candidates, prompt, route, limits, data_centre, now)
+        };
+        let decoders = candidates.iter().copied();
+        let decoders = decoders
+            .filter(|it| it.stage == Some(Stage::Decode))
+            .filter(|it| it.id != placement.decode && !tried.contains(&it.id));
+        let (decoder, _) = self.decoder_for(prefill, decoders, &request)?;
+        Some(decoder.id.clone())
+    }
+
+    fn request<'a>(
+        &self,
+        candidates: &'a [&'a Endpoint],
+        prompt: &'a Prompt,
+        route: &Route,
+        limits: &'a EngineLimits,
+        data_centre: &'a Name,
+        now: Instant,
+    ) -> PlacementRequest<'a> {
+        PlacementRequest {
+            prompt,
+            affinity_key: prompt.affinity_key(),
+            data_centre,
+            limits,
+            priority: priority(route, TargetClass::Met),
+            misses_target: false,
+            recompute_weight: self.recompute_weight(prompt, route),
+            is_large_fleet: candidates.len() > SMALL_FLEET_MAX,
+            reserved_decoders: reserved_decoders(candidates),
+            now,
+        }
+    }
+
     /// Returns whether the engine's sequences slow each other down so much that a further request
     /// that misses its own target would make others miss theirs.
     fn is_slowed(&self, id: &Name, now: Instant) -> bool {
--- a/policy/tests/gateway_placement.rs
+++ b/policy/tests/gateway_placement.rs
@@ -500,3 +500,27 @@
         "{admitted} requests admitted, capacity {capacity}"
     );
 }
+
+/// Guards against a prompt that is prefilled again as its decode engine has left meanwhile.
+#[test]
+fn another_decode_engine_takes_over_after_a_remote_prefill() {
+    let mut fleet = Fleet::new(2, 3);
+    let prompt = prompt(20_000, None);
+    let placement = fleet.place(&prompt, &route(2), NOW).unwrap();
+    let others = ["decode-0", "decode-1", "decode-2"].map(Name::from);
+    let others: Vec<&Name> = others
+        .iter()
+        .filter(|id| **id != placement.decode)
+        .collect();
+    fleet.report_work(&[others[0].as_str()], queued_work(0, 300.0), NOW);
+    let replacement = fleet.replace_decoder(&placement, &prompt, &[], NOW);
+    assert_eq!(replacement.as_ref(), Some(others[1]), "the less busy one");
+    let tried = [others[1].clone()];
+    let replacement = fleet.replace_decoder(&placement, &prompt, &tried, NOW);
+    assert_eq!(replacement.as_ref(), Some(others[0]));
+    let tried = others.into_iter().cloned().collect::<Vec<_>>();
+    assert_eq!(
+        fleet.replace_decoder(&placement, &prompt, &tried, NOW),
+        None
+    );
+}
--- a/policy/tests/gateway_support/mod.rs
+++ b/policy/tests/gateway_support/mod.rs
@@ -83,6 +83,31 @@
         placement.unwrap()
     }
 
+    /// Chooses another decode engine for a placement with a remote prefill.
+    pub fn replace_decoder(
+        &self,
+        placement: &Placement,
+        prompt: &Prompt,
+        tried: &[Name],
+        now: Instant,
+    ) -> Option<Name> {
+        let candidates: Vec<&Endpoint> = self.endpoints.iter().collect();
+        let prefill = placement.prefill.as_ref().unwrap();
+        let prefill = candidates.iter().find(|it| it.id == *prefill).unwrap();
+        let (limits, data_centre) = (limits(), Name::from("a"));
+        self.engines.replace_decoder(
+            placement,
+            prefill,
+            &candidates,
+            prompt,
+            &route(2),
+            &limits,
+            tried,
+            &data_centre,
+            now,
+        )
+    }
+
     pub fn place_excluding(
         &self,
         prompt: &Prompt,
