gateway: send nothing to endpoints that asked for a pause

Callers would see: requests rejected again and again by an endpoint that has said for how long it wants none, and a time to come back that is too short. No code read the Retry-After of an endpoint.

Change: a rejection with status 503 or 429 and Retry-After keeps the endpoint out of this daemon's choices until then: runs, prefill calls, repeats and calls of plain services, and a run after its remote prefill. RateLimits holds the pauses beside the limits that endpoints set, for at most 10 minutes and 1,024 endpoints; a restart ends one. It holds for the daemon that was told, so daemons do not exchange pauses. If all endpoints are paused or limited the request is refused at once, as not run, with the time at which the first one takes requests (endpoints_paused); a plain call that was tried elsewhere, too. Refused plain calls have a log line; pauses are counted by service (endpoints.pauses.SERVICE).

--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -90,6 +90,8 @@
     pub idle_timeout: Option<Duration>,
     /// Requests per second that the endpoint takes from all daemons together, if it sets a limit.
     pub requests_per_second: Option<f64>,
+    /// Time for which the endpoint wants no further request of this daemon, if it names one.
+    pub pause: Option<Duration>,
     /// Whether the endpoint says that it leaves.
     pub is_leaving: bool,
     /// Whether the endpoint closes the connection after this response.
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -134,10 +134,10 @@
         if limited.is_empty() || refusal.reason != "no_engine" {
             return refusal;
         }
-        let rate_limits = shared.rate_limits.borrow();
+        let (reason, retry_after) = shared.limit_refusal(&limited);
         Refusal {
-            reason: "endpoint_limits",
-            retry_after: rate_limits.retry_after(&limited, shared.now()),
+            reason,
+            retry_after,
             ..refusal
         }
     })?;
@@ -179,7 +179,7 @@
 ) -> Option<Endpoint> {
     let shared = &context.shared;
     let registry = shared.registry.borrow();
-    if registry.is_usable(&placement.decode) {
+    if shared.accepts_requests(&placement.decode) {
         return registry.get(&placement.decode).cloned();
     }
     let candidates = candidates(context, &registry);
@@ -197,7 +197,7 @@
     )?;
     log::info!(
         request = context.id(), engine:% = placement.decode, replacement:% = replacement;
-        "decode engine left during the remote prefill; replaced"
+        "decode engine took no more requests after the remote prefill; replaced"
     );
     shared.record_placed(&replacement);
     placement.decode = replacement;
--- a/lib/src/gateway/plain.rs
+++ b/lib/src/gateway/plain.rs
@@ -27,7 +27,15 @@
         }
         let endpoint = match choose(context, &tried) {
             Ok(endpoint) => endpoint,
-            Err((reason, retry_after)) => return refuse(context, reason, retry_after),
+            Err((reason, retry_after)) => {
+                log::info!(
+                    request = context.id(), route:% = context.route.name, reason = reason,
+                    attempts = tried.len(), retry_after_ms = retry_after.as_millis() as u64;
+                    "call refused"
+                );
+                context.shared.metrics.count("calls.refused", 1);
+                return refuse(context, reason, retry_after);
+            }
         };
         log::info!(
             request = context.id(), route:% = context.route.name, endpoint:% = endpoint.id,
@@ -79,18 +87,26 @@
     let shared = &context.shared;
     let registry = shared.registry.borrow();
     let usable = registry.usable().filter(|it| it.service == context.service);
-    let usable: Vec<&Endpoint> = usable.filter(|it| !tried.contains(&it.id)).collect();
+    let usable: Vec<&Endpoint> = usable.collect();
     let limited = shared.limited(&usable);
+    let unavailable = [tried, &limited].concat();
     let plain_pool = shared.plain_pool.borrow();
     let data_centre = &shared.options.data_centre;
-    let chosen = plain_pool.choose(usable.iter().copied(), &limited, data_centre, shared.now());
+    let now = shared.now();
+    let chosen = plain_pool.choose(usable.iter().copied(), &unavailable, data_centre, now);
     let Some(chosen) = chosen else {
         if limited.is_empty() {
             return Err(("no_endpoint", RETRY_AFTER_DEFAULT));
         }
-        let rate_limits = shared.rate_limits.borrow();
-        let retry_after = rate_limits.retry_after(&limited, shared.now());
-        return Err(("endpoint_limits", retry_after));
+        let (reason, retry_after) = shared.limit_refusal(&limited);
+        // Those that were tried and have no limit may take the request sooner.
+        let are_all_limited = limited.len() == usable.len();
+        let retry_after_max = if are_all_limited {
+            retry_after
+        } else {
+            RETRY_AFTER_DEFAULT
+        };
+        return Err((reason, retry_after.min(retry_after_max)));
     };
     shared.record_placed(&chosen.id);
     Ok(chosen.clone())
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -135,9 +135,49 @@
         request_id: &str,
     ) {
         self.observe_limit(endpoint, info);
-        if info.is_leaving && info.disposition != Disposition::WrongEndpoint {
+        if info.disposition == Disposition::WrongEndpoint {
+            return;
+        }
+        if info.is_leaving {
             self.observe_leaving(endpoint, request_id);
         }
+        if let Some(pause) = info.pause {
+            self.observe_pause(endpoint, pause, request_id);
+        }
+    }
+
+    fn observe_pause(&self, endpoint: &Endpoint, asked: Duration, request_id: &str) {
+        let now = self.now();
+        let pause = self
+            .rate_limits
+            .borrow_mut()
+            .pause(&endpoint.id, asked, now);
+        log::info!(
+            endpoint:% = endpoint.id, service:% = endpoint.service, request = request_id,
+            asked_ms = asked.as_millis() as u64, pause_ms = pause.as_millis() as u64;
+            "endpoint asked for a pause"
+        );
+        self.metrics
+            .count(&format!("endpoints.pauses.{}", endpoint.service), 1);
+    }
+
+    /// Returns whether an endpoint is known to take requests of this daemon, apart from its limit.
+    pub(super) fn accepts_requests(&self, id: &Name) -> bool {
+        let is_usable = self.registry.borrow().is_usable(id);
+        is_usable && !self.rate_limits.borrow().is_paused(id, self.now())
+    }
+
+    /// Returns why these endpoints, which are limited, take no request, and after which time one of
+    /// them does.
+    pub(super) fn limit_refusal(&self, limited: &[Name]) -> (&'static str, Duration) {
+        let rate_limits = self.rate_limits.borrow();
+        let now = self.now();
+        let reason = if limited.iter().all(|id| rate_limits.is_paused(id, now)) {
+            "endpoints_paused"
+        } else {
+            "endpoint_limits"
+        };
+        (reason, rate_limits.retry_after(limited, now))
     }
 
     fn observe_leaving(&self, endpoint: &Endpoint, request_id: &str) {
@@ -180,7 +220,8 @@
         }
     }
 
-    /// Returns which of the endpoints take no request of this daemon now, because of their limits.
+    /// Returns which of the endpoints take no request of this daemon now, because of their limits or
+    /// pauses.
     pub(super) fn limited(&self, endpoints: &[&Endpoint]) -> Vec<Name> {
         let rate_limits = self.rate_limits.borrow();
         let now = self.now();
--- a/policy/src/gateway/rate_limits.rs
+++ b/policy/src/gateway/rate_limits.rs
@@ -17,16 +17,21 @@
 /// Time over which the daemons spread their use of a free place, so that few of them take the same
 /// one before they learn of each other's requests.
 const SPREAD: Duration = Duration::from_millis(300);
-/// Maximum number of endpoints whose limits are kept.
+/// Maximum number of endpoints whose limits are kept, and of those whose pauses are.
 const ENDPOINTS_MAX: usize = 1_024;
+/// Longest pause of an endpoint that does not ask for it again.
+const PAUSE_MAX: Duration = Duration::from_mins(10);
 
-/// Limits that endpoints in need set on the requests of all daemons together.
+/// Limits that endpoints in need set on their requests.
 ///
-/// The daemons tell each other the limits that they see and the requests that they send to these
-/// endpoints, and each counts the requests of all in a sliding window.
+/// A limit per second holds for all daemons together. They tell each other the limits that they see
+/// and the requests that they send to these endpoints, and each counts the requests of all in a
+/// sliding window. A pause holds for the daemon to which the endpoint has said it.
 #[derive(Debug, Default)]
 pub struct RateLimits {
     endpoints: HashMap<Name, EndpointRate>,
+    /// Ends of the pauses that endpoints have asked for.
+    pauses: HashMap<Name, Instant>,
     changes: u64,
 }
 
@@ -61,9 +66,33 @@
         self.set(id, per_second, now)
     }
 
+    /// Records that an endpoint wants no request of this daemon for some time, at most ten minutes.
+    /// Returns the time that applies, which is not shorter than what is left of earlier pauses.
+    pub fn pause(&mut self, id: &Name, time: Duration, now: Instant) -> Duration {
+        let until = now + time.min(PAUSE_MAX);
+        if self.pauses.len() >= ENDPOINTS_MAX && !self.pauses.contains_key(id) {
+            let first = self.pauses.iter().min_by_key(|(_, until)| **until);
+            if let Some(first) = first.map(|(first, _)| first.clone()) {
+                self.pauses.remove(&first);
+            }
+        }
+        let paused_until = self.pauses.entry(id.clone()).or_insert(until);
+        *paused_until = until.max(*paused_until);
+        paused_until.since(now)
+    }
+
+    /// Returns whether an endpoint has asked for a pause that has not ended.
+    #[must_use]
+    pub fn is_paused(&self, id: &Name, now: Instant) -> bool {
+        self.pauses.get(id).is_some_and(|until| now < *until)
+    }
+
     /// Returns whether the daemon `daemon` may send a request to an endpoint now.
     #[must_use]
     pub fn allows(&self, id: &Name, daemon: &Name, now: Instant) -> bool {
+        if self.is_paused(id, now) {
+            return false;
+        }
         let Some((rate, window)) = self.limited(id, now) else {
             return true;
         };
@@ -75,15 +104,20 @@
             .is_none_or(|free_at| now >= free_at + delay)
     }
 
-    /// Returns the time until one of these endpoints takes a request of any daemon.
+    /// Returns the time until one of these endpoints takes a request of this daemon.
     pub fn retry_after<'a>(
         &self,
         ids: impl IntoIterator<Item = &'a Name>,
         now: Instant,
     ) -> Duration {
-        let limited = ids.into_iter().filter_map(|id| self.limited(id, now));
-        let free_at = limited.filter_map(|(_, window)| window.free_at()).min();
-        free_at.unwrap_or(now).since(now) + SPREAD
+        let free_at = |id| {
+            let pause_end = self.pauses.get(id).copied().unwrap_or(now);
+            let limited = self.limited(id, now);
+            let place_at = limited.and_then(|(_, window)| Some(window.free_at()? + SPREAD));
+            place_at.map_or(pause_end, |place_at| place_at.max(pause_end))
+        };
+        let first = ids.into_iter().map(free_at).min();
+        first.map_or(SPREAD, |first| first.since(now))
     }
 
     /// Records a request of this daemon. Returns whether the endpoint has a limit, so that others
@@ -153,15 +187,17 @@
         changed
     }
 
-    /// Removes the limit of an endpoint that has restarted.
+    /// Removes the limit and the pause of an endpoint that has restarted.
     pub fn endpoint_restarted(&mut self, id: &Name) {
         self.endpoints.remove(id);
+        self.pauses.remove(id);
     }
 
-    /// Removes limits that no response has named lately.
+    /// Removes limits that no response has named lately, and pauses that have ended.
     pub fn expire(&mut self, now: Instant) {
         self.endpoints
             .retain(|_, rate| now.since(rate.named_at) < LIMIT_TIME);
+        self.pauses.retain(|_, until| now < *until);
     }
 
     fn limited(&self, id: &Name, now: Instant) -> Option<(&EndpointRate, &RateWindow)> {
--- a/policy/tests/gateway_rate_limits.rs
+++ b/policy/tests/gateway_rate_limits.rs
@@ -223,3 +223,75 @@
     limits.merge(&peer, vec![report(Some(1.0), 0, 1)], at(31_000));
     assert!(limits.reports(0).is_empty());
 }
+
+/// Checks whether an endpoint takes requests some time after it has asked for a pause.
+fn endpoint_takes_requests(pauses: &[(u64, f64)], at_ms: u64, expected: bool) {
+    let mut limits = RateLimits::default();
+    for (asked_at, seconds) in pauses {
+        limits.pause(
+            &endpoint(),
+            Duration::from_secs_f64(*seconds),
+            at(*asked_at),
+        );
+    }
+    let daemon = Name::from("d-1");
+    limits.expire(at(at_ms));
+    assert_eq!(limits.allows(&endpoint(), &daemon, at(at_ms)), expected);
+    assert!(limits.allows(&Name::from("i-2"), &daemon, at(at_ms)));
+}
+
+named_cases! { endpoint_takes_requests:
+    not_in_a_pause(&[(1_000, 2.0)], 2_900, false);
+    after_a_pause(&[(1_000, 2.0)], 3_000, true);
+    not_in_an_earlier_pause_that_is_longer(&[(1_000, 2.0), (1_100, 0.3)], 2_900, false);
+    not_in_a_renewed_pause(&[(1_000, 2.0), (2_900, 2.0)], 4_800, false);
+    after_an_empty_pause(&[(1_000, 0.0)], 1_000, true);
+    not_in_a_pause_of_years(&[(1_000, 1e9)], 600_900, false);
+    after_the_longest_pause(&[(1_000, 1e9)], 601_000, true);
+}
+
+#[test]
+fn pauses_tell_when_to_return() {
+    let mut limits = RateLimits::default();
+    let ids = ["i-1", "i-2"].map(Name::from);
+    limits.pause(&ids[0], Duration::from_secs(3), at(1_000));
+    limits.pause(&ids[1], Duration::from_secs(2), at(1_000));
+    assert_eq!(
+        limits.retry_after(&ids, at(1_500)),
+        Duration::from_millis(1_500)
+    );
+    // The second one also has a limit of one request in 10 s.
+    limits.observe(&ids[1], Some(0.1), at(1_000));
+    limits.record_sent(&ids[1], at(1_000));
+    assert_eq!(
+        limits.retry_after(&ids, at(1_500)),
+        Duration::from_millis(2_500)
+    );
+}
+
+#[test]
+fn pauses_end_with_the_process_and_are_bounded_in_number() {
+    let mut limits = RateLimits::default();
+    let daemon = Name::from("d-1");
+    limits.pause(&endpoint(), Duration::from_secs(30), at(0));
+    limits.endpoint_restarted(&endpoint());
+    assert!(limits.allows(&endpoint(), &daemon, at(1)));
+    let ids: Vec<Name> = (0..1_100).map(|it| format!("i-{it}").into()).collect();
+    for (number, id) in ids.iter().enumerate() {
+        limits.pause(id, Duration::from_millis(30_000 + number as u64), at(0));
+    }
+    let paused = ids.iter().filter(|id| limits.is_paused(id, at(1))).count();
+    assert_eq!(paused, 1_024);
+    assert!(
+        limits.is_paused(&ids[1_099], at(1)),
+        "the longest ones are kept"
+    );
+}
+
+/// Guards against a pause that is taken for a limit of all daemons.
+#[test]
+fn pauses_are_not_reported_to_other_daemons() {
+    let mut limits = RateLimits::default();
+    limits.pause(&endpoint(), Duration::from_secs(30), at(0));
+    assert!(limits.reports(0).is_empty());
+}
