gateway: forget what an endpoint said when a listing shows its restart

Callers would see: an endpoint that has started again, but is kept out for the pause of the process before, up to ten minutes, or kept to its limit, if its registration was read in a listing (after an outage or a restore of the store, or when the history was compacted) instead of a watch. The load and cache that daemons expect on it were not reset either.

Cause: only changes from a watch were compared with the known start.

Evidence: huge_pause_ends_when_a_listing_shows_a_start fails on the code before (timed out waiting for 200). Found when the pauses were tested.

--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -300,11 +300,16 @@
             && registry.get(&id).map(|endpoint| endpoint.started_ms) != previous_started_ms;
         drop(registry);
         if is_restarted {
-            self.shared.engines.borrow_mut().engine_restarted(&id);
-            self.shared.rate_limits.borrow_mut().endpoint_restarted(&id);
+            self.forget_process(&id);
         }
     }
 
+    /// Removes what is known of the process that an endpoint was before its restart.
+    fn forget_process(&self, id: &Name) {
+        self.shared.engines.borrow_mut().engine_restarted(id);
+        self.shared.rate_limits.borrow_mut().endpoint_restarted(id);
+    }
+
     fn evict_unregistered(&self) {
         let registry = self.shared.registry.borrow();
         let is_registered = |id: &Name| registry.get(id).is_some();
@@ -321,7 +326,19 @@
             .collect();
         log::info!(items = items.len(), endpoints = endpoints.len(); "registrations listed");
         let now = self.shared.now();
-        let changes = self.shared.registry.borrow_mut().replace(endpoints, now);
+        let mut registry = self.shared.registry.borrow_mut();
+        let known: Vec<Endpoint> = endpoints
+            .iter()
+            .filter_map(|endpoint| registry.get(&endpoint.id).cloned())
+            .collect();
+        let changes = registry.replace(endpoints, now);
+        for before in &known {
+            let current = registry.get(&before.id);
+            if current.is_some_and(|current| current.started_ms != before.started_ms) {
+                self.forget_process(&before.id);
+            }
+        }
+        drop(registry);
         if self.shared.is_registry_loaded.replace(true) {
             for change in changes {
                 log::info!(change:? = change; "registration changed in a listing");
