policy peers: keep a daemon that a later listing after a rollback has

Daemons would see: another daemon gets no load updates any more, from 10 s after a restore of the store on, if it was missing in the first listing and had registered again before a second one, as after an outage that was noticed beside the restore. A listing in that time left known daemons as they were, also their mark as missing, and ignored a newer address for good.

Change: a listing confirms a known daemon; its address in the listing applies when the registrations of the copy have ended, or at once when it is written.

Evidence: daemons_listed_again_after_a_rollback_are_kept fails on the code before ([1] instead of [2, 9] in the end). Found by reading the change.

--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -143,7 +143,7 @@
     );
     tokio::task::spawn_local(store_watcher::watch_catalog(Rc::clone(&shared)));
     tokio::task::spawn_local(store_watcher::watch_endpoints(Rc::clone(&shared)));
-    tokio::task::spawn_local(store_watcher::expire_endpoints(Rc::clone(&shared)));
+    tokio::task::spawn_local(store_watcher::check_registrations(Rc::clone(&shared)));
     tokio::task::spawn_local(run_periodic_checks(Rc::clone(&shared)));
     tokio::task::spawn_local(peers::watch_peers(Rc::clone(&shared)));
     tokio::task::spawn_local(registration::register(Rc::clone(&shared), peers_address));
--- a/lib/src/gateway/load_exchange.rs
+++ b/lib/src/gateway/load_exchange.rs
@@ -214,8 +214,8 @@
         }
     }
 
-    /// Sends a new process what this daemon knows of crashes, limits and departures. Its registration may not
-    /// have been read yet, so that it would not receive other load updates for seconds.
+    /// Sends a new process what this daemon knows of crashes, limits and departures. Its registration
+    /// may not have been read yet, so that it would not receive other load updates for seconds.
     fn inform(&self, address: SocketAddr) {
         let extension = ExtensionSchedule::default().take_due(self.shared);
         if extension.is_some() {
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -13,8 +13,8 @@
 /// base.
 const RETRY_DELAY_BASE: Duration = Duration::from_millis(100);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
-/// Interval at which expired registrations are removed.
-const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which registrations are checked against the times that they have.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Callbacks for the items below a watched prefix.
 pub(super) trait WatchHandler {
@@ -50,9 +50,9 @@
 
 /// Removes endpoints whose registration expired during a store outage and was not renewed after it,
 /// and takes those into use again that a restored store still lists.
-pub(super) async fn expire_endpoints(shared: Rc<Shared>) {
+pub(super) async fn check_registrations(shared: Rc<Shared>) {
     loop {
-        tokio::time::sleep(EXPIRY_CHECK_INTERVAL).await;
+        tokio::time::sleep(CHECK_INTERVAL).await;
         let now = shared.now();
         let expired = shared.registry.borrow_mut().expire(now);
         for id in expired {
--- a/policy/src/gateway/peer_directory.rs
+++ b/policy/src/gateway/peer_directory.rs
@@ -26,6 +26,8 @@
 struct Entry {
     peer: Peer,
     is_registered: bool,
+    /// Other registration in a listing that may be from an older copy.
+    listed: Option<Peer>,
 }
 
 impl PeerDirectory {
@@ -51,6 +53,7 @@
         let entry = Entry {
             peer,
             is_registered: true,
+            listed: None,
         };
         self.peers.insert(name, entry);
     }
@@ -61,6 +64,7 @@
             self.peers.remove(name);
         } else if let Some(entry) = self.peers.get_mut(name) {
             entry.is_registered = false;
+            entry.listed = None;
         }
     }
 
@@ -74,8 +78,12 @@
         }
         let is_copy = is_recent(self.source_rolled_back, now);
         for (name, peer) in listed {
-            if !is_copy || !self.peers.contains_key(&name) {
-                self.put(name, peer);
+            match self.peers.get_mut(&name) {
+                Some(known) if is_copy => {
+                    known.is_registered = true;
+                    known.listed = Some(peer);
+                }
+                _ => self.put(name, peer),
             }
         }
     }
@@ -91,10 +99,17 @@
         self.source_rolled_back = Some(now);
     }
 
-    /// Removes daemons that have not registered again in time.
+    /// Removes daemons that have not registered again in time, and goes by what was listed of the
+    /// others.
     pub fn expire(&mut self, now: Instant) {
-        if !is_recent(self.source_restored, now) {
-            self.peers.retain(|_, entry| entry.is_registered);
+        if is_recent(self.source_restored, now) {
+            return;
+        }
+        self.peers.retain(|_, entry| entry.is_registered);
+        for entry in self.peers.values_mut() {
+            if let Some(listed) = entry.listed.take() {
+                entry.peer = listed;
+            }
         }
     }
 }
--- a/policy/tests/gateway_peer_directory.rs
+++ b/policy/tests/gateway_peer_directory.rs
@@ -69,6 +69,19 @@
     assert_eq!(ports(&directory), [4, 5]);
 }
 
+/// Guards against a daemon that is forgotten, or stays at an old address, as it registered again
+/// before a listing.
+#[test]
+fn daemons_listed_again_after_a_rollback_are_kept() {
+    let mut directory = directory(&[("a", 1), ("b", 2)]);
+    directory.source_rolled_back(at(5_000));
+    directory.replace(listing(&[("a", 1)]), at(5_000));
+    directory.replace(listing(&[("a", 9), ("b", 2)]), at(5_500));
+    assert_eq!(ports(&directory), [1, 2]);
+    directory.expire(at(15_000));
+    assert_eq!(ports(&directory), [2, 9]);
+}
+
 /// Guards against a daemon that stopped and stays known forever.
 #[test]
 fn daemons_that_stop_after_a_rollback_are_removed() {
