gateway: spread news by an epidemic broadcast in place of load updates

Cause: each daemon sent the whole merged evidence of crashes (up to 64 lost runs with 8 parts each) to all others when any of it changed, also by what others had told, and every 0.7 s for ten minutes. With 295 daemons that is more than their links carry.

Change: lost runs, begun outputs, limits and departures are statements that are told once to 16 random daemons, passed on once to 4, and repaired by comparing digests (policy::gateway::epidemic; Demers et al., 1987). Loads and news each have a byte budget from the link (new setting link_mbps). A starting daemon is told everything by the first daemon that it asks.

Ruled out: sending only what is new to all. The bytes of a daemon that observes much then grow with the fleet.

--- a/cli/tests/gateway_settings.rs
+++ b/cli/tests/gateway_settings.rs
@@ -8,7 +8,7 @@
 const TEXT: &str = "[gateway]\nname = a-1\ndata_centre = a\ncallers_address = 127.0.0.1:0\n\
     readiness_address = 127.0.0.1:0\npeers_address = 127.0.0.1:0\nmetrics_address =\n\
     store_address = 127.0.0.1:9\nretry_ratio = 0.2\nleaving_bound_ms = 2000\n\
-    stop_timeout_seconds = 8\nopen_files_max = 1000\nlog_level = info\n";
+    stop_timeout_seconds = 8\nopen_files_max = 1000\nlink_mbps = 20\nlog_level = info\n";
 
 /// A settings file in a temporary directory.
 struct File(tempfile::TempDir);
--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -62,7 +62,6 @@
             quarantine.record_lost_run(lost_run, now);
         }
     });
-    shared.notify_work_changed();
 }
 
 async fn refuses_connections(shared: &Shared, endpoint: &Endpoint) -> bool {
--- a/lib/src/gateway/load_exchange.rs
+++ b/lib/src/gateway/load_exchange.rs
@@ -1,20 +1,21 @@
 //! Exchange of load updates: each daemon sends its work on the engines to the others, which take it
 //! into account when they place requests.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use ragwortgrade_policy::gateway::epidemic::ByteBudget;
 use ragwortgrade_policy::gateway::{CachedPart, EngineWork, Stage};
 use ragwortgrade_schema::Name;
 use tokio::net::UdpSocket;
 
-use super::departure_news::DepartureNews;
-use super::evidence_report::EvidenceReport;
 use super::load_update::{LoadUpdate, Sender};
+use super::news_exchange::{self, NewsExchange};
+use super::news_message::NewsMessage;
 use super::shared::Shared;
-use super::update_extension::UpdateExtension;
+use super::unreadable_datagrams::UnreadableDatagrams;
 
 /// Minimum interval between load updates: a fraction of the duration of most prefills.
 const SEND_INTERVAL_MIN: Duration = Duration::from_millis(5);
@@ -37,64 +38,54 @@
     Remote,
 }
 
-/// What was last sent to a group beside the work.
-#[derive(Debug, Default)]
-struct ExtensionSchedule {
-    evidence_changes: u64,
-    limit_changes: u64,
-    departure_changes: u64,
-    repeated_at: Option<Instant>,
-}
-
-impl ExtensionSchedule {
-    /// Returns what has changed, or everything if a repeat is due: it reaches daemons that have
-    /// missed it or have started since.
-    fn take_due(&mut self, shared: &Shared) -> Option<(UpdateExtension, DepartureNews)> {
-        let is_repeat_due = self
-            .repeated_at
-            .is_none_or(|repeated_at| repeated_at.elapsed() >= REPEAT_INTERVAL);
-        let now = shared.now();
-        let quarantine = shared.quarantine.borrow();
-        let evidence = (is_repeat_due || quarantine.changes() != self.evidence_changes)
-            .then(|| quarantine.evidence())
-            .filter(|evidence| !evidence.is_empty());
-        let evidence = evidence.map(|evidence| EvidenceReport::new(evidence, now));
-        let rate_limits = shared.rate_limits.borrow();
-        let limits = rate_limits.reports(if is_repeat_due { 0 } else { self.limit_changes });
-        let registry = shared.registry.borrow();
-        let departures = if is_repeat_due || registry.said_changes() != self.departure_changes {
-            registry.departure_reports(now)
-        } else {
-            Vec::new()
-        };
-        self.evidence_changes = quarantine.changes();
-        self.limit_changes = rate_limits.changes();
-        self.departure_changes = registry.said_changes();
-        if is_repeat_due {
-            self.repeated_at = Some(Instant::now());
-        }
-        let extension = UpdateExtension::new(evidence, limits, now);
-        let departures = DepartureNews::new(departures, now);
-        let is_due = !extension.is_empty() || !departures.is_empty();
-        is_due.then_some((extension, departures))
-    }
-}
-
-/// Sends and receives load updates until the task is aborted.
+/// Exchanges load updates and news with other daemons until the task is aborted.
 pub(super) async fn run(shared: Rc<Shared>, socket: UdpSocket) {
+    let started_ms = shared.clock.unix_ms();
+    let bytes_per_second =
+        shared.options.peer_bytes_per_second * (1.0 - news_exchange::BYTES_FRACTION);
     let publisher = LoadPublisher {
         shared: &shared,
         socket: &socket,
-        started_ms: shared.clock.unix_ms(),
+        started_ms,
         sequence: Cell::new(0),
+        budget: RefCell::new(ByteBudget::new(bytes_per_second)),
     };
+    let news = NewsExchange::new(&shared, &socket, started_ms);
     tokio::join!(
         publisher.publish_load(PeerGroup::Local),
         publisher.publish_load(PeerGroup::Remote),
-        publisher.receive_load_updates()
+        news.run(),
+        receive(&publisher, &news)
     );
 }
 
+/// Receives datagrams of other daemons until the future is dropped.
+async fn receive(loads: &LoadPublisher<'_>, news: &NewsExchange<'_>) {
+    let mut unreadable = UnreadableDatagrams::default();
+    // One byte more than accepted, so that longer datagrams are noticed.
+    let mut buffer = vec![0; DATAGRAM_BYTES_MAX + 1];
+    loop {
+        let (length, source) = match loads.socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!(error:% = error; "datagram could not be received");
+                continue;
+            }
+        };
+        let datagram = &buffer[..length];
+        let is_readable = length <= DATAGRAM_BYTES_MAX
+            && if NewsMessage::is_in(datagram) {
+                news.receive(datagram, source)
+            } else {
+                loads.receive(datagram)
+            };
+        if !is_readable {
+            loads.shared.metrics.count("news.unreadable", 1);
+            unreadable.record(source, length, loads.shared.now());
+        }
+    }
+}
+
 /// Sends this daemon's load updates, and receives those of others.
 struct LoadPublisher<'a> {
     shared: &'a Shared,
@@ -102,6 +93,8 @@
     started_ms: u64,
     /// Sequence number of the last datagram, shared by both groups.
     sequence: Cell<u64>,
+    /// Budget of both groups.
+    budget: RefCell<ByteBudget>,
 }
 
 impl LoadPublisher<'_> {
@@ -109,10 +102,8 @@
     /// there is work.
     async fn publish_load(&self, group: PeerGroup) {
         let mut changes = self.shared.subscribe_work_changes();
-        // The first update asks the daemons nearby for what they know, also without any work.
-        let mut last_sent = (group == PeerGroup::Remote).then(Vec::new);
+        let mut last_sent = Vec::new();
         let mut sent_at = Instant::now();
-        let mut extension_schedule = ExtensionSchedule::default();
         loop {
             let wakeup = tokio::time::timeout(REPEAT_INTERVAL, changes.changed()).await;
             let addresses = self.addresses(group);
@@ -120,19 +111,19 @@
                 continue;
             }
             let pause = SEND_INTERVAL_MIN.max(SEND_INTERVAL_PER_PEER * addresses.len() as u32);
-            tokio::time::sleep(pause.saturating_sub(sent_at.elapsed())).await;
+            let budget_wait = self.budget.borrow_mut().wait_time(self.shared.now());
+            let wait = budget_wait.max(pause.saturating_sub(sent_at.elapsed()));
+            tokio::time::sleep(wait).await;
             changes.mark_unchanged();
             let work = self.work(group);
             let parts = self.parts(group);
-            let extension = extension_schedule.take_due(self.shared);
-            let is_repeat =
-                last_sent.as_ref() == Some(&work) && parts.is_empty() && extension.is_none();
+            let is_repeat = last_sent == work && parts.is_empty();
             if is_repeat && (wakeup.is_ok() || work.is_empty()) {
                 continue;
             }
-            last_sent = Some(work.clone());
+            last_sent.clone_from(&work);
             sent_at = Instant::now();
-            self.send(work, parts, extension, &addresses);
+            self.send(work, parts, &addresses);
         }
     }
 
@@ -169,7 +160,6 @@
         &self,
         work: Vec<(Name, EngineWork)>,
         parts: Vec<CachedPart>,
-        extension: Option<(UpdateExtension, DepartureNews)>,
         addresses: &[SocketAddr],
     ) {
         self.sequence.set(self.sequence.get() + 1);
@@ -178,16 +168,17 @@
             started_ms: self.started_ms,
         };
         let load_update = LoadUpdate::new(sender, self.sequence.get(), work, parts);
-        let Ok(mut datagram) = postcard::to_allocvec(&load_update) else {
-            return;
-        };
-        // Daemons of earlier versions ignore bytes after the load update.
-        if let Some((extension, departures)) = extension {
-            datagram.extend(postcard::to_allocvec(&extension).unwrap_or_default());
-            if !departures.is_empty() {
-                datagram.extend(postcard::to_allocvec(&departures).unwrap_or_default());
+        let datagram = match postcard::to_allocvec(&load_update) {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                log::warn!(error:% = error; "load update could not be encoded");
+                return;
             }
-        }
+        };
+        let bytes = (datagram.len() + news_exchange::HEADER_BYTES) * addresses.len();
+        // The other group may have overdrawn the budget since the wait; the debt delays both.
+        self.budget.borrow_mut().charge(bytes, self.shared.now());
+        self.shared.metrics.count("peers.loads.bytes", bytes as u64);
         for address in addresses {
             // A send error has the effect of a lost datagram: the next update replaces the work in
             // it, but does not repeat the parts.
@@ -197,85 +188,21 @@
         }
     }
 
-    /// Reads which endpoints have said to another daemon that they leave.
-    fn receive_departures(&self, bytes: &[u8], daemon: &Name) {
+    /// Handles a datagram with a load update. Returns whether it can be read.
+    fn receive(&self, datagram: &[u8]) -> bool {
         let shared = self.shared;
-        let Ok(news) = postcard::from_bytes::<DepartureNews>(bytes) else {
-            shared.metrics.count("news.unreadable", 1);
-            return;
+        // Daemons of earlier versions send more after the load update.
+        let Ok((load_update, _)) = postcard::take_from_bytes::<LoadUpdate>(datagram) else {
+            return false;
         };
-        let now = shared.now();
-        let mut registry = shared.registry.borrow_mut();
-        for endpoint in registry.merge_departures(news.into_reports(now), now) {
-            log::info!(
-                endpoint:% = endpoint, reported_by:% = daemon;
-                "endpoint says that it leaves"
-            );
-        }
-    }
-
-    /// Sends a new process what this daemon knows of crashes, limits and departures. Its registration
-    /// may not have been read yet, so that it would not receive other load updates for seconds.
-    fn inform(&self, address: SocketAddr) {
-        let extension = ExtensionSchedule::default().take_due(self.shared);
-        if extension.is_some() {
-            let work = self.work(PeerGroup::Local);
-            self.send(work, Vec::new(), extension, &[address]);
-        }
-    }
-
-    async fn receive_load_updates(&self) {
-        let shared = self.shared;
-        let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
-        loop {
-            let (length, source) = match self.socket.recv_from(&mut buffer).await {
-                Ok(received) => received,
-                Err(error) => {
-                    log::debug!(error:% = error; "load update could not be received");
-                    continue;
-                }
-            };
-            let parsed = postcard::take_from_bytes::<LoadUpdate>(&buffer[..length]);
-            let Ok((load_update, rest)) = parsed else {
-                shared.metrics.count("news.unreadable", 1);
-                continue;
-            };
-            if shared.peers.borrow().is_new_process(&load_update) {
-                self.inform(source);
-            }
-            if !shared.peers.borrow_mut().record_if_newer(&load_update) {
-                continue;
-            }
-            let now = shared.now();
-            let daemon = load_update.sender.daemon.clone();
-            let mut engines = shared.engines.borrow_mut();
-            engines.update_peer(&daemon, load_update.loads(), now);
-            engines.record_peer_parts(load_update.parts(), now);
-            drop(engines);
-            if rest.is_empty() {
-                continue;
-            }
-            let parsed = postcard::take_from_bytes::<UpdateExtension>(rest);
-            let Ok((extension, rest)) = parsed else {
-                shared.metrics.count("news.unreadable", 1);
-                continue;
-            };
-            if !rest.is_empty() {
-                self.receive_departures(rest, &daemon);
-            }
-            let reports = extension.rate_reports(now);
-            let changed = shared.rate_limits.borrow_mut().merge(&daemon, reports, now);
-            for (endpoint, per_second) in changed {
-                log::info!(
-                    endpoint:% = endpoint, requests_per_second:? = per_second, reported_by:% = daemon;
-                    "limit of an endpoint changed"
-                );
-            }
-            if let Some(report) = extension.evidence {
-                shared.update_quarantine(|quarantine, now| {
-                    quarantine.merge(report.into_evidence(now), now);
-                });
-            }
+        if !shared.peers.borrow_mut().record_if_newer(&load_update) {
+            return true;
         }
+        let now = shared.now();
+        let daemon = load_update.sender.daemon.clone();
+        let mut engines = shared.engines.borrow_mut();
+        engines.update_peer(&daemon, load_update.loads(), now);
+        engines.record_peer_parts(load_update.parts(), now);
+        true
     }
 }
--- /dev/null
+++ b/lib/src/gateway/news_message.rs
@@ -0,0 +1,203 @@
+use std::time::Duration;
+
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::gateway::epidemic::{Digest, Message, Statement};
+use ragwortgrade_policy::gateway::{DepartureReport, LostRun, RateReport};
+use ragwortgrade_schema::Name;
+use serde::{Deserialize, Serialize};
+
+/// First bytes of these datagrams. A load update never begins with them, as they are no valid
+/// length of a name.
+const MARK: [u8; 10] = [0xff; 10];
+/// Maximum number of statements, and of IDs, in a datagram that is accepted.
+const STATEMENTS_MAX: usize = 64;
+const IDS_MAX: usize = 1_024;
+
+/// Datagram about what daemons tell each other beside their loads. Daemons do not share a clock, so
+/// times are sent as ages.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) struct NewsMessage {
+    /// Daemon that sends the message.
+    pub(super) daemon: Name,
+    body: Body,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Body {
+    Digest { count: u32, sum: u64 },
+    Held(Vec<u64>),
+    Wanted(Vec<u64>),
+    Statements(Vec<Report>),
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Report {
+    LostRun {
+        endpoint: Name,
+        endpoint_started_ms: u64,
+        age_ms: u32,
+        parts: Vec<u64>,
+        content: Option<u64>,
+    },
+    Begun {
+        identity: u64,
+        age_ms: u32,
+    },
+    Rate {
+        daemon: Name,
+        started_ms: u64,
+        version: u64,
+        endpoint: Name,
+        /// Requests per second for all daemons together; `None` if the limit was lifted.
+        per_second: Option<f64>,
+        /// Time since a response last named or lifted the limit, in ms.
+        age_ms: u32,
+        sent: u32,
+    },
+    Departure {
+        endpoint: Name,
+        /// Start of the process, in Unix ms, if it is known.
+        started_ms: Option<u64>,
+        /// Time since its last response that said so, in ms.
+        age_ms: u32,
+    },
+}
+
+impl NewsMessage {
+    /// Returns whether a datagram is one of these.
+    pub(super) fn is_in(datagram: &[u8]) -> bool {
+        datagram.starts_with(&MARK)
+    }
+
+    pub(super) fn new(daemon: Name, message: Message, now: Instant) -> Self {
+        let body = match message {
+            Message::Digest(Digest { count, sum }) => Body::Digest { count, sum },
+            Message::Held(ids) => Body::Held(ids),
+            Message::Wanted(ids) => Body::Wanted(ids),
+            Message::Statements(statements) => {
+                let reports = statements.into_iter().map(|it| Report::new(it, now));
+                Body::Statements(reports.collect())
+            }
+        };
+        Self { daemon, body }
+    }
+
+    pub(super) fn into_message(self, now: Instant) -> Message {
+        match self.body {
+            Body::Digest { count, sum } => Message::Digest(Digest { count, sum }),
+            Body::Held(ids) => Message::Held(ids),
+            Body::Wanted(ids) => Message::Wanted(ids),
+            Body::Statements(reports) => {
+                let statements = reports.into_iter().map(|it| it.into_statement(now));
+                Message::Statements(statements.collect())
+            }
+        }
+    }
+
+    /// Returns the datagram, or an error if the message cannot be encoded.
+    pub(super) fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_extend(self, MARK.to_vec())
+    }
+
+    /// Parses a datagram; `None` if it is not complete, goes on after the message, or claims more
+    /// than daemons send.
+    pub(super) fn decode(datagram: &[u8]) -> Option<Self> {
+        let bytes = datagram.strip_prefix(&MARK)?;
+        let (message, rest) = postcard::take_from_bytes::<Self>(bytes).ok()?;
+        let is_plausible = match &message.body {
+            Body::Digest { .. } => true,
+            Body::Held(ids) | Body::Wanted(ids) => ids.len() <= IDS_MAX,
+            Body::Statements(reports) => reports.len() <= STATEMENTS_MAX,
+        };
+        (is_plausible && rest.is_empty()).then_some(message)
+    }
+}
+
+impl Report {
+    fn new(statement: Statement, now: Instant) -> Self {
+        let age_ms = |at: Instant| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        match statement {
+            Statement::LostRun(run) => Self::LostRun {
+                endpoint: run.endpoint,
+                endpoint_started_ms: run.endpoint_started_ms,
+                age_ms: age_ms(run.at),
+                parts: run.parts,
+                content: run.content,
+            },
+            Statement::Begun { identity, at } => Self::Begun {
+                identity,
+                age_ms: age_ms(at),
+            },
+            Statement::Rate {
+                daemon,
+                started_ms,
+                version,
+                report,
+            } => Self::Rate {
+                daemon,
+                started_ms,
+                version,
+                endpoint: report.endpoint,
+                per_second: report.per_second,
+                age_ms: age_ms(report.named_at),
+                sent: report.sent,
+            },
+            Statement::Departure(report) => Self::Departure {
+                endpoint: report.endpoint,
+                started_ms: report.started_ms,
+                age_ms: age_ms(report.said_at),
+            },
+        }
+    }
+
+    fn into_statement(self, now: Instant) -> Statement {
+        let at = |age_ms: u32| now - Duration::from_millis(u64::from(age_ms));
+        match self {
+            Self::LostRun {
+                endpoint,
+                endpoint_started_ms,
+                age_ms,
+                parts,
+                content,
+            } => Statement::LostRun(LostRun {
+                endpoint,
+                endpoint_started_ms,
+                at: at(age_ms),
+                parts,
+                content,
+            }),
+            Self::Begun { identity, age_ms } => Statement::Begun {
+                identity,
+                at: at(age_ms),
+            },
+            Self::Rate {
+                daemon,
+                started_ms,
+                version,
+                endpoint,
+                per_second,
+                age_ms,
+                sent,
+            } => Statement::Rate {
+                daemon,
+                started_ms,
+                version,
+                report: RateReport {
+                    endpoint,
+                    per_second,
+                    named_at: at(age_ms),
+                    sent,
+                },
+            },
+            Self::Departure {
+                endpoint,
+                started_ms,
+                age_ms,
+            } => Statement::Departure(DepartureReport {
+                endpoint,
+                started_ms,
+                said_at: at(age_ms),
+            }),
+        }
+    }
+}
--- a/lib/src/gateway/options.rs
+++ b/lib/src/gateway/options.rs
@@ -33,6 +33,8 @@
     pub registration_read_interval: Duration,
     /// Maximum number of callers' connections.
     pub connections_max: usize,
+    /// Bytes per second that this daemon may send to other daemons.
+    pub peer_bytes_per_second: f64,
     /// Speeds of the engines.
     pub speed: Speed,
     /// Translation of HTTP messages.
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -59,14 +59,6 @@
         recipients.map(|peer| peer.address).collect()
     }
 
-    /// Returns whether this is the first load update of a process. The process may know nothing of
-    /// what the other daemons have learned.
-    pub(super) fn is_new_process(&self, load_update: &LoadUpdate) -> bool {
-        let sender = &load_update.sender;
-        let latest = self.latest.get(&sender.daemon);
-        latest.is_none_or(|(started_ms, _)| *started_ms != sender.started_ms)
-    }
-
     /// Records a load update; returns whether it is newer than the previous ones of its sender.
     pub(super) fn record_if_newer(&mut self, load_update: &LoadUpdate) -> bool {
         let sender = &load_update.sender;
@@ -132,7 +124,7 @@
             "other daemons listed"
         );
         drop(peers);
-        self.shared.notify_work_changed();
+        self.shared.notify_peer_list();
     }
 
     fn on_update(&self, update: Update) {
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -36,6 +36,8 @@
     pub drain_timeout: Duration,
     /// Maximum number of open files of the process; callers' connections may use half of them.
     pub open_files_max: usize,
+    /// Bandwidth of the VM's network link, in Mbit/s.
+    pub link_mbps: f64,
     /// Least severe level that is logged.
     pub log_level: LevelFilter,
 }
@@ -106,6 +108,7 @@
         let leaving_bound = self.bounded("leaving_bound_ms", 100.0, 60_000.0);
         let drain_timeout = self.bounded("stop_timeout_seconds", 1.0, 600.0);
         let open_files_max = self.parsed("open_files_max", "a whole number");
+        let link_mbps = self.bounded("link_mbps", 0.1, 1e6);
         let log_level = self.parsed("log_level", "error, warn, info, debug or trace");
         Some(Settings {
             name: name?,
@@ -119,6 +122,7 @@
             leaving_bound: Duration::from_secs_f64(leaving_bound? / 1e3),
             drain_timeout: Duration::from_secs_f64(drain_timeout?),
             open_files_max: open_files_max?,
+            link_mbps: link_mbps?,
             log_level: log_level?,
         })
     }
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::gateway::epidemic::Broadcast;
 use ragwortgrade_policy::gateway::{
     Catalog, Endpoint, Engines, Limits, PlainPool, Quarantine, RateLimits, Registry, ResponseEra,
     SizeShares, StoreEra,
 };
 use ragwortgrade_schema::Name;
 use tokio::sync::{Notify, watch};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::caller_connection::CallerConnections;
 use super::crash_detector::CrashDetector;
@@ -55,16 +57,24 @@
     /// read before it.
     store_recovered: Notify,
     pub(super) peers: RefCell<Peers>,
+    /// What other daemons are told of crashes, limits and departures.
+    pub(super) broadcast: RefCell<Broadcast>,
     /// Wakes the tasks that send load updates.
     work_changed: watch::Sender<()>,
+    /// Wakes the task that sends news.
+    news: Notify,
+    /// Wakes the task that compares digests, as other daemons were listed.
+    peer_list: Notify,
     /// Whether this daemon has registered.
     pub(super) is_registered: Cell<bool>,
 }
 
 impl Shared {
     pub(super) fn new(options: Options, metrics: Metrics) -> Rc<Self> {
+        let clock = Clock::start_at(TIME_BEFORE_START);
+        let seed = xxh3_64_with_seed(options.name.as_bytes(), clock.unix_ms());
         Rc::new(Self {
-            clock: Clock::start_at(TIME_BEFORE_START),
+            clock,
             catalog: RefCell::new(None),
             registry: RefCell::default(),
             engines: RefCell::new(Engines::open(options.speed)),
@@ -86,7 +96,10 @@
             store_interruptions: Cell::new(0),
             store_recovered: Notify::new(),
             peers: RefCell::default(),
+            broadcast: RefCell::new(Broadcast::new(seed)),
             work_changed: watch::Sender::default(),
+            news: Notify::new(),
+            peer_list: Notify::new(),
             is_registered: Cell::new(false),
             options,
         })
@@ -115,6 +128,9 @@
         let before = quarantine.identities(now);
         update(&mut quarantine, now);
         let after = quarantine.identities(now);
+        if quarantine.has_news() {
+            self.notify_news();
+        }
         if before != after {
             let ids: Vec<String> = after
                 .iter()
@@ -196,7 +212,7 @@
         );
         self.metrics
             .count(&format!("endpoints.leaving.{}", endpoint.service), 1);
-        self.notify_work_changed();
+        self.notify_news();
     }
 
     /// Records the limit in a response of an endpoint, or that it has none.
@@ -216,7 +232,7 @@
                 endpoint:% = endpoint.id, requests_per_second:? = per_second;
                 "limit of an endpoint changed"
             );
-            self.notify_work_changed();
+            self.notify_news();
         }
     }
 
@@ -234,7 +250,7 @@
     pub(super) fn record_placed(&self, id: &Name) {
         let now = self.now();
         if self.rate_limits.borrow_mut().record_sent(id, now) {
-            self.notify_work_changed();
+            self.notify_news();
         }
     }
 
@@ -306,6 +322,26 @@
         self.work_changed.send_replace(());
     }
 
+    /// Wakes the task that sends news.
+    pub(super) fn notify_news(&self) {
+        self.news.notify_one();
+    }
+
+    /// Waits until there may be news to send.
+    pub(super) async fn wait_for_news(&self) {
+        self.news.notified().await;
+    }
+
+    /// Wakes the task that compares digests with other daemons, as they were listed.
+    pub(super) fn notify_peer_list(&self) {
+        self.peer_list.notify_one();
+    }
+
+    /// Waits until other daemons are listed.
+    pub(super) async fn wait_for_peer_list(&self) {
+        self.peer_list.notified().await;
+    }
+
     /// Returns a receiver of changes of this daemon's work on the engines.
     pub(super) fn subscribe_work_changes(&self) -> watch::Receiver<()> {
         self.work_changed.subscribe()
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -17,6 +17,7 @@
 mod endpoint;
 mod engine_load;
 mod engines;
+pub mod epidemic;
 mod evidence;
 mod fingerprint;
 mod health;
--- a/policy/src/gateway/lost_run.rs
+++ b/policy/src/gateway/lost_run.rs
@@ -29,6 +29,12 @@
         self.content = self.content.filter(|content| *content != identity);
     }
 
+    /// Returns whether both are the same run, of which one daemon may have cleared more suspects.
+    pub(super) fn is_same_run(&self, other: &Self) -> bool {
+        let has_same_content = self.content.is_some() && self.content == other.content;
+        self.is_same_crash(other) && (has_same_content || self.suspects().eq(other.suspects()))
+    }
+
     pub(super) fn is_same_crash(&self, other: &Self) -> bool {
         self.endpoint == other.endpoint && self.endpoint_started_ms == other.endpoint_started_ms
     }
--- a/policy/src/gateway/quarantine.rs
+++ b/policy/src/gateway/quarantine.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::epidemic::Statement;
 use super::suspect::Suspect;
 use super::{Evidence, Fingerprint, LostRun};
 use crate::Instant;
@@ -15,14 +16,16 @@
 /// Time for which it is remembered that an output has begun. Within it, the other daemons learn
 /// that its identities do not crash endpoints.
 const BEGIN_TIME: Duration = Duration::from_secs(30);
-/// Maximum number of lost runs that are kept, in memory and in a message.
+/// Maximum number of lost runs that are kept.
 const LOST_RUNS_MAX: usize = 64;
 /// Maximum number of parts that are kept for one lost run, the last ones of the prompt.
 const PARTS_PER_RUN_MAX: usize = 8;
 /// Maximum number of identities of outputs that have begun.
 const BEGUN_MAX: usize = 4_096;
-/// Maximum number of cleared identities in one message.
-const CLEARED_MAX: usize = 64;
+/// Maximum number of cleared identities of which other daemons are told.
+const CLEARED_MAX: usize = 256;
+/// Maximum number of statements that wait to be told.
+const NEWS_MAX: usize = 512;
 
 /// Shared parts of prompts, and contents of requests, that crash the endpoints that begin to answer
 /// them.
@@ -44,8 +47,8 @@
     cleared: Vec<u64>,
     /// End of the quarantine of each identity.
     quarantined: HashMap<u64, Instant>,
-    /// Number of changes that other daemons should learn soon.
-    changes: u64,
+    /// What other daemons should be told.
+    news: Vec<Statement>,
 }
 
 impl Quarantine {
@@ -84,19 +87,24 @@
 
     /// Records a run that was lost when its endpoint crashed, before its output began.
     pub fn record_lost_run(&mut self, lost_run: LostRun, now: Instant) {
-        if self.add(lost_run) {
-            self.changes += 1;
+        if let Some(added) = self.add(lost_run) {
+            self.tell(Statement::LostRun(added));
             self.conclude(now);
         }
     }
 
-    /// Returns the number of changes so far that other daemons should learn soon.
+    /// Returns what other daemons should be told since the previous call.
+    pub fn take_news(&mut self) -> Vec<Statement> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Returns whether there is something that other daemons should be told.
     #[must_use]
-    pub const fn changes(&self) -> u64 {
-        self.changes
+    pub const fn has_news(&self) -> bool {
+        !self.news.is_empty()
     }
 
-    /// Returns the evidence for other daemons.
+    /// Returns the evidence that other daemons may lack.
     #[must_use]
     pub fn evidence(&self) -> Evidence {
         let begun = self.cleared.iter();
@@ -114,11 +122,12 @@
             if known.is_none_or(|known| *known < at) {
                 self.clear(identity, at.min(now));
             }
+            self.hold_cleared(identity);
         }
         let mut is_changed = false;
         for mut lost_run in evidence.lost_runs.into_iter().take(LOST_RUNS_MAX) {
             lost_run.at = lost_run.at.min(now);
-            is_changed |= self.add(lost_run);
+            is_changed |= self.add(lost_run).is_some();
         }
         if is_changed {
             self.conclude(now);
@@ -156,17 +165,29 @@
 
     /// Remembers that others should learn that an identity does not crash endpoints.
     fn note_cleared(&mut self, identity: u64) {
+        self.hold_cleared(identity);
+        if let Some(at) = self.begun.get(&identity).copied() {
+            self.tell(Statement::Begun { identity, at });
+        }
+    }
+
+    fn hold_cleared(&mut self, identity: u64) {
         self.cleared.retain(|it| *it != identity);
         self.cleared.push(identity);
         if self.cleared.len() > CLEARED_MAX {
             self.cleared.remove(0);
         }
-        self.changes += 1;
     }
 
-    /// Adds a lost run without the identities that are known to be sound. Returns whether it is
-    /// new.
-    fn add(&mut self, mut lost_run: LostRun) -> bool {
+    fn tell(&mut self, statement: Statement) {
+        if self.news.len() < NEWS_MAX {
+            self.news.push(statement);
+        }
+    }
+
+    /// Adds a lost run without the identities that are known to be sound, and returns what was
+    /// added if it is new.
+    fn add(&mut self, mut lost_run: LostRun) -> Option<LostRun> {
         let proven = lost_run.suspects().filter(|identity| {
             let begun = self.begun.get(identity);
             begun.is_some_and(|at| is_proven(*at, &lost_run))
@@ -180,16 +201,15 @@
         }
         let surplus = lost_run.parts.len().saturating_sub(PARTS_PER_RUN_MAX);
         lost_run.parts.drain(..surplus);
-        let is_known =
-            |run: &LostRun| run.is_same_crash(&lost_run) && run.suspects().eq(lost_run.suspects());
+        let is_known = |run: &LostRun| run.is_same_run(&lost_run);
         if lost_run.suspects().next().is_none() || self.lost_runs.iter().any(is_known) {
-            return false;
+            return None;
         }
-        self.lost_runs.push(lost_run);
+        self.lost_runs.push(lost_run.clone());
         if self.lost_runs.len() > LOST_RUNS_MAX {
             self.evict();
         }
-        true
+        Some(lost_run)
     }
 
     /// Removes the oldest lost run, one that supports no quarantine if there is any.
--- a/policy/src/gateway/registry.rs
+++ b/policy/src/gateway/registry.rs
@@ -198,6 +198,29 @@
         reports
     }
 
+    /// Returns the departures of which this daemon knows from responses or from other daemons,
+    /// with the times of the responses.
+    #[must_use]
+    pub fn known_departures(&self, now: Instant) -> Vec<DepartureReport> {
+        let mut reports = self.departure_reports(now);
+        let reported = self.endpoints.values().filter_map(|entry| {
+            let until = entry.reported_until.filter(|until| *until > now)?;
+            Some(DepartureReport {
+                endpoint: entry.endpoint.id.clone(),
+                started_ms: entry.endpoint.started_ms,
+                said_at: until - REPORT_TIME,
+            })
+        });
+        for report in reported {
+            if !reports.iter().any(|it| it.endpoint == report.endpoint) {
+                reports.push(report);
+            }
+        }
+        reports.sort_by_key(|report| Reverse(report.said_at));
+        reports.truncate(REPORTS_MAX);
+        reports
+    }
+
     /// Adds the reports of another daemon; their times are on this daemon's clock. Returns the
     /// endpoints that are not usable any more.
     ///
--- a/policy/tests/fleet_simulation/mod.rs
+++ b/policy/tests/fleet_simulation/mod.rs
@@ -1,5 +1,7 @@
 //! Daemons that place prompts on engines, some of which crash.
 
+mod news_network;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -8,7 +10,8 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
-const DAEMONS: usize = 9;
+pub use news_network::NewsNetwork;
+
 const ENGINES: usize = 12;
 const STEP: Duration = Duration::from_millis(5);
 const PLAY_TIME: Duration = Duration::from_secs(30);
@@ -19,8 +22,7 @@
 const BEGIN_MS: std::ops::Range<u64> = 40..350;
 /// Time for which a crashed engine is away.
 const AWAY: Duration = Duration::from_millis(3_300);
-/// Interval at which daemons repeat their evidence, and the share of messages that is lost.
-const REPEAT_INTERVAL: Duration = Duration::from_millis(700);
+/// Share of the messages between daemons that is lost.
 const LOST_MESSAGES: f64 = 0.05;
 /// Time after the fifth crash from which few prompts with the deadly part may reach engines.
 const BOUND: Duration = Duration::from_secs(3);
@@ -30,6 +32,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Fleet {
     pub seed: u64,
+    pub daemons: usize,
     /// Share of the prompts that have the deadly part.
     pub deadly_share: f64,
     /// Crashes of other causes per second.
@@ -64,6 +67,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             seed,
+            daemons: 9,
             deadly_share: 0.05,
             extra_crashes: 0.0,
             is_quarantining: true,
@@ -73,8 +77,9 @@
 
     pub fn play(self) -> Outcome {
         let mut random = ChaCha8Rng::seed_from_u64(self.seed);
-        let mut daemons: Vec<Quarantine> = (0..DAEMONS).map(|_| Quarantine::default()).collect();
-        let mut sent: Vec<(u64, Instant)> = vec![(0, Instant::default()); DAEMONS];
+        let quarantines = (0..self.daemons).map(|_| Quarantine::default());
+        let mut daemons: Vec<Quarantine> = quarantines.collect();
+        let mut network = NewsNetwork::new(self.daemons, self.seed, LOST_MESSAGES);
         let mut engines = [Engine::default(); ENGINES];
         let mut runs: Vec<Run> = Vec::new();
         let mut crashes_under_deadly = 0;
@@ -90,7 +95,7 @@
                 let is_deadly = now.since(Instant::default()) > DEADLY_FROM
                     && random.random_bool(self.deadly_share);
                 let request = request(&mut random, is_deadly);
-                let daemon = random.random_range(0..DAEMONS);
+                let daemon = random.random_range(0..self.daemons);
                 let refuses =
                     self.is_quarantining && daemons[daemon].ends_at(&request, now).is_some();
                 let usable: Vec<usize> = (0..ENGINES)
@@ -142,7 +147,7 @@
                 engines[engine].away_until = now + AWAY;
             }
             if self.shares_evidence {
-                share(&mut daemons, &mut sent, &mut random, now);
+                network.step(&mut daemons, now);
             }
         }
         outcome.sound_share = admitted as f64 / sound.max(1) as f64;
@@ -161,26 +166,3 @@
     let parts: Vec<Part> = ids.into_iter().map(|id| Part { id, tokens: 10 }).collect();
     Fingerprint::new(&parts, &[])
 }
-
-/// Lets each daemon send its evidence when it has changed or is due again.
-fn share(
-    daemons: &mut [Quarantine],
-    sent: &mut [(u64, Instant)],
-    random: &mut ChaCha8Rng,
-    now: Instant,
-) {
-    for sender in 0..daemons.len() {
-        let changes = daemons[sender].changes();
-        let (sent_changes, sent_at) = sent[sender];
-        if changes == sent_changes && now.since(sent_at) < REPEAT_INTERVAL {
-            continue;
-        }
-        sent[sender] = (changes, now);
-        let evidence = daemons[sender].evidence();
-        for (receiver, daemon) in daemons.iter_mut().enumerate() {
-            if receiver != sender && !random.random_bool(LOST_MESSAGES) {
-                daemon.merge(evidence.clone(), now);
-            }
-        }
-    }
-}
--- a/policy/tests/gateway_quarantine.rs
+++ b/policy/tests/gateway_quarantine.rs
@@ -253,6 +253,29 @@
     beside_crashes_of_other_causes(0.05, 1.0);
 }
 
+/// Guards against daemons that each lose too few runs to learn anything from them.
+#[test]
+fn a_deadly_part_is_stopped_in_a_large_fleet() {
+    for seed in 0..SEEDS {
+        let fleet = Fleet {
+            daemons: 295,
+            ..Fleet::new(seed)
+        };
+        let Outcome {
+            late_arrivals,
+            sound_share,
+            ..
+        } = fleet.play();
+        assert!(late_arrivals <= 3, "seed {seed}: {late_arrivals} arrivals");
+        assert!(sound_share >= 0.99, "seed {seed}: {sound_share} admitted");
+        let unshared = Fleet {
+            shares_evidence: false,
+            ..fleet
+        };
+        assert!(unshared.play().late_arrivals > 3, "seed {seed}");
+    }
+}
+
 /// Guards against daemons that each learn alone what crashes endpoints.
 #[test]
 fn unshared_evidence_does_not_stop_a_deadly_part() {
--- a/policy/tests/gateway_rate_limits.rs
+++ b/policy/tests/gateway_rate_limits.rs
@@ -129,6 +129,7 @@
     of_many_requests_per_second(9, 300.0, 40.0, 10);
     of_one_request_in_two_seconds(9, 100.0, 0.5, 10);
     in_a_large_fleet(81, 250.0, 3.0, 30);
+    in_a_fleet_that_passes_reports_on(295, 250.0, 3.0, 30);
 }
 
 fn limits_after(steps: &[(u64, Option<f64>)]) -> RateLimits {
