policy engines: choose different ones of equally good engines

Cause: all daemons broke ties by the engine's identity, so that many chose the same idle engine before they learned of each other's requests.

Change: the order of equally good engines depends on the daemon's name.

Test: daemons_choose_different_ones_of_equally_idle_engines, with one order as the negative control (1 of 12 engines).

--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -10,7 +10,7 @@
 };
 use ragwortgrade_schema::Name;
 use tokio::sync::{Notify, watch};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::caller_connection::CallerConnections;
 use super::crash_detector::CrashDetector;
@@ -77,7 +77,9 @@
             clock,
             catalog: RefCell::new(None),
             registry: RefCell::default(),
-            engines: RefCell::new(Engines::open(options.speed)),
+            engines: RefCell::new(
+                Engines::open(options.speed).with_order_seed(xxh3_64(options.name.as_bytes())),
+            ),
             size_shares: RefCell::default(),
             plain_pool: RefCell::default(),
             quarantine: RefCell::default(),
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use ragwortgrade_schema::Name;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::admission::{
     TargetClass, exceeded_limit, may_wait, misses_target_by_size, priority, refusal,
@@ -70,6 +71,8 @@
     peers: PeerLoads,
     /// Shared parts that were sent to engines and not yet reported to other daemons.
     unsent_parts: UnsentParts,
+    /// Order in which this daemon prefers equally good engines.
+    order_seed: u64,
 }
 
 impl Engines {
@@ -82,9 +85,17 @@
             loads: HashMap::new(),
             peers: PeerLoads::default(),
             unsent_parts: UnsentParts::default(),
+            order_seed: 0,
         }
     }
 
+    /// Sets the order in which equally good engines are chosen. Daemons with different seeds do not
+    /// all choose the same one before they learn of each other's requests.
+    #[must_use]
+    pub fn with_order_seed(self, order_seed: u64) -> Self {
+        Self { order_seed, ..self }
+    }
+
     /// Chooses where a generation runs.
     ///
     /// `time_left` is the time until the caller's deadline or the route's time limit. `wait_limit`
@@ -299,10 +310,15 @@
         candidates.min_by(|left, right| {
             left.cost_ms
                 .total_cmp(&right.cost_ms)
-                .then_with(|| left.engine.id.cmp(&right.engine.id))
+                .then_with(|| self.order(left.engine).cmp(&self.order(right.engine)))
         })
     }
 
+    /// Returns the position of an engine in the order of equally good ones.
+    fn order(&self, engine: &Endpoint) -> u64 {
+        xxh3_64_with_seed(engine.id.as_bytes(), self.order_seed)
+    }
+
     fn prefill_candidate<'a>(
         &self,
         engine: &'a Endpoint,
@@ -420,7 +436,7 @@
                 left.1
                     .cost_ms
                     .total_cmp(&right.1.cost_ms)
-                    .then_with(|| left.0.id.cmp(&right.0.id))
+                    .then_with(|| self.order(left.0).cmp(&self.order(right.0)))
             })
     }
 
--- a/policy/tests/gateway_placement.rs
+++ b/policy/tests/gateway_placement.rs
@@ -2,11 +2,14 @@
 
 mod gateway_support;
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use gateway_support::{Fleet, prompt, route};
 use ragwortgrade_policy::Instant;
-use ragwortgrade_policy::gateway::{CachedPart, CallOutcome, EngineWork, PRIORITY_LEVELS};
+use ragwortgrade_policy::gateway::{
+    CachedPart, CallOutcome, EngineWork, Engines, PRIORITY_LEVELS, Speed,
+};
 use ragwortgrade_schema::Name;
 use ragwortgrade_testutil::named_cases;
 
@@ -524,3 +527,24 @@
         None
     );
 }
+
+/// Guards against many daemons that all choose the same of several idle engines before they learn
+/// of each other's requests.
+#[test]
+fn daemons_choose_different_ones_of_equally_idle_engines() {
+    let choices = |seeds: std::ops::Range<u64>| {
+        let chosen = seeds.map(|seed| {
+            let mut fleet = Fleet::new(2, 12);
+            fleet.engines = Engines::open(Speed::default()).with_order_seed(seed);
+            let home = fleet.place(&prompt(200, None), &route(0), NOW).unwrap();
+            fleet.report_work(&[&home.decode], queued_work(0, 400.0), NOW);
+            let placement = fleet.place(&prompt(200, None), &route(0), NOW).unwrap();
+            assert_ne!(placement.decode, home.decode);
+            placement.decode
+        });
+        chosen.collect::<HashSet<Name>>().len()
+    };
+    assert!(choices(0..40) >= 5, "{} of 12 engines", choices(0..40));
+    // Negative control: daemons with one order.
+    assert_eq!(choices(7..8), 1);
+}
