gateway: tell load updates by dead reckoning, and in fewer bytes

Cause: each change of a daemon's work was sent to all recipients.

A report names the time by which its prefills have probably ended, after which others do not count them. Engines are named by 32 bits of a hash, empty priorities are left out.

--- a/lib/src/gateway/load_exchange.rs
+++ b/lib/src/gateway/load_exchange.rs
@@ -4,27 +4,22 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ragwortgrade_policy::gateway::epidemic::ByteBudget;
-use ragwortgrade_policy::gateway::{CachedPart, EngineWork, Stage};
+use ragwortgrade_policy::gateway::{CachedPart, EngineWork, Stage, UpdateSchedule};
 use ragwortgrade_schema::Name;
 use tokio::net::UdpSocket;
 
+use super::endpoint_index::EndpointIndex;
 use super::load_update::{LoadUpdate, Sender};
 use super::news_exchange::{self, NewsExchange};
 use super::news_message::NewsMessage;
 use super::shared::Shared;
 use super::unreadable_datagrams::UnreadableDatagrams;
 
-/// Minimum interval between load updates: a fraction of the duration of most prefills.
-const SEND_INTERVAL_MIN: Duration = Duration::from_millis(5);
-/// Minimum interval between load updates per recipient: it is multiplied by the number of
-/// recipients, which bounds the cost to 3,300 datagrams per second for each group.
-const SEND_INTERVAL_PER_PEER: Duration = Duration::from_micros(300);
-/// Interval at which unchanged load updates are repeated in case a datagram was lost: twice within
-/// their lifetime.
-const REPEAT_INTERVAL: Duration = Duration::from_millis(700);
+/// Interval at which a daemon without recipients looks for some.
+const IDLE_INTERVAL: Duration = Duration::from_millis(700);
 /// Maximum size of a received datagram.
 const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
 
@@ -49,13 +44,15 @@
         started_ms,
         sequence: Cell::new(0),
         budget: RefCell::new(ByteBudget::new(bytes_per_second)),
+        index: RefCell::default(),
     };
     let news = NewsExchange::new(&shared, &socket, started_ms);
     tokio::join!(
         publisher.publish_load(PeerGroup::Local),
         publisher.publish_load(PeerGroup::Remote),
         news.run(),
-        receive(&publisher, &news)
+        receive(&publisher, &news),
+        shared.peer_traffic.report(&shared)
     );
 }
 
@@ -72,6 +69,7 @@
                 continue;
             }
         };
+        loads.shared.peer_traffic.record_received();
         let datagram = &buffer[..length];
         let is_readable = length <= DATAGRAM_BYTES_MAX
             && if NewsMessage::is_in(datagram) {
@@ -95,35 +93,35 @@
     sequence: Cell<u64>,
     /// Budget of both groups.
     budget: RefCell<ByteBudget>,
+    index: RefCell<EndpointIndex>,
 }
 
 impl LoadPublisher<'_> {
-    /// Sends a load update when the work changes, and repeats it every [`REPEAT_INTERVAL`] while
-    /// there is work.
+    /// Sends load updates to a group when they are due.
     async fn publish_load(&self, group: PeerGroup) {
         let mut changes = self.shared.subscribe_work_changes();
-        let mut last_sent = Vec::new();
-        let mut sent_at = Instant::now();
+        let mut schedule = UpdateSchedule::default();
         loop {
-            let wakeup = tokio::time::timeout(REPEAT_INTERVAL, changes.changed()).await;
-            let addresses = self.addresses(group);
-            if addresses.is_empty() {
-                continue;
-            }
-            let pause = SEND_INTERVAL_MIN.max(SEND_INTERVAL_PER_PEER * addresses.len() as u32);
-            let budget_wait = self.budget.borrow_mut().wait_time(self.shared.now());
-            let wait = budget_wait.max(pause.saturating_sub(sent_at.elapsed()));
-            tokio::time::sleep(wait).await;
             changes.mark_unchanged();
+            let addresses = self.addresses(group);
             let work = self.work(group);
-            let parts = self.parts(group);
-            let is_repeat = last_sent == work && parts.is_empty();
-            if is_repeat && (wakeup.is_ok() || work.is_empty()) {
+            let now = self.shared.now();
+            let wait = if addresses.is_empty() {
+                IDLE_INTERVAL
+            } else {
+                let due = schedule.due(&work, self.has_parts(group), addresses.len(), now);
+                let budget_wait = self.budget.borrow_mut().wait_time(now);
+                due.since(now).max(budget_wait)
+            };
+            if wait.is_zero() {
+                self.send(group, &work, self.parts(group), &addresses);
+                schedule.record_sent(&work, now);
                 continue;
             }
-            last_sent.clone_from(&work);
-            sent_at = Instant::now();
-            self.send(work, parts, &addresses);
+            tokio::select! {
+                () = tokio::time::sleep(wait.min(IDLE_INTERVAL)) => {}
+                _ = changes.changed() => {}
+            }
         }
     }
 
@@ -148,6 +146,14 @@
         work
     }
 
+    fn has_parts(&self, group: PeerGroup) -> bool {
+        let engines = self.shared.engines.borrow();
+        match group {
+            PeerGroup::Local => engines.has_unsent_local(),
+            PeerGroup::Remote => engines.has_unsent_remote(),
+        }
+    }
+
     fn parts(&self, group: PeerGroup) -> Vec<CachedPart> {
         let mut engines = self.shared.engines.borrow_mut();
         match group {
@@ -158,7 +164,8 @@
 
     fn send(
         &self,
-        work: Vec<(Name, EngineWork)>,
+        group: PeerGroup,
+        work: &[(Name, EngineWork)],
         parts: Vec<CachedPart>,
         addresses: &[SocketAddr],
     ) {
@@ -167,7 +174,7 @@
             daemon: self.shared.options.name.clone(),
             started_ms: self.started_ms,
         };
-        let load_update = LoadUpdate::new(sender, self.sequence.get(), work, parts);
+        let load_update = LoadUpdate::new(sender, self.sequence.get(), work.to_vec(), parts);
         let datagram = match postcard::to_allocvec(&load_update) {
             Ok(datagram) => datagram,
             Err(error) => {
@@ -178,7 +185,8 @@
         let bytes = (datagram.len() + news_exchange::HEADER_BYTES) * addresses.len();
         // The other group may have overdrawn the budget since the wait; the debt delays both.
         self.budget.borrow_mut().charge(bytes, self.shared.now());
-        self.shared.metrics.count("peers.loads.bytes", bytes as u64);
+        let traffic = &self.shared.peer_traffic;
+        traffic.record_load_update(group == PeerGroup::Local, addresses.len(), bytes);
         for address in addresses {
             // A send error has the effect of a lost datagram: the next update replaces the work in
             // it, but does not repeat the parts.
@@ -200,9 +208,14 @@
         }
         let now = shared.now();
         let daemon = load_update.sender.daemon.clone();
+        let registry = shared.registry.borrow();
+        let mut index = self.index.borrow_mut();
+        let mut find = |number| index.find(number, &registry, now);
+        let loads = load_update.loads(&mut find);
+        let parts = load_update.parts(&mut find);
         let mut engines = shared.engines.borrow_mut();
-        engines.update_peer(&daemon, load_update.loads(), now);
-        engines.record_peer_parts(load_update.parts(), now);
+        engines.update_peer(&daemon, loads, now);
+        engines.record_peer_parts(parts, now);
         true
     }
 }
--- a/lib/src/gateway/load_update.rs
+++ b/lib/src/gateway/load_update.rs
@@ -1,7 +1,9 @@
-use ragwortgrade_policy::gateway::{CachedPart, EngineWork, PRIORITY_LEVELS};
+use ragwortgrade_policy::gateway::{CachedPart, EngineWork};
 use ragwortgrade_schema::Name;
 use serde::{Deserialize, Serialize};
 
+use super::endpoint_index::EndpointIndex;
+
 /// Work of one daemon on the engines, sent to other daemons in one datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct LoadUpdate {
@@ -11,8 +13,9 @@
     pub(super) sequence: u64,
     /// Work per engine.
     loads: Vec<EngineLoad>,
-    /// Shared prompt parts sent to engines since the previous datagram: engine, ID of the part.
-    parts: Vec<(Name, u64)>,
+    /// Shared prompt parts sent to engines since the previous datagram: number of the engine, ID of
+    /// the part.
+    parts: Vec<(u32, u64)>,
 }
 
 /// Daemon process that sends load updates.
@@ -26,12 +29,57 @@
 /// Work of one daemon on one engine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct EngineLoad {
-    engine: Name,
-    /// Prefill work in progress per priority, in ms of engine time.
-    prefill_ms: [u32; PRIORITY_LEVELS],
-    /// Longest single prefill per priority, in ms of engine time.
-    longest_ms: [u32; PRIORITY_LEVELS],
+    /// Number of the engine in the [`EndpointIndex`].
+    engine: u32,
+    /// Prefill work in progress, for the priorities that have any.
+    prefills: Vec<PriorityLoad>,
     sequences: u32,
+    /// Expected time until the last of the prefills ends, in ms.
+    busy_ms: Option<u32>,
+}
+
+/// Prefill work in progress with one priority.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct PriorityLoad {
+    priority: u8,
+    /// All of it, in ms of engine time.
+    prefill_ms: u32,
+    /// Longest single prefill, in ms of engine time.
+    longest_ms: u32,
+}
+
+impl EngineLoad {
+    fn new(engine: &Name, work: &EngineWork) -> Self {
+        let levels = work.prefill_ms.iter().zip(work.longest_ms).enumerate();
+        let prefills = levels.filter(|(_, (prefill_ms, _))| **prefill_ms > 0.0);
+        let prefills = prefills.map(|(priority, (prefill_ms, longest_ms))| PriorityLoad {
+            priority: priority as u8,
+            prefill_ms: prefill_ms.round() as u32,
+            longest_ms: longest_ms.round() as u32,
+        });
+        Self {
+            engine: EndpointIndex::number(engine),
+            prefills: prefills.collect(),
+            sequences: work.sequences,
+            busy_ms: work.busy_ms.map(|millis| millis.round() as u32),
+        }
+    }
+
+    fn work(&self) -> EngineWork {
+        let mut work = EngineWork {
+            sequences: self.sequences,
+            busy_ms: self.busy_ms.map(f64::from),
+            ..EngineWork::default()
+        };
+        for prefill in &self.prefills {
+            let priority = usize::from(prefill.priority);
+            if let Some(prefill_ms) = work.prefill_ms.get_mut(priority) {
+                *prefill_ms = f64::from(prefill.prefill_ms);
+                work.longest_ms[priority] = f64::from(prefill.longest_ms);
+            }
+        }
+        work
+    }
 }
 
 impl LoadUpdate {
@@ -41,13 +89,11 @@
         loads: Vec<(Name, EngineWork)>,
         parts: Vec<CachedPart>,
     ) -> Self {
-        let loads = loads.into_iter().map(|(engine, work)| EngineLoad {
-            engine,
-            prefill_ms: work.prefill_ms.map(|millis| millis.round() as u32),
-            longest_ms: work.longest_ms.map(|millis| millis.round() as u32),
-            sequences: work.sequences,
-        });
-        let parts = parts.into_iter().map(|cached| (cached.engine, cached.part));
+        let loads = loads
+            .into_iter()
+            .map(|(engine, work)| EngineLoad::new(&engine, &work));
+        let parts = parts.iter();
+        let parts = parts.map(|cached| (EndpointIndex::number(&cached.engine), cached.part));
         Self {
             sender,
             sequence,
@@ -56,21 +102,25 @@
         }
     }
 
-    pub(super) fn parts(self) -> Vec<CachedPart> {
-        let parts = self.parts.into_iter();
-        let parts = parts.map(|(engine, part)| CachedPart { engine, part });
+    /// Returns the parts on engines for which `find` returns an identity.
+    pub(super) fn parts(&self, mut find: impl FnMut(u32) -> Option<Name>) -> Vec<CachedPart> {
+        let parts = self.parts.iter().filter_map(|(number, part)| {
+            let engine = find(*number)?;
+            Some(CachedPart {
+                engine,
+                part: *part,
+            })
+        });
         parts.collect()
     }
 
-    pub(super) fn loads(&self) -> Vec<(Name, EngineWork)> {
-        let loads = self.loads.iter().map(|load| {
-            let work = EngineWork {
-                prefill_ms: load.prefill_ms.map(f64::from),
-                longest_ms: load.longest_ms.map(f64::from),
-                sequences: load.sequences,
-            };
-            (load.engine.clone(), work)
-        });
+    /// Returns the work on engines for which `find` returns an identity.
+    pub(super) fn loads(
+        &self,
+        mut find: impl FnMut(u32) -> Option<Name>,
+    ) -> Vec<(Name, EngineWork)> {
+        let loads = self.loads.iter();
+        let loads = loads.filter_map(|load| Some((find(load.engine)?, load.work())));
         loads.collect()
     }
 }
--- a/lib/src/gateway/news_exchange.rs
+++ b/lib/src/gateway/news_exchange.rs
@@ -19,7 +19,7 @@
 const COMPARE_INTERVAL: Duration = Duration::from_millis(500);
 const COMPARED_DAEMONS: usize = 2;
 /// Fraction of the bytes to other daemons that news may take.
-pub(super) const BYTES_FRACTION: f64 = 0.25;
+pub(super) const BYTES_FRACTION: f64 = 0.125;
 /// Bytes of the IP and UDP headers of a datagram.
 pub(super) const HEADER_BYTES: usize = 28;
 
@@ -162,10 +162,10 @@
         };
         let bytes = datagram.len() + HEADER_BYTES;
         if !self.budget.borrow_mut().spend(bytes, now) {
-            shared.metrics.count("peers.news.over_budget", 1);
+            shared.peer_traffic.record_news_over_budget();
             return;
         }
-        shared.metrics.count("peers.news.bytes", bytes as u64);
+        shared.peer_traffic.record_news(bytes);
         if let Err(error) = self.socket.try_send_to(&datagram, address) {
             log::debug!(peer:% = address, error:% = error; "news could not be sent");
         }
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -14,6 +14,7 @@
 
 use super::caller_connection::CallerConnections;
 use super::crash_detector::CrashDetector;
+use super::peer_traffic::PeerTraffic;
 use super::peers::Peers;
 use super::retry_budgets::RetryBudgets;
 use super::{Client, Disposition, Options, ResponseInfo, StoreError, StoreResponse};
@@ -57,6 +58,7 @@
     /// read before it.
     store_recovered: Notify,
     pub(super) peers: RefCell<Peers>,
+    pub(super) peer_traffic: PeerTraffic,
     /// What other daemons are told of crashes, limits and departures.
     pub(super) broadcast: RefCell<Broadcast>,
     /// Wakes the tasks that send load updates.
@@ -98,6 +100,7 @@
             store_interruptions: Cell::new(0),
             store_recovered: Notify::new(),
             peers: RefCell::default(),
+            peer_traffic: PeerTraffic::default(),
             broadcast: RefCell::new(Broadcast::new(seed)),
             work_changed: watch::Sender::default(),
             news: Notify::new(),
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -46,6 +46,7 @@
 mod store_era;
 mod suspect;
 mod unsent_parts;
+mod update_schedule;
 mod wait_limit;
 
 pub use catalog::Catalog;
@@ -76,4 +77,5 @@
 pub use speed::Speed;
 pub use store_era::{ResponseEra, StoreEra};
 pub use unsent_parts::CachedPart;
+pub use update_schedule::UpdateSchedule;
 pub use wait_limit::WaitLimit;
--- a/policy/src/gateway/engine_load.rs
+++ b/policy/src/gateway/engine_load.rs
@@ -25,6 +25,10 @@
 /// that arrived later can explain the delay.
 const OVERDUE_RATIO: f64 = 2.0;
 
+/// Multiple of the expected time within which most prefills end, and its minimum in ms.
+const LIKELY_RATIO: f64 = 1.5;
+const LIKELY_MIN_MS: f64 = 40.0;
+
 /// Weight of one output in the moving average of the slowness; about seven outputs dominate it.
 const SLOWNESS_WEIGHT: f64 = 0.15;
 /// Bounds of the slowness that one output can show. Engines that degrade are up to 8 times slower.
@@ -72,6 +76,9 @@
     priority: u8,
     /// Expected engine time, in ms.
     prefill_ms: f64,
+    sent_at: Instant,
+    /// Expected time until the prefill ends, in ms.
+    expected_ms: f64,
     /// Time from which the prefill is overdue.
     due: Instant,
 }
@@ -83,6 +90,17 @@
         let overdue_ms = now.since(self.due).as_secs_f64() * 1e3;
         self.prefill_ms + overdue_ms.min(OVERDUE_MAX_MS)
     }
+
+    /// Returns the time within which the prefill is likely to end, in ms. It doubles when that time
+    /// is over.
+    fn left_ms(&self, now: Instant) -> f64 {
+        let elapsed = now.since(self.sent_at).as_secs_f64() * 1e3;
+        let mut total_ms = (self.expected_ms * LIKELY_RATIO).max(LIKELY_MIN_MS);
+        while total_ms <= elapsed {
+            total_ms *= 2.0;
+        }
+        total_ms - elapsed
+    }
 }
 
 /// Factor by which an engine is slower than the configured speeds.
@@ -115,6 +133,8 @@
         self.prefills.push(PendingPrefill {
             priority,
             prefill_ms,
+            sent_at: now,
+            expected_ms,
             due,
         });
     }
@@ -140,6 +160,8 @@
             let work_ms = prefill.work_ms(now);
             work.prefill_ms[priority_index] += work_ms;
             work.longest_ms[priority_index] = work.longest_ms[priority_index].max(work_ms);
+            let left_ms = prefill.left_ms(now);
+            work.busy_ms = Some(work.busy_ms.unwrap_or_default().max(left_ms));
         }
         work
     }
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -487,7 +487,7 @@
 
     /// Returns the known work of all daemons on an engine.
     fn total_work(&self, id: &Name, now: Instant) -> EngineWork {
-        let mut work = self.peers.total(id);
+        let mut work = self.peers.total(id, now);
         if let Some(load) = self.loads.get(id) {
             work.add(&load.own_work(now));
         }
@@ -532,6 +532,18 @@
         }
     }
 
+    /// Returns whether there are shared parts to report to the daemons that receive all parts.
+    #[must_use]
+    pub fn has_unsent_local(&self) -> bool {
+        self.unsent_parts.has_local()
+    }
+
+    /// Returns whether there are long parts to report to other data centres.
+    #[must_use]
+    pub fn has_unsent_remote(&self) -> bool {
+        self.unsent_parts.has_remote()
+    }
+
     /// Takes the shared parts that were sent to engines since the last call, for the daemons that
     /// receive all parts.
     pub fn take_unsent_local(&mut self) -> Vec<CachedPart> {
--- a/policy/src/gateway/peer_loads.rs
+++ b/policy/src/gateway/peer_loads.rs
@@ -9,6 +9,12 @@
 /// most requests.
 const UPDATE_LIFETIME: Duration = Duration::from_millis(1_500);
 
+/// Interval at which expired updates are removed.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which prefills count beyond their expected end, until an update that corrects it can
+/// have arrived.
+const REPORT_DELAY: Duration = Duration::from_millis(30);
+
 /// Number of distinct priorities at engines, two for each of four ranks; 0 is the most urgent. Any
 /// less urgent ones count as the last.
 pub const PRIORITY_LEVELS: usize = 8;
@@ -25,6 +31,9 @@
     pub longest_ms: [f64; PRIORITY_LEVELS],
     /// Number of running sequences.
     pub sequences: u32,
+    /// Expected time until the last of the prefills ends, in ms; `None` if they count until the
+    /// next report.
+    pub busy_ms: Option<f64>,
 }
 
 impl EngineWork {
@@ -38,6 +47,21 @@
         self.sequences += other.sequences;
     }
 
+    /// Returns whether the prefills are expected to have ended this time after the report.
+    pub(crate) fn is_prefilled_after(&self, elapsed: Duration) -> bool {
+        self.busy_ms
+            .is_some_and(|busy_ms| elapsed.as_secs_f64() * 1e3 >= busy_ms)
+    }
+
+    /// Returns whether this is the same work, whenever it is expected to end.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        let without_time = |work: &Self| Self {
+            busy_ms: None,
+            ..*work
+        };
+        without_time(self) == without_time(other)
+    }
+
     /// Returns the work that an engine does before a request of this priority, in ms. Priority 0 is
     /// the most urgent.
     ///
@@ -68,8 +92,9 @@
 pub(crate) struct PeerLoads {
     /// Time and engines of the last update from each daemon.
     daemons: HashMap<Name, LastUpdate>,
-    /// Work on each engine by daemon.
-    engines: HashMap<Name, HashMap<Name, EngineWork>>,
+    /// Work on each engine by daemon, with the time of the update.
+    engines: HashMap<Name, HashMap<Name, (Instant, EngineWork)>>,
+    expired_at: Instant,
 }
 
 #[derive(Debug)]
@@ -91,11 +116,14 @@
         let engines = reported.iter().map(|(engine, _)| engine.clone()).collect();
         for (engine, work) in reported {
             let by_daemon = self.engines.entry(engine).or_default();
-            by_daemon.insert(daemon.clone(), work);
+            by_daemon.insert(daemon.clone(), (now, work));
         }
         let update = LastUpdate { at: now, engines };
         self.daemons.insert(daemon.clone(), update);
-        self.expire(now);
+        if now.since(self.expired_at) >= EXPIRY_INTERVAL {
+            self.expired_at = now;
+            self.expire(now);
+        }
     }
 
     /// Removes daemons that have sent no update lately, since they may have stopped.
@@ -117,11 +145,22 @@
         }
     }
 
-    /// Returns the work of all other daemons on an engine.
-    pub(crate) fn total(&self, engine: &Name) -> EngineWork {
+    /// Returns the work of all other daemons on an engine, without prefills that are expected to
+    /// have ended.
+    pub(crate) fn total(&self, engine: &Name, now: Instant) -> EngineWork {
         let mut total = EngineWork::default();
-        for work in self.engines.get(engine).into_iter().flatten() {
-            total.add(work.1);
+        for (reported_at, work) in self
+            .engines
+            .get(engine)
+            .into_iter()
+            .flat_map(HashMap::values)
+        {
+            let elapsed = now.since(*reported_at).saturating_sub(REPORT_DELAY);
+            if work.is_prefilled_after(elapsed) {
+                total.sequences += work.sequences;
+            } else {
+                total.add(work);
+            }
         }
         total
     }
--- a/policy/src/gateway/registry.rs
+++ b/policy/src/gateway/registry.rs
@@ -92,6 +92,11 @@
         self.endpoints.get(id).is_some_and(Entry::is_usable)
     }
 
+    /// Returns the identities of all known endpoints.
+    pub fn ids(&self) -> impl Iterator<Item = &Name> {
+        self.endpoints.keys()
+    }
+
     /// Returns an endpoint by identity, whatever its state.
     #[must_use]
     pub fn get(&self, id: &Name) -> Option<&Endpoint> {
--- a/policy/src/gateway/unsent_parts.rs
+++ b/policy/src/gateway/unsent_parts.rs
@@ -39,6 +39,14 @@
         push(&mut self.local, cached);
     }
 
+    pub(super) fn has_local(&self) -> bool {
+        !self.local.is_empty()
+    }
+
+    pub(super) fn has_remote(&self) -> bool {
+        !self.remote.is_empty()
+    }
+
     pub(super) fn take_local(&mut self) -> Vec<CachedPart> {
         std::mem::take(&mut self.local)
     }
--- a/policy/tests/fleet_simulation/mod.rs
+++ b/policy/tests/fleet_simulation/mod.rs
@@ -1,7 +1,5 @@
 //! Daemons that place prompts on engines, some of which crash.
 
-mod news_network;
-
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -10,7 +8,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
-pub use news_network::NewsNetwork;
+use crate::news_network::NewsNetwork;
 
 const ENGINES: usize = 12;
 const STEP: Duration = Duration::from_millis(5);
--- a/policy/tests/gateway_epidemic.rs
+++ b/policy/tests/gateway_epidemic.rs
@@ -1,15 +1,16 @@
 //! Spread of what daemons learn, in fleets of up to 1,000 daemons.
 
-mod fleet_simulation;
+mod news_network;
 
 use std::time::Duration;
 
-use fleet_simulation::NewsNetwork;
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::epidemic::{Broadcast, ByteBudget, Digest, Message, Statement};
 use ragwortgrade_policy::gateway::{DepartureReport, Fingerprint, LostRun, Quarantine, RateReport};
 use ragwortgrade_testutil::named_cases;
 
+use news_network::NewsNetwork;
+
 const STEP: Duration = Duration::from_millis(4);
 const CRASHES: usize = 50;
 /// Runs without output that each crash loses.
--- a/policy/tests/gateway_quarantine.rs
+++ b/policy/tests/gateway_quarantine.rs
@@ -4,6 +4,7 @@
 //! that are refused since they are in the same prompts or on the same engines.
 
 mod fleet_simulation;
+mod news_network;
 
 use std::time::Duration;
 
--- a/policy/tests/fleet_simulation/news_network.rs
+++ b/policy/tests/news_network/mod.rs
@@ -1,3 +1,6 @@
+//! Exchange of news between the daemons of a fleet in virtual time.
+#![allow(dead_code, reason = "each test file uses some of the helpers")]
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -52,16 +55,17 @@
     }
 
     /// Starts a daemon anew.
-    #[allow(dead_code, reason = "not all test files restart daemons")]
     pub fn restart(&mut self, daemon: usize) {
         self.broadcasts[daemon] = Broadcast::new(daemon as u64);
     }
 
-    /// Sends and delivers what is due.
-    pub fn step(&mut self, daemons: &mut [Quarantine], now: Instant) {
+    /// Sends and delivers what is due. Returns what daemons accepted that is no evidence.
+    pub fn step(&mut self, daemons: &mut [Quarantine], now: Instant) -> Vec<(usize, Statement)> {
+        let mut accepted = Vec::new();
         while self.in_flight.front().is_some_and(|(due, ..)| *due <= now) {
             if let Some((_, sender, recipient, message)) = self.in_flight.pop_front() {
-                self.deliver(sender, recipient, message, &mut daemons[recipient], now);
+                let others = self.deliver(sender, recipient, message, &mut daemons[recipient], now);
+                accepted.extend(others.into_iter().map(|statement| (recipient, statement)));
             }
         }
         for (daemon, quarantine) in daemons.iter_mut().enumerate() {
@@ -81,6 +85,7 @@
                 self.send_to_random(daemon, COMPARED_DAEMONS, &Message::Digest(digest), now);
             }
         }
+        accepted
     }
 
     fn send_to_random(&mut self, sender: usize, count: usize, message: &Message, now: Instant) {
@@ -111,23 +116,25 @@
         message: Message,
         quarantine: &mut Quarantine,
         now: Instant,
-    ) {
+    ) -> Vec<Statement> {
         let broadcast = &mut self.broadcasts[recipient];
         let Message::Statements(statements) = message else {
             for answer in broadcast.answer(&message, &held(quarantine)) {
                 self.send(recipient, sender, answer, now);
             }
-            return;
+            return Vec::new();
         };
         let mut evidence = Evidence::default();
+        let mut others = Vec::new();
         for statement in broadcast.receive(statements, now) {
             match statement {
                 Statement::LostRun(run) => evidence.lost_runs.push(run),
                 Statement::Begun { identity, at } => evidence.begun.push((identity, at)),
-                Statement::Rate { .. } | Statement::Departure(_) => {}
+                other => others.push(other),
             }
         }
         quarantine.merge(evidence, now);
+        others
     }
 }
 
