gateway: let few daemons of a large fleet read the registrations for all

Change: policy::gateway::RegistrationFeed staggers the reads by rank and lets each read, handed on as news, keep the others from reading. What is missing, of another era or older than what is known is not applied. Changes are taken only from addresses of registered daemons. Fleets of up to 17 daemons read as before.

--- a/lib/src/gateway/news_exchange.rs
+++ b/lib/src/gateway/news_exchange.rs
@@ -11,6 +11,7 @@
 
 use super::news_message::NewsMessage;
 use super::shared::Shared;
+use super::store_watcher::EndpointHandler;
 
 /// Time for which news is collected before it is sent, so that one message holds what is learned
 /// together, such as the runs that one crash loses.
@@ -179,7 +180,11 @@
         let now = self.shared.now();
         let daemon = message.daemon.clone();
         let message = message.into_message(now);
-        if let Message::Statements(statements) = message {
+        if let Message::Statements(mut statements) = message {
+            if !self.shared.peers.borrow().is_registered(source) {
+                // Only a registered daemon may change which endpoints are in use.
+                statements.retain(|it| !matches!(it, Statement::Registrations(_)));
+            }
             let accepted = self.shared.broadcast.borrow_mut().receive(statements, now);
             self.merge(accepted, &daemon);
             if self.shared.broadcast.borrow().has_push() {
@@ -206,6 +211,9 @@
                 Statement::LostRun(run) => evidence.lost_runs.push(run),
                 Statement::Begun { identity, at } => evidence.begun.push((identity, at)),
                 Statement::Departure(report) => departures.push(report),
+                Statement::Registrations(batch) => {
+                    EndpointHandler { shared }.apply_batch(batch, reported_by);
+                }
                 Statement::Rate { daemon, report, .. } => {
                     // A daemon's own number of requests does not come from others.
                     if daemon == shared.options.name {
--- a/lib/src/gateway/news_message.rs
+++ b/lib/src/gateway/news_message.rs
@@ -2,7 +2,10 @@
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::epidemic::{Digest, Message, Statement};
-use ragwortgrade_policy::gateway::{DepartureReport, LostRun, RateReport};
+use ragwortgrade_policy::gateway::{
+    DepartureReport, LostRun, RateReport, RegistrationBatch, RegistrationChange,
+    RegistrationContent,
+};
 use ragwortgrade_schema::Name;
 use serde::{Deserialize, Serialize};
 
@@ -61,6 +64,28 @@
         /// Time since its last response that said so, in ms.
         age_ms: u32,
     },
+    Registrations {
+        era: Option<u64>,
+        after: u64,
+        revision: u64,
+        age_ms: u32,
+        changes: Vec<Change>,
+    },
+}
+
+/// Change of one registration.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Change {
+    key: Name,
+    revision: u64,
+    content: Content,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Content {
+    Written(Vec<u8>),
+    Unreadable,
+    Removed,
 }
 
 impl NewsMessage {
@@ -147,6 +172,13 @@
                 started_ms: report.started_ms,
                 age_ms: age_ms(report.said_at),
             },
+            Statement::Registrations(batch) => Self::Registrations {
+                era: batch.era,
+                after: batch.after,
+                revision: batch.revision,
+                age_ms: age_ms(batch.read_at),
+                changes: batch.changes.into_iter().map(Change::from).collect(),
+            },
         }
     }
 
@@ -198,6 +230,47 @@
                 started_ms,
                 said_at: at(age_ms),
             }),
+            Self::Registrations {
+                era,
+                after,
+                revision,
+                age_ms,
+                changes,
+            } => Statement::Registrations(RegistrationBatch {
+                era,
+                after,
+                revision,
+                read_at: at(age_ms),
+                changes: changes.into_iter().map(RegistrationChange::from).collect(),
+            }),
+        }
+    }
+}
+
+impl From<RegistrationChange> for Change {
+    fn from(change: RegistrationChange) -> Self {
+        Self {
+            key: change.key,
+            revision: change.revision,
+            content: match change.content {
+                RegistrationContent::Written(value) => Content::Written(value),
+                RegistrationContent::Unreadable => Content::Unreadable,
+                RegistrationContent::Removed => Content::Removed,
+            },
+        }
+    }
+}
+
+impl From<Change> for RegistrationChange {
+    fn from(change: Change) -> Self {
+        Self {
+            key: change.key,
+            revision: change.revision,
+            content: match change.content {
+                Content::Written(value) => RegistrationContent::Written(value),
+                Content::Unreadable => RegistrationContent::Unreadable,
+                Content::Removed => RegistrationContent::Removed,
+            },
         }
     }
 }
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -4,13 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::{Peer, PeerDirectory};
 use ragwortgrade_schema::Name;
 use serde::{Deserialize, Serialize};
 
 use super::load_update::LoadUpdate;
 use super::shared::Shared;
-use super::store_watcher::{WatchHandler, list_and_watch};
+use super::store_watcher::{Read, WatchHandler, list_and_watch};
 use super::{Item, Update};
 
 /// Prefix of the keys of daemons' registrations.
@@ -59,6 +60,11 @@
         recipients.map(|peer| peer.address).collect()
     }
 
+    /// Returns whether a registered daemon has this address.
+    pub(super) fn is_registered(&self, address: SocketAddr) -> bool {
+        self.directory.peers().any(|peer| peer.address == address)
+    }
+
     /// Records a load update; returns whether it is newer than the previous ones of its sender.
     pub(super) fn record_if_newer(&mut self, load_update: &LoadUpdate) -> bool {
         let sender = &load_update.sender;
@@ -82,7 +88,7 @@
     let handler = PeerHandler {
         shared: Rc::clone(&shared),
     };
-    list_and_watch(&shared, REGISTRATION_PREFIX, READ_INTERVAL, &handler).await;
+    list_and_watch(&shared, REGISTRATION_PREFIX, &handler).await;
 }
 
 struct PeerHandler {
@@ -113,7 +119,7 @@
 }
 
 impl WatchHandler for PeerHandler {
-    fn on_list(&self, items: Vec<Item>) {
+    fn on_list(&self, items: Vec<Item>, _read: Read) {
         let listed: Vec<(Name, Peer)> = items.iter().filter_map(|item| self.parse(item)).collect();
         let listed_len = listed.len();
         let now = self.shared.now();
@@ -127,23 +133,29 @@
         self.shared.notify_peer_list();
     }
 
-    fn on_update(&self, update: Update) {
-        match update {
-            Update::Written(item) => {
-                if let Some((name, peer)) = self.parse(&item) {
-                    self.shared.peers.borrow_mut().directory.put(name, peer);
+    fn on_updates(&self, updates: Vec<Update>, _after: u64, _read: Read) {
+        for update in updates {
+            match update {
+                Update::Written(item) => {
+                    if let Some((name, peer)) = self.parse(&item) {
+                        self.shared.peers.borrow_mut().directory.put(name, peer);
+                    }
                 }
-            }
-            Update::Removed(key) => {
-                if let Some(name) = key.strip_prefix(REGISTRATION_PREFIX) {
-                    let now = self.shared.now();
-                    let mut peers = self.shared.peers.borrow_mut();
-                    peers.directory.remove(&name.into(), now);
+                Update::Removed { key, .. } => {
+                    if let Some(name) = key.strip_prefix(REGISTRATION_PREFIX) {
+                        let now = self.shared.now();
+                        let mut peers = self.shared.peers.borrow_mut();
+                        peers.directory.remove(&name.into(), now);
+                    }
                 }
             }
         }
     }
 
+    fn pause(&self, read_end: Instant) -> Duration {
+        (read_end + READ_INTERVAL).since(self.shared.now())
+    }
+
     fn on_disconnect(&self) {}
 
     fn on_reconnect(&self) {}
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -5,8 +5,8 @@
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::epidemic::Broadcast;
 use ragwortgrade_policy::gateway::{
-    Catalog, Endpoint, Engines, Limits, PlainPool, Quarantine, RateLimits, Registry, ResponseEra,
-    SizeShares, StoreEra,
+    Catalog, Endpoint, Engines, Limits, PlainPool, Quarantine, RateLimits, RegistrationFeed,
+    Registry, ResponseEra, SizeShares, StoreEra,
 };
 use ragwortgrade_schema::Name;
 use tokio::sync::{Notify, watch};
@@ -59,6 +59,8 @@
     store_recovered: Notify,
     pub(super) peers: RefCell<Peers>,
     pub(super) peer_traffic: PeerTraffic,
+    /// How far the registrations of endpoints are known.
+    pub(super) registration_feed: RefCell<RegistrationFeed>,
     /// What other daemons are told of crashes, limits and departures.
     pub(super) broadcast: RefCell<Broadcast>,
     /// Wakes the tasks that send load updates.
@@ -101,6 +103,7 @@
             store_recovered: Notify::new(),
             peers: RefCell::default(),
             peer_traffic: PeerTraffic::default(),
+            registration_feed: RefCell::default(),
             broadcast: RefCell::new(Broadcast::new(seed)),
             work_changed: watch::Sender::default(),
             news: Notify::new(),
@@ -288,6 +291,11 @@
         self.store_era.borrow().restores()
     }
 
+    /// Returns the era that the store last named, if it names any.
+    pub(super) fn store_era_named(&self) -> Option<u64> {
+        self.store_era.borrow().named()
+    }
+
     /// Records that a store outage has ended.
     pub(super) fn record_outage_end(&self) {
         let now = self.now();
@@ -299,6 +307,7 @@
     fn record_restore(&self) {
         let now = self.now();
         self.registry.borrow_mut().source_rolled_back(now);
+        self.registration_feed.borrow_mut().reset();
         self.peers.borrow_mut().directory.source_rolled_back(now);
         self.metrics.count("store.restores", 1);
         self.record_interruption();
--- a/lib/src/gateway/store.rs
+++ b/lib/src/gateway/store.rs
@@ -88,7 +88,12 @@
     /// The item was written.
     Written(Item),
     /// The key was removed.
-    Removed(Name),
+    Removed {
+        /// Key, including the prefix.
+        key: Name,
+        /// Store revision of its removal.
+        revision: u64,
+    },
 }
 
 /// Result of a watch.
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -1,7 +1,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ragwortgrade_policy::gateway::{Change, Endpoint};
+use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::gateway::epidemic::Statement;
+use ragwortgrade_policy::gateway::{
+    Change, Endpoint, RegistrationBatch, RegistrationChange, RegistrationContent, RegistrationFeed,
+};
 use ragwortgrade_schema::Name;
 
 use super::shared::Shared;
@@ -9,6 +13,13 @@
 
 /// Maximum wait of one watch, which costs one call however long it waits.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+/// The same for a daemon that reads for others, which want to know soon that nothing has changed.
+const SHARED_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
+/// Minimum time between two reads of a daemon, as a fraction of the read interval.
+const READ_PAUSE_FRACTION: f64 = 0.4;
+/// Maximum size of the changed registrations in one batch for other daemons. Those that miss a
+/// larger one read it themselves.
+const BATCH_BYTES_MAX: usize = 6 * 1024;
 /// Base and maximum of the exponential backoff after failed calls; the first delay is twice the
 /// base.
 const RETRY_DELAY_BASE: Duration = Duration::from_millis(100);
@@ -18,10 +29,20 @@
 
 /// Callbacks for the items below a watched prefix.
 pub(super) trait WatchHandler {
-    /// Handles a complete list of the items.
-    fn on_list(&self, items: Vec<Item>);
-    /// Handles the change of one item since the list.
-    fn on_update(&self, update: Update);
+    /// Handles a complete list of the items, which has all changes up to the revision.
+    fn on_list(&self, items: Vec<Item>, read: Read);
+    /// Handles the changes after a revision.
+    fn on_updates(&self, updates: Vec<Update>, after: u64, read: Read);
+    /// Returns how long to wait until the next read if the last one ended at `read_end`.
+    fn pause(&self, read_end: Instant) -> Duration;
+    /// Returns the revision after which to read if the last read ended with `revision`.
+    fn resume_after(&self, revision: u64) -> u64 {
+        revision
+    }
+    /// Returns how long a read may wait for changes.
+    fn watch_timeout(&self) -> Duration {
+        WATCH_TIMEOUT
+    }
     /// Handles the first of a series of failed calls.
     fn on_disconnect(&self);
     /// Handles the first successful call after failed ones; not called if the end of a store outage
@@ -29,23 +50,29 @@
     fn on_reconnect(&self);
 }
 
+/// How far a read of the store goes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Read {
+    /// Revision up to which it has all changes.
+    pub(super) revision: u64,
+    /// When the store had no later changes.
+    pub(super) at: Instant,
+}
+
 /// Watches the operators' configuration until the task is aborted.
 pub(super) async fn watch_catalog(shared: Rc<Shared>) {
     let key = shared.options.documents.catalog_key();
     let handler = CatalogHandler {
         shared: Rc::clone(&shared),
     };
-    list_and_watch(&shared, key, Duration::ZERO, &handler).await;
+    list_and_watch(&shared, key, &handler).await;
 }
 
 /// Watches the endpoints' registrations until the task is aborted.
 pub(super) async fn watch_endpoints(shared: Rc<Shared>) {
     let prefix = shared.options.documents.endpoints_prefix();
-    let interval = shared.options.registration_read_interval;
-    let handler = EndpointHandler {
-        shared: Rc::clone(&shared),
-    };
-    list_and_watch(&shared, prefix, interval, &handler).await;
+    let handler = EndpointHandler { shared: &shared };
+    list_and_watch(&shared, prefix, &handler).await;
 }
 
 /// Removes endpoints whose registration expired during a store outage and was not renewed after it,
@@ -72,15 +99,10 @@
     }
 }
 
-/// Lists the items below `prefix`, then watches them until the task is aborted, with a pause of
-/// `interval` between calls. After an error, a store outage or a restore of the store from an older
+/// Lists the items below `prefix`, then watches them until the task is aborted, with the pauses of
+/// the handler between calls. After an error, a store outage or a restore of the store from an older
 /// copy the items are listed again.
-pub(super) async fn list_and_watch(
-    shared: &Shared,
-    prefix: &str,
-    interval: Duration,
-    handler: &dyn WatchHandler,
-) {
+pub(super) async fn list_and_watch(shared: &Shared, prefix: &str, handler: &dyn WatchHandler) {
     let mut revision = None;
     let mut failures: u32 = 0;
     let mut interruptions = shared.store_interruptions();
@@ -110,11 +132,11 @@
                     handler.on_reconnect();
                 }
                 failures = 0;
-                revision = Some(new_revision);
                 tokio::select! {
-                    () = tokio::time::sleep(interval) => {}
+                    () = wait_for_next_read(shared, handler) => {}
                     () = shared.wait_for_interruption(interruptions) => {}
                 }
+                revision = Some(handler.resume_after(new_revision));
             }
             Err(StoreError::Restored) => {
                 revision = None;
@@ -142,6 +164,17 @@
     }
 }
 
+async fn wait_for_next_read(shared: &Shared, handler: &dyn WatchHandler) {
+    let read_end = shared.now();
+    loop {
+        let pause = handler.pause(read_end);
+        if pause.is_zero() {
+            return;
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
 /// Lists all items below the prefix for the handler; returns the revision from which to watch.
 async fn list(
     shared: &Shared,
@@ -149,6 +182,7 @@
     handler: &dyn WatchHandler,
 ) -> Result<u64, StoreError> {
     let mut items = Vec::new();
+    let started_at = shared.now();
     let mut first_revision = None;
     let mut after: Option<Name> = None;
     loop {
@@ -162,8 +196,13 @@
             break;
         }
     }
-    handler.on_list(items);
-    Ok(first_revision.unwrap_or_default())
+    let revision = first_revision.unwrap_or_default();
+    let read = Read {
+        revision,
+        at: started_at,
+    };
+    handler.on_list(items, read);
+    Ok(revision)
 }
 
 async fn watch(
@@ -172,11 +211,16 @@
     revision: u64,
     handler: &dyn WatchHandler,
 ) -> Result<u64, StoreError> {
-    let call = shared.options.store.watch(prefix, revision, WATCH_TIMEOUT);
+    let store = &shared.options.store;
+    let started_at = shared.now();
+    let call = store.watch(prefix, revision, handler.watch_timeout());
+    let after = revision;
     let Updates { updates, revision } = shared.call_store(call).await?;
-    for update in updates {
-        handler.on_update(update);
-    }
+    let read = Read {
+        revision,
+        at: started_at,
+    };
+    handler.on_updates(updates, after, read);
     Ok(revision)
 }
 
@@ -227,31 +271,120 @@
 }
 
 impl WatchHandler for CatalogHandler {
-    fn on_list(&self, items: Vec<Item>) {
+    fn on_list(&self, items: Vec<Item>, _read: Read) {
         for item in &items {
             self.apply_item(item);
         }
     }
 
-    fn on_update(&self, update: Update) {
-        match update {
-            Update::Written(item) => self.apply_item(&item),
-            Update::Removed(key) => {
-                log::error!(key:% = key; "configuration was removed; keeping the current one");
+    fn on_updates(&self, updates: Vec<Update>, _after: u64, _read: Read) {
+        for update in updates {
+            match update {
+                Update::Written(item) => self.apply_item(&item),
+                Update::Removed { key, .. } => {
+                    log::error!(key:% = key; "configuration was removed; keeping the current one");
+                }
             }
         }
     }
 
+    fn pause(&self, _read_end: Instant) -> Duration {
+        Duration::ZERO
+    }
+
     fn on_disconnect(&self) {}
 
     fn on_reconnect(&self) {}
 }
 
-struct EndpointHandler {
-    shared: Rc<Shared>,
+/// Changes the known endpoints when registrations change.
+pub(super) struct EndpointHandler<'a> {
+    pub(super) shared: &'a Shared,
 }
 
-impl EndpointHandler {
+impl EndpointHandler<'_> {
+    /// Applies changes that another daemon has read, as far as they are new.
+    pub(super) fn apply_batch(&self, batch: RegistrationBatch, reported_by: &Name) {
+        let now = self.shared.now();
+        let new_after = self
+            .shared
+            .registration_feed
+            .borrow_mut()
+            .advance(&batch, now);
+        let Some(new_after) = new_after else {
+            return;
+        };
+        let changes = batch.changes.into_iter();
+        let new: Vec<RegistrationChange> = changes.filter(|it| it.revision > new_after).collect();
+        if !new.is_empty() {
+            log::info!(
+                reported_by:% = reported_by, changes = new.len(), after = new_after,
+                revision = batch.revision;
+                "registrations read by another daemon"
+            );
+            self.apply_changes(new);
+        }
+    }
+
+    fn apply_changes(&self, changes: Vec<RegistrationChange>) {
+        for change in changes {
+            let RegistrationChange {
+                key,
+                revision,
+                content,
+            } = change;
+            let value = match content {
+                RegistrationContent::Removed => {
+                    if let Some(id) = self.endpoint_id(&key) {
+                        self.apply(Change::Removed(id.into()));
+                    }
+                    continue;
+                }
+                RegistrationContent::Written(value) => Some(value.into()),
+                RegistrationContent::Unreadable => None,
+            };
+            let item = Item {
+                key,
+                value,
+                revision,
+            };
+            match self.parse(&item) {
+                Some(Ok(endpoint)) => self.apply(Change::Put(endpoint)),
+                Some(Err(id)) => self.apply(Change::Unreadable(id)),
+                None => {}
+            }
+        }
+        self.evict_unregistered();
+    }
+
+    /// Returns whether the daemons of this fleet read registrations for each other.
+    fn shares_reads(&self) -> bool {
+        RegistrationFeed::is_shared(self.shared.peers.borrow().directory.len())
+    }
+
+    /// Hands changes on to the other daemons.
+    fn publish(&self, batch: RegistrationBatch) {
+        let sizes = batch.changes.iter().map(|change| {
+            let value_bytes = match &change.content {
+                RegistrationContent::Written(value) => value.len(),
+                RegistrationContent::Unreadable | RegistrationContent::Removed => 0,
+            };
+            change.key.len() + value_bytes
+        });
+        let bytes: usize = sizes.sum();
+        if bytes > BATCH_BYTES_MAX {
+            log::info!(
+                bytes = bytes, changes = batch.changes.len();
+                "changed registrations are too large for a message to other daemons"
+            );
+            return;
+        }
+        let now = self.shared.now();
+        let mut broadcast = self.shared.broadcast.borrow_mut();
+        broadcast.publish(Statement::Registrations(batch), now);
+        self.shared.notify_news();
+    }
+
     fn endpoint_id<'a>(&self, key: &'a str) -> Option<&'a str> {
         key.strip_prefix(self.shared.options.documents.endpoints_prefix())
     }
@@ -318,14 +451,18 @@
     }
 }
 
-impl WatchHandler for EndpointHandler {
-    fn on_list(&self, items: Vec<Item>) {
+impl WatchHandler for EndpointHandler<'_> {
+    fn on_list(&self, items: Vec<Item>, read: Read) {
         let endpoints: Vec<Endpoint> = items
             .iter()
             .filter_map(|item| self.parse(item)?.ok())
             .collect();
         log::info!(items = items.len(), endpoints = endpoints.len(); "registrations listed");
         let now = self.shared.now();
+        let era = self.shared.store_era_named();
+        let mut feed = self.shared.registration_feed.borrow_mut();
+        feed.listed(era, read.revision, read.at);
+        drop(feed);
         let mut registry = self.shared.registry.borrow_mut();
         let known: Vec<Endpoint> = endpoints
             .iter()
@@ -347,20 +484,55 @@
         self.evict_unregistered();
     }
 
-    fn on_update(&self, update: Update) {
-        match update {
-            Update::Written(item) => match self.parse(&item) {
-                Some(Ok(endpoint)) => self.apply(Change::Put(endpoint)),
-                Some(Err(id)) => self.apply(Change::Unreadable(id)),
-                None => {}
-            },
-            Update::Removed(key) => {
-                if let Some(id) = self.endpoint_id(&key) {
-                    self.apply(Change::Removed(id.into()));
-                }
-            }
+    fn on_updates(&self, updates: Vec<Update>, after: u64, read: Read) {
+        let batch = RegistrationBatch {
+            era: self.shared.store_era_named(),
+            after,
+            revision: read.revision,
+            read_at: read.at,
+            changes: updates.into_iter().map(registration_change).collect(),
+        };
+        let now = self.shared.now();
+        let mut feed = self.shared.registration_feed.borrow_mut();
+        let new_after = feed.advance(&batch, now);
+        drop(feed);
+        let Some(new_after) = new_after else {
+            // Another daemon has handed on later changes meanwhile.
+            return;
+        };
+        let new = batch.changes.iter().filter(|it| it.revision > new_after);
+        self.apply_changes(new.cloned().collect());
+        if self.shares_reads() {
+            self.publish(batch);
+        }
+    }
+
+    fn pause(&self, read_end: Instant) -> Duration {
+        let shared = self.shared;
+        let now = shared.now();
+        let interval = shared.options.registration_read_interval;
+        if !self.shares_reads() {
+            return (read_end + interval).since(now);
+        }
+        let peers = shared.peers.borrow();
+        let rank = RegistrationFeed::rank(&shared.options.name, peers.directory.names());
+        let feed = shared.registration_feed.borrow();
+        let next_read = feed.next_read(&shared.options.name, rank, interval);
+        let earliest = read_end + interval.mul_f64(READ_PAUSE_FRACTION);
+        next_read.max(earliest).since(now)
+    }
+
+    fn resume_after(&self, revision: u64) -> u64 {
+        let known = self.shared.registration_feed.borrow().revision();
+        known.unwrap_or(revision)
+    }
+
+    fn watch_timeout(&self) -> Duration {
+        if self.shares_reads() {
+            SHARED_WATCH_TIMEOUT
+        } else {
+            WATCH_TIMEOUT
         }
-        self.evict_unregistered();
     }
 
     fn on_disconnect(&self) {
@@ -372,3 +544,21 @@
         self.shared.registry.borrow_mut().source_restored(now);
     }
 }
+
+fn registration_change(update: Update) -> RegistrationChange {
+    match update {
+        Update::Written(item) => RegistrationChange {
+            key: item.key,
+            revision: item.revision,
+            content: match item.value {
+                Some(value) => RegistrationContent::Written(value.to_vec()),
+                None => RegistrationContent::Unreadable,
+            },
+        },
+        Update::Removed { key, revision } => RegistrationChange {
+            key,
+            revision,
+            content: RegistrationContent::Removed,
+        },
+    }
+}
--- a/policy/src/gateway/epidemic/statement.rs
+++ b/policy/src/gateway/epidemic/statement.rs
@@ -4,12 +4,15 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::Instant;
-use crate::gateway::{DepartureReport, LostRun, RateReport};
+use crate::gateway::{DepartureReport, LostRun, RateReport, RegistrationBatch};
 
 /// Time by which a renewed statement must be later than the known one to be told again. Daemons
 /// that observe the same thing within that time tell it once.
 const RENEWAL_TIME: Duration = Duration::from_secs(2);
 
+/// The same for reads of the registrations.
+const READ_RENEWAL_TIME: Duration = Duration::from_millis(200);
+
 /// Something that a daemon tells the others.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Statement {
@@ -35,6 +38,8 @@
     },
     /// An endpoint said in a response that it leaves.
     Departure(DepartureReport),
+    /// Changes of the endpoints' registrations.
+    Registrations(RegistrationBatch),
 }
 
 /// What is remembered of a statement that was told.
@@ -68,6 +73,7 @@
             Self::Begun { at, .. } => *at,
             Self::Rate { report, .. } => report.named_at,
             Self::Departure(report) => report.said_at,
+            Self::Registrations(batch) => batch.read_at,
         }
     }
 
@@ -90,6 +96,10 @@
                 let started_ms = report.started_ms.unwrap_or_default();
                 hash(5, &report.endpoint, &[started_ms])
             }
+            Self::Registrations(batch) => {
+                let era = batch.era.unwrap_or(u64::MAX);
+                hash(6, "", &[era, batch.after, batch.revision])
+            }
         }
     }
 
@@ -112,6 +122,8 @@
             Self::LostRun(_) => false,
             Self::Rate { version, .. } => *version > told.version,
             Self::Begun { .. } | Self::Departure(_) => self.at() > told.at + RENEWAL_TIME,
+            // That nothing has changed is told again after each read.
+            Self::Registrations(_) => self.at() > told.at + READ_RENEWAL_TIME,
         }
     }
 
--- a/policy/src/gateway/peer_directory.rs
+++ b/policy/src/gateway/peer_directory.rs
@@ -36,6 +36,11 @@
         self.peers.values().map(|entry| &entry.peer)
     }
 
+    /// Returns the names of the known daemons.
+    pub fn names(&self) -> impl Iterator<Item = &Name> {
+        self.peers.keys()
+    }
+
     /// Returns the number of known daemons.
     #[must_use]
     pub fn len(&self) -> usize {
--- /dev/null
+++ b/policy/src/gateway/registration_feed.rs
@@ -0,0 +1,111 @@
+use std::time::Duration;
+
+use ragwortgrade_schema::Name;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::RegistrationBatch;
+use crate::Instant;
+
+/// Fraction of the read interval after which the first daemon reads for all.
+const FIRST_READ_FRACTION: f64 = 0.5;
+/// Number of daemons that read one after the other if those before them have handed on nothing,
+/// and the time between two of them: several times that in which a batch reaches all daemons.
+const READERS: usize = 10;
+const READER_DELAY: Duration = Duration::from_millis(60);
+/// Fraction of the read interval over which all other daemons spread their reads after it.
+const SPREAD_FRACTION: f64 = 0.2;
+/// Number of other daemons from which on reads are shared; in a smaller fleet they are few.
+const SHARING_PEERS_MIN: usize = 17;
+
+/// How far a daemon knows the registrations, and when it reads them itself.
+///
+/// Each daemon reads what has changed when it has not heard of it for a while, and hands it on. The
+/// time depends on its rank, so that normally one of them reads and the others hear of it in time
+/// (suppression by staggered timers, as in S. Floyd et al., "A Reliable Multicast Framework for
+/// Light-weight Sessions and Application Level Framing", 1997). A daemon that hears nothing reads
+/// for itself, so no daemon depends on another one.
+#[derive(Debug, Default)]
+pub struct RegistrationFeed {
+    known: Option<Known>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    era: Option<u64>,
+    revision: u64,
+    /// When the source had no later changes.
+    read_at: Instant,
+}
+
+impl RegistrationFeed {
+    /// Returns whether the daemons of a fleet with this number of other daemons share their reads.
+    #[must_use]
+    pub const fn is_shared(peers: usize) -> bool {
+        peers >= SHARING_PEERS_MIN
+    }
+
+    /// Returns the rank of a daemon among others; that with rank 0 reads first.
+    pub fn rank<'a>(daemon: &Name, peers: impl IntoIterator<Item = &'a Name>) -> usize {
+        let weight = |name: &Name| (xxh3_64(name.as_bytes()), name.clone());
+        let own = weight(daemon);
+        let peers = peers.into_iter();
+        peers.filter(|peer| weight(peer) > own).count()
+    }
+
+    /// Returns the revision up to which the registrations are known.
+    #[must_use]
+    pub fn revision(&self) -> Option<u64> {
+        self.known.map(|known| known.revision)
+    }
+
+    /// Records a listing that has all changes up to a revision.
+    pub fn listed(&mut self, era: Option<u64>, revision: u64, read_at: Instant) {
+        let is_older = self
+            .known
+            .is_some_and(|known| known.era == era && known.revision > revision);
+        if !is_older {
+            self.known = Some(Known {
+                era,
+                revision,
+                read_at,
+            });
+        }
+    }
+
+    /// Forgets what is known, as the source was restored from an older copy.
+    pub fn reset(&mut self) {
+        self.known = None;
+    }
+
+    /// Records all changes after a revision up to another one. Returns the revision after which
+    /// they are new; `None` if some are missing before them or all are known.
+    pub fn advance(&mut self, batch: &RegistrationBatch, now: Instant) -> Option<u64> {
+        let known = self.known.as_mut()?;
+        if known.era != batch.era || batch.after > known.revision {
+            return None;
+        }
+        if batch.revision < known.revision {
+            return None;
+        }
+        let after = known.revision;
+        known.revision = batch.revision;
+        known.read_at = known.read_at.max(batch.read_at.min(now));
+        Some(after)
+    }
+
+    /// Returns when a daemon of this rank reads next; `interval` is the time between its reads if
+    /// it reads for itself only.
+    #[must_use]
+    pub fn next_read(&self, daemon: &Name, rank: usize, interval: Duration) -> Instant {
+        let Some(known) = self.known else {
+            return Instant::default();
+        };
+        let delay = if rank < READERS {
+            interval.mul_f64(FIRST_READ_FRACTION) + READER_DELAY * rank as u32
+        } else {
+            let position = xxh3_64(daemon.as_bytes()) as f64 / u64::MAX as f64;
+            interval + interval.mul_f64(SPREAD_FRACTION * position)
+        };
+        known.read_at + delay
+    }
+}
--- a/policy/src/gateway/store_era.rs
+++ b/policy/src/gateway/store_era.rs
@@ -30,6 +30,12 @@
         self.restores
     }
 
+    /// Returns the era that the store last named, if it names any.
+    #[must_use]
+    pub const fn named(&self) -> Option<u64> {
+        self.named
+    }
+
     /// Records the era that a response names, if it names one. `sent_after` is the number of
     /// restores that were noticed when the call was sent.
     pub fn observe(&mut self, sent_after: u64, era: Option<u64>) -> ResponseEra {
--- a/policy/tests/news_network/mod.rs
+++ b/policy/tests/news_network/mod.rs
@@ -59,6 +59,11 @@
         self.broadcasts[daemon] = Broadcast::new(daemon as u64);
     }
 
+    /// Lets a daemon tell the others something.
+    pub fn publish(&mut self, daemon: usize, statement: Statement, now: Instant) {
+        self.broadcasts[daemon].publish(statement, now);
+    }
+
     /// Sends and delivers what is due. Returns what daemons accepted that is no evidence.
     pub fn step(&mut self, daemons: &mut [Quarantine], now: Instant) -> Vec<(usize, Statement)> {
         let mut accepted = Vec::new();
