gateway: make few calls to a store that refuses them

Cause: during an outage each daemon retried three listings every 0.8 s beside the probe every 0.2 s that detects its end.

Change: while the calls that keep a daemon registered fail, its listings wait for the end of the outage, at most 4 s. Ends of work are told to other data centres after up to 1 s, and engines that are reserved for long outputs are a set, both for processor time.

--- a/lib/src/gateway/registration.rs
+++ b/lib/src/gateway/registration.rs
@@ -119,6 +119,7 @@
             self.shared.registry.borrow_mut().source_lost();
         }
         self.is_active = true;
+        self.shared.is_store_lost.set(true);
     }
 
     fn record_success(&mut self) {
@@ -126,6 +127,7 @@
             return;
         }
         self.is_active = false;
+        self.shared.is_store_lost.set(false);
         log::info!("store outage ended");
         self.shared.record_outage_end();
     }
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -52,6 +52,8 @@
     /// When the drain started, if it has.
     pub(super) drain_started_at: Cell<Option<Instant>>,
     store_era: RefCell<StoreEra>,
+    /// Whether the calls that keep this daemon registered fail.
+    pub(super) is_store_lost: Cell<bool>,
     /// Number of store outages that have ended, and of restores.
     store_interruptions: Cell<u64>,
     /// Wakes tasks whose calls were lost in an interruption of the store, or build on what they
@@ -99,6 +101,7 @@
             is_registry_loaded: Cell::new(false),
             drain_started_at: Cell::new(None),
             store_era: RefCell::default(),
+            is_store_lost: Cell::new(false),
             store_interruptions: Cell::new(0),
             store_recovered: Notify::new(),
             peers: RefCell::default(),
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -24,6 +24,9 @@
 /// base.
 const RETRY_DELAY_BASE: Duration = Duration::from_millis(100);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
+/// Delay after a failed call during a store outage, of which the end is detected by the calls that
+/// keep this daemon registered.
+const OUTAGE_RETRY_DELAY: Duration = Duration::from_secs(4);
 /// Interval at which registrations are checked against the times that they have.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -157,8 +160,16 @@
                 }
                 failures += 1;
                 revision = None;
-                let delay = RETRY_DELAY_BASE.saturating_mul(1 << failures.min(4));
-                tokio::time::sleep(delay.min(RETRY_DELAY_MAX)).await;
+                let delay = if shared.is_store_lost.get() {
+                    OUTAGE_RETRY_DELAY
+                } else {
+                    let delay = RETRY_DELAY_BASE.saturating_mul(1 << failures.min(4));
+                    delay.min(RETRY_DELAY_MAX)
+                };
+                tokio::select! {
+                    () = tokio::time::sleep(delay) => {}
+                    () = shared.wait_for_interruption(interruptions) => {}
+                }
             }
         }
     }
--- a/policy/src/gateway/affinity.rs
+++ b/policy/src/gateway/affinity.rs
@@ -1,5 +1,7 @@
 //! Choices that all daemons make identically without communication.
 
+use std::collections::HashSet;
+
 use ragwortgrade_schema::Name;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -14,15 +16,16 @@
 
 /// Returns the decode engines that are reserved for long outputs. They run few local prefills,
 /// which would slow the outputs down. Every daemon selects the same engines.
-pub(super) fn reserved_decoders<'a>(candidates: &[&'a Endpoint]) -> Vec<&'a Name> {
+pub(super) fn reserved_decoders<'a>(candidates: &[&'a Endpoint]) -> HashSet<&'a Name> {
     let decoders = candidates
         .iter()
         .filter(|engine| engine.stage == Some(Stage::Decode));
-    let mut decoders: Vec<&Name> = decoders.map(|engine| &engine.id).collect();
-    decoders.sort_by_key(|id| xxh3_64(id.as_bytes()));
+    let decoders = decoders.map(|engine| (xxh3_64(engine.id.as_bytes()), &engine.id));
+    let mut decoders: Vec<(u64, &Name)> = decoders.collect();
+    decoders.sort_unstable();
     let count = (decoders.len() as f64 * RESERVED_FRACTION).round() as usize;
-    decoders.truncate(count);
-    decoders
+    let reserved = decoders.into_iter().take(count);
+    reserved.map(|(_, id)| id).collect()
 }
 
 /// Returns the engine that all daemons prefer for a prefix. It is in `data_centre` if one is given
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use ragwortgrade_schema::Name;
@@ -211,7 +212,7 @@
             misses_target: false,
             recompute_weight: self.recompute_weight(prompt, route),
             is_large_fleet: candidates.len() > SMALL_FLEET_MAX,
-            reserved_decoders: reserved_decoders(candidates),
+            reserved_decoders: Rc::new(reserved_decoders(candidates)),
             now,
         }
     }
@@ -344,7 +345,7 @@
         let mut local_cost_ms = 0.0;
         if is_local_prefill {
             local_cost_ms = self.output_cost_ms(engine, request);
-            if request.reserved_decoders.contains(&&engine.id) {
+            if request.reserved_decoders.contains(&engine.id) {
                 local_cost_ms += prefill_ms * RESERVED_PREFILL_WEIGHT;
             }
         }
@@ -384,7 +385,7 @@
     /// Returns the cost of decoding the whole output on an engine, in ms.
     fn output_cost_ms(&self, engine: &Endpoint, request: &PlacementRequest<'_>) -> f64 {
         let tokens = request.prompt.output_tokens_hint.unwrap_or_default();
-        let prefill_fraction = if request.reserved_decoders.contains(&&engine.id) {
+        let prefill_fraction = if request.reserved_decoders.contains(&engine.id) {
             RESERVED_PREFILL_FRACTION
         } else {
             UNRESERVED_PREFILL_FRACTION
--- a/policy/src/gateway/placement_request.rs
+++ b/policy/src/gateway/placement_request.rs
@@ -1,3 +1,6 @@
+use std::collections::HashSet;
+use std::rc::Rc;
+
 use ragwortgrade_schema::Name;
 
 use super::{Endpoint, EngineLimits, Prompt};
@@ -30,7 +33,7 @@
     /// Whether the fleet is so large that data centres mostly use their own engines.
     pub(super) is_large_fleet: bool,
     /// Decode engines that are reserved for long outputs.
-    pub(super) reserved_decoders: Vec<&'a Name>,
+    pub(super) reserved_decoders: Rc<HashSet<&'a Name>>,
     pub(super) now: Instant,
 }
 
--- a/policy/src/gateway/update_schedule.rs
+++ b/policy/src/gateway/update_schedule.rs
@@ -18,7 +18,7 @@
 const SMALL_GROUP_MAX: usize = 16;
 /// Time per recipient beyond that for which the end of work is not sent, and its maximum.
 const END_DELAY_PER_RECIPIENT: Duration = Duration::from_millis(10);
-const END_DELAY_MAX: Duration = Duration::from_millis(400);
+const END_DELAY_MAX: Duration = Duration::from_millis(1_000);
 /// Increase of the prefill work on an engine that is sent at once. The work of a prompt that takes
 /// longer than expected grows all the time.
 const INCREASE_RATIO: f64 = 1.5;
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -27,6 +27,7 @@
     /// Revision up to which the history is discarded; a watch after an older one gets status 410.
     compacted_revision: u64,
     is_silent: bool,
+    is_rejecting: bool,
     /// Path whose calls get no response even when `is_silent` is false.
     unanswered_path: Option<String>,
 }
@@ -103,6 +104,11 @@
         self.shared.lock().is_silent = is_silent;
     }
 
+    /// Sets whether calls are refused with status 503.
+    pub fn set_rejecting(&self, is_rejecting: bool) {
+        self.shared.lock().is_rejecting = is_rejecting;
+    }
+
     /// Sets a path whose calls get no response, or clears it.
     pub fn set_unanswered_path(&self, path: Option<&str>) {
         self.shared.lock().unanswered_path = path.map(str::to_owned);
@@ -136,6 +142,9 @@
             if state.is_silent || state.unanswered_path.as_deref() == Some(path) {
                 return Response::NoResponse;
             }
+            if state.is_rejecting {
+                return Response::complete(503, &[], "{}");
+            }
         }
         let (status, body) = match path {
             "/api/kv-range" => (200, self.lock().data.range(parameter(query, "prefix"))),
