--- a/standins/src/site/exchange.rs
+++ b/standins/src/site/exchange.rs
@@ -1,5 +1,6 @@
 use std::io::{self, BufRead as _, BufReader, Read as _};
 use std::net::TcpStream;
+use std::time::Duration;
 
 /// Bytes after which an endless response pauses, so that a peer without a limit does not use up the
 /// memory.
@@ -35,6 +36,13 @@
         /// Bytes that are sent again and again.
         repeated: Vec<u8>,
     },
+    /// Sends these pieces with a pause before each but the first, and keeps the connection open.
+    Paced {
+        /// Pieces in order.
+        pieces: Vec<Vec<u8>>,
+        /// Pause between two pieces.
+        pause: Duration,
+    },
     /// Closes the connection without a response.
     Close,
     /// Ends the worker like a crash: it closes all connections and refuses new ones.
--- a/standins/src/site/worker.rs
+++ b/standins/src/site/worker.rs
@@ -131,6 +131,7 @@
                 writer.write_all(start).is_ok()
                     && send_endless(&mut writer, repeated, &record.endless_bytes)
             }
+            Response::Paced { pieces, pause } => send_paced(&mut writer, pieces, *pause),
             Response::NoResponse => true,
             Response::Close => false,
             Response::Crash => {
@@ -144,6 +145,19 @@
     }
 }
 
+/// Sends pieces with pauses; returns whether the connection is still open at the end.
+fn send_paced(writer: &mut TcpStream, pieces: &[Vec<u8>], pause: Duration) -> bool {
+    for (number, piece) in pieces.iter().enumerate() {
+        if number > 0 {
+            thread::sleep(pause);
+        }
+        if writer.write_all(piece).is_err() {
+            return false;
+        }
+    }
+    true
+}
+
 /// Sends bytes again and again; returns whether the connection is still open at the end.
 fn send_endless(writer: &mut TcpStream, repeated: &[u8], endless_bytes: &AtomicUsize) -> bool {
     while endless_bytes.load(Ordering::Relaxed) < ENDLESS_BYTES_MAX {
