gateway: ignore a listing that is older than what other daemons have handed on

Found by reading: while a daemon lists the registrations, for example after an outage, a batch of another daemon may arrive. The listing then put the registry back to its older revision, and the daemon went on from the batch's revision, so that changes in between were lost.

Change: such a listing is ignored; what is known is complete up to a later revision. Broadcast::expire is private.

Test: an_older_listing_is_not_accepted (RegistrationFeed::listed said nothing before).

--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -472,7 +472,13 @@
         let now = self.shared.now();
         let era = self.shared.store_era_named();
         let mut feed = self.shared.registration_feed.borrow_mut();
-        feed.listed(era, read.revision, read.at);
+        if !feed.listed(era, read.revision, read.at) {
+            log::info!(
+                revision = read.revision, known:? = feed.revision();
+                "listing is older than what other daemons have handed on; ignored"
+            );
+            return;
+        }
         drop(feed);
         let mut registry = self.shared.registry.borrow_mut();
         let known: Vec<Endpoint> = endpoints
--- a/policy/src/gateway/epidemic/broadcast.rs
+++ b/policy/src/gateway/epidemic/broadcast.rs
@@ -132,7 +132,7 @@
     }
 
     /// Forgets what was told long ago.
-    pub fn expire(&mut self, now: Instant) {
+    fn expire(&mut self, now: Instant) {
         while let Some((added_at, key)) = self.told_order.front().copied() {
             let is_over = self.told_order.len() > TOLD_MAX;
             if !is_over && now.since(added_at) < TOLD_TIME {
--- a/policy/src/gateway/registration_feed.rs
+++ b/policy/src/gateway/registration_feed.rs
@@ -58,8 +58,9 @@
         self.known.map(|known| known.revision)
     }
 
-    /// Records a listing that has all changes up to a revision.
-    pub fn listed(&mut self, era: Option<u64>, revision: u64, read_at: Instant) {
+    /// Records a listing that has all changes up to a revision. Returns whether it may replace what
+    /// is known: other daemons may have handed on later changes while it was read.
+    pub fn listed(&mut self, era: Option<u64>, revision: u64, read_at: Instant) -> bool {
         let is_older = self
             .known
             .is_some_and(|known| known.era == era && known.revision > revision);
@@ -70,6 +71,7 @@
                 read_at,
             });
         }
+        !is_older
     }
 
     /// Forgets what is known, as the source was restored from an older copy.
--- a/policy/tests/gateway_registration_feed.rs
+++ b/policy/tests/gateway_registration_feed.rs
@@ -225,6 +225,20 @@
     assert_eq!(feed.revision(), None);
 }
 
+/// Guards against changes that are lost when a listing arrives that is older than what another
+/// daemon has handed on meanwhile.
+#[test]
+fn an_older_listing_is_not_accepted() {
+    let mut feed = known(10);
+    assert_eq!(feed.advance(&batch(10, 15, at(1_500)), at(1_500)), Some(10));
+    assert!(!feed.listed(None, 12, at(1_450)));
+    assert_eq!(feed.revision(), Some(15));
+    assert!(feed.listed(None, 15, at(1_600)));
+    // Revisions of different eras cannot be compared.
+    assert!(feed.listed(Some(3), 4, at(1_700)));
+    assert_eq!(feed.revision(), Some(4));
+}
+
 #[test]
 fn a_batch_without_changes_delays_the_next_read() {
     let mut feed = known(10);
