--- a/lib/src/gateway/load_exchange.rs
+++ b/lib/src/gateway/load_exchange.rs
@@ -215,7 +215,7 @@
     /// Handles a datagram with a load update. Returns whether it can be read.
     fn receive(&self, datagram: &[u8]) -> bool {
         let shared = self.shared;
-        // Daemons of earlier versions send more after the load update.
+        // Bytes after the load update are ignored, so that later versions can append to it.
         let Ok((load_update, _)) = postcard::take_from_bytes::<LoadUpdate>(datagram) else {
             return false;
         };
