gateway: a flood of datagrams must not keep other tasks from running

Found by reading the change again: the receiver took datagrams until none was left, without yielding, so that a sender faster than the gateway would have stopped its one thread, and with it all callers. It has no test: a flood that outruns the reader depends on the machine.

Change: other tasks run after 64 datagrams. The endpoint handler has a file of its own, moved as it was. A comment names an order of preference.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -11,6 +11,7 @@
 mod connection;
 mod crash_detector;
 mod dialect;
+mod endpoint_handler;
 mod endpoint_index;
 mod event_counter;
 mod exchange;
--- a/lib/src/gateway/load_exchange.rs
+++ b/lib/src/gateway/load_exchange.rs
@@ -24,6 +24,8 @@
 /// Pause after all datagrams that have arrived were received, in a large fleet. Datagrams that arrive
 /// meanwhile need one wakeup of the process together.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(4);
+/// Number of datagrams that are received before other tasks run.
+const BATCH_MAX: usize = 64;
 /// Maximum size of a received datagram.
 const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
 
@@ -65,7 +67,13 @@
     let mut unreadable = UnreadableDatagrams::default();
     // One byte more than accepted, so that longer datagrams are noticed.
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX + 1];
+    let mut in_batch = 0;
     loop {
+        in_batch += 1;
+        if in_batch > BATCH_MAX {
+            in_batch = 0;
+            tokio::task::yield_now().await;
+        }
         let (length, source) = match loads.socket.try_recv_from(&mut buffer) {
             Ok(received) => received,
             Err(error) => {
--- a/lib/src/gateway/news_exchange.rs
+++ b/lib/src/gateway/news_exchange.rs
@@ -9,9 +9,9 @@
 use ragwortgrade_schema::Name;
 use tokio::net::UdpSocket;
 
+use super::endpoint_handler::EndpointHandler;
 use super::news_message::NewsMessage;
 use super::shared::Shared;
-use super::store_watcher::EndpointHandler;
 
 /// Time for which news is collected before it is sent, so that one message holds what is learned
 /// together, such as the runs that one crash loses.
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -90,8 +90,8 @@
         }
     }
 
-    /// Sets the order in which equally good engines are chosen. Daemons with different seeds do not
-    /// all choose the same one before they learn of each other's requests.
+    /// Sets the order of preference among equally good engines. Daemons with different seeds do not
+    /// all take the same one before they learn of each other's requests.
     #[must_use]
     pub fn with_order_seed(self, order_seed: u64) -> Self {
         Self { order_seed, ..self }
