placement: choose the decode engine anew after a remote prefill

Cause: a decode engine was chosen before the remote prefill, which takes 100 to 1,000 ms, and the sequence counted only after it. The engines of the large deployment have 12 slots (64 to 96 elsewhere), so that slots that were free at the placement are taken by then.

Change: decoder_after_prefill chooses among all engines with what is known then; before, another one was taken only when the placed one accepted no more requests.

--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -167,9 +167,9 @@
         .collect()
 }
 
-/// Returns the decode engine of a placement. If it no longer accepts requests after a remote
-/// prefill, the placement is changed to another engine that can fetch the KV cache. Returns `None`
-/// if there is none, or if the request has to be placed again.
+/// Returns the decode engine of a placement. After a remote prefill it is chosen anew, as any engine
+/// can fetch the KV cache, and the placement is changed to it. Returns `None` if there is none, or
+/// if the request has to be placed again.
 fn decode_engine(
     context: &RequestContext,
     limits: &EngineLimits,
@@ -179,14 +179,22 @@
 ) -> Option<Endpoint> {
     let shared = &context.shared;
     let registry = shared.registry.borrow();
-    if shared.accepts_requests(&placement.decode) {
-        return registry.get(&placement.decode).cloned();
-    }
+    let accepts_requests = shared.accepts_requests(&placement.decode);
+    let Some(cache) = cache else {
+        return registry
+            .get(&placement.decode)
+            .filter(|_| accepts_requests)
+            .cloned();
+    };
     let candidates = candidates(context, &registry);
-    let unavailable = [excluded, &shared.limited(&candidates)].concat();
-    let replacement = shared.engines.borrow().replace_decoder(
+    let mut unavailable = [excluded, &shared.limited(&candidates)].concat();
+    if accepts_requests {
+        // The limit of the placed engine already counts this request.
+        unavailable.retain(|id| *id != placement.decode);
+    }
+    let decoder = shared.engines.borrow().decoder_after_prefill(
         placement,
-        &cache?.engine,
+        &cache.engine,
         &candidates,
         &context.metadata.prompt,
         &context.route,
@@ -195,12 +203,15 @@
         &shared.options.data_centre,
         shared.now(),
     )?;
-    log::info!(
-        request = context.id(), engine:% = placement.decode, replacement:% = replacement;
-        "decode engine took no more requests after the remote prefill; replaced"
-    );
-    shared.record_placed(&replacement);
-    placement.decode = replacement;
+    if decoder != placement.decode {
+        log::info!(
+            request = context.id(), engine:% = decoder, before:% = placement.decode,
+            accepts_requests = accepts_requests;
+            "decode engine chosen anew after the remote prefill"
+        );
+        shared.record_placed(&decoder);
+        placement.decode = decoder;
+    }
     registry.get(&placement.decode).cloned()
 }
 
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -166,11 +166,14 @@
         }
     }
 
-    /// Chooses another decode engine for a prompt that was prefilled on `prefill` as placed; `None`
-    /// if there is none. Engines in `tried` are excluded.
+    /// Chooses the decode engine for a prompt that was prefilled on `prefill` as placed; `None` if
+    /// there is none. Engines in `excluded` are not chosen.
+    ///
+    /// During the prefill other requests may have taken the free slots of the engine that seemed
+    /// best at the placement.
     #[expect(clippy::too_many_arguments, reason = "inputs of one decision")]
     #[must_use]
-    pub fn replace_decoder(
+    pub fn decoder_after_prefill(
         &self,
         placement: &Placement,
         prefill: &Endpoint,
@@ -178,7 +181,7 @@
         prompt: &Prompt,
         route: &Route,
         limits: &EngineLimits,
-        tried: &[Name],
+        excluded: &[Name],
         data_centre: &Name,
         now: Instant,
     ) -> Option<Name> {
@@ -187,9 +190,8 @@
             ..self.request(candidates, prompt, route, limits, data_centre, now)
         };
         let decoders = candidates.iter().copied();
-        let decoders = decoders
-            .filter(|it| it.stage == Some(Stage::Decode))
-            .filter(|it| it.id != placement.decode && !tried.contains(&it.id));
+        let decoders =
+            decoders.filter(|it| it.stage == Some(Stage::Decode) && !excluded.contains(&it.id));
         let (decoder, _) = self.decoder_for(prefill, decoders, &request)?;
         Some(decoder.id.clone())
     }
--- a/policy/tests/gateway_support/mod.rs
+++ b/policy/tests/gateway_support/mod.rs
@@ -83,26 +83,26 @@
         placement.unwrap()
     }
 
-    /// Chooses another decode engine for a placement with a remote prefill.
-    pub fn replace_decoder(
+    /// Chooses the decode engine for a placement whose remote prefill has ended.
+    pub fn decoder_after_prefill(
         &self,
         placement: &Placement,
         prompt: &Prompt,
-        tried: &[Name],
+        excluded: &[Name],
         now: Instant,
     ) -> Option<Name> {
         let candidates: Vec<&Endpoint> = self.endpoints.iter().collect();
         let prefill = placement.prefill.as_ref().unwrap();
         let prefill = candidates.iter().find(|it| it.id == *prefill).unwrap();
         let (limits, data_centre) = (limits(), Name::from("a"));
-        self.engines.replace_decoder(
+        self.engines.decoder_after_prefill(
             placement,
             prefill,
             &candidates,
             prompt,
             &route(2),
             &limits,
-            tried,
+            excluded,
             &data_centre,
             now,
         )
@@ -163,7 +163,7 @@
     }
 }
 
-fn limits() -> EngineLimits {
+pub fn limits() -> EngineLimits {
     EngineLimits {
         sequences_max: 64,
         kv_tokens: 800_000,
