gateway: daemons of a fleet of up to 33 exchange all work

Cause: from 18 daemons on, those of other data centres were told only the work on prefill engines, but in a fleet with up to 24 engines the decode engines are used from all data centres. Each data centre saw only its own sequences on the few engines kept for long outputs.

Change: all work goes to all daemons up to 32 others, as long as engines are used that way.

What is exchanged in larger fleets is unchanged.

--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -21,7 +21,7 @@
 /// Number of other daemons up to which all daemons exchange all work. In a larger fleet decode
 /// engines are used mostly by the daemons of their data centre, which exchange work on them only
 /// with each other.
-const FULL_MESH_PEERS_MAX: usize = 16;
+const FULL_MESH_PEERS_MAX: usize = 32;
 
 /// Registration document of a daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
