gateway: requests wait for the first listing of a daemon that has just started

Cause: a daemon listens to callers before it has read the store; the load balancer may still know it from before a restart.

Change: a request waits up to 1 s until the configuration and the registrations have been read; when the store does not answer in that time it is refused as before.

--- a/lib/src/gateway/endpoint_handler.rs
+++ b/lib/src/gateway/endpoint_handler.rs
@@ -211,6 +211,7 @@
             }
         }
         self.evict_unregistered();
+        self.shared.notify_loaded();
     }
 
     fn on_updates(&self, updates: Vec<Update>, after: u64, read: Read) {
--- a/lib/src/gateway/request_handler.rs
+++ b/lib/src/gateway/request_handler.rs
@@ -17,6 +17,9 @@
 use super::work_guard::millis;
 use super::{generation, plain};
 
+/// Longest time for which a request waits until this daemon, which has just started, has read the
+/// configuration and the registrations; normally that takes 0.2 s.
+const LOADING_WAIT_MAX: Duration = Duration::from_secs(1);
 /// Timeout for reading a body; the configured timeouts cover only the head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Retry delay of a request that a draining daemon refuses. It is short, since the load balancer
@@ -49,6 +52,9 @@
     received_at: Instant,
 ) -> Response<ResponseBody> {
     shared.metrics.count("requests", 1);
+    if !shared.is_loaded() {
+        let _is_late = tokio::time::timeout(LOADING_WAIT_MAX, shared.wait_until_loaded()).await;
+    }
     let Some(catalog) = shared.catalog() else {
         return local_response::not_run("not_configured", RETRY_AFTER_DEFAULT);
     };
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -49,6 +49,8 @@
     pub(super) metrics: Metrics,
     /// Whether the registrations were listed at least once.
     pub(super) is_registry_loaded: Cell<bool>,
+    /// Wakes requests that wait for the configuration and the first listing.
+    loaded: Notify,
     /// When the drain started, if it has.
     pub(super) drain_started_at: Cell<Option<Instant>>,
     store_era: RefCell<StoreEra>,
@@ -100,6 +102,7 @@
             client: Client::default(),
             metrics,
             is_registry_loaded: Cell::new(false),
+            loaded: Notify::new(),
             drain_started_at: Cell::new(None),
             store_era: RefCell::default(),
             store_outage: RefCell::default(),
@@ -400,6 +403,23 @@
 
     /// Returns whether the load balancer should send callers to this daemon.
     pub(super) fn is_ready(&self) -> bool {
-        !self.is_draining() && self.is_registry_loaded.get() && self.catalog.borrow().is_some()
+        !self.is_draining() && self.is_loaded()
+    }
+
+    /// Returns whether the configuration and the registrations have been read.
+    pub(super) fn is_loaded(&self) -> bool {
+        self.is_registry_loaded.get() && self.catalog.borrow().is_some()
+    }
+
+    /// Wakes requests that wait for the configuration or the registrations, which were read.
+    pub(super) fn notify_loaded(&self) {
+        self.loaded.notify_waiters();
+    }
+
+    /// Waits until the configuration and the registrations have been read.
+    pub(super) async fn wait_until_loaded(&self) {
+        while !self.is_loaded() {
+            self.loaded.notified().await;
+        }
     }
 }
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -272,6 +272,7 @@
             .metrics
             .gauge("configuration.version", catalog.version());
         *current = Some(Rc::new(catalog));
+        self.shared.notify_loaded();
     }
 }
 
--- a/policy/tests/gateway_placement.rs
+++ b/policy/tests/gateway_placement.rs
@@ -517,7 +517,8 @@
         .collect();
     fleet.report_work(&[others[0].as_str()], queued_work(0, 300.0), NOW);
     let left = placement.decode.clone();
-    let replacement = fleet.decoder_after_prefill(&placement, &prompt, &[left.clone()], NOW);
+    let replacement =
+        fleet.decoder_after_prefill(&placement, &prompt, std::slice::from_ref(&left), NOW);
     assert_eq!(replacement.as_ref(), Some(others[1]), "the less busy one");
     let excluded = [left.clone(), others[1].clone()];
     let replacement = fleet.decoder_after_prefill(&placement, &prompt, &excluded, NOW);
