--- a/policy/tests/gateway_slots.rs
+++ b/policy/tests/gateway_slots.rs
@@ -44,6 +44,15 @@
         waiting.push_back((now, daemon));
     }
 
+    /// Returns the daemon and the engine of each sequence that has ended.
+    fn take_ended(&mut self, now: Instant) -> Vec<(usize, Name)> {
+        let ends = std::mem::take(&mut self.ends);
+        let (ended, running): (Vec<_>, Vec<_>) = ends.into_iter().partition(|it| it.0 <= now);
+        self.ends = running;
+        let ended = ended.into_iter();
+        ended.map(|(_, daemon, engine)| (daemon, engine)).collect()
+    }
+
     fn step(&mut self, now: Instant) {
         for (engine, waiting) in &mut self.waiting {
             let running = self.running.entry(engine.clone()).or_default();
@@ -66,11 +75,148 @@
     prefilled_at: Instant,
 }
 
+/// Daemons of a fleet in virtual time, each of which knows the work of those of its data centre.
+struct Fleet {
+    endpoints: Vec<Endpoint>,
+    daemons: Vec<Engines>,
+    /// Requests that are being prefilled.
+    runs: Vec<Run>,
+    decoders: Decoders,
+    /// Reports on their way, the oldest first.
+    reports: VecDeque<Report>,
+}
+
+/// Work that a daemon reports to those of its data centre.
+struct Report {
+    arrives_at: Instant,
+    sender: usize,
+    work: Vec<(Name, EngineWork)>,
+}
+
+impl Fleet {
+    fn new(daemons: usize, decoders: usize) -> Self {
+        let open = |seed| Engines::open(Speed::default()).with_order_seed(seed);
+        Self {
+            endpoints: engines(decoders),
+            daemons: (0..daemons as u64).map(open).collect(),
+            runs: Vec::new(),
+            decoders: Decoders {
+                slots: 12,
+                running: BTreeMap::new(),
+                waiting: BTreeMap::new(),
+                ends: Vec::new(),
+                waits: Vec::new(),
+            },
+            reports: VecDeque::new(),
+        }
+    }
+
+    /// Places a long prompt.
+    fn arrive(&mut self, daemon: usize, now: Instant) {
+        let candidates: Vec<&Endpoint> = self.endpoints.iter().collect();
+        let prompt = Prompt {
+            output_tokens_hint: Some(OUTPUT_TOKENS),
+            ..prompt(PROMPT_TOKENS, None)
+        };
+        let placement = self.daemons[daemon].place(
+            &candidates,
+            &prompt,
+            &route(2),
+            &limits(),
+            Duration::from_secs(8),
+            WaitLimit::default(),
+            &[],
+            &data_centre(daemon),
+            now,
+        );
+        let Ok(placement) = placement else {
+            return;
+        };
+        let (millis, priority) = (placement.prefill_ms, placement.priority);
+        if let Some(prefill) = &placement.prefill {
+            let engines = &mut self.daemons[daemon];
+            engines.prefill_sent(prefill, priority, millis, millis, &prompt, now);
+            self.report(daemon, now);
+        }
+        self.runs.push(Run {
+            daemon,
+            placement,
+            prompt,
+            prefilled_at: now + Duration::from_secs_f64(millis / 1e3),
+        });
+    }
+
+    /// Sends a prompt that is prefilled to a decode engine.
+    fn decode(&mut self, run: &Run, now: Instant) {
+        let candidates: Vec<&Endpoint> = self.endpoints.iter().collect();
+        let engines = &mut self.daemons[run.daemon];
+        let mut decoder = run.placement.decode.clone();
+        if let Some(prefill) = &run.placement.prefill {
+            let (millis, priority) = (run.placement.prefill_ms, run.placement.priority);
+            let done = CallOutcome::Done { millis };
+            engines.prefill_ended(prefill, priority, millis, millis, done, now);
+            let prefill = candidates.iter().find(|it| it.id == *prefill).unwrap();
+            let chosen = engines.decoder_after_prefill(
+                &run.placement,
+                prefill,
+                &candidates,
+                &run.prompt,
+                &route(2),
+                &limits(),
+                &[],
+                &data_centre(run.daemon),
+                now,
+            );
+            decoder = chosen.unwrap();
+        }
+        engines.sequence_sent(&decoder, &run.prompt, now);
+        self.decoders.start(&decoder, run.daemon, now);
+        self.report(run.daemon, now);
+    }
+
+    fn report(&mut self, daemon: usize, now: Instant) {
+        self.reports.push_back(Report {
+            arrives_at: now + REPORT_TIME,
+            sender: daemon,
+            work: self.daemons[daemon].own_work(now),
+        });
+    }
+
+    fn step(&mut self, now: Instant) {
+        let runs = std::mem::take(&mut self.runs);
+        let (prefilled, pending) = runs.into_iter().partition(|run| run.prefilled_at <= now);
+        self.runs = pending;
+        let prefilled: Vec<Run> = prefilled;
+        for run in prefilled {
+            self.decode(&run, now);
+        }
+        self.decoders.step(now);
+        for (daemon, engine) in self.decoders.take_ended(now) {
+            let done = CallOutcome::Done { millis: 0.0 };
+            self.daemons[daemon].sequence_ended(&engine, done, now);
+            self.report(daemon, now);
+        }
+        let arrived = |report: &mut Report| report.arrives_at <= now;
+        while let Some(Report { sender, work, .. }) = self.reports.pop_front_if(arrived) {
+            let name = Name::from(format!("d-{sender}"));
+            let daemons = self.daemons.iter_mut().enumerate();
+            let local = daemons.filter(|(it, _)| it % DATA_CENTRES == sender % DATA_CENTRES);
+            for (_, engines) in local.filter(|(it, _)| *it != sender) {
+                engines.update_peer(&name, work.clone(), now);
+            }
+        }
+    }
+}
+
+fn data_centre(number: usize) -> Name {
+    format!("c-{}", number % DATA_CENTRES).into()
+}
+
 fn engines(decoders: usize) -> Vec<Endpoint> {
     let engine = |number: usize, kind: &str, stage| Endpoint {
         stage: Some(stage),
         slots: 12,
-        data_centre: format!("c-{}", number % DATA_CENTRES).into(),
+        data_centre: data_centre(number),
         ..gateway_support::endpoint(&format!("{kind}-{number}"), "models")
     };
     let prefill = (0..decoders / 4).map(|number| engine(number, "prefill", Stage::Prefill));
@@ -81,114 +227,23 @@
 /// Plays long prompts that are prefilled remotely. Returns the fraction that waits for a slot.
 fn waiting_fraction(daemons: usize, decoders: usize, used_slots: f64) -> f64 {
     let mut random = ChaCha8Rng::seed_from_u64(5);
-    let endpoints = engines(decoders);
-    let candidates: Vec<&Endpoint> = endpoints.iter().collect();
-    let data_centre = |daemon: usize| Name::from(format!("c-{}", daemon % DATA_CENTRES));
-    let mut states: Vec<Engines> = (0..daemons)
-        .map(|seed| Engines::open(Speed::default()).with_order_seed(seed as u64))
-        .collect();
-    let mut decode = Decoders {
-        slots: 12,
-        running: BTreeMap::new(),
-        waiting: BTreeMap::new(),
-        ends: Vec::new(),
-        waits: Vec::new(),
-    };
+    let mut fleet = Fleet::new(daemons, decoders);
     let per_second = (decoders * 12) as f64 * used_slots / OUTPUT_TIME.as_secs_f64();
-    let mut runs: Vec<Run> = Vec::new();
-    let mut reports: VecDeque<(Instant, usize, Vec<(Name, EngineWork)>)> = VecDeque::new();
+    let mut arrivals = 0.0;
     let mut now = Instant::from_millis(1_000);
     let end = now + PLAY_TIME;
-    let mut arrivals = 0.0;
     while now < end {
         now = now + STEP;
-        let mut changed = vec![false; daemons];
         arrivals += per_second * STEP.as_secs_f64();
         while arrivals >= 1.0 {
             arrivals -= 1.0;
-            let daemon = random.random_range(0..daemons);
-            let prompt = Prompt {
-                output_tokens_hint: Some(OUTPUT_TOKENS),
-                ..prompt(PROMPT_TOKENS, None)
-            };
-            let placement = states[daemon].place(
-                &candidates,
-                &prompt,
-                &route(2),
-                &limits(),
-                Duration::from_secs(8),
-                WaitLimit::default(),
-                &[],
-                &data_centre(daemon),
-                now,
-            );
-            let Ok(placement) = placement else {
-                continue;
-            };
-            let prefilled_at = now + Duration::from_secs_f64(placement.prefill_ms / 1e3);
-            if let Some(prefill) = &placement.prefill {
-                let (millis, priority) = (placement.prefill_ms, placement.priority);
-                states[daemon].prefill_sent(prefill, priority, millis, millis, &prompt, now);
-                changed[daemon] = true;
-            }
-            runs.push(Run {
-                daemon,
-                placement,
-                prompt,
-                prefilled_at,
-            });
-        }
-        let (prefilled, pending): (Vec<Run>, Vec<Run>) =
-            runs.into_iter().partition(|run| run.prefilled_at <= now);
-        runs = pending;
-        for run in prefilled {
-            let state = &mut states[run.daemon];
-            let mut decoder = run.placement.decode.clone();
-            if let Some(prefill) = &run.placement.prefill {
-                let (millis, priority) = (run.placement.prefill_ms, run.placement.priority);
-                let done = CallOutcome::Done { millis };
-                state.prefill_ended(prefill, priority, millis, millis, done, now);
-                let prefill = endpoints.iter().find(|it| it.id == *prefill).unwrap();
-                let chosen = state.decoder_after_prefill(
-                    &run.placement,
-                    prefill,
-                    &candidates,
-                    &run.prompt,
-                    &route(2),
-                    &limits(),
-                    &[],
-                    &data_centre(run.daemon),
-                    now,
-                );
-                decoder = chosen.unwrap();
-            }
-            state.sequence_sent(&decoder, &run.prompt, now);
-            changed[run.daemon] = true;
-            decode.start(&decoder, run.daemon, now);
-        }
-        decode.step(now);
-        let (ended, running) = decode.ends.drain(..).partition(|(end, ..)| *end <= now);
-        decode.ends = running;
-        let ended: Vec<(Instant, usize, Name)> = ended;
-        for (_, daemon, engine) in ended {
-            let done = CallOutcome::Done { millis: 0.0 };
-            states[daemon].sequence_ended(&engine, done, now);
-            changed[daemon] = true;
-        }
-        for daemon in (0..daemons).filter(|daemon| changed[*daemon]) {
-            reports.push_back((now + REPORT_TIME, daemon, states[daemon].own_work(now)));
-        }
-        while reports.front().is_some_and(|(due, ..)| *due <= now) {
-            let (_, sender, work) = reports.pop_front().unwrap();
-            let name = Name::from(format!("d-{sender}"));
-            let local = (0..daemons).filter(|it| it % DATA_CENTRES == sender % DATA_CENTRES);
-            for recipient in local.filter(|it| *it != sender) {
-                states[recipient].update_peer(&name, work.clone(), now);
-            }
+            fleet.arrive(random.random_range(0..daemons), now);
         }
+        fleet.step(now);
     }
-    let waiting = decode.waits.iter().filter(|it| **it > WAIT_MAX).count();
-    waiting as f64 / decode.waits.len() as f64
+    let waits = &fleet.decoders.waits;
+    let waiting = waits.iter().filter(|it| **it > WAIT_MAX).count();
+    waiting as f64 / waits.len() as f64
 }
 
 /// Guards against prompts that wait for a slot of some engines while others have free ones.
