gateway: bound what is remembered of the order of load updates

Cause, found by reading: the latest update of each sender was kept for as long as the process runs, by the name in the datagram. Datagrams are not authenticated, so that memory grew with forged names; what daemons share is to be bounded in size and age.

Change: UpdateOrder in policy remembers at most 4,096 daemons, each for a minute after its last update; the most silent one is forgotten first.

--- a/lib/src/gateway/load_exchange.rs
+++ b/lib/src/gateway/load_exchange.rs
@@ -227,10 +227,12 @@
         let Ok((load_update, _)) = postcard::take_from_bytes::<LoadUpdate>(datagram) else {
             return false;
         };
-        if !shared.peers.borrow_mut().record_if_newer(&load_update) {
+        let now = shared.now();
+        let mut peers = shared.peers.borrow_mut();
+        if !peers.record_if_newer(&load_update, now) {
             return true;
         }
-        let now = shared.now();
+        drop(peers);
         let daemon = load_update.sender.daemon.clone();
         let registry = shared.registry.borrow();
         let mut index = self.index.borrow_mut();
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -1,12 +1,10 @@
-use std::collections::HashMap;
-use std::collections::hash_map::Entry;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::{
-    Peer, PeerDirectory, RegistrationBatch, RegistrationChange, RegistrationContent,
+    Peer, PeerDirectory, RegistrationBatch, RegistrationChange, RegistrationContent, UpdateOrder,
 };
 use ragwortgrade_schema::Name;
 use serde::{Deserialize, Serialize};
@@ -37,8 +35,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Peers {
     pub(super) directory: PeerDirectory,
-    /// Latest load update of each daemon: start time of its process and sequence number.
-    latest: HashMap<Name, (u64, u64)>,
+    /// Order of the load updates.
+    order: UpdateOrder,
 }
 
 impl Peers {
@@ -69,20 +67,11 @@
     }
 
     /// Records a load update; returns whether it is newer than the previous ones of its sender.
-    pub(super) fn record_if_newer(&mut self, load_update: &LoadUpdate) -> bool {
+    pub(super) fn record_if_newer(&mut self, load_update: &LoadUpdate, now: Instant) -> bool {
         let sender = &load_update.sender;
-        let position = (sender.started_ms, load_update.sequence);
-        match self.latest.entry(sender.daemon.clone()) {
-            Entry::Occupied(latest) if *latest.get() >= position => false,
-            Entry::Occupied(mut latest) => {
-                latest.insert(position);
-                true
-            }
-            Entry::Vacant(entry) => {
-                entry.insert(position);
-                true
-            }
-        }
+        let (started_ms, sequence) = (sender.started_ms, load_update.sequence);
+        self.order
+            .record_if_newer(&sender.daemon, started_ms, sequence, now)
     }
 }
 
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -50,6 +50,7 @@
 mod store_outage;
 mod suspect;
 mod unsent_parts;
+mod update_order;
 mod update_schedule;
 mod wait_limit;
 
@@ -85,5 +86,6 @@
 pub use store_era::{ResponseEra, StoreEra};
 pub use store_outage::StoreOutage;
 pub use unsent_parts::CachedPart;
+pub use update_order::UpdateOrder;
 pub use update_schedule::UpdateSchedule;
 pub use wait_limit::WaitLimit;
