gateway: list again after an outage of a store that names no era

Found by reading: since watches go on after an outage from the last known revision. A store that names eras shows a restore by them; one that names none may come back from an older copy, and when its revisions have caught up, no call fails and the changes are missed for as long as the daemon runs. With revisions behind, a listing counted as older than what was known.

Change: without an era, an outage or a failed call ends what the watch and the shared reads build on, so that everything is listed, as before. The users' store names eras; nothing changes there.

Test that failed first: outage_calls, with revisions caught up (503 for 10 s, a worker that only the restored store has is not used); the case with revisions behind was added with the mend. A restore of such a store without any failed call is still not noticed: open.

--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -306,10 +306,20 @@
         self.store_era.borrow().named()
     }
 
+    /// Returns whether the store names no era, so that it may be restored from an older copy during an
+    /// outage without being noticed.
+    pub(super) fn may_miss_restores(&self) -> bool {
+        self.store_era_named().is_none()
+    }
+
     /// Records that a store outage has ended.
     pub(super) fn record_outage_end(&self) {
         let now = self.now();
         self.registry.borrow_mut().source_restored(now);
+        if self.may_miss_restores() {
+            self.endpoint_reads.reset();
+            self.daemon_reads.reset();
+        }
         self.endpoint_reads.store_restored(now);
         self.daemon_reads.store_restored(now);
         self.peers.borrow_mut().directory.source_restored(now);
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -119,7 +119,7 @@
             () = shared.wait_for_interruption(interruptions) => {
                 interruptions = shared.store_interruptions();
                 failures = 0;
-                if shared.store_restores() != restores {
+                if shared.store_restores() != restores || shared.may_miss_restores() {
                     restores = shared.store_restores();
                     revision = None;
                 }
@@ -155,6 +155,9 @@
                     handler.on_disconnect();
                 }
                 failures += 1;
+                if shared.may_miss_restores() {
+                    revision = None;
+                }
                 let delay = if shared.store_outage.borrow().is_active() {
                     OUTAGE_RETRY_DELAY
                 } else {
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -28,6 +28,8 @@
     compacted_revision: u64,
     is_silent: bool,
     is_rejecting: bool,
+    /// Whether responses do not name the era.
+    hides_era: bool,
     /// Path whose calls get no response even when `is_silent` is false.
     unanswered_path: Option<String>,
 }
@@ -109,6 +111,11 @@
         self.shared.lock().is_rejecting = is_rejecting;
     }
 
+    /// Lets responses name no era, like a store that does not know of restores.
+    pub fn hide_era(&self) {
+        self.shared.lock().hides_era = true;
+    }
+
     /// Sets a path whose calls get no response, or clears it.
     pub fn set_unanswered_path(&self, path: Option<&str>) {
         self.shared.lock().unanswered_path = path.map(str::to_owned);
@@ -156,6 +163,9 @@
             }
             _ => self.lease_call(path),
         };
+        if self.lock().hides_era {
+            return Response::complete(status, &[], &body.to_string());
+        }
         let era = self.lock().era.to_string();
         Response::complete(status, &[("Store-Era", &era)], &body.to_string())
     }
