policy: a forged load update shuts its daemon out for a minute only

Found by reading: what was remembered of a daemon expired only when another one was recorded, so one datagram that names a later start of its process could hide its load for as long as the fleet stayed the same. Remembered updates now end a minute after they came. The new assertion of gateway_update_order failed before.

--- a/policy/src/gateway/update_order.rs
+++ b/policy/src/gateway/update_order.rs
@@ -38,7 +38,8 @@
         let position = (started_ms, sequence);
         let latest = Latest { position, at: now };
         if let Some(known) = self.latest.get_mut(daemon) {
-            let is_newer = position > known.position;
+            let is_forgotten = now.since(known.at) >= REMEMBERED_TIME;
+            let is_newer = is_forgotten || position > known.position;
             if is_newer {
                 *known = latest;
             }
--- a/policy/tests/gateway_update_order.rs
+++ b/policy/tests/gateway_update_order.rs
@@ -36,6 +36,10 @@
         most = most.max(order.len());
     }
     assert!(most <= 4_096, "{most} daemons");
+    // A forged start of a process shuts its daemon out for a limited time only.
+    assert!(order.record_if_newer(&"d-1".into(), u64::MAX, 1, at(20_000)));
+    assert!(!order.record_if_newer(&"d-1".into(), 500, 20_000, at(79_000)));
+    assert!(order.record_if_newer(&"d-1".into(), 500, 20_001, at(80_000)));
     order.record_if_newer(&"d-2".into(), 500, 1, at(200_000));
     assert_eq!(order.len(), 1, "silent daemons are forgotten");
 }
