gateway: a cut watch is no outage of the store

Cause: each failed watch of the registrations marked the store as lost, until the next watch returned, which takes up to 20 s while nothing changes, and for 2.1 s more. All that ended in this time counted as lapsed in an outage and stayed in use; each further failure began the time anew. The calls that keep the daemon registered were answered meanwhile, but only they could say so, and nobody asked them.

Change: StoreOutage alone decides. A failed watch makes it suspect an outage and calls the store at once; the answer shows whether there was one. Registrations lapse after a silence of three heartbeats (3.6 s, one of which may have passed before), so a gap of less than 2 s between the sending of two answered calls explains no lapse: what ended has ended. A daemon that could not call for longer (a freeze) still keeps lapsed workers for the time to register again. Each daemon repeats the first failed renewal after 0.2 s, so that one lost answer stays below the gap. A draining daemon keeps its lease without a registration, as it needs the answers too.

Its fleet test finds out the daemons that call often by a second failure, since the first one is repeated soon by each; bounds are unchanged.

--- a/lib/src/gateway/endpoint_handler.rs
+++ b/lib/src/gateway/endpoint_handler.rs
@@ -179,13 +179,4 @@
     fn watch_timeout(&self) -> Duration {
         SharedReads::watch_timeout(self.shared)
     }
-
-    fn on_disconnect(&self) {
-        self.shared.registry.borrow_mut().source_lost();
-    }
-
-    fn on_reconnect(&self) {
-        let now = self.shared.now();
-        self.shared.registry.borrow_mut().source_restored(now);
-    }
 }
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -176,8 +176,4 @@
     fn watch_timeout(&self) -> Duration {
         SharedReads::watch_timeout(self.shared)
     }
-
-    fn on_disconnect(&self) {}
-
-    fn on_reconnect(&self) {}
 }
--- a/lib/src/gateway/registration.rs
+++ b/lib/src/gateway/registration.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use ragwortgrade_policy::Instant;
-use ragwortgrade_policy::gateway::RegistrationFeed;
 use ragwortgrade_policy::gateway::epidemic::Statement;
+use ragwortgrade_policy::gateway::{Recovery, RegistrationFeed};
 
-use super::StoreError;
 use super::peers::{REGISTRATION_PREFIX, Registration};
 use super::shared::Shared;
+use super::{LeaseId, StoreError};
 
 /// Time after which the registration of a daemon that no longer renews it is removed.
 const REGISTRATION_TTL: Duration = Duration::from_secs(10);
@@ -20,6 +20,9 @@
 const RESTORE_DELAY: Duration = Duration::from_millis(200);
 
 /// Keeps this daemon registered until it drains, and detects store outages.
+///
+/// A daemon that drains keeps a lease without a registration: its renewals tell an outage from a
+/// watch that the store has cut.
 pub(super) async fn register(shared: Rc<Shared>, address: SocketAddr) {
     let key = key(&shared);
     let registration = Registration {
@@ -28,11 +31,9 @@
     };
     let value = serde_json::to_vec(&registration).unwrap_or_default();
     let monitor = OutageMonitor { shared: &shared };
-    while !shared.is_draining() {
+    loop {
         let sent_at = shared.now();
-        let Err(error) = keep_registered(&shared, &key, &value, &monitor).await else {
-            return;
-        };
+        let error = keep_registered(&shared, &key, &value, &monitor).await;
         log::info!(error:% = error; "registration failed or ended");
         match error {
             StoreError::Restored => tokio::time::sleep(RESTORE_DELAY).await,
@@ -64,46 +65,55 @@
     format!("{REGISTRATION_PREFIX}{}", shared.options.name)
 }
 
-/// Registers this daemon and renews the lease of its registration until the daemon drains.
-///
-/// # Errors
-///
-/// Fails when a new registration is required.
+/// Registers this daemon and renews the lease until a new one is required; returns why it is.
 async fn keep_registered(
     shared: &Shared,
     key: &str,
     value: &[u8],
     monitor: &OutageMonitor<'_>,
-) -> Result<(), StoreError> {
-    let store = &shared.options.store;
+) -> StoreError {
     let restores = shared.store_restores();
-    let sent_at = shared.now();
-    let lease = shared.call_store(store.grant(REGISTRATION_TTL)).await?;
-    monitor.record_success(sent_at);
-    shared.call_store(store.put(key, value, lease)).await?;
-    shared.is_registered.set(true);
+    let lease = match register_once(shared, key, value, monitor).await {
+        Ok(lease) => lease,
+        Err(error) => return error,
+    };
     loop {
         monitor.wait_for_next_call().await;
-        if shared.is_draining() {
-            return Ok(());
-        }
         // The restored store may have granted the lease to another daemon.
         if shared.store_restores() != restores {
-            return Err(StoreError::Restored);
+            return StoreError::Restored;
         }
         let sent_at = shared.now();
-        let renewal = store.renew(lease, monitor.timeout());
+        let renewal = shared.options.store.renew(lease, monitor.timeout());
         match shared.call_store(renewal).await {
             Ok(()) => monitor.record_success(sent_at),
             Err(error @ (StoreError::LeaseNotFound | StoreError::Restored)) => {
                 monitor.record_success(sent_at);
-                return Err(error);
+                return error;
             }
             Err(error) => monitor.record_failure(&error, sent_at),
         }
     }
 }
 
+/// Registers this daemon, unless it drains, under a new lease; returns the lease.
+async fn register_once(
+    shared: &Shared,
+    key: &str,
+    value: &[u8],
+    monitor: &OutageMonitor<'_>,
+) -> Result<LeaseId, StoreError> {
+    let store = &shared.options.store;
+    let sent_at = shared.now();
+    let lease = shared.call_store(store.grant(REGISTRATION_TTL)).await?;
+    monitor.record_success(sent_at);
+    if !shared.is_draining() {
+        shared.call_store(store.put(key, value, lease)).await?;
+        shared.is_registered.set(true);
+    }
+    Ok(lease)
+}
+
 /// Detects store outages by the calls that keep this daemon registered.
 #[derive(Debug)]
 struct OutageMonitor<'a> {
@@ -126,10 +136,18 @@
     /// Records that the store answered a call sent at this time.
     fn record_success(&self, sent_at: Instant) {
         let shared = self.shared;
-        if !shared.store_outage.borrow_mut().record_success() {
-            return;
+        let recovery = shared.store_outage.borrow_mut().record_success(sent_at);
+        match recovery {
+            Recovery::Unneeded => return,
+            Recovery::NoOutage => {
+                log::info!("store answers; the failed call is no sign of an outage");
+                shared.registry.borrow_mut().source_answered();
+                return;
+            }
+            Recovery::ShortOutage => shared.registry.borrow_mut().source_answered(),
+            Recovery::Outage => shared.registry.borrow_mut().source_restored(shared.now()),
         }
-        log::info!("store outage ended");
+        log::info!(recovery:? = recovery; "store outage ended");
         shared.record_outage_end();
         let statement = Statement::StoreAnswered { at: sent_at };
         let now = shared.now();
@@ -149,7 +167,7 @@
         let interval = shared.store_outage.borrow().interval(rank);
         tokio::select! {
             () = tokio::time::sleep(interval) => {}
-            () = shared.wait_for_store_answer() => {}
+            () = shared.wait_for_store_call() => {}
         }
     }
 
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -56,8 +56,8 @@
     pub(super) drain_started_at: Cell<Option<Instant>>,
     store_era: RefCell<StoreEra>,
     pub(super) store_outage: RefCell<StoreOutage>,
-    /// Wakes the task that keeps this daemon registered, as the store answers other daemons again.
-    store_answered: Notify,
+    /// Wakes the task that keeps this daemon registered, to call the store at once.
+    store_call: Notify,
     /// Number of store outages that have ended, and of restores.
     store_interruptions: Cell<u64>,
     /// Wakes tasks whose calls were lost in an interruption of the store, or build on what they
@@ -107,7 +107,7 @@
             drain_started_at: Cell::new(None),
             store_era: RefCell::default(),
             store_outage: RefCell::default(),
-            store_answered: Notify::new(),
+            store_call: Notify::new(),
             store_interruptions: Cell::new(0),
             store_recovered: Notify::new(),
             peers: RefCell::default(),
@@ -312,10 +312,9 @@
         self.store_era_named().is_none()
     }
 
-    /// Records that a store outage has ended.
+    /// Records that a store outage has ended in which calls were lost.
     pub(super) fn record_outage_end(&self) {
         let now = self.now();
-        self.registry.borrow_mut().source_restored(now);
         if self.may_miss_restores() {
             self.endpoint_reads.reset();
             self.daemon_reads.reset();
@@ -330,13 +329,23 @@
     pub(super) fn observe_store_answer(&self, answered_at: Instant, reported_by: &Name) {
         if self.store_outage.borrow().may_have_ended(answered_at) {
             log::info!(reported_by:% = reported_by; "store answers another daemon; calling it");
-            self.store_answered.notify_one();
+            self.store_call.notify_one();
         }
     }
 
-    /// Waits until the store answers other daemons again during an outage.
-    pub(super) async fn wait_for_store_answer(&self) {
-        self.store_answered.notified().await;
+    /// Records that a call to the store failed that does not keep this daemon registered. Until the
+    /// store answers, a registration that ends may have lapsed in an outage.
+    pub(super) fn suspect_store_outage(&self) {
+        if self.store_outage.borrow_mut().suspect() {
+            self.registry.borrow_mut().source_lost();
+            self.store_call.notify_one();
+        }
+    }
+
+    /// Waits until the store is to be called at once: it may be unavailable, or answers other daemons
+    /// again.
+    pub(super) async fn wait_for_store_call(&self) {
+        self.store_call.notified().await;
     }
 
     fn record_restore(&self) {
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -36,11 +36,6 @@
     fn watch_timeout(&self) -> Duration {
         WATCH_TIMEOUT
     }
-    /// Handles the first of a series of failed calls.
-    fn on_disconnect(&self);
-    /// Handles the first successful call after failed ones; not called if the end of a store outage
-    /// was recorded in between.
-    fn on_reconnect(&self);
 }
 
 /// How far a read of the store goes.
@@ -131,7 +126,6 @@
             Ok(new_revision) => {
                 if failures > 0 {
                     log::info!(prefix = prefix, failures = failures; "store is reachable again");
-                    handler.on_reconnect();
                 }
                 failures = 0;
                 read_end = shared.now();
@@ -152,9 +146,9 @@
             Err(error) => {
                 if failures == 0 {
                     log::warn!(prefix = prefix, error:% = error; "store call failed; retrying");
-                    handler.on_disconnect();
                 }
                 failures += 1;
+                shared.suspect_store_outage();
                 if shared.may_miss_restores() {
                     revision = None;
                 }
@@ -300,8 +294,4 @@
     fn pause(&self, _read_end: Instant) -> Duration {
         Duration::ZERO
     }
-
-    fn on_disconnect(&self) {}
-
-    fn on_reconnect(&self) {}
 }
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -84,7 +84,7 @@
 pub use size_shares::SizeShares;
 pub use speed::Speed;
 pub use store_era::{ResponseEra, StoreEra};
-pub use store_outage::StoreOutage;
+pub use store_outage::{Recovery, StoreOutage};
 pub use unsent_parts::CachedPart;
 pub use update_order::UpdateOrder;
 pub use update_schedule::UpdateSchedule;
--- a/policy/src/gateway/registry.rs
+++ b/policy/src/gateway/registry.rs
@@ -264,12 +264,18 @@
         expired
     }
 
-    /// Records that the source does not answer.
+    /// Records that the source does not answer, or may not.
     pub fn source_lost(&mut self) {
         self.is_source_lost = true;
     }
 
-    /// Records that the source answers again.
+    /// Records that the source answers, and that it did so all the while or was silent for too short
+    /// a time for registrations to lapse.
+    pub fn source_answered(&mut self) {
+        self.is_source_lost = false;
+    }
+
+    /// Records that the source answers again after an outage in which registrations may have lapsed.
     pub fn source_restored(&mut self, now: Instant) {
         if self.is_source_lost {
             self.is_source_lost = false;
--- a/policy/tests/gateway_store_outage.rs
+++ b/policy/tests/gateway_store_outage.rs
@@ -8,7 +8,7 @@
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::epidemic::Statement;
 use ragwortgrade_policy::gateway::{
-    Peer, PeerDirectory, Quarantine, RegistrationFeed, StoreOutage,
+    Peer, PeerDirectory, Quarantine, Recovery, RegistrationFeed, StoreOutage,
 };
 use ragwortgrade_schema::Name;
 use ragwortgrade_testutil::named_cases;
@@ -79,8 +79,9 @@
             let mut outage = StoreOutage::default();
             let is_probing = {
                 outage.record_failure(at(0));
+                outage.record_failure(at(200));
                 let interval = outage.interval(rank);
-                outage.record_success();
+                outage.record_success(at(400));
                 interval < outage.interval(rank)
             };
             Daemon {
@@ -112,7 +113,7 @@
                 daemon.pending = None;
                 if is_store_lost {
                     daemon.outage.record_failure(sent_at);
-                } else if daemon.outage.record_success() {
+                } else if daemon.outage.record_success(sent_at) != Recovery::Unneeded {
                     daemon.ended_at = Some(now);
                     let statement = Statement::StoreAnswered { at: sent_at };
                     self.network.publish(number, statement, now);
@@ -190,8 +191,8 @@
     assert!(!outage.record_failure(at(1_200)));
     assert!(outage.interval(2) < calm);
     assert_eq!(outage.interval(40), calm);
-    assert!(outage.record_success());
-    assert!(!outage.record_success());
+    assert_eq!(outage.record_success(at(1_400)), Recovery::Outage);
+    assert_eq!(outage.record_success(at(1_600)), Recovery::Unneeded);
     assert_eq!(outage.interval(2), calm);
 }
 
@@ -205,3 +206,58 @@
     outage.record_failure(at(1_150));
     assert!(!outage.may_have_ended(at(1_100)));
 }
+
+/// Records answered calls each second up to this time.
+fn answered_until(millis: u64) -> StoreOutage {
+    let mut outage = StoreOutage::default();
+    for answered_at in (1_000..=millis).step_by(1_000) {
+        outage.record_success(at(answered_at));
+    }
+    outage
+}
+
+/// Guards against a cut watch that counts as an outage of the store: registrations that ended would
+/// be taken for lapsed ones.
+#[test]
+fn a_cut_watch_is_no_outage_if_the_store_answers() {
+    let mut outage = answered_until(5_000);
+    assert!(outage.suspect());
+    assert!(!outage.suspect());
+    assert!(!outage.is_active());
+    assert_eq!(outage.record_success(at(5_700)), Recovery::NoOutage);
+    assert!(outage.suspect());
+}
+
+/// Guards against registrations that are dropped although they lapsed while this daemon could not
+/// call the store.
+#[test]
+fn a_cut_watch_after_a_long_time_without_calls_shows_an_outage() {
+    let mut outage = answered_until(5_000);
+    assert!(outage.suspect());
+    assert_eq!(outage.record_success(at(9_000)), Recovery::Outage);
+}
+
+/// Guards against one lost answer that counts as an outage in which registrations may have lapsed.
+#[test]
+fn a_lost_answer_is_too_short_for_registrations_to_lapse() {
+    for rank in [0, 40] {
+        let mut outage = answered_until(5_000);
+        let sent_at = at(5_000) + outage.interval(rank);
+        assert!(outage.record_failure(sent_at));
+        let timeout = Duration::from_millis(700);
+        let retried_at = sent_at + timeout + outage.interval(rank);
+        assert_eq!(outage.record_success(retried_at), Recovery::ShortOutage);
+    }
+}
+
+/// Guards against calls of all daemons at the rate of those that detect the end of an outage early.
+#[test]
+fn only_the_first_failure_is_followed_by_an_early_call_of_each_daemon() {
+    let mut outage = answered_until(5_000);
+    let calm = outage.interval(40);
+    outage.record_failure(at(6_000));
+    assert!(outage.interval(40) < calm);
+    outage.record_failure(at(6_200));
+    assert_eq!(outage.interval(40), calm);
+    assert_eq!(outage.record_success(at(9_000)), Recovery::Outage);
+}
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -32,6 +32,10 @@
     hides_era: bool,
     /// Path whose calls get no response even when `is_silent` is false.
     unanswered_path: Option<String>,
+    /// Number of the next renewals of leases that get no response.
+    lost_renewals: usize,
+    /// Number of times that the waiting watches were cut.
+    cuts: u64,
 }
 
 impl Store {
@@ -101,6 +105,17 @@
         state.compacted_revision = state.data.revision();
     }
 
+    /// Lets the next renewal of a lease get no response.
+    pub fn lose_renewal(&self) {
+        self.shared.lock().lost_renewals += 1;
+    }
+
+    /// Closes the connections of the watches that are waiting, without responses.
+    pub fn cut_watches(&self) {
+        self.shared.lock().cuts += 1;
+        self.shared.changed.notify_all();
+    }
+
     /// Sets whether new calls get no response. Calls that arrived during the silence never get one.
     pub fn set_silent(&self, is_silent: bool) {
         self.shared.lock().is_silent = is_silent;
@@ -145,8 +160,10 @@
             .split_once('?')
             .unwrap_or((&request.target, ""));
         {
-            let state = self.lock();
-            if state.is_silent || state.unanswered_path.as_deref() == Some(path) {
+            let mut state = self.lock();
+            let is_lost = state.lost_renewals > 0 && path.starts_with("/api/kv-keep/");
+            state.lost_renewals -= usize::from(is_lost);
+            if state.is_silent || is_lost || state.unanswered_path.as_deref() == Some(path) {
                 return Response::NoResponse;
             }
             if state.is_rejecting {
@@ -155,7 +172,10 @@
         }
         let (status, body) = match path {
             "/api/kv-range" => (200, self.lock().data.range(parameter(query, "prefix"))),
-            "/api/kv-watch" => self.watch(query),
+            "/api/kv-watch" => match self.watch(query) {
+                Some(response) => response,
+                None => return Response::Close,
+            },
             "/api/kv-txn" => self.transaction(&request.body),
             "/api/kv-lease" => {
                 let lease = self.lock().data.grant_lease();
@@ -170,21 +190,27 @@
         Response::complete(status, &[("Store-Era", &era)], &body.to_string())
     }
 
-    fn watch(&self, query: &str) -> (u16, Value) {
+    /// Returns the response to a watch; `None` if it is cut.
+    fn watch(&self, query: &str) -> Option<(u16, Value)> {
         let prefix = parameter(query, "prefix");
         let after = parameter(query, "after").parse().unwrap_or_default();
         let wait_ms = parameter(query, "waitMs").parse().unwrap_or_default();
         let end = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.lock();
+        let cuts = state.cuts;
         loop {
             if after < state.compacted_revision || after > state.data.revision() {
-                return (410, json!({}));
+                return Some((410, json!({})));
             }
             let events = state.data.events(prefix, after);
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let revision = state.data.revision();
-                return (200, json!({ "events": events, "storeRevision": revision }));
+                let response = json!({ "events": events, "storeRevision": revision });
+                return Some((200, response));
+            }
+            if state.cuts != cuts {
+                return None;
             }
             let waited = self.changed.wait_timeout(state, left);
             state = waited.unwrap_or_else(PoisonError::into_inner).0;
