gateway: log registrations that end in a suspected outage

Cause: when a registration ended while the store counted as lost, the worker stayed in use and no line said so.

Change: one line for each such removal, with the endpoint; after a listing, one line with all of them.

--- a/lib/src/gateway/endpoint_handler.rs
+++ b/lib/src/gateway/endpoint_handler.rs
@@ -99,6 +99,12 @@
         };
         let change_text = format!("{change:?}");
         if !registry.apply(change, now) {
+            if registry.is_lapsed(&id) {
+                log::info!(
+                    endpoint:% = id, change = change_text;
+                    "registration ended while the store may be unavailable; still used"
+                );
+            }
             return;
         }
         let is_usable = registry.is_usable(&id);
@@ -145,6 +151,13 @@
             .filter_map(|endpoint| registry.get(&endpoint.id).cloned())
             .collect();
         let changes = registry.replace(endpoints, now);
+        let lapsed: Vec<&str> = registry.lapsed().map(Name::as_str).collect();
+        if !lapsed.is_empty() {
+            log::info!(
+                endpoints = lapsed.join(",");
+                "registrations ended while the store may be unavailable; still used"
+            );
+        }
         for before in &known {
             let current = registry.get(&before.id);
             if current.is_some_and(|current| current.started_ms != before.started_ms) {
--- a/policy/src/gateway/registry.rs
+++ b/policy/src/gateway/registry.rs
@@ -97,6 +97,21 @@
         self.endpoints.keys()
     }
 
+    /// Returns whether an endpoint is in use although its registration has ended: it may have lapsed
+    /// in an outage of the source.
+    #[must_use]
+    pub fn is_lapsed(&self, id: &Name) -> bool {
+        let entry = self.endpoints.get(id);
+        entry.is_some_and(|entry| entry.status == Status::Lapsed)
+    }
+
+    /// Returns the endpoints that are in use although their registrations have ended.
+    pub fn lapsed(&self) -> impl Iterator<Item = &Name> {
+        let entries = self.endpoints.iter();
+        let lapsed = entries.filter(|(_, entry)| entry.status == Status::Lapsed);
+        lapsed.map(|(id, _)| id)
+    }
+
     /// Returns an endpoint by identity, whatever its state.
     #[must_use]
     pub fn get(&self, id: &Name) -> Option<&Endpoint> {
--- a/policy/tests/gateway_members.rs
+++ b/policy/tests/gateway_members.rs
@@ -56,6 +56,22 @@
     assert_eq!(usable(&registry), ["a"]);
 }
 
+/// Guards against endpoints that stay in use although the source answered all the while, or was silent
+/// for too short a time.
+#[test]
+fn a_registration_that_ends_without_an_outage_expires_when_the_source_answers() {
+    let mut registry = registry(&["a", "b"]);
+    registry.source_lost();
+    registry.apply(Change::Removed("a".into()), at(5_000));
+    assert!(registry.is_lapsed(&"a".into()));
+    assert_eq!(usable(&registry), ["a", "b"]);
+    registry.source_answered();
+    assert_eq!(registry.expire(at(5_010)), [Name::from("a")]);
+    registry.apply(Change::Removed("b".into()), at(5_020));
+    assert!(registry.is_empty());
+    assert_eq!(registry.lapsed().count(), 0);
+}
+
 #[test]
 fn without_an_outage_a_missing_registration_is_gone_at_once() {
     let mut registry = registry(&["a", "b"]);
