platform tests: failed reads in a fleet that reads together

Daemons of a fleet of 18 and more read registrations for each other, and each batch of others postpones a daemon's own next read. Before only a daemon's own read told it that the store was back, so one failed read was enough: most daemons kept every worker whose entry ended for as long as others handed on batches.

--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -32,6 +32,8 @@
     hides_era: bool,
     /// Path whose calls get no response even when `is_silent` is false.
     unanswered_path: Option<String>,
+    /// Prefix whose watches are refused with status 503.
+    refused_prefix: Option<String>,
     /// Number of the next renewals of leases that get no response.
     lost_renewals: usize,
     /// Number of times that the waiting watches were cut.
@@ -105,6 +107,11 @@
         state.compacted_revision = state.data.revision();
     }
 
+    /// Sets a prefix whose watches are refused with status 503, or clears it.
+    pub fn set_refused_prefix(&self, prefix: Option<&str>) {
+        self.shared.lock().refused_prefix = prefix.map(str::to_owned);
+    }
+
     /// Lets the next renewal of a lease get no response.
     pub fn lose_renewal(&self) {
         self.shared.lock().lost_renewals += 1;
@@ -197,6 +204,9 @@
         let wait_ms = parameter(query, "waitMs").parse().unwrap_or_default();
         let end = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.lock();
+        if state.refused_prefix.as_deref() == Some(prefix) {
+            return Some((503, json!({})));
+        }
         let cuts = state.cuts;
         loop {
             if after < state.compacted_revision || after > state.data.revision() {
