gateway: report the time for which registrations may have changed unnoticed

Cause: neither logs nor metrics tell how late a daemon learns that an endpoint leaves. The time after the first daemon that knows can be computed from the logs of all daemons, but captured logs lose lines, and the part before the first daemon is not in them.

Change: a daemon of a fleet that reads registrations together records, each time that it hears of them, the time since all changes were last known to it. No change can have been unknown for longer. The histograms are registrations_endpoints_unknown and registrations_daemons_unknown; beyond 1.25 read intervals there is a log line. A daemon that reads for itself waits in its reads until something changes, so the figure says nothing there.

--- a/lib/src/gateway/shared_reads.rs
+++ b/lib/src/gateway/shared_reads.rs
@@ -17,6 +17,9 @@
 const SHARED_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
 /// Minimum time between two reads of a daemon, as a fraction of the read interval.
 const READ_PAUSE_FRACTION: f64 = 0.4;
+/// Number of read intervals after which changes are learned late: a daemon that reads for itself
+/// takes up to 1.2 of them.
+const LATE_INTERVALS: f64 = 1.25;
 /// Maximum size of the changed registrations in one batch for other daemons. Those that miss a
 /// larger one read it themselves.
 const BATCH_BYTES_MAX: usize = 6 * 1024;
@@ -38,11 +41,14 @@
 
     /// Records a complete listing. Returns whether it may replace what is known.
     pub(super) fn record_listing(&self, shared: &Shared, read: Read) -> bool {
-        let mut feed = self.feed.borrow_mut();
-        let is_newest = feed.listed(shared.store_era_named(), read.revision, read.at);
-        if !is_newest {
+        let known_until = self.feed.borrow().known_until();
+        let era = shared.store_era_named();
+        let is_newest = self.feed.borrow_mut().listed(era, read.revision, read.at);
+        if is_newest {
+            self.observe_gap(shared, known_until);
+        } else {
             log::info!(
-                source:? = self.source, revision = read.revision, known:? = feed.revision();
+                source:? = self.source, revision = read.revision, known:? = self.revision();
                 "listing is older than what other daemons have handed on; ignored"
             );
         }
@@ -66,8 +72,7 @@
             read_at: read.at,
             changes: updates.into_iter().map(registration_change).collect(),
         };
-        let new_after = self.feed.borrow_mut().advance(&batch, shared.now());
-        let Some(new_after) = new_after else {
+        let Some(new_after) = self.advance(shared, &batch) else {
             // Another daemon has handed on later changes meanwhile.
             return Vec::new();
         };
@@ -85,14 +90,48 @@
         shared: &Shared,
         batch: RegistrationBatch,
     ) -> Vec<RegistrationChange> {
-        let new_after = self.feed.borrow_mut().advance(&batch, shared.now());
-        let Some(new_after) = new_after else {
+        let Some(new_after) = self.advance(shared, &batch) else {
             return Vec::new();
         };
         let changes = batch.changes.into_iter();
         changes.filter(|it| it.revision > new_after).collect()
     }
 
+    /// Advances the feed by a batch; returns the revision after which its changes are new.
+    fn advance(&self, shared: &Shared, batch: &RegistrationBatch) -> Option<u64> {
+        let known_until = self.feed.borrow().known_until();
+        let new_after = self.feed.borrow_mut().advance(batch, shared.now());
+        if new_after.is_some() {
+            self.observe_gap(shared, known_until);
+        }
+        new_after
+    }
+
+    /// Reports the time for which a change that is known from now on may have been unknown.
+    fn observe_gap(&self, shared: &Shared, known_until: Option<Instant>) {
+        // A daemon that reads for itself waits in its reads until something changes.
+        let Some(known_until) = known_until.filter(|_| is_shared(shared)) else {
+            return;
+        };
+        let unknown = shared.now().since(known_until);
+        let unknown_ms = unknown.as_millis() as u64;
+        let name = match self.source {
+            RegistrationSource::Endpoints => "registrations.endpoints.unknown",
+            RegistrationSource::Daemons => "registrations.daemons.unknown",
+        };
+        shared.metrics.time(name, unknown_ms);
+        let interval = shared.options.registration_read_interval;
+        if self.source == RegistrationSource::Endpoints
+            && unknown > interval.mul_f64(LATE_INTERVALS)
+        {
+            log::warn!(
+                source:? = self.source, unknown_ms = unknown_ms,
+                revision:? = self.revision();
+                "changes of registrations may have been unknown for long"
+            );
+        }
+    }
+
     /// Returns how long to wait until the next read if the last one ended at `read_end`. A daemon
     /// that reads for itself only does so at this interval.
     pub(super) fn pause(&self, shared: &Shared, interval: Duration, read_end: Instant) -> Duration {
--- a/policy/src/gateway/registration_feed.rs
+++ b/policy/src/gateway/registration_feed.rs
@@ -60,6 +60,12 @@
         self.known.map(|known| known.revision)
     }
 
+    /// Returns up to when all changes are known.
+    #[must_use]
+    pub fn known_until(&self) -> Option<Instant> {
+        self.known.map(|known| known.read_at)
+    }
+
     /// Records a listing that has all changes up to a revision. Returns whether it may replace what
     /// is known: other daemons may have handed on later changes while it was read.
     pub fn listed(&mut self, era: Option<u64>, revision: u64, read_at: Instant) -> bool {
