platform tests: workers leave while reads of registrations get no response

What callers see: requests go to a worker that has left.

A read that gets no response is given up after 2 s only, and the daemon reads nothing else meanwhile.

--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -34,6 +34,8 @@
     unanswered_path: Option<String>,
     /// Prefix whose watches are refused with status 503.
     refused_prefix: Option<String>,
+    /// Prefix whose watches get no response.
+    unanswered_prefix: Option<String>,
     /// Number of the next renewals of leases that get no response.
     lost_renewals: usize,
     /// Number of times that the waiting watches were cut.
@@ -112,6 +114,11 @@
         self.shared.lock().refused_prefix = prefix.map(str::to_owned);
     }
 
+    /// Sets a prefix whose new watches never get a response, or clears it.
+    pub fn set_unanswered_prefix(&self, prefix: Option<&str>) {
+        self.shared.lock().unanswered_prefix = prefix.map(str::to_owned);
+    }
+
     /// Lets the next renewal of a lease get no response.
     pub fn lose_renewal(&self) {
         self.shared.lock().lost_renewals += 1;
@@ -170,7 +177,10 @@
             let mut state = self.lock();
             let is_lost = state.lost_renewals > 0 && path.starts_with("/api/kv-keep/");
             state.lost_renewals -= usize::from(is_lost);
-            if state.is_silent || is_lost || state.unanswered_path.as_deref() == Some(path) {
+            let is_unanswered = path == "/api/kv-watch"
+                && state.unanswered_prefix.as_deref() == Some(parameter(query, "prefix"));
+            let is_unanswered = is_unanswered || state.unanswered_path.as_deref() == Some(path);
+            if state.is_silent || is_lost || is_unanswered {
                 return Response::NoResponse;
             }
             if state.is_rejecting {
