gateway: repeat a read of the store that gets no response in time

What callers see: for up to 3.2 s and more after the store has accepted that a worker leaves, some daemons send it requests.

Cause: a read that the store does not answer was given up after 2 s beyond its wait, however short that was. The daemon reads nothing else meanwhile, and batches of other daemons do not go on from what it knows. The class of fault: a time limit that does not follow from the bound that depends on it.

Change: a read is given up when its response has not begun a sixth of the leaving bound after its wait, and repeated at once; the delay after failures counts from the start of the failed read. After two in a row the limit doubles, up to 2 s, so that a slow store is still read. The rest of a response has 2 s as before, for large configurations. The same for the configuration and the daemons' registrations.

Ruled out: a lower limit for listings, which may take 0.8 s on a store that a large fleet lists at once.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -45,7 +45,7 @@
 mod unreadable_datagrams;
 mod work_guard;
 
-pub use client::{Client, FetchError};
+pub use client::{Client, FetchError, FetchTimeouts};
 pub use dialect::{Dialect, Dispatch, Disposition, Operation, ResponseInfo};
 pub use handle::Gateway;
 pub use options::{DocumentFormat, Options};
--- a/lib/src/gateway/client.rs
+++ b/lib/src/gateway/client.rs
@@ -36,6 +36,15 @@
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
 }
 
+/// Timeouts of a call to the store.
+#[derive(Clone, Copy, Debug)]
+pub struct FetchTimeouts {
+    /// Time until the head of the response.
+    pub head: Duration,
+    /// Time until the end of the response.
+    pub total: Duration,
+}
+
 /// Error before a request was sent.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum ConnectError {
@@ -69,33 +78,40 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store cannot be reached, the connection fails or the response is not complete
-    /// within `timeout`. Unless the error is [`FetchError::Unreachable`], the store may have
-    /// executed the request nevertheless.
+    /// Fails if the store cannot be reached, the connection fails, or the response has not begun or
+    /// is not complete within its timeout. Unless the error is [`FetchError::Unreachable`], the
+    /// store may have executed the request nevertheless.
     pub async fn fetch(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        timeout: Duration,
+        timeouts: FetchTimeouts,
     ) -> Result<Response<Bytes>, FetchError> {
-        tokio::time::timeout(timeout, self.fetch_response(address, request))
-            .await
-            .map_err(|_elapsed| FetchError::TimedOut)?
+        let response = self.fetch_response(address, request, timeouts.head);
+        let result = tokio::time::timeout(timeouts.total, response).await;
+        result.unwrap_or(Err(FetchError::TimedOut))
     }
 
     async fn fetch_response(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        head_timeout: Duration,
     ) -> Result<Response<Bytes>, FetchError> {
-        let mut connection = self
-            .connection(address, STORE_IDLE_MAX, STORE_CONNECT_TIMEOUT)
-            .await
-            .map_err(|error| FetchError::Unreachable(error.to_string()))?;
-        let response = connection
-            .send(request)
+        let exchange = async {
+            let mut connection = self
+                .connection(address, STORE_IDLE_MAX, STORE_CONNECT_TIMEOUT)
+                .await
+                .map_err(|error| FetchError::Unreachable(error.to_string()))?;
+            let response = connection
+                .send(request)
+                .await
+                .map_err(TrySendError::into_error)?;
+            Ok((connection, response))
+        };
+        let (connection, response) = tokio::time::timeout(head_timeout, exchange)
             .await
-            .map_err(TrySendError::into_error)?;
+            .unwrap_or(Err(FetchError::TimedOut))?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, STORE_RESPONSE_BYTES_MAX);
         let body = match body.collect().await {
--- a/lib/src/gateway/options.rs
+++ b/lib/src/gateway/options.rs
@@ -31,6 +31,8 @@
     pub drain_timeout: Duration,
     /// Interval between reads of registrations, so that changes are read in batches.
     pub registration_read_interval: Duration,
+    /// Time after which a read of the store that has got no response is repeated.
+    pub read_timeout: Duration,
     /// Maximum number of callers' connections.
     pub connections_max: usize,
     /// Bytes per second that this daemon may send to other daemons.
--- a/lib/src/gateway/store.rs
+++ b/lib/src/gateway/store.rs
@@ -14,12 +14,14 @@
     /// Lists a page of the keys that begin with `prefix`, after the key `after`.
     fn list<'a>(&'a self, prefix: &'a str, after: Option<&'a str>) -> StoreFuture<'a, Page>;
 
-    /// Waits up to `wait` for changes below `prefix` that are newer than `revision`.
+    /// Waits up to `wait` for changes below `prefix` that are newer than `revision`. Fails if the
+    /// response has not begun `timeout` after that.
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
         revision: u64,
         wait: Duration,
+        timeout: Duration,
     ) -> StoreFuture<'a, Updates>;
 
     /// Grants a lease that expires after `ttl` unless it is renewed.
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -1,7 +1,9 @@
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::gateway::ReadRetry;
 use ragwortgrade_schema::Name;
 
 use super::endpoint_handler::EndpointHandler;
@@ -10,10 +12,9 @@
 
 /// Maximum wait of one watch, which costs one call however long it waits.
 pub(super) const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
-/// Base and maximum of the exponential backoff after failed calls; the first delay is twice the
-/// base.
-const RETRY_DELAY_BASE: Duration = Duration::from_millis(100);
-const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
+/// Delay after a response that shows a restored store, so that one whose replicas name different
+/// eras is not called without a pause.
+const RESTORE_DELAY: Duration = Duration::from_millis(100);
 /// Delay after a failed call during a store outage, of which the end is detected by the calls that
 /// keep this daemon registered.
 const OUTAGE_RETRY_DELAY: Duration = Duration::from_secs(4);
@@ -93,17 +94,20 @@
 pub(super) async fn list_and_watch(shared: &Shared, prefix: &str, handler: &dyn WatchHandler) {
     let mut revision = None;
     let mut read_end = Instant::default();
-    let mut failures: u32 = 0;
+    let mut retry = ReadRetry::new(shared.options.read_timeout);
     let mut interruptions = shared.store_interruptions();
     let mut restores = shared.store_restores();
     loop {
+        let timeout = retry.timeout();
+        let sent_at = Cell::new(shared.now());
         let call = async {
             match revision {
                 None => list(shared, prefix, handler).await,
                 Some(revision) => {
                     wait_for_next_read(handler, read_end).await;
+                    sent_at.set(shared.now());
                     let after = handler.resume_after(revision);
-                    watch(shared, prefix, after, handler).await
+                    watch(shared, prefix, after, timeout, handler).await
                 }
             }
         };
@@ -113,7 +117,7 @@
             // miss changes, so the pending one is dropped.
             () = shared.wait_for_interruption(interruptions) => {
                 interruptions = shared.store_interruptions();
-                failures = 0;
+                retry.reset();
                 if shared.store_restores() != restores || shared.may_miss_restores() {
                     restores = shared.store_restores();
                     revision = None;
@@ -124,30 +128,36 @@
         };
         match result {
             Ok(new_revision) => {
-                if failures > 0 {
+                if retry.failures() > 0 {
+                    let failures = retry.failures();
                     log::info!(prefix = prefix, failures = failures; "store is reachable again");
                 }
-                failures = 0;
+                retry.reset();
                 read_end = shared.now();
                 revision = Some(new_revision);
             }
             Err(StoreError::Restored) => {
+                retry.reset();
                 revision = None;
-                // Bounds the rate of calls to a store whose replicas name different eras.
-                tokio::time::sleep(RETRY_DELAY_BASE).await;
+                tokio::time::sleep(RESTORE_DELAY).await;
             }
             Err(StoreError::Compacted) => {
                 log::info!(
                     prefix = prefix, revision:? = revision;
                     "watch history was compacted; listing again"
                 );
+                retry.reset();
                 revision = None;
             }
             Err(error) => {
-                if failures == 0 {
-                    log::warn!(prefix = prefix, error:% = error; "store call failed; retrying");
+                let elapsed = shared.now().since(sent_at.get());
+                if retry.failures() == 0 {
+                    log::warn!(
+                        prefix = prefix, error:% = error, elapsed_ms = elapsed.as_millis() as u64;
+                        "store call failed; retrying"
+                    );
                 }
-                failures += 1;
+                let delay = retry.record_failure(elapsed);
                 shared.suspect_store_outage();
                 if shared.may_miss_restores() {
                     revision = None;
@@ -155,8 +165,7 @@
                 let delay = if shared.store_outage.borrow().is_active() {
                     OUTAGE_RETRY_DELAY
                 } else {
-                    let delay = RETRY_DELAY_BASE.saturating_mul(1 << failures.min(4));
-                    delay.min(RETRY_DELAY_MAX)
+                    delay
                 };
                 tokio::select! {
                     () = tokio::time::sleep(delay) => {}
@@ -211,11 +220,12 @@
     shared: &Shared,
     prefix: &str,
     revision: u64,
+    timeout: Duration,
     handler: &dyn WatchHandler,
 ) -> Result<u64, StoreError> {
     let store = &shared.options.store;
     let started_at = shared.now();
-    let call = store.watch(prefix, revision, handler.watch_timeout());
+    let call = store.watch(prefix, revision, handler.watch_timeout(), timeout);
     let after = revision;
     let Updates { updates, revision } = shared.call_store(call).await?;
     let read = Read {
