gateway: the first reader of a fleet waits for changes of registrations

Cause: each read asked for changes without waiting, so that the first daemon of a fleet knew of a change after up to half of the read interval (0.83 s with the users' 3 s), before the message, the gaps at daemons that it misses and the way of a request. Large intervals also made large batches, which are not handed on.

The test all_daemons_know_changes_in_half_of_the_time failed in 4 of 4 cases before and passes in 4 of 4 now.

Change: the first daemon by rank pauses for 0.2 of the interval and lets the store wait for 0.3 of it, so that it makes as many calls as before while nothing changes. All others read as before when they hear nothing. What a read shows counts from the end of its wait. Other daemons and fleets of up to 17 are not changed.

Ruled out: two such readers; the calls beside changes exceed a quarter of those of daemons that read for themselves with 24 daemons, by calculation.

Tests: gateway_registration_feed 20 of 20 (bounds on calls as before), all of the platform package.

--- a/lib/src/gateway/endpoint_handler.rs
+++ b/lib/src/gateway/endpoint_handler.rs
@@ -197,6 +197,7 @@
     }
 
     fn watch_timeout(&self) -> Duration {
-        SharedReads::watch_timeout(self.shared)
+        let interval = self.shared.options.registration_read_interval;
+        SharedReads::watch_timeout(self.shared, interval)
     }
 }
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -181,6 +181,6 @@
     }
 
     fn watch_timeout(&self) -> Duration {
-        SharedReads::watch_timeout(self.shared)
+        SharedReads::watch_timeout(self.shared, READ_INTERVAL)
     }
 }
--- a/lib/src/gateway/shared_reads.rs
+++ b/lib/src/gateway/shared_reads.rs
@@ -13,11 +13,6 @@
 use super::shared::Shared;
 use super::store_watcher::{Read, WATCH_TIMEOUT};
 
-/// Maximum wait of a watch of a daemon that reads for others, which want to know soon that nothing
-/// has changed.
-const SHARED_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
-/// Minimum time between two reads of a daemon, as a fraction of the read interval.
-const READ_PAUSE_FRACTION: f64 = 0.4;
 /// Number of read intervals after which changes are learned late: a daemon that reads for itself
 /// takes up to 1.2 of them.
 const LATE_INTERVALS: f64 = 1.25;
@@ -142,16 +137,14 @@
     /// Returns how long to wait until the next read if the last one ended at `read_end`. A daemon
     /// that reads for itself only does so at this interval.
     pub(super) fn pause(&self, shared: &Shared, interval: Duration, read_end: Instant) -> Duration {
-        let now = shared.now();
-        if !is_shared(shared) {
-            return (read_end + interval).since(now);
-        }
-        let peers = shared.peers.borrow();
-        let name = &shared.options.name;
-        let rank = RegistrationFeed::rank(name, peers.directory.names());
-        let next_read = self.feed.borrow().next_read(name, rank, interval);
-        let earliest = read_end + interval.mul_f64(READ_PAUSE_FRACTION);
-        next_read.max(earliest).since(now)
+        let next_read = if is_shared(shared) {
+            let (name, rank) = (&shared.options.name, rank(shared));
+            let feed = self.feed.borrow();
+            feed.next_read(name, rank, interval, read_end)
+        } else {
+            read_end + interval
+        };
+        next_read.since(shared.now())
     }
 
     /// Waits until the time of the next read may have become earlier.
@@ -164,10 +157,10 @@
         self.feed.borrow().revision()
     }
 
-    /// Returns how long a read may wait for changes.
-    pub(super) fn watch_timeout(shared: &Shared) -> Duration {
+    /// Returns how long a read may wait for changes; `interval` is that of the pauses.
+    pub(super) fn watch_timeout(shared: &Shared, interval: Duration) -> Duration {
         if is_shared(shared) {
-            SHARED_WATCH_TIMEOUT
+            RegistrationFeed::read_wait(rank(shared), interval)
         } else {
             WATCH_TIMEOUT
         }
@@ -189,6 +182,12 @@
     RegistrationFeed::is_shared(shared.peers.borrow().directory.len())
 }
 
+/// Returns the rank of this daemon among those that read.
+fn rank(shared: &Shared) -> usize {
+    let peers = shared.peers.borrow();
+    RegistrationFeed::rank(&shared.options.name, peers.directory.names())
+}
+
 /// Hands changes on to the other daemons. If they are too large for that, the others are told that
 /// they have missed them.
 fn publish(shared: &Shared, mut batch: RegistrationBatch) {
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -5,7 +5,7 @@
 use futures::FutureExt as _;
 use futures::future::{self, LocalBoxFuture};
 use ragwortgrade_policy::Instant;
-use ragwortgrade_policy::gateway::ReadRetry;
+use ragwortgrade_policy::gateway::{ReadRetry, RegistrationFeed};
 use ragwortgrade_schema::Name;
 
 use super::endpoint_handler::EndpointHandler;
@@ -233,13 +233,14 @@
     handler: &dyn WatchHandler,
 ) -> Result<u64, StoreError> {
     let store = &shared.options.store;
-    let started_at = shared.now();
-    let call = store.watch(prefix, revision, handler.watch_timeout(), timeout);
+    let sent_at = shared.now();
+    let wait = handler.watch_timeout();
+    let call = store.watch(prefix, revision, wait, timeout);
     let after = revision;
     let Updates { updates, revision } = shared.call_store(call).await?;
     let read = Read {
         revision,
-        at: started_at,
+        at: RegistrationFeed::read_at(sent_at, wait, shared.now()),
     };
     handler.on_updates(updates, after, read);
     Ok(revision)
--- a/policy/src/gateway/registration_feed.rs
+++ b/policy/src/gateway/registration_feed.rs
@@ -6,8 +6,17 @@
 use super::RegistrationBatch;
 use crate::Instant;
 
-/// Fraction of the read interval after which the first daemon reads for all.
+/// Pause of the first daemon between two of its reads, and the time for which it lets the source wait
+/// for changes, as fractions of the read interval. So the others hear of changes soon, and hear
+/// that there are none after half of the interval.
+const WATCH_PAUSE_FRACTION: f64 = 0.2;
+const WATCH_FRACTION: f64 = 0.3;
+/// Fraction of the read interval after which the next daemon reads, if the first one is silent.
 const FIRST_READ_FRACTION: f64 = 0.5;
+/// Time for which other daemons let the source wait: they want to know soon that nothing has changed.
+const READ_WAIT: Duration = Duration::from_millis(1);
+/// Minimum time between two reads of these daemons, as a fraction of the read interval.
+const READ_PAUSE_FRACTION: f64 = 0.4;
 /// Number of daemons that read one after the other if those before them have handed on nothing,
 /// and the time between two of them: several times that in which a batch reaches all daemons.
 const READERS: usize = 10;
@@ -24,9 +33,9 @@
 
 /// How far a daemon knows the registrations, and when it reads them itself.
 ///
-/// Each daemon reads what has changed when it has not heard of it for a while, and hands it on. The
-/// time depends on its rank, so that normally one of them reads and the others hear of it in time
-/// (suppression by staggered timers, as in S. Floyd et al., "A Reliable Multicast Framework for
+/// The first daemon waits for changes and hands them on. Each other one reads what has changed when it
+/// has not heard of it for a while, and hands it on, too. The time depends on its rank, so that
+/// normally one of them reads and the others hear of it in time (suppression by staggered timers, as in S. Floyd et al., "A Reliable Multicast Framework for
 /// Light-weight Sessions and Application Level Framing", 1997). A daemon that hears nothing reads
 /// for itself, so no daemon depends on another one.
 #[derive(Debug, Default)]
@@ -128,13 +137,25 @@
         self.missed_at.is_some()
     }
 
-    /// Returns when a daemon of this rank reads next; `interval` is the time between its reads if
-    /// it reads for itself only.
+    /// Returns when a daemon of this rank reads next, if its last read ended at `read_end`;
+    /// `interval` is the time between its reads if it reads for itself only.
     #[must_use]
-    pub fn next_read(&self, daemon: &Name, rank: usize, interval: Duration) -> Instant {
+    pub fn next_read(
+        &self,
+        daemon: &Name,
+        rank: usize,
+        interval: Duration,
+        read_end: Instant,
+    ) -> Instant {
         let Some(known) = self.known else {
             return Instant::default();
         };
+        if rank == 0 {
+            let next_read = read_end + interval.mul_f64(WATCH_PAUSE_FRACTION);
+            return self
+                .source_restored
+                .map_or(next_read, |at| at.max(next_read));
+        }
         let first_delay = interval.mul_f64(FIRST_READ_FRACTION);
         let position = xxh3_64(daemon.as_bytes()) as f64 / u64::MAX as f64;
         let delay = if rank < READERS {
@@ -146,6 +167,27 @@
         let next_read = restored.map_or(known.read_at, |at| at.max(known.read_at)) + delay;
         let missed_delay = MISSED_READ_DELAY + MISSED_READ_SPREAD.mul_f64(position);
         let missed_read = self.missed_at.map(|at| at + missed_delay);
-        missed_read.map_or(next_read, |at| at.min(next_read))
+        let next_read = missed_read.map_or(next_read, |at| at.min(next_read));
+        next_read.max(read_end + interval.mul_f64(READ_PAUSE_FRACTION))
+    }
+
+    /// Returns the time for which a daemon of this rank lets the source wait for changes in a read.
+    #[must_use]
+    pub fn read_wait(rank: usize, interval: Duration) -> Duration {
+        if rank == 0 {
+            interval.mul_f64(WATCH_FRACTION)
+        } else {
+            READ_WAIT
+        }
+    }
+
+    /// Returns up to when a read that was sent at `sent_at`, let the source wait for changes and is
+    /// answered now shows all changes.
+    ///
+    /// The source answers as soon as there are changes, and at the end of the wait if there are none.
+    /// If the response was held up on its way, the time is too late by `wait` at most.
+    #[must_use]
+    pub fn read_at(sent_at: Instant, wait: Duration, now: Instant) -> Instant {
+        (sent_at + wait).min(now)
     }
 }
--- a/policy/tests/gateway_registration_feed.rs
+++ b/policy/tests/gateway_registration_feed.rs
@@ -2,7 +2,6 @@
 
 mod news_network;
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use news_network::NewsNetwork;
@@ -70,6 +69,14 @@
     Silence,
 }
 
+/// A read in progress.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    after: u64,
+    sent_at: Instant,
+    wait: Duration,
+}
+
 struct Outcome {
     reads_per_second: f64,
     /// Longest time until a daemon in touch knew a change.
@@ -100,7 +107,7 @@
         feed.listed(None, 10, start);
     }
     let mut read_end = vec![start; daemons];
-    let mut reading: BTreeMap<(Instant, usize), (u64, Instant)> = BTreeMap::new();
+    let mut reading: Vec<Option<Reading>> = (0..daemons).map(|_| None).collect();
     let mut written: Vec<Instant> = Vec::new();
     let mut known = vec![10; daemons];
     let mut reads = 0;
@@ -117,19 +124,26 @@
         for daemon in 0..daemons {
             let is_stopped =
                 matches!(fault, Fault::ReadersStopped(stopped) if ranks[daemon] < stopped);
-            let is_reading = reading.keys().any(|(_, reader)| *reader == daemon);
-            let earliest = read_end[daemon] + interval.mul_f64(0.4);
-            let due = feeds[daemon].next_read(&names[daemon], ranks[daemon], interval);
-            if !is_stopped && !is_reading && due.max(earliest) <= now {
+            let (name, rank) = (&names[daemon], ranks[daemon]);
+            let due = feeds[daemon].next_read(name, rank, interval, read_end[daemon]);
+            if !is_stopped && reading[daemon].is_none() && due <= now {
                 reads += 1;
-                let after = feeds[daemon].revision().unwrap();
-                reading.insert((now + READ_TIME, daemon), (after, now));
+                reading[daemon] = Some(Reading {
+                    after: feeds[daemon].revision().unwrap(),
+                    sent_at: now,
+                    wait: RegistrationFeed::read_wait(rank, interval),
+                });
             }
         }
-        while let Some(entry) = reading.first_entry().filter(|it| it.key().0 <= now) {
-            let (_, daemon) = *entry.key();
-            let (after, read_at) = entry.remove();
-            read_end[daemon] = now;
+        for daemon in 0..daemons {
+            let Some(Reading {
+                after,
+                sent_at,
+                wait,
+            }) = reading[daemon]
+            else {
+                continue;
+            };
             let is_behind = fault == Fault::ReaderBehind && ranks[daemon] == 0;
             let hidden = written.iter().filter(|it| now.since(**it) < BEHIND).count();
             let revision = if is_behind {
@@ -137,6 +151,13 @@
             } else {
                 revision
             };
+            let is_over = now >= sent_at + wait + READ_TIME;
+            if now < sent_at + READ_TIME || revision == after && !is_over {
+                continue;
+            }
+            reading[daemon] = None;
+            read_end[daemon] = now;
+            let read_at = RegistrationFeed::read_at(sent_at, wait, now);
             let read = batch(after, revision, read_at);
             if feeds[daemon].advance(&read, now).is_some() {
                 network.publish(daemon, Statement::Registrations(read), now);
@@ -198,6 +219,21 @@
     while_no_message_arrives(81, INTERVAL_SHORT, Fault::Silence);
 }
 
+/// Checks that half of the time within which a leaving endpoint must get no more requests is left for
+/// what comes after all daemons know that it leaves.
+fn all_daemons_know_changes_in_half_of_the_time(daemons: usize, interval: Duration) {
+    let outcome = play(daemons, interval, Fault::None);
+    let bound = interval.div_f64(INTERVAL_FRACTION);
+    assert!(outcome.delay_max <= bound / 2, "{:?}", outcome.delay_max);
+}
+
+named_cases! { all_daemons_know_changes_in_half_of_the_time:
+    with_24_daemons(24, INTERVAL_SHORT);
+    with_73_daemons(73, INTERVAL_LONG);
+    with_81_daemons(81, INTERVAL_SHORT);
+    with_295_daemons(295, INTERVAL_LONG);
+}
+
 fn known(revision: u64) -> RegistrationFeed {
     let mut feed = RegistrationFeed::default();
     feed.listed(None, revision, at(1_000));
@@ -222,14 +258,14 @@
     let name = Name::from("d-1");
     assert_eq!(feed.advance(&batch(12, 15, at(1_100)), at(1_100)), None);
     for rank in [0, 5, 40] {
-        let next_read = feed.next_read(&name, rank, INTERVAL_LONG);
+        let next_read = feed.next_read(&name, rank, INTERVAL_LONG, at(0));
         assert!(next_read <= at(1_300), "{next_read:?}");
     }
     // A read from before the batch does not have what was missed.
     feed.advance(&batch(10, 11, at(1_090)), at(1_110));
-    assert!(feed.next_read(&name, 40, INTERVAL_LONG) <= at(1_300));
+    assert!(feed.next_read(&name, 40, INTERVAL_LONG, at(0)) <= at(1_300));
     feed.advance(&batch(11, 15, at(1_150)), at(1_160));
-    assert!(feed.next_read(&name, 40, INTERVAL_LONG) >= at(1_150) + INTERVAL_LONG);
+    assert!(feed.next_read(&name, 40, INTERVAL_LONG, at(0)) >= at(1_150) + INTERVAL_LONG);
 }
 
 #[test]
@@ -263,13 +299,13 @@
 fn a_batch_without_changes_delays_the_next_read() {
     let mut feed = known(10);
     let name = Name::from("d-1");
-    let before = feed.next_read(&name, 40, INTERVAL_LONG);
+    let before = feed.next_read(&name, 40, INTERVAL_LONG, at(1_000));
     assert_eq!(feed.advance(&batch(10, 10, at(1_500)), at(1_510)), Some(10));
-    let after = feed.next_read(&name, 40, INTERVAL_LONG);
+    let after = feed.next_read(&name, 40, INTERVAL_LONG, at(1_000));
     assert_eq!(after.since(before), Duration::from_millis(500));
     // A time in the future, from a wrong age, counts as now.
     feed.advance(&batch(10, 10, at(900_000)), at(1_600));
-    let after = feed.next_read(&name, 40, INTERVAL_LONG);
+    let after = feed.next_read(&name, 40, INTERVAL_LONG, at(1_000));
     assert_eq!(after.since(before), Duration::from_millis(600));
 }
 
@@ -279,12 +315,13 @@
     let mut feed = known(10);
     feed.source_restored(at(9_000));
     let name = Name::from("d-1");
-    let next_reads = [0, 1, 9, 40].map(|rank| feed.next_read(&name, rank, INTERVAL_LONG));
+    let next_reads =
+        [0, 1, 9, 40].map(|rank| feed.next_read(&name, rank, INTERVAL_LONG, at(1_000)));
     assert_eq!(next_reads[0], at(9_000));
     assert!(next_reads.is_sorted_by(|earlier, later| earlier < later));
     // What another daemon has read since then delays the next read.
     feed.advance(&batch(10, 11, at(9_020)), at(9_030));
-    assert!(feed.next_read(&name, 1, INTERVAL_LONG) > at(9_000) + INTERVAL_LONG / 2);
+    assert!(feed.next_read(&name, 1, INTERVAL_LONG, at(1_000)) > at(9_000) + INTERVAL_LONG / 2);
 }
 
 #[test]
