platform tests: workers leave while the store refuses one daemon

What callers see: a daemon sends requests to a worker that has left, or has said that it leaves, for as long as the store refuses this daemon and serves the others.

--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -7,6 +7,6 @@
 mod worker;
 
 pub use exchange::{ENDLESS_BYTES_MAX, Request, Response};
-pub use store::Store;
+pub use store::{Entrance, Store};
 pub use store_copy::StoreCopy;
 pub use worker::Worker;
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,13 @@
     shared: Arc<Shared>,
 }
 
+/// Further address of a [`Store`], for callers that the service may refuse while it serves the others.
+#[derive(Debug)]
+pub struct Entrance {
+    server: Worker,
+    is_refusing: Arc<AtomicBool>,
+}
+
 #[derive(Debug, Default)]
 struct Shared {
     state: Mutex<State>,
@@ -64,6 +72,29 @@
         self.server.address()
     }
 
+    /// Opens a further address on which the same data is served.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no port is free.
+    #[must_use]
+    pub fn open_entrance(&self) -> Entrance {
+        let shared = Arc::clone(&self.shared);
+        let is_refusing = Arc::new(AtomicBool::new(false));
+        let is_refused = Arc::clone(&is_refusing);
+        let server = Worker::bind(move |request| {
+            if is_refused.load(Ordering::SeqCst) {
+                Response::complete(503, &[], "{}")
+            } else {
+                shared.handle(request)
+            }
+        });
+        Entrance {
+            server,
+            is_refusing,
+        }
+    }
+
     /// Writes a value that is already encoded as the service stores it.
     pub fn write(&self, key: &str, encoded: &str) {
         self.shared.lock().data.write(key, encoded, 0);
@@ -163,6 +194,19 @@
     }
 }
 
+impl Entrance {
+    /// Returns the address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets whether calls at this address are refused with status 503.
+    pub fn set_refusing(&self, is_refusing: bool) {
+        self.is_refusing.store(is_refusing, Ordering::SeqCst);
+    }
+}
+
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
