gateway: a daemon that the store refuses follows the other daemons

What callers see: for as long as the store refuses a daemon and serves the others, and 2 s more, that daemon sends requests to workers that have left, and, after one lost message, to workers that have said that they leave.

Cause: a daemon judged the store by its own calls alone. A refusal of its renewals counted as an outage in which registrations may lapse, although the others hand on what they read from the store; and changes that it missed could only be read from the store, so that no later batch went on from what it knew. The class of fault: the daemon's own contact passes for the state of the store.

Change: a batch says whether its daemon vouches for it: the store has answered that daemon for 2.1 s at least. Reads of vouching daemons at most 2 s apart keep the store available to the receiver; after a gap, as in a cut, lapsed registrations have their 2.1 s as before. Each daemon keeps the latest changes (64 KB) and answers those that have heard nothing for 0.6 of a read interval and cannot read. Vouching rests on direct contact only, so two daemons cannot vouch for each other.

Ruled out: taking each removal that others hand on as final. After a cut of a data centre its own workers are missing in what the others know.

--- a/lib/src/gateway/endpoint_handler.rs
+++ b/lib/src/gateway/endpoint_handler.rs
@@ -9,7 +9,6 @@
 use ragwortgrade_schema::Name;
 
 use super::shared::Shared;
-use super::shared_reads::SharedReads;
 use super::store_watcher::{Read, WatchHandler};
 use super::{Item, Update};
 
@@ -22,6 +21,10 @@
     /// Applies changes that another daemon has read, as far as they are new.
     pub(super) fn apply_batch(&self, batch: RegistrationBatch, reported_by: &Name) {
         let (after, revision) = (batch.after, batch.revision);
+        if batch.is_vouched && batch.era == self.shared.store_era_named() {
+            let read_at = batch.read_at.min(self.shared.now());
+            self.shared.registry.borrow_mut().source_vouched(read_at);
+        }
         let new = self.shared.endpoint_reads.record_batch(self.shared, batch);
         if !new.is_empty() {
             log::info!(
@@ -182,9 +185,7 @@
     }
 
     fn pause(&self, read_end: Instant) -> Duration {
-        let interval = self.shared.options.registration_read_interval;
-        let reads = &self.shared.endpoint_reads;
-        reads.pause(self.shared, interval, read_end)
+        self.shared.endpoint_reads.pause(self.shared, read_end)
     }
 
     fn wait_for_shorter_pause(&self) -> LocalBoxFuture<'_, ()> {
@@ -197,7 +198,6 @@
     }
 
     fn watch_timeout(&self) -> Duration {
-        let interval = self.shared.options.registration_read_interval;
-        SharedReads::watch_timeout(self.shared, interval)
+        self.shared.endpoint_reads.watch_timeout(self.shared)
     }
 }
--- a/lib/src/gateway/news_exchange.rs
+++ b/lib/src/gateway/news_exchange.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ragwortgrade_policy::gateway::epidemic::{ByteBudget, Digest, Message, Statement};
-use ragwortgrade_policy::gateway::{Evidence, RateReport, RegistrationSource};
+use ragwortgrade_policy::gateway::{ChangesRequest, Evidence, RateReport, RegistrationSource};
 use ragwortgrade_schema::Name;
 use tokio::net::UdpSocket;
 
@@ -78,6 +78,7 @@
             for address in self.choose(COMPARED_DAEMONS) {
                 self.send(message.clone(), address);
             }
+            self.request_changes();
             tokio::select! {
                 () = tokio::time::sleep(COMPARE_INTERVAL) => {}
                 () = self.shared.wait_for_peer_list() => {}
@@ -85,6 +86,30 @@
         }
     }
 
+    /// Asks other daemons for changes of registrations that this daemon cannot read.
+    fn request_changes(&self) {
+        let shared = self.shared;
+        let reads = [&shared.endpoint_reads, &shared.daemon_reads];
+        for request in reads.into_iter().filter_map(|reads| reads.request(shared)) {
+            for address in self.choose(COMPARED_DAEMONS) {
+                self.send(Message::Changes(request), address);
+            }
+        }
+    }
+
+    /// Answers another daemon's request for changes of registrations.
+    fn send_changes(&self, request: &ChangesRequest, address: SocketAddr) {
+        let shared = self.shared;
+        let reads = match request.source {
+            RegistrationSource::Endpoints => &shared.endpoint_reads,
+            RegistrationSource::Daemons => &shared.daemon_reads,
+        };
+        for batch in reads.answer(shared, request) {
+            let statement = Statement::Registrations(batch);
+            self.send(Message::Statements(vec![statement]), address);
+        }
+    }
+
     /// Publishes what this daemon has learned since the last call.
     fn publish(&self) {
         let shared = self.shared;
@@ -193,6 +218,10 @@
             }
             return true;
         }
+        if let Message::Changes(request) = &message {
+            self.send_changes(request, source);
+            return true;
+        }
         let held = self.held();
         let answers = self.shared.broadcast.borrow().answer(&message, &held);
         for answer in answers {
--- a/lib/src/gateway/news_message.rs
+++ b/lib/src/gateway/news_message.rs
@@ -3,7 +3,7 @@
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::epidemic::{Digest, Message, Statement};
 use ragwortgrade_policy::gateway::{
-    DepartureReport, LostRun, RateReport, RegistrationBatch, RegistrationChange,
+    ChangesRequest, DepartureReport, LostRun, RateReport, RegistrationBatch, RegistrationChange,
     RegistrationContent, RegistrationSource,
 };
 use ragwortgrade_schema::Name;
@@ -27,10 +27,18 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 enum Body {
-    Digest { count: u32, sum: u64 },
+    Digest {
+        count: u32,
+        sum: u64,
+    },
     Held(Vec<u64>),
     Wanted(Vec<u64>),
     Statements(Vec<Report>),
+    Changes {
+        source: Source,
+        era: Option<u64>,
+        after: u64,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -71,6 +79,7 @@
         revision: u64,
         age_ms: u32,
         changes: Vec<Change>,
+        is_vouched: bool,
     },
     StoreAnswered {
         age_ms: u32,
@@ -114,6 +123,11 @@
                 let reports = statements.into_iter().map(|it| Report::new(it, now));
                 Body::Statements(reports.collect())
             }
+            Message::Changes(request) => Body::Changes {
+                source: Source::from(request.source),
+                era: request.era,
+                after: request.after,
+            },
         };
         Self { daemon, body }
     }
@@ -127,6 +141,11 @@
                 let statements = reports.into_iter().map(|it| it.into_statement(now));
                 Message::Statements(statements.collect())
             }
+            Body::Changes { source, era, after } => Message::Changes(ChangesRequest {
+                source: source.into(),
+                era,
+                after,
+            }),
         }
     }
 
@@ -141,7 +160,7 @@
         let bytes = datagram.strip_prefix(&MARK)?;
         let (message, rest) = postcard::take_from_bytes::<Self>(bytes).ok()?;
         let is_plausible = match &message.body {
-            Body::Digest { .. } => true,
+            Body::Digest { .. } | Body::Changes { .. } => true,
             Body::Held(ids) | Body::Wanted(ids) => ids.len() <= IDS_MAX,
             Body::Statements(reports) => reports.len() <= STATEMENTS_MAX,
         };
@@ -190,6 +209,7 @@
                 revision: batch.revision,
                 age_ms: age_ms(batch.read_at),
                 changes: batch.changes.into_iter().map(Change::from).collect(),
+                is_vouched: batch.is_vouched,
             },
             Statement::StoreAnswered { at } => Self::StoreAnswered { age_ms: age_ms(at) },
         }
@@ -250,12 +270,14 @@
                 revision,
                 age_ms,
                 changes,
+                is_vouched,
             } => Statement::Registrations(RegistrationBatch {
                 source: source.into(),
                 era,
                 after,
                 revision,
                 read_at: at(age_ms),
+                is_vouched,
                 changes: changes.into_iter().map(RegistrationChange::from).collect(),
             }),
             Self::StoreAnswered { age_ms } => Statement::StoreAnswered { at: at(age_ms) },
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -13,14 +13,13 @@
 
 use super::load_update::LoadUpdate;
 use super::shared::Shared;
-use super::shared_reads::SharedReads;
 use super::store_watcher::{Read, WatchHandler, list_and_watch};
 use super::{Item, Update};
 
 /// Prefix of the keys of daemons' registrations.
 pub(super) const REGISTRATION_PREFIX: &str = "ragwortgrade/daemons/";
 /// Interval between reads of the daemons' registrations.
-const READ_INTERVAL: Duration = Duration::from_secs(4);
+pub(super) const READ_INTERVAL: Duration = Duration::from_secs(4);
 /// Number of other daemons up to which all daemons exchange all work. In a larger fleet decode
 /// engines are used mostly by the daemons of their data centre, which exchange work on them only
 /// with each other.
@@ -167,8 +166,7 @@
     }
 
     fn pause(&self, read_end: Instant) -> Duration {
-        let reads = &self.shared.daemon_reads;
-        reads.pause(self.shared, READ_INTERVAL, read_end)
+        self.shared.daemon_reads.pause(self.shared, read_end)
     }
 
     fn wait_for_shorter_pause(&self) -> LocalBoxFuture<'_, ()> {
@@ -181,6 +179,6 @@
     }
 
     fn watch_timeout(&self) -> Duration {
-        SharedReads::watch_timeout(self.shared, READ_INTERVAL)
+        self.shared.daemon_reads.watch_timeout(self.shared)
     }
 }
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -15,7 +15,7 @@
 use super::caller_connection::CallerConnections;
 use super::crash_detector::CrashDetector;
 use super::peer_traffic::PeerTraffic;
-use super::peers::Peers;
+use super::peers::{self, Peers};
 use super::retry_budgets::RetryBudgets;
 use super::shared_reads::SharedReads;
 use super::{Client, Disposition, Options, ResponseInfo, StoreError, StoreResponse};
@@ -112,8 +112,11 @@
             store_recovered: Notify::new(),
             peers: RefCell::default(),
             peer_traffic: PeerTraffic::default(),
-            endpoint_reads: SharedReads::new(RegistrationSource::Endpoints),
-            daemon_reads: SharedReads::new(RegistrationSource::Daemons),
+            endpoint_reads: SharedReads::new(
+                RegistrationSource::Endpoints,
+                options.registration_read_interval,
+            ),
+            daemon_reads: SharedReads::new(RegistrationSource::Daemons, peers::READ_INTERVAL),
             broadcast: RefCell::new(Broadcast::new(seed)),
             work_changed: watch::Sender::default(),
             news: Notify::new(),
--- a/lib/src/gateway/shared_reads.rs
+++ b/lib/src/gateway/shared_reads.rs
@@ -4,7 +4,7 @@
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::epidemic::Statement;
 use ragwortgrade_policy::gateway::{
-    RegistrationBatch, RegistrationChange, RegistrationContent, RegistrationFeed,
+    ChangesRequest, RegistrationBatch, RegistrationChange, RegistrationContent, RegistrationFeed,
     RegistrationSource,
 };
 use tokio::sync::Notify;
@@ -19,20 +19,25 @@
 /// Maximum size of the changed registrations in one batch for other daemons, which read larger ones
 /// themselves.
 const BATCH_BYTES_MAX: usize = 6 * 1024;
+/// Maximum number of batches in answer to one request; a daemon that lacks more asks again.
+const ANSWER_BATCHES_MAX: usize = 4;
 
 /// Reads of registrations that the daemons of a large fleet do for each other.
 #[derive(Debug)]
 pub(super) struct SharedReads {
     source: RegistrationSource,
+    /// Time between reads of a daemon that reads for itself only.
+    interval: Duration,
     feed: RefCell<RegistrationFeed>,
     /// Wakes the task that reads, as the next read has become due earlier.
     missed: Notify,
 }
 
 impl SharedReads {
-    pub(super) fn new(source: RegistrationSource) -> Self {
+    pub(super) fn new(source: RegistrationSource, interval: Duration) -> Self {
         Self {
             source,
+            interval,
             feed: RefCell::default(),
             missed: Notify::new(),
         }
@@ -69,6 +74,7 @@
             after,
             revision: read.revision,
             read_at: read.at,
+            is_vouched: shared.registry.borrow().vouches(shared.now()),
             changes: updates.into_iter().map(registration_change).collect(),
         };
         let Some(new_after) = self.advance(shared, &batch) else {
@@ -136,17 +142,40 @@
 
     /// Returns how long to wait until the next read if the last one ended at `read_end`. A daemon
     /// that reads for itself only does so at this interval.
-    pub(super) fn pause(&self, shared: &Shared, interval: Duration, read_end: Instant) -> Duration {
+    pub(super) fn pause(&self, shared: &Shared, read_end: Instant) -> Duration {
         let next_read = if is_shared(shared) {
             let (name, rank) = (&shared.options.name, rank(shared));
             let feed = self.feed.borrow();
-            feed.next_read(name, rank, interval, read_end)
+            feed.next_read(name, rank, self.interval, read_end)
         } else {
-            read_end + interval
+            read_end + self.interval
         };
         next_read.since(shared.now())
     }
 
+    /// Returns the request to other daemons for the changes that this daemon cannot read.
+    pub(super) fn request(&self, shared: &Shared) -> Option<ChangesRequest> {
+        if !is_shared(shared) {
+            return None;
+        }
+        let is_source_lost = shared.store_outage.borrow().is_active();
+        let feed = self.feed.borrow();
+        feed.request(self.source, is_source_lost, self.interval, shared.now())
+    }
+
+    /// Returns the changes that another daemon has asked for, as far as they are known.
+    pub(super) fn answer(
+        &self,
+        shared: &Shared,
+        request: &ChangesRequest,
+    ) -> Vec<RegistrationBatch> {
+        let is_vouched = shared.registry.borrow().vouches(shared.now());
+        let batch = self.feed.borrow().answer(request, is_vouched);
+        let mut batches = batch.map_or_else(Vec::new, |batch| batch.split(BATCH_BYTES_MAX));
+        batches.truncate(ANSWER_BATCHES_MAX);
+        batches
+    }
+
     /// Waits until the time of the next read may have become earlier.
     pub(super) async fn wait_until_missed(&self) {
         self.missed.notified().await;
@@ -157,10 +186,10 @@
         self.feed.borrow().revision()
     }
 
-    /// Returns how long a read may wait for changes; `interval` is that of the pauses.
-    pub(super) fn watch_timeout(shared: &Shared, interval: Duration) -> Duration {
+    /// Returns how long a read may wait for changes.
+    pub(super) fn watch_timeout(&self, shared: &Shared) -> Duration {
         if is_shared(shared) {
-            RegistrationFeed::read_wait(rank(shared), interval)
+            RegistrationFeed::read_wait(rank(shared), self.interval)
         } else {
             WATCH_TIMEOUT
         }
@@ -191,14 +220,7 @@
 /// Hands changes on to the other daemons. If they are too large for that, the others are told that
 /// they have missed them.
 fn publish(shared: &Shared, mut batch: RegistrationBatch) {
-    let sizes = batch.changes.iter().map(|change| {
-        let value_bytes = match &change.content {
-            RegistrationContent::Written(value) => value.len(),
-            RegistrationContent::Unreadable | RegistrationContent::Removed => 0,
-        };
-        change.key.len() + value_bytes
-    });
-    let bytes: usize = sizes.sum();
+    let bytes = batch.size();
     if bytes > BATCH_BYTES_MAX {
         log::info!(
             source:? = batch.source, bytes = bytes, changes = batch.changes.len();
--- a/policy/src/gateway/epidemic/broadcast.rs
+++ b/policy/src/gateway/epidemic/broadcast.rs
@@ -127,7 +127,7 @@
                 let wanted = held.iter().filter(|it| ids.contains(&it.id()));
                 tell(&wanted.collect::<Vec<_>>())
             }
-            Message::Statements(_) => Vec::new(),
+            Message::Statements(_) | Message::Changes(_) => Vec::new(),
         }
     }
 
--- a/policy/src/gateway/epidemic/message.rs
+++ b/policy/src/gateway/epidemic/message.rs
@@ -1,4 +1,5 @@
 use super::{Digest, Statement};
+use crate::gateway::ChangesRequest;
 
 /// Message between two daemons about what they hold.
 ///
@@ -14,4 +15,6 @@
     Wanted(Vec<u64>),
     /// What the sender tells.
     Statements(Vec<Statement>),
+    /// The sender has missed changes of registrations.
+    Changes(ChangesRequest),
 }
--- a/policy/src/gateway/registration_batch.rs
+++ b/policy/src/gateway/registration_batch.rs
@@ -1,6 +1,6 @@
 use ragwortgrade_schema::Name;
 
-use super::RegistrationSource;
+use super::{RegistrationSource, registration_log};
 use crate::Instant;
 
 /// Changes of registrations that one daemon has read and hands on to the others.
@@ -16,10 +16,55 @@
     pub revision: u64,
     /// When the source had no later changes.
     pub read_at: Instant,
+    /// Whether the daemon that hands it on was in contact with the source all the while, so that a
+    /// registration that ended has not only lapsed in an outage.
+    pub is_vouched: bool,
     /// Changes, oldest first.
     pub changes: Vec<RegistrationChange>,
 }
 
+impl RegistrationBatch {
+    /// Returns the size of the changes in bytes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.changes.iter().map(registration_log::size).sum()
+    }
+
+    /// Splits the batch into some that follow each other, each with at most `bytes_max` bytes of
+    /// changes unless those of one revision are larger.
+    #[must_use]
+    pub fn split(self, bytes_max: usize) -> Vec<Self> {
+        let last_revision = self.revision;
+        let head = |after| Self {
+            after,
+            changes: Vec::new(),
+            ..self.clone()
+        };
+        let mut batches = vec![head(self.after)];
+        let mut bytes = 0;
+        let mut revision = self.after;
+        for change in &self.changes {
+            let change_bytes = registration_log::size(change);
+            if bytes > 0 && bytes + change_bytes > bytes_max && change.revision > revision {
+                if let Some(batch) = batches.last_mut() {
+                    batch.revision = revision;
+                }
+                batches.push(head(revision));
+                bytes = 0;
+            }
+            bytes += change_bytes;
+            revision = change.revision;
+            if let Some(batch) = batches.last_mut() {
+                batch.changes.push(change.clone());
+            }
+        }
+        if let Some(batch) = batches.last_mut() {
+            batch.revision = last_revision;
+        }
+        batches
+    }
+}
+
 /// Change of one registration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RegistrationChange {
--- a/policy/src/gateway/registration_feed.rs
+++ b/policy/src/gateway/registration_feed.rs
@@ -3,7 +3,8 @@
 use ragwortgrade_schema::Name;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::RegistrationBatch;
+use super::registration_log::RegistrationLog;
+use super::{RegistrationBatch, RegistrationSource};
 use crate::Instant;
 
 /// Pause of the first daemon between two of its reads, and the time for which it lets the source wait
@@ -28,6 +29,10 @@
 /// changes spread these reads.
 const MISSED_READ_DELAY: Duration = Duration::from_millis(40);
 const MISSED_READ_SPREAD: Duration = Duration::from_millis(160);
+/// Time without news, in read intervals, after which a daemon asks others for changes: before it would
+/// read itself if it cannot, and else after that.
+const FAILED_INTERVALS: f64 = 0.6;
+const SILENT_INTERVALS: f64 = 1.3;
 /// Number of other daemons from which on reads are shared; in a smaller fleet they are few.
 const SHARING_PEERS_MIN: usize = 17;
 
@@ -41,12 +46,25 @@
 #[derive(Debug, Default)]
 pub struct RegistrationFeed {
     known: Option<Known>,
+    /// Latest changes up to what is known.
+    log: RegistrationLog,
     /// When a batch showed that changes before it were missed; they are not known yet.
     missed_at: Option<Instant>,
     /// When the source answered again after an outage.
     source_restored: Option<Instant>,
 }
 
+/// Request of a daemon to another one for the changes that it has missed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChangesRequest {
+    /// Whose registrations they are.
+    pub source: RegistrationSource,
+    /// Era of the store that the daemon knows.
+    pub era: Option<u64>,
+    /// Revision up to which it knows the changes.
+    pub after: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Known {
     era: Option<u64>,
@@ -94,6 +112,7 @@
                 revision,
                 read_at,
             });
+            self.log.restart(revision);
             self.missed_at = None;
         }
         !is_older
@@ -125,6 +144,9 @@
         let after = known.revision;
         known.revision = batch.revision;
         known.read_at = known.read_at.max(batch.read_at.min(now));
+        let changes = batch.changes.iter();
+        let new = changes.filter(|change| change.revision > after);
+        self.log.extend(new.cloned());
         if self.missed_at.is_some_and(|at| known.read_at >= at) {
             self.missed_at = None;
         }
@@ -137,6 +159,50 @@
         self.missed_at.is_some()
     }
 
+    /// Returns the request to other daemons for changes, if this daemon has heard nothing for so long
+    /// that its own reads must have failed. `interval` is the time between reads of a daemon that
+    /// reads for itself only.
+    #[must_use]
+    pub fn request(
+        &self,
+        source: RegistrationSource,
+        is_source_lost: bool,
+        interval: Duration,
+        now: Instant,
+    ) -> Option<ChangesRequest> {
+        let known = self.known?;
+        let is_read_expected = !is_source_lost && self.missed_at.is_none();
+        let intervals = if is_read_expected {
+            SILENT_INTERVALS
+        } else {
+            FAILED_INTERVALS
+        };
+        let is_due = now.since(known.read_at) > interval.mul_f64(intervals);
+        is_due.then_some(ChangesRequest {
+            source,
+            era: known.era,
+            after: known.revision,
+        })
+    }
+
+    /// Returns the changes that another daemon has missed, or `None` if they are not known.
+    #[must_use]
+    pub fn answer(&self, request: &ChangesRequest, is_vouched: bool) -> Option<RegistrationBatch> {
+        let known = self.known.filter(|known| known.era == request.era)?;
+        if request.after > known.revision {
+            return None;
+        }
+        Some(RegistrationBatch {
+            source: request.source,
+            era: known.era,
+            after: request.after,
+            revision: known.revision,
+            read_at: known.read_at,
+            is_vouched,
+            changes: self.log.since(request.after)?,
+        })
+    }
+
     /// Returns when a daemon of this rank reads next, if its last read ended at `read_end`;
     /// `interval` is the time between its reads if it reads for itself only.
     #[must_use]
--- a/policy/src/gateway/registry.rs
+++ b/policy/src/gateway/registry.rs
@@ -12,6 +12,9 @@
 /// documents "about two seconds". A daemon that was cut off itself must notice leaving endpoints
 /// within 3 s of its return.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2_100);
+/// Longest time between two reads of others for which registrations cannot have lapsed meanwhile:
+/// endpoints renew them every 1.2 s, and they lapse after three intervals.
+const VOUCH_GAP_MAX: Duration = Duration::from_secs(2);
 /// Time after a rollback of the source in which the registration of a stopped endpoint, which the
 /// older copy has, ends: several heartbeats of endpoints.
 const OLD_REGISTRATION_TIME: Duration = Duration::from_secs(10);
@@ -36,13 +39,17 @@
 ///
 /// The source is the service that lists the registrations. A registration that lapses while the
 /// source is unavailable does not show that the endpoint stopped, so an endpoint that was not
-/// draining is retained until it has had time to register again. Nor does a registration in an
+/// draining is retained until it has had time to register again. The source is available if it
+/// answers this daemon or others that hand on what they read. Nor does a registration in an
 /// older copy, to which the source was rolled back, show that an endpoint has returned.
 #[derive(Debug, Default)]
 pub struct Registry {
     endpoints: HashMap<Name, Entry>,
     departures: Departures,
     is_source_lost: bool,
+    /// When the registrations were first listed.
+    listed_at: Option<Instant>,
+    vouched: Option<Vouched>,
     source_restored: Option<Instant>,
     source_rolled_back: Option<Instant>,
     /// Number of endpoints that said in a response that they leave.
@@ -57,6 +64,13 @@
     reported_until: Option<Instant>,
 }
 
+/// Time for which the source answered other daemons without a gap in which registrations can lapse.
+#[derive(Clone, Copy, Debug)]
+struct Vouched {
+    since: Instant,
+    until: Instant,
+}
+
 /// What is known of a registration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Status {
@@ -144,8 +158,29 @@
         }
     }
 
+    /// Returns whether the source has answered this daemon for long enough to tell others that
+    /// registrations that have ended did not only lapse.
+    #[must_use]
+    pub fn vouches(&self, now: Instant) -> bool {
+        let is_settled = |at: Instant| now.since(at) >= REREGISTRATION_TIME;
+        !self.is_contact_lost(now) && self.listed_at.is_some_and(is_settled)
+    }
+
+    /// Records that the source answered a daemon that vouches for it, which read it at this time.
+    pub fn source_vouched(&mut self, read_at: Instant) {
+        let vouched = self.vouched.get_or_insert(Vouched {
+            since: read_at,
+            until: read_at,
+        });
+        if read_at.since(vouched.until) > VOUCH_GAP_MAX {
+            vouched.since = read_at;
+        }
+        vouched.until = vouched.until.max(read_at);
+    }
+
     /// Replaces all registrations by a complete listing. Returns the changes that affect placement.
     pub fn replace(&mut self, listed: Vec<Endpoint>, now: Instant) -> Vec<Change> {
+        self.listed_at.get_or_insert(now);
         let is_copy = self.may_list_old_copy(now);
         let current: Vec<Endpoint> = listed
             .into_iter()
@@ -304,6 +339,7 @@
         self.is_source_lost = false;
         self.source_restored = Some(now);
         self.source_rolled_back = Some(now);
+        self.vouched = None;
     }
 
     /// Removes and returns lapsed endpoints that have not registered again in time.
@@ -401,6 +437,19 @@
     /// Returns whether a registration may be missing only because of an outage of the source: the
     /// source does not answer, or endpoints have not had time to register again.
     fn is_source_unreliable(&self, now: Instant) -> bool {
+        self.is_contact_lost(now) && !self.is_vouched(now)
+    }
+
+    /// Returns whether the source has answered other daemons all the while.
+    fn is_vouched(&self, now: Instant) -> bool {
+        self.vouched.is_some_and(|vouched| {
+            now.since(vouched.until) <= VOUCH_GAP_MAX
+                && vouched.until.since(vouched.since) >= REREGISTRATION_TIME
+        })
+    }
+
+    /// Returns the same as [`Self::is_source_unreliable`] from this daemon's own calls.
+    fn is_contact_lost(&self, now: Instant) -> bool {
         self.is_source_lost
             || self
                 .source_restored
--- a/policy/tests/gateway_members.rs
+++ b/policy/tests/gateway_members.rs
@@ -72,6 +72,41 @@
     assert_eq!(registry.lapsed().count(), 0);
 }
 
+/// Records that other daemons have read the registrations at these times, in ms.
+fn vouch(registry: &mut Registry, times: impl IntoIterator<Item = u64>) {
+    for time in times {
+        registry.source_vouched(at(time));
+    }
+}
+
+/// Guards against a daemon that uses endpoints which have left, as the source answers only others.
+#[test]
+fn a_registration_that_ends_while_others_read_it_has_not_lapsed() {
+    let mut registry = registry(&["i-1", "i-2"]);
+    vouch(&mut registry, (1_000..=6_000).step_by(1_000));
+    registry.source_lost();
+    assert!(registry.apply(Change::Removed("i-1".into()), at(6_500)));
+    assert_eq!(usable(&registry), ["i-2"]);
+    // A gap in which registrations can lapse.
+    assert!(!registry.apply(Change::Removed("i-2".into()), at(8_500)));
+    assert_eq!(usable(&registry), ["i-2"]);
+}
+
+/// Guards against endpoints that are dropped as soon as a cut has ended, in which their
+/// registrations lapsed.
+#[test]
+fn others_that_read_again_leave_lapsed_registrations_time_to_be_renewed() {
+    let mut registry = registry(&["i-1"]);
+    vouch(&mut registry, [1_000, 2_000, 3_000]);
+    registry.source_lost();
+    vouch(&mut registry, [9_000]);
+    assert!(!registry.apply(Change::Removed("i-1".into()), at(9_100)));
+    vouch(&mut registry, [10_000, 11_000]);
+    assert!(registry.expire(at(11_050)).is_empty());
+    vouch(&mut registry, [11_200]);
+    assert_eq!(registry.expire(at(11_250)), [Name::from("i-1")]);
+}
+
 #[test]
 fn without_an_outage_a_missing_registration_is_gone_at_once() {
     let mut registry = registry(&["a", "b"]);
--- a/policy/tests/gateway_registration_feed.rs
+++ b/policy/tests/gateway_registration_feed.rs
@@ -8,8 +8,8 @@
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::epidemic::Statement;
 use ragwortgrade_policy::gateway::{
-    Quarantine, RegistrationBatch, RegistrationChange, RegistrationContent, RegistrationFeed,
-    RegistrationSource,
+    ChangesRequest, Quarantine, RegistrationBatch, RegistrationChange, RegistrationContent,
+    RegistrationFeed, RegistrationSource,
 };
 use ragwortgrade_schema::Name;
 use ragwortgrade_testutil::named_cases;
@@ -48,6 +48,7 @@
         after,
         revision,
         read_at,
+        is_vouched: true,
         changes: (after + 1..=revision).map(change).collect(),
     }
 }
@@ -268,6 +269,78 @@
     assert!(feed.next_read(&name, 40, INTERVAL_LONG, at(0)) >= at(1_150) + INTERVAL_LONG);
 }
 
+/// Guards against daemons that cannot read and stay behind, as later batches do not go on from what
+/// they know.
+#[test]
+fn a_daemon_that_cannot_read_learns_what_it_missed_from_another_one() {
+    let (mut behind, mut other) = (known(10), known(10));
+    let source = RegistrationSource::Endpoints;
+    assert_eq!(
+        other.advance(&batch(10, 12, at(1_300)), at(1_300)),
+        Some(10)
+    );
+    assert_eq!(
+        other.advance(&batch(12, 15, at(1_900)), at(1_900)),
+        Some(12)
+    );
+    assert_eq!(behind.advance(&batch(12, 15, at(1_900)), at(1_900)), None);
+    let request = behind
+        .request(source, true, INTERVAL_SHORT, at(1_900))
+        .unwrap();
+    let answer = other.answer(&request, true).unwrap();
+    assert_eq!(behind.advance(&answer, at(1_910)), Some(10));
+    assert_eq!(behind.revision(), Some(15));
+    assert_eq!(
+        behind.request(source, true, INTERVAL_SHORT, at(1_910)),
+        None
+    );
+    // One that has listed later does not have the changes before.
+    let listed = known(12);
+    assert_eq!(listed.answer(&request, true), None);
+}
+
+/// Guards against requests of daemons that only wait for their next read.
+#[test]
+fn daemons_that_can_read_ask_no_others() {
+    let feed = known(10);
+    let source = RegistrationSource::Endpoints;
+    let read_due = feed.next_read(&Name::from("d-1"), 40, INTERVAL_LONG, at(0));
+    assert_eq!(feed.request(source, false, INTERVAL_LONG, read_due), None);
+    assert!(
+        feed.request(source, false, INTERVAL_LONG, read_due + INTERVAL_LONG)
+            .is_some()
+    );
+}
+
+/// Guards against memory and messages that grow with the number of changes.
+#[test]
+fn kept_changes_and_messages_are_bounded() {
+    let mut feed = known(0);
+    let changes = 1_000;
+    for revision in 1..=changes {
+        feed.advance(&batch(revision - 1, revision, at(1_000)), at(1_000));
+    }
+    let request = |after| ChangesRequest {
+        source: RegistrationSource::Endpoints,
+        era: None,
+        after,
+    };
+    assert_eq!(feed.answer(&request(0), true), None);
+    let oldest = (0..changes).find(|after| feed.answer(&request(*after), true).is_some());
+    let kept = feed.answer(&request(oldest.unwrap()), true).unwrap();
+    assert!(kept.size() <= 64 << 10, "{} bytes", kept.size());
+    assert!(kept.changes.len() >= 200, "{} changes", kept.changes.len());
+    let batches = kept.clone().split(6_000);
+    assert!(batches.iter().all(|batch| batch.size() <= 6_000));
+    let mut follower = known(kept.after);
+    for batch in &batches {
+        assert!(follower.advance(batch, at(1_000)).is_some());
+    }
+    assert_eq!(follower.revision(), Some(changes));
+    let changes: usize = batches.iter().map(|batch| batch.changes.len()).sum();
+    assert_eq!(changes, kept.changes.len());
+}
+
 #[test]
 fn a_batch_of_another_era_is_not_applied() {
     let mut feed = known(10);
--- a/policy/tests/news_network/mod.rs
+++ b/policy/tests/news_network/mod.rs
@@ -103,7 +103,7 @@
     fn send(&mut self, sender: usize, recipient: usize, message: Message, now: Instant) {
         self.sent_bytes[sender] += DATAGRAM_BYTES
             + match &message {
-                Message::Digest(_) => ID_BYTES,
+                Message::Digest(_) | Message::Changes(_) => ID_BYTES,
                 Message::Held(ids) | Message::Wanted(ids) => ids.len() * ID_BYTES,
                 Message::Statements(statements) => statements.len() * STATEMENT_BYTES,
             };
