policy: messages between daemons hold at most 8 KB of registrations

What callers see: nothing that was seen. By reading: batches of registrations that wait together, as on a slow link while many workers leave, went into one message of up to 12 statements, 72 KB, and receivers drop datagrams of more than 16 KiB. All daemons then miss these changes at once and use leaving workers until they read for themselves.

The test registrations_that_wait_together_are_told_in_several_messages failed before (four batches of 6 KB in one message) and passes now.

Change: a message of several statements holds at most 8 KB of registrations.

--- a/policy/src/gateway/epidemic/broadcast.rs
+++ b/policy/src/gateway/epidemic/broadcast.rs
@@ -18,6 +18,9 @@
 const PASS_ON_AGE_MAX: Duration = Duration::from_secs(2);
 /// Maximum number of statements in one message: they fit into about 1,400 bytes.
 const STATEMENTS_MAX: usize = 12;
+/// Maximum size of the registrations in one message of several statements, which must fit into a
+/// datagram.
+const REGISTRATION_BYTES_MAX: usize = 8 * 1024;
 /// Maximum number of statements of which the IDs are sent, and of those that wait to be sent.
 const HELD_MAX: usize = 512;
 /// Maximum number of statements that are told in answer to one message.
@@ -85,7 +88,17 @@
         } else {
             (&mut self.own, FIRST_RECIPIENTS)
         };
-        let count = queue.len().min(STATEMENTS_MAX);
+        let mut bytes = 0;
+        let sizes = queue
+            .iter()
+            .take(STATEMENTS_MAX)
+            .map(Statement::registration_bytes);
+        let fitting = sizes.take_while(|size| {
+            bytes += size;
+            bytes <= REGISTRATION_BYTES_MAX
+        });
+        // A single statement is sent whatever its size.
+        let count = fitting.count().max(1).min(queue.len());
         let statements: Vec<Statement> = queue.drain(..count).collect();
         (!statements.is_empty()).then_some(Push {
             statements,
--- a/policy/src/gateway/epidemic/statement.rs
+++ b/policy/src/gateway/epidemic/statement.rs
@@ -82,6 +82,14 @@
         }
     }
 
+    /// Returns the size of the registrations in this statement, in bytes; other statements are small.
+    pub(super) fn registration_bytes(&self) -> usize {
+        match self {
+            Self::Registrations(batch) => batch.size(),
+            _ => 0,
+        }
+    }
+
     /// Returns what this statement has in common with those that it replaces.
     pub(super) fn key(&self) -> u64 {
         match self {
--- a/policy/tests/gateway_epidemic.rs
+++ b/policy/tests/gateway_epidemic.rs
@@ -6,7 +6,10 @@
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::epidemic::{Broadcast, ByteBudget, Digest, Message, Statement};
-use ragwortgrade_policy::gateway::{DepartureReport, Fingerprint, LostRun, Quarantine, RateReport};
+use ragwortgrade_policy::gateway::{
+    DepartureReport, Fingerprint, LostRun, Quarantine, RateReport, RegistrationBatch,
+    RegistrationChange, RegistrationContent, RegistrationSource,
+};
 use ragwortgrade_testutil::named_cases;
 
 use news_network::NewsNetwork;
@@ -256,6 +259,39 @@
     assert_eq!(statements, 512);
 }
 
+/// Guards against messages with so many registrations that they are dropped as too long.
+#[test]
+fn registrations_that_wait_together_are_told_in_several_messages() {
+    let mut broadcast = Broadcast::new(1);
+    let batches = (0..4).map(|number| RegistrationBatch {
+        source: RegistrationSource::Endpoints,
+        era: None,
+        after: number,
+        revision: number + 1,
+        read_at: at(100),
+        is_vouched: true,
+        changes: vec![RegistrationChange {
+            key: "servers/i-1".into(),
+            revision: number + 1,
+            content: RegistrationContent::Written(vec![0; 6_000]),
+        }],
+    });
+    for batch in batches {
+        broadcast.publish(Statement::Registrations(batch), at(100));
+    }
+    let pushes: Vec<_> = std::iter::from_fn(|| broadcast.next_push()).collect();
+    let statements: usize = pushes.iter().map(|push| push.statements.len()).sum();
+    assert_eq!(statements, 4);
+    for push in pushes {
+        let sizes = push.statements.iter().map(|statement| match statement {
+            Statement::Registrations(batch) => batch.size(),
+            _ => 0,
+        });
+        // Receivers drop datagrams of more than 16 KiB.
+        assert!(sizes.sum::<usize>() < 16 << 10);
+    }
+}
+
 /// Guards against a restarted daemon that asks for what the others hold one by one.
 #[test]
 fn a_daemon_that_holds_nothing_is_told_everything() {
