policy: the request for changes has a file of its own

One type a file, as elsewhere; the time after which changes are learned late follows from the interval of the reads, also for the daemons' registrations.

--- a/lib/src/gateway/shared_reads.rs
+++ b/lib/src/gateway/shared_reads.rs
@@ -128,10 +128,7 @@
             RegistrationSource::Daemons => "registrations.daemons.unknown",
         };
         shared.metrics.time(name, unknown_ms);
-        let interval = shared.options.registration_read_interval;
-        if self.source == RegistrationSource::Endpoints
-            && unknown > interval.mul_f64(LATE_INTERVALS)
-        {
+        if unknown > self.interval.mul_f64(LATE_INTERVALS) {
             log::warn!(
                 source:? = self.source, unknown_ms = unknown_ms,
                 revision:? = self.revision();
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -12,6 +12,7 @@
 mod admission;
 mod affinity;
 mod catalog;
+mod changes_request;
 mod departure_report;
 mod departures;
 mod endpoint;
@@ -57,6 +58,7 @@
 mod wait_limit;
 
 pub use catalog::Catalog;
+pub use changes_request::ChangesRequest;
 pub use departure_report::DepartureReport;
 pub use endpoint::{Endpoint, EndpointState, Stage};
 pub use engine_load::CallOutcome;
@@ -78,7 +80,7 @@
 pub use rate_report::RateReport;
 pub use read_retry::ReadRetry;
 pub use registration_batch::{RegistrationBatch, RegistrationChange, RegistrationContent};
-pub use registration_feed::{ChangesRequest, RegistrationFeed};
+pub use registration_feed::RegistrationFeed;
 pub use registration_source::RegistrationSource;
 pub use registry::{Change, Registry};
 pub use request_metadata::RequestMetadata;
--- a/policy/src/gateway/registration_feed.rs
+++ b/policy/src/gateway/registration_feed.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::registration_log::RegistrationLog;
-use super::{RegistrationBatch, RegistrationSource};
+use super::{ChangesRequest, RegistrationBatch, RegistrationSource};
 use crate::Instant;
 
 /// Pause of the first daemon between two of its reads, and the time for which it lets the source wait
@@ -54,17 +54,6 @@
     source_restored: Option<Instant>,
 }
 
-/// Request of a daemon to another one for the changes that it has missed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ChangesRequest {
-    /// Whose registrations they are.
-    pub source: RegistrationSource,
-    /// Era of the store that the daemon knows.
-    pub era: Option<u64>,
-    /// Revision up to which it knows the changes.
-    pub after: u64,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Known {
     era: Option<u64>,
