--- a/policy/src/gateway/registration_feed.rs
+++ b/policy/src/gateway/registration_feed.rs
@@ -40,9 +40,10 @@
 ///
 /// The first daemon waits for changes and hands them on. Each other one reads what has changed when it
 /// has not heard of it for a while, and hands it on, too. The time depends on its rank, so that
-/// normally one of them reads and the others hear of it in time (suppression by staggered timers, as in S. Floyd et al., "A Reliable Multicast Framework for
-/// Light-weight Sessions and Application Level Framing", 1997). A daemon that hears nothing reads
-/// for itself, so no daemon depends on another one.
+/// normally one of them reads and the others hear of it in time (suppression by staggered timers, as
+/// in S. Floyd et al., "A Reliable Multicast Framework for Light-weight Sessions and Application
+/// Level Framing", 1997). A daemon that hears nothing reads for itself, so no daemon depends on
+/// another one.
 #[derive(Debug, Default)]
 pub struct RegistrationFeed {
     known: Option<Known>,
