--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -11,6 +11,7 @@
 mod connection;
 mod crash_detector;
 mod dialect;
+pub mod duties;
 mod endpoint_handler;
 mod endpoint_index;
 mod event_counter;
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -15,6 +15,7 @@
 mod changes_request;
 mod departure_report;
 mod departures;
+pub mod duties;
 mod endpoint;
 mod engine_load;
 mod engines;
