gateway: requests carry the key of a tenant

The configuration may declare tenants with keys, and routes that are public. Nothing checked keys, and headers of callers for the key and the tenant reached the workers.

The body of such a request is discarded while the response is sent, so that the caller gets it and the connection stays usable. Workers get the tenant's name instead of the key. The digests of unchanged tenants are taken over from the version before. Errors of the configuration's parser no longer quote values of the document, since these may be keys.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -6,6 +6,7 @@
 //! I/O, measures time and reports outcomes to the policy. It runs on a single thread, since an
 //! entry VM has only a fraction of a core.
 
+mod authorization;
 mod caller_connection;
 mod client;
 mod connection;
--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -13,6 +13,9 @@
     /// Parses the head of a caller's request.
     fn parse_request(&self, head: &RequestParts) -> RequestMetadata;
 
+    /// Marks the values of a caller's headers that debug output must not show.
+    fn mark_secrets(&self, headers: &mut HeaderMap);
+
     /// Returns the headers of the request to an endpoint, derived from those of the caller's
     /// request.
     fn request_headers(&self, head: &RequestParts, dispatch: &Dispatch<'_>) -> HeaderMap;
@@ -40,6 +43,10 @@
     pub time_left: Option<Duration>,
     /// Priority at an engine, of which 0 is the most urgent; `None` for a plain service.
     pub priority: Option<u8>,
+    /// Tenant whose key the request carries.
+    pub tenant: Option<&'a Name>,
+    /// Whether the caller's headers for the key and the tenant are withheld from the endpoint.
+    pub hides_tenant_headers: bool,
     /// What the endpoint does with the request.
     pub operation: Operation,
 }
--- a/lib/src/gateway/options.rs
+++ b/lib/src/gateway/options.rs
@@ -55,12 +55,13 @@
     /// Prefix of the keys of registrations; the rest of a key is the endpoint's ID.
     fn endpoints_prefix(&self) -> &'static str;
 
-    /// Parses the operators' configuration.
+    /// Parses the operators' configuration; `previous` is the one in force, if there is one, of
+    /// which parts that have not changed are reused. Messages of errors contain no keys.
     ///
     /// # Errors
     ///
     /// Fails with a message that names what cannot be parsed.
-    fn parse_catalog(&self, value: &Bytes) -> Result<Catalog, String>;
+    fn parse_catalog(&self, value: &Bytes, previous: Option<&Catalog>) -> Result<Catalog, String>;
 
     /// Parses an endpoint's registration.
     ///
--- a/lib/src/gateway/request_context.rs
+++ b/lib/src/gateway/request_context.rs
@@ -34,6 +34,10 @@
     pub(super) fingerprint: Fingerprint,
     pub(super) route: Route,
     pub(super) service: Name,
+    /// Tenant whose key the request carries.
+    pub(super) tenant: Option<Name>,
+    /// Whether the caller's headers for the key and the tenant are withheld from endpoints.
+    pub(super) hides_tenant_headers: bool,
     pub(super) received_at: Instant,
     /// Time limit of the final response.
     pub(super) time_limit: Duration,
@@ -139,6 +143,8 @@
             endpoint,
             time_left: self.metadata.deadline.map(|_| self.time_left()),
             priority,
+            tenant: self.tenant.as_ref(),
+            hides_tenant_headers: self.hides_tenant_headers,
             operation,
         };
         let options = &self.shared.options;
--- a/lib/src/gateway/request_handler.rs
+++ b/lib/src/gateway/request_handler.rs
@@ -8,8 +8,10 @@
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use ragwortgrade_policy::Instant;
-use ragwortgrade_policy::gateway::{Catalog, Fingerprint};
+use ragwortgrade_policy::gateway::Fingerprint;
 
+use super::authorization::{self, AuthorizedRequest};
+use super::caller_connection::CallerConnection;
 use super::local_response::{self, RETRY_AFTER_DEFAULT};
 use super::request_context::{Progress, RequestContext};
 use super::response_body::ResponseBody;
@@ -29,6 +31,7 @@
 /// Handles one request of a caller.
 pub(super) async fn handle(
     shared: Rc<Shared>,
+    caller: &Rc<CallerConnection>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let received_at = shared.now();
@@ -37,7 +40,7 @@
     // Closing the connection keeps bytes after it from being parsed as a request (request
     // smuggling).
     let closes_connection = head.headers.contains_key(TRANSFER_ENCODING);
-    let mut response = respond(&shared, head, body, received_at).await;
+    let mut response = respond(&shared, caller, head, body, received_at).await;
     if closes_connection || shared.is_draining() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -47,7 +50,8 @@
 
 async fn respond(
     shared: &Rc<Shared>,
-    head: Parts,
+    caller: &Rc<CallerConnection>,
+    mut head: Parts,
     body: Incoming,
     received_at: Instant,
 ) -> Response<ResponseBody> {
@@ -58,11 +62,19 @@
     let Some(catalog) = shared.catalog() else {
         return local_response::not_run("not_configured", RETRY_AFTER_DEFAULT);
     };
+    let request = match authorization::check(shared, &catalog, &mut head) {
+        Ok(request) => request,
+        Err(response) => {
+            let bytes_max = catalog.limits().body_bytes;
+            authorization::discard(&head, body, bytes_max, caller.start_request());
+            return *response;
+        }
+    };
     let body = match read_body(body, catalog.limits().body_bytes).await {
         Ok(body) => body,
         Err(response) => return response,
     };
-    let context = match build_context(shared, &catalog, head, body, received_at) {
+    let context = match build_context(shared, request, head, body, received_at) {
         Ok(context) => context,
         Err(response) => return *response,
     };
@@ -127,24 +139,17 @@
 
 fn build_context(
     shared: &Rc<Shared>,
-    catalog: &Catalog,
+    request: AuthorizedRequest,
     head: Parts,
     body: Bytes,
     received_at: Instant,
 ) -> Result<RequestContext, Box<Response<ResponseBody>>> {
-    let metadata = shared.options.dialect.parse_request(&head);
-    let Some(route) = catalog.route(&metadata.host, &metadata.path) else {
-        log::info!(
-            request = metadata.id.as_deref().unwrap_or("-"), host:% = metadata.host,
-            path:% = metadata.path, version = catalog.version();
-            "no matching route"
-        );
-        shared.metrics.count("requests.no_route", 1);
-        return Err(Box::new(local_response::with_reason(
-            StatusCode::NOT_FOUND,
-            "no_route",
-        )));
-    };
+    let AuthorizedRequest {
+        metadata,
+        route,
+        tenant,
+        hides_tenant_headers,
+    } = request;
     let id = metadata.id.as_deref().unwrap_or_default();
     let Some(service) = route.service_for(id).cloned() else {
         let response = local_response::not_run("route_without_service", RETRY_AFTER_DEFAULT);
@@ -152,7 +157,6 @@
     };
     let deadline = metadata.deadline.unwrap_or(Duration::MAX);
     let time_limit = deadline.min(route.time_limit);
-    let route = route.clone();
     let path_and_query = head.uri.path_and_query();
     let path_and_query = path_and_query.map_or_else(|| head.uri.path(), |it| it.as_str());
     let fields = [
@@ -170,6 +174,8 @@
         fingerprint,
         route,
         service,
+        tenant,
+        hides_tenant_headers,
         received_at,
         time_limit,
         progress: Progress::default(),
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -50,8 +50,9 @@
     let service = service_fn(|request: Request<Incoming>| {
         let guard = caller.start_request();
         let shared = Rc::clone(&shared);
+        let caller = Rc::clone(&caller);
         async move {
-            let response = request_handler::handle(shared, request).await;
+            let response = request_handler::handle(shared, &caller, request).await;
             Ok::<_, Infallible>(response.map(|body| body.with_guard(guard)))
         }
     });
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -256,11 +256,12 @@
         if *item.key != *documents.catalog_key() {
             return;
         }
+        let held = self.shared.catalog();
         let parsed = item
             .value
             .as_ref()
             .ok_or_else(|| "value cannot be decoded".to_owned())
-            .and_then(|value| documents.parse_catalog(value));
+            .and_then(|value| documents.parse_catalog(value, held.as_deref()));
         let catalog = match parsed {
             Ok(catalog) => catalog,
             Err(error) => {
--- a/policy/src/gateway/catalog.rs
+++ b/policy/src/gateway/catalog.rs
@@ -2,7 +2,7 @@
 
 use ragwortgrade_schema::Name;
 
-use super::{Limits, Route, Service};
+use super::{Limits, Route, Service, Tenants};
 
 /// Routes and services of one version of the configuration.
 #[derive(Clone, Debug, Default)]
@@ -12,6 +12,7 @@
     services: HashMap<Name, Service>,
     /// Routes by host, longest prefix first.
     hosts: HashMap<Name, Vec<Route>>,
+    tenants: Option<Tenants>,
 }
 
 impl Catalog {
@@ -34,9 +35,25 @@
             limits,
             services,
             hosts,
+            tenants: None,
         }
     }
 
+    /// Adds the tenants, whose keys requests then have to carry.
+    #[must_use]
+    pub fn with_tenants(self, tenants: Tenants) -> Self {
+        Self {
+            tenants: Some(tenants),
+            ..self
+        }
+    }
+
+    /// Returns the tenants, if the configuration declares any.
+    #[must_use]
+    pub const fn tenants(&self) -> Option<&Tenants> {
+        self.tenants.as_ref()
+    }
+
     /// Returns the version, which only increases.
     #[must_use]
     pub const fn version(&self) -> u64 {
--- a/policy/src/gateway/request_metadata.rs
+++ b/policy/src/gateway/request_metadata.rs
@@ -2,7 +2,7 @@
 
 use ragwortgrade_schema::Name;
 
-use super::Prompt;
+use super::{ApiKey, Prompt};
 
 /// Metadata of a caller's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,6 +13,8 @@
     pub host: Name,
     /// Path without the query.
     pub path: Name,
+    /// Key of the caller's tenant.
+    pub api_key: Option<ApiKey>,
     /// Time that the caller waits, counted from arrival.
     pub deadline: Option<Duration>,
     /// Prompt of a generation.
--- a/policy/src/gateway/route.rs
+++ b/policy/src/gateway/route.rs
@@ -26,6 +26,8 @@
     pub attempts_max: u32,
     /// Services among which the requests are split, with their weights.
     pub traffic_split: Vec<(Name, u32)>,
+    /// Whether requests need no key although the configuration has tenants.
+    pub is_public: bool,
 }
 
 /// Whether a request may be run again.
--- a/policy/tests/gateway_support/mod.rs
+++ b/policy/tests/gateway_support/mod.rs
@@ -208,6 +208,7 @@
         pause_target: Some(Duration::from_millis(250)),
         rank,
         attempts_max: 1,
+        is_public: false,
         traffic_split: vec![("models".into(), 1)],
     }
 }
