gateway: learn the speed of each engine and share it

Cause: engines of one fleet differ by a factor of 2.4. Prefill engines had no factor of their own, the latency model has one for all of them, and a daemon sees only 0.1 answers a second of an engine. Change: EngineSpeeds holds a factor for prefill and one for decode of each engine: a running median of nine samples that moves by at most 30% a sample and expires after 30 s. Engines within 15% of the fleet's median, and those without samples, have the factor of the median. Samples of all daemons are appended to load updates, at most 16 of 6 bytes in a datagram. The slowness of engine_load is part of it. engines.rs is split.

--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -11,10 +11,11 @@
 use super::failure::{handle_failure, refuse, refuse_quarantined};
 use super::local_response::RETRY_AFTER_DEFAULT;
 use super::plain::{failure_from, forward_response};
+use super::prefill_guard::PrefillGuard;
 use super::request_context::RequestContext;
 use super::response_body::ResponseBody;
 use super::stream_forwarder::{self, StartedRun};
-use super::work_guard::{PrefillGuard, SequenceGuard, millis};
+use super::work_guard::{SequenceGuard, millis};
 use super::{Disposition, Operation};
 
 /// Time of a remote prefill call beyond the prefill itself, in ms: the fixed part of an engine's
@@ -260,8 +261,7 @@
     let prefill_guard = PrefillGuard::start(
         &context.shared,
         id,
-        placement.priority,
-        placement.prefill_ms,
+        placement,
         PREFILL_CALL_OVERHEAD_MS,
         prompt,
     );
@@ -325,16 +325,8 @@
     let overhead_ms = millis(shared.options.speed.first_event);
     let is_local_prefill = operation == Operation::Run;
     let sequence = SequenceGuard::start(shared, &engine.id, prompt);
-    let prefill_guard = is_local_prefill.then(|| {
-        PrefillGuard::start(
-            shared,
-            &engine.id,
-            placement.priority,
-            placement.prefill_ms,
-            overhead_ms,
-            prompt,
-        )
-    });
+    let prefill_guard = is_local_prefill
+        .then(|| PrefillGuard::start(shared, &engine.id, placement, overhead_ms, prompt));
     let may_have_run_before = context.may_have_run();
     context.record_sent();
     let result = first_bytes(context, engine, placement.priority, operation).await;
--- a/lib/src/gateway/load_exchange.rs
+++ b/lib/src/gateway/load_exchange.rs
@@ -17,6 +17,7 @@
 use super::news_exchange::{self, NewsExchange};
 use super::news_message::NewsMessage;
 use super::shared::Shared;
+use super::speed_report::SpeedReport;
 use super::unreadable_datagrams::UnreadableDatagrams;
 
 /// Interval at which a daemon without recipients looks for some.
@@ -186,6 +187,16 @@
         }
     }
 
+    /// Takes the observed speeds to send to a group.
+    fn speeds(&self, group: PeerGroup) -> SpeedReport {
+        let mut engines = self.shared.engines.borrow_mut();
+        let samples = match group {
+            PeerGroup::Local => engines.take_unsent_speeds_local(),
+            PeerGroup::Remote => engines.take_unsent_speeds_remote(),
+        };
+        SpeedReport::new(&samples)
+    }
+
     fn send(
         &self,
         group: PeerGroup,
@@ -199,7 +210,7 @@
             started_ms: self.started_ms,
         };
         let load_update = LoadUpdate::new(sender, self.sequence.get(), work, parts);
-        let datagram = match postcard::to_allocvec(&load_update) {
+        let datagram = match postcard::to_allocvec(&(load_update, self.speeds(group))) {
             Ok(datagram) => datagram,
             Err(error) => {
                 log::warn!(error:% = error; "load update could not be encoded");
@@ -224,9 +235,12 @@
     fn receive(&self, datagram: &[u8]) -> bool {
         let shared = self.shared;
         // Bytes after the load update are ignored, so that later versions can append to it.
-        let Ok((load_update, _)) = postcard::take_from_bytes::<LoadUpdate>(datagram) else {
+        let Ok((load_update, rest)) = postcard::take_from_bytes::<LoadUpdate>(datagram) else {
             return false;
         };
+        // Earlier versions append no speeds.
+        let speeds = postcard::take_from_bytes::<SpeedReport>(rest);
+        let speeds = speeds.map_or_else(|_| SpeedReport::default(), |(speeds, _)| speeds);
         let now = shared.now();
         let mut peers = shared.peers.borrow_mut();
         if !peers.record_if_newer(&load_update, now) {
@@ -239,9 +253,11 @@
         let mut find = |number| index.find(number, &registry, now);
         let loads = load_update.loads(&mut find);
         let parts = load_update.parts(&mut find);
+        let speeds = speeds.samples(&mut find);
         let mut engines = shared.engines.borrow_mut();
         engines.update_peer(&daemon, loads, now);
         engines.record_peer_parts(parts, now);
+        engines.record_peer_speeds(&speeds, now);
         true
     }
 }
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -9,26 +9,22 @@
     TargetClass, exceeded_limit, may_wait, misses_target_by_size, priority, refusal,
 };
 use super::affinity::{SMALL_FLEET_MAX, affinity_engine, reserved_decoders};
-use super::engine_load::{EngineLoad, REJECTION_DELAY_MIN_MS};
+use super::engine_load::EngineLoad;
+use super::engine_speeds::EngineSpeeds;
 use super::latency_model::LatencyModels;
 use super::peer_loads::PeerLoads;
-use super::placement_request::{CROSS_DATA_CENTRE_COST_MS, PlacementRequest};
-use super::prefill_candidate::{PrefillCandidate, WaitEstimate, slot_wait_ms};
+use super::placement_request::PlacementRequest;
+use super::prefill_candidate::PrefillCandidate;
 use super::unsent_parts::{CachedPart, UnsentParts};
 use super::{
-    CallOutcome, Endpoint, EngineLimits, EngineWork, Placement, Prompt, Refusal, Route, Speed,
-    Stage, WaitLimit,
+    Endpoint, EngineLimits, EngineWork, Placement, Prompt, Refusal, Route, Speed, Stage, WaitLimit,
 };
 use crate::Instant;
 
-/// Cost of a failure rate of 1, in ms: about the time after which a caller abandons its request.
-const FAILURE_COST_MS: f64 = 2_000.0;
-/// Divisor that converts an engine's remaining cold time into waiting time. A cold engine works,
-/// only more slowly.
-const COLD_DIVISOR: f64 = 10.0;
-/// Delay that a running sequence adds to the first event of another one, in ms: several decode
-/// steps, each lengthened by one sequence.
-const SEQUENCE_DELAY_MS: f64 = 0.5;
+mod costs;
+mod speeds;
+mod work;
+
 /// Weight of the time to prefill shared parts that another engine has cached. It exceeds 1 because
 /// other requests lose that time too.
 const RECOMPUTE_WEIGHT: f64 = 2.0;
@@ -40,23 +36,10 @@
 const SHARED_TOKENS_MIN: u32 = 500;
 /// Longest queue of an engine that counts as idle: one or two decode steps.
 const IDLE_QUEUE_MAX: Duration = Duration::from_millis(10);
-/// Additional weight of the time of a local prefill on an engine that is reserved for long outputs,
-/// since each of its outputs is delayed by it.
-const RESERVED_PREFILL_WEIGHT: f64 = 3.0;
-/// Fraction of time for which a reserved decode engine is assumed to run local prefills.
-const RESERVED_PREFILL_FRACTION: f64 = 0.1;
-/// The same for the other decode engines under high load.
-const UNRESERVED_PREFILL_FRACTION: f64 = 0.4;
-/// Shortest output from which an engine's speed is estimated: eight events of ten tokens.
-const OUTPUT_TOKENS_MIN: u32 = 80;
-/// Weight of the time of the whole output. The first event, of weight 1, matters more to callers.
-const OUTPUT_WEIGHT: f64 = 0.1;
 /// Ratio of the decode step time to that of an idle engine above which the engine accepts no
 /// request that misses its target. Beyond it, the longest outputs need most of the time that
 /// their callers allow.
 const SLOWED_STEP_RATIO: f64 = 1.25;
-/// Ranks paused engines behind all others but leaves them usable when there is no other.
-const PAUSED_COST_MS: f64 = 1e5;
 
 /// Engines and the work of all daemons on them. Chooses where a generation runs.
 ///
@@ -69,6 +52,7 @@
     speed: Speed,
     latencies: LatencyModels,
     loads: HashMap<Name, EngineLoad>,
+    speeds: EngineSpeeds,
     peers: PeerLoads,
     /// Shared parts that were sent to engines and not yet reported to other daemons.
     unsent_parts: UnsentParts,
@@ -84,6 +68,7 @@
             speed,
             latencies: LatencyModels::new(&speed),
             loads: HashMap::new(),
+            speeds: EngineSpeeds::default(),
             peers: PeerLoads::default(),
             unsent_parts: UnsentParts::default(),
             order_seed: 0,
@@ -322,219 +307,6 @@
         xxh3_64_with_seed(engine.id.as_bytes(), self.order_seed)
     }
 
-    fn prefill_candidate<'a>(
-        &self,
-        engine: &'a Endpoint,
-        request: &PlacementRequest<'_>,
-        is_local_prefill: bool,
-        is_affinity_engine: bool,
-    ) -> PrefillCandidate<'a> {
-        let load = self.loads.get(&engine.id);
-        let shared = request.prompt.shared();
-        let cached_tokens = load.map_or(0, |load| load.cached_tokens(shared, request.now));
-        let shared_tokens = request.prompt.shared_tokens();
-        let recomputed_tokens = if is_affinity_engine {
-            0
-        } else {
-            shared_tokens.saturating_sub(cached_tokens)
-        };
-        let slowness = load.map_or(1.0, EngineLoad::slowness);
-        let prefill_ms = slowness
-            * self.latencies.for_prefill(is_local_prefill).factor
-            * self
-                .speed
-                .prefill_ms(request.prompt.tokens, cached_tokens, is_local_prefill);
-        let mut local_cost_ms = 0.0;
-        if is_local_prefill {
-            local_cost_ms = self.output_cost_ms(engine, request);
-            if request.reserved_decoders.contains(&engine.id) {
-                local_cost_ms += prefill_ms * RESERVED_PREFILL_WEIGHT;
-            }
-        }
-        let mut wait = self.estimate_wait(engine, request);
-        wait.cost_ms += request.cross_data_centre_cost_ms(engine, is_affinity_engine);
-        let recompute_ms = f64::from(recomputed_tokens) / self.speed.prefill_tokens_per_ms
-            * request.recompute_weight;
-        PrefillCandidate {
-            engine,
-            latency_ms: prefill_ms + wait.latency_ms,
-            cost_ms: prefill_ms + local_cost_ms + recompute_ms + wait.cost_ms,
-            prefill_ms,
-            cached_tokens,
-        }
-    }
-
-    /// Estimates the wait until an engine starts a request.
-    fn estimate_wait(&self, engine: &Endpoint, request: &PlacementRequest<'_>) -> WaitEstimate {
-        let work = self.total_work(&engine.id, request.now);
-        let cold_ms = engine.cold_remaining.as_secs_f64() * 1e3 / COLD_DIVISOR;
-        let mut latency_ms = work.ahead_ms(request.priority) + cold_ms;
-        let mut cost_ms = f64::from(work.sequences) * SEQUENCE_DELAY_MS;
-        latency_ms += slot_wait_ms(work.sequences, engine.slots);
-        if let Some(load) = self.loads.get(&engine.id) {
-            latency_ms += load.delay_ms(request.priority, request.now);
-            cost_ms += load.health.failure_rate() * FAILURE_COST_MS;
-            if !load.health.is_usable(request.now) {
-                cost_ms += PAUSED_COST_MS;
-            }
-        }
-        WaitEstimate {
-            latency_ms,
-            cost_ms: latency_ms + cost_ms,
-        }
-    }
-
-    /// Returns the cost of decoding the whole output on an engine, in ms.
-    fn output_cost_ms(&self, engine: &Endpoint, request: &PlacementRequest<'_>) -> f64 {
-        let tokens = request.prompt.output_tokens_hint.unwrap_or_default();
-        let prefill_fraction = if request.reserved_decoders.contains(&engine.id) {
-            RESERVED_PREFILL_FRACTION
-        } else {
-            UNRESERVED_PREFILL_FRACTION
-        };
-        let sequences = self.total_work(&engine.id, request.now).sequences;
-        let slowness = self.loads.get(&engine.id).map_or(1.0, EngineLoad::slowness);
-        let step_ms = self.speed.step_ms(sequences, prefill_fraction) * slowness;
-        f64::from(tokens) * step_ms * OUTPUT_WEIGHT
-    }
-
-    /// Updates the latency model with the time from a placement to its first event, in ms.
-    pub fn observe_first_event(&mut self, placement: &Placement, took_ms: f64) {
-        self.latencies.observe(placement, took_ms);
-    }
-
-    /// Updates an engine's slowness with a sequence that produced `tokens` in `millis` after its
-    /// first event.
-    pub fn observe_output(&mut self, id: &Name, tokens: u32, millis: f64, now: Instant) {
-        if tokens < OUTPUT_TOKENS_MIN {
-            return;
-        }
-        let sequences = self.total_work(id, now).sequences;
-        let expected_ms =
-            self.speed.step_ms(sequences, UNRESERVED_PREFILL_FRACTION) * f64::from(tokens);
-        if let Some(load) = self.loads.get_mut(id) {
-            load.observe_slowness(millis / expected_ms);
-        }
-    }
-
-    /// Returns the engine that decodes after a remote prefill on `prefill`.
-    fn decoder_for<'a>(
-        &self,
-        prefill: &Endpoint,
-        decoders: impl Iterator<Item = &'a Endpoint>,
-        request: &PlacementRequest<'_>,
-    ) -> Option<(&'a Endpoint, WaitEstimate)> {
-        let wait = |engine: &Endpoint| {
-            let mut wait = self.estimate_wait(engine, request);
-            wait.cost_ms += request.cross_data_centre_cost_ms(engine, false);
-            if engine.data_centre != prefill.data_centre {
-                wait.cost_ms += CROSS_DATA_CENTRE_COST_MS;
-            }
-            wait.cost_ms += self.output_cost_ms(engine, request);
-            wait
-        };
-        decoders
-            .map(|engine| (engine, wait(engine)))
-            .min_by(|left, right| {
-                left.1
-                    .cost_ms
-                    .total_cmp(&right.1.cost_ms)
-                    .then_with(|| self.order(left.0).cmp(&self.order(right.0)))
-            })
-    }
-
-    /// Records that a prompt was sent to an engine for prefill with this priority; 0 is the most
-    /// urgent. `expected_ms` is the time that it is expected to take with the known work.
-    pub fn prefill_sent(
-        &mut self,
-        id: &Name,
-        priority: u8,
-        prefill_ms: f64,
-        expected_ms: f64,
-        prompt: &Prompt,
-        now: Instant,
-    ) {
-        let load = self.loads.entry(id.clone()).or_default();
-        load.begin_prefill(priority, prefill_ms, expected_ms, now);
-        load.health.begin_trial(now);
-        self.record_shared_parts(id, prompt, now);
-    }
-
-    /// Records the end of a prefill that was expected to take `expected_ms` with the known work.
-    pub fn prefill_ended(
-        &mut self,
-        id: &Name,
-        priority: u8,
-        prefill_ms: f64,
-        expected_ms: f64,
-        outcome: CallOutcome,
-        now: Instant,
-    ) {
-        let Some(load) = self.loads.get_mut(id) else {
-            return;
-        };
-        load.end_prefill(priority, prefill_ms);
-        match outcome {
-            CallOutcome::Done { millis } => {
-                load.observe_delay(priority, millis - expected_ms, now);
-                load.health.succeeded();
-            }
-            CallOutcome::Rejected => {
-                load.observe_delay(priority, expected_ms.max(REJECTION_DELAY_MIN_MS), now);
-            }
-            CallOutcome::Unreachable => load.health.unreachable(now),
-            CallOutcome::Failed => load.health.failed(now),
-            CallOutcome::Abandoned => {}
-        }
-    }
-
-    /// Returns the known work of all daemons on an engine.
-    fn total_work(&self, id: &Name, now: Instant) -> EngineWork {
-        let mut work = self.peers.total(id, now);
-        if let Some(load) = self.loads.get(id) {
-            work.add(&load.own_work(now));
-        }
-        work
-    }
-
-    /// Returns how long the known work of all daemons delays a request on an engine, in ms.
-    /// Priority 0 is the most urgent.
-    #[must_use]
-    pub fn known_wait_ms(&self, id: &Name, priority: u8, now: Instant) -> f64 {
-        self.total_work(id, now).ahead_ms(priority)
-    }
-
-    /// Records that a sequence was sent to an engine.
-    pub fn sequence_sent(&mut self, id: &Name, prompt: &Prompt, now: Instant) {
-        let load = self.loads.entry(id.clone()).or_default();
-        load.sequences += 1;
-        load.health.begin_trial(now);
-        self.record_shared_parts(id, prompt, now);
-    }
-
-    /// Records the end of a sequence.
-    pub fn sequence_ended(&mut self, id: &Name, outcome: CallOutcome, now: Instant) {
-        let Some(load) = self.loads.get_mut(id) else {
-            return;
-        };
-        load.sequences = load.sequences.saturating_sub(1);
-        match outcome {
-            CallOutcome::Done { .. } => load.health.succeeded(),
-            CallOutcome::Unreachable => load.health.unreachable(now),
-            CallOutcome::Failed => load.health.failed(now),
-            CallOutcome::Rejected | CallOutcome::Abandoned => {}
-        }
-    }
-
-    fn record_shared_parts(&mut self, id: &Name, prompt: &Prompt, now: Instant) {
-        let shared = prompt.shared();
-        let load = self.loads.entry(id.clone()).or_default();
-        load.record_parts(shared.iter().map(|part| part.id), now);
-        for part in shared {
-            self.unsent_parts.record(id, part);
-        }
-    }
-
     /// Returns whether there are shared parts to report to the daemons that receive all parts.
     #[must_use]
     pub fn has_unsent_local(&self) -> bool {
@@ -585,11 +357,13 @@
         if let Some(load) = self.loads.get_mut(id) {
             load.reset();
         }
+        self.speeds.remove(id);
     }
 
     /// Removes engines that are no longer registered, unless this daemon has sequences there.
     pub fn retain(&mut self, is_registered: impl Fn(&Name) -> bool) {
         self.loads
             .retain(|id, load| load.sequences > 0 || is_registered(id));
+        self.speeds.retain(is_registered);
     }
 }
--- /dev/null
+++ b/policy/src/gateway/engines/costs.rs
@@ -0,0 +1,141 @@
+//! Waits and costs of the candidates of a placement.
+
+use super::super::Endpoint;
+use super::super::engine_speeds::SpeedKind;
+use super::super::placement_request::{CROSS_DATA_CENTRE_COST_MS, PlacementRequest};
+use super::super::prefill_candidate::{PrefillCandidate, WaitEstimate, slot_wait_ms};
+use super::Engines;
+
+/// Cost of a failure rate of 1, in ms: about the time after which a caller abandons its request.
+const FAILURE_COST_MS: f64 = 2_000.0;
+/// Divisor that converts an engine's remaining cold time into waiting time. A cold engine works,
+/// only more slowly.
+const COLD_DIVISOR: f64 = 10.0;
+/// Delay that a running sequence adds to the first event of another one, in ms: several decode
+/// steps, each lengthened by one sequence.
+const SEQUENCE_DELAY_MS: f64 = 0.5;
+/// Additional weight of the time of a local prefill on an engine that is reserved for long outputs,
+/// since each of its outputs is delayed by it.
+const RESERVED_PREFILL_WEIGHT: f64 = 3.0;
+/// Fraction of time for which a reserved decode engine is assumed to run local prefills.
+const RESERVED_PREFILL_FRACTION: f64 = 0.1;
+/// Fraction of time for which other decode engines are assumed to run local prefills under high load.
+pub(super) const UNRESERVED_PREFILL_FRACTION: f64 = 0.4;
+/// Weight of the time of the whole output. The first event, of weight 1, matters more to callers.
+const OUTPUT_WEIGHT: f64 = 0.1;
+/// Ranks paused engines behind all others but leaves them usable when there is no other.
+const PAUSED_COST_MS: f64 = 1e5;
+
+impl Engines {
+    pub(super) fn prefill_candidate<'a>(
+        &self,
+        engine: &'a Endpoint,
+        request: &PlacementRequest<'_>,
+        is_local_prefill: bool,
+        is_affinity_engine: bool,
+    ) -> PrefillCandidate<'a> {
+        let load = self.loads.get(&engine.id);
+        let shared = request.prompt.shared();
+        let cached_tokens = load.map_or(0, |load| load.cached_tokens(shared, request.now));
+        let shared_tokens = request.prompt.shared_tokens();
+        let recomputed_tokens = if is_affinity_engine {
+            0
+        } else {
+            shared_tokens.saturating_sub(cached_tokens)
+        };
+        // Decode engines are observed by their outputs; samples of their prefills are rarer.
+        let kind = if is_local_prefill {
+            SpeedKind::Decode
+        } else {
+            SpeedKind::Prefill
+        };
+        let prefill_ms = self.speeds.relative_factor(&engine.id, kind, request.now)
+            * self.latencies.for_prefill(is_local_prefill).factor
+            * self
+                .speed
+                .prefill_ms(request.prompt.tokens, cached_tokens, is_local_prefill);
+        let mut local_cost_ms = 0.0;
+        if is_local_prefill {
+            local_cost_ms = self.output_cost_ms(engine, request);
+            if request.reserved_decoders.contains(&engine.id) {
+                local_cost_ms += prefill_ms * RESERVED_PREFILL_WEIGHT;
+            }
+        }
+        let mut wait = self.estimate_wait(engine, request);
+        wait.cost_ms += request.cross_data_centre_cost_ms(engine, is_affinity_engine);
+        let recompute_ms = f64::from(recomputed_tokens) / self.speed.prefill_tokens_per_ms
+            * request.recompute_weight;
+        PrefillCandidate {
+            engine,
+            latency_ms: prefill_ms + wait.latency_ms,
+            cost_ms: prefill_ms + local_cost_ms + recompute_ms + wait.cost_ms,
+            prefill_ms,
+            cached_tokens,
+        }
+    }
+
+    /// Estimates the wait until an engine starts a request.
+    fn estimate_wait(&self, engine: &Endpoint, request: &PlacementRequest<'_>) -> WaitEstimate {
+        let work = self.total_work(&engine.id, request.now);
+        let cold_ms = engine.cold_remaining.as_secs_f64() * 1e3 / COLD_DIVISOR;
+        let mut latency_ms = work.ahead_ms(request.priority) + cold_ms;
+        let mut cost_ms = f64::from(work.sequences) * SEQUENCE_DELAY_MS;
+        let slowness = self
+            .speeds
+            .relative_factor(&engine.id, SpeedKind::Decode, request.now);
+        latency_ms += slot_wait_ms(work.sequences, engine.slots) * slowness;
+        if let Some(load) = self.loads.get(&engine.id) {
+            latency_ms += load.delay_ms(request.priority, request.now);
+            cost_ms += load.health.failure_rate() * FAILURE_COST_MS;
+            if !load.health.is_usable(request.now) {
+                cost_ms += PAUSED_COST_MS;
+            }
+        }
+        WaitEstimate {
+            latency_ms,
+            cost_ms: latency_ms + cost_ms,
+        }
+    }
+
+    /// Returns the cost of decoding the whole output on an engine, in ms.
+    fn output_cost_ms(&self, engine: &Endpoint, request: &PlacementRequest<'_>) -> f64 {
+        let tokens = request.prompt.output_tokens_hint.unwrap_or_default();
+        let prefill_fraction = if request.reserved_decoders.contains(&engine.id) {
+            RESERVED_PREFILL_FRACTION
+        } else {
+            UNRESERVED_PREFILL_FRACTION
+        };
+        let sequences = self.total_work(&engine.id, request.now).sequences;
+        let slowness = self
+            .speeds
+            .factor(&engine.id, SpeedKind::Decode, request.now);
+        let step_ms = self.speed.step_ms(sequences, prefill_fraction) * slowness;
+        f64::from(tokens) * step_ms * OUTPUT_WEIGHT
+    }
+
+    /// Returns the engine that decodes after a remote prefill on `prefill`.
+    pub(super) fn decoder_for<'a>(
+        &self,
+        prefill: &Endpoint,
+        decoders: impl Iterator<Item = &'a Endpoint>,
+        request: &PlacementRequest<'_>,
+    ) -> Option<(&'a Endpoint, WaitEstimate)> {
+        let wait = |engine: &Endpoint| {
+            let mut wait = self.estimate_wait(engine, request);
+            wait.cost_ms += request.cross_data_centre_cost_ms(engine, false);
+            if engine.data_centre != prefill.data_centre {
+                wait.cost_ms += CROSS_DATA_CENTRE_COST_MS;
+            }
+            wait.cost_ms += self.output_cost_ms(engine, request);
+            wait
+        };
+        decoders
+            .map(|engine| (engine, wait(engine)))
+            .min_by(|left, right| {
+                left.1
+                    .cost_ms
+                    .total_cmp(&right.1.cost_ms)
+                    .then_with(|| self.order(left.0).cmp(&self.order(right.0)))
+            })
+    }
+}
