gateway: log why a stream was late and where its time went

Cause: the log did not tell a late first event from a pause between events. Change: `stream ended` has late, pauses, longest_pause_ms and the times of the daemon, the queue, the prefill, the transfer and decoding; metrics count late streams by cause.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -44,6 +44,8 @@
 mod store;
 mod store_watcher;
 mod stream_forwarder;
+mod stream_pauses;
+mod stream_times;
 mod unreadable_datagrams;
 mod work_guard;
 
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -15,6 +15,7 @@
 use super::request_context::RequestContext;
 use super::response_body::ResponseBody;
 use super::stream_forwarder::{self, StartedRun};
+use super::stream_times::StreamTimes;
 use super::work_guard::{SequenceGuard, millis};
 use super::{Disposition, Operation};
 
@@ -71,6 +72,7 @@
                 continue;
             }
         };
+        let prefilled_at = context.shared.now();
         // The part may have been quarantined during the prefill.
         if let Some(response) = refuse_quarantined(context) {
             return response;
@@ -86,9 +88,17 @@
         });
         let (failure, endpoint_response) =
             match start_run(context, limits, &engine, &placement, operation).await {
-                Attempt::Started(run) => {
+                Attempt::Started(mut run) => {
                     let shared = &context.shared;
                     let took_ms = millis(shared.now().since(placed_at));
+                    run.times = StreamTimes::new(
+                        context.received_at,
+                        placed_at,
+                        prefilled_at,
+                        shared.now(),
+                        &placement,
+                        call_overhead(context, &placement),
+                    );
                     let mut engines = shared.engines.borrow_mut();
                     engines.observe_first_event(&placement, took_ms);
                     drop(engines);
@@ -102,6 +112,14 @@
     }
 }
 
+/// Returns the fixed part of the call that prefills the prompt of a placement.
+fn call_overhead(context: &RequestContext, placement: &Placement) -> Duration {
+    match placement.prefill {
+        Some(_) => Duration::from_secs_f64(PREFILL_CALL_OVERHEAD_MS / 1e3),
+        None => context.shared.options.speed.first_event,
+    }
+}
+
 fn place(
     context: &RequestContext,
     limits: &EngineLimits,
@@ -345,6 +363,8 @@
                     sequence,
                     engine: engine.clone(),
                     event_tokens: limits.event_tokens,
+                    priority: placement.priority,
+                    times: StreamTimes::default(),
                 };
                 return Attempt::Started(Box::new(run));
             }
--- a/lib/src/gateway/stream_forwarder.rs
+++ b/lib/src/gateway/stream_forwarder.rs
@@ -13,6 +13,8 @@
 use super::request_context::RequestContext;
 use super::response_body::{Chunk, ResponseBody};
 use super::shared::Shared;
+use super::stream_pauses::StreamPauses;
+use super::stream_times::StreamTimes;
 use super::work_guard::{SequenceGuard, millis};
 
 /// Chunks buffered for a slow caller; with a full buffer the engine's connection is not read.
@@ -32,6 +34,9 @@
     pub(super) engine: Endpoint,
     /// Tokens per event.
     pub(super) event_tokens: u32,
+    /// Priority at the engine; 0 is the most urgent.
+    pub(super) priority: u8,
+    pub(super) times: StreamTimes,
 }
 
 /// How a stream ended.
@@ -58,6 +63,8 @@
         request_id: context.id().into(),
         route: context.route.name.clone(),
         first_ms: millis(context.elapsed()),
+        target: context.route.target,
+        pause_target: context.route.pause_target,
         time_left: context.time_left(),
         event_tokens: run.event_tokens,
         started_at: Instant::now(),
@@ -76,6 +83,10 @@
     route: Name,
     /// Time from the arrival of the request to the first event.
     first_ms: f64,
+    /// Time within which the first event has its full value.
+    target: Duration,
+    /// Longest pause with which the stream meets its target.
+    pause_target: Option<Duration>,
     time_left: Duration,
     event_tokens: u32,
     /// When the first event arrived.
@@ -89,11 +100,13 @@
     async fn run(self, mut run: StartedRun, sender: Sender<Chunk>) {
         let mut sent_bytes = 0;
         let mut events = EventCounter::new(self.output_max);
+        let mut pauses = StreamPauses::new(self.pause_target, self.started_at);
         let first = run.first_bytes.take();
         let forwarding = forward_chunks(&mut run.exchange, first, &sender, |bytes| {
             sent_bytes += bytes.len();
             let events_before = events.events();
             let is_valid = events.count(bytes);
+            pauses.record(events.events(), Instant::now());
             if events_before < BEGUN_EVENTS && events.events() >= BEGUN_EVENTS {
                 self.record_begin();
             }
@@ -106,17 +119,7 @@
             StreamEnd::Complete if events.is_inside_event() => StreamEnd::Broken,
             end => end,
         };
-        log::info!(
-            request:% = self.request_id, route:% = self.route, engine:% = run.engine.id, end:? = end,
-            first_ms = self.first_ms as u64,
-            total_ms = self.started_at.elapsed().as_millis() as u64,
-            bytes = sent_bytes, events = events.events(),
-            output_max = self.output_max, output_hint:? = self.output_hint;
-            "stream ended"
-        );
-        self.shared
-            .metrics
-            .time("stream.first_event_ms", self.first_ms as u64);
+        self.report(&run, end, &events, &pauses, sent_bytes);
         match end {
             StreamEnd::Complete => {
                 if events.events() < BEGUN_EVENTS {
@@ -149,6 +152,37 @@
         }
     }
 
+    /// Reports how the stream ended, whether it missed its target and where its time went.
+    fn report(
+        &self,
+        run: &StartedRun,
+        end: StreamEnd,
+        events: &EventCounter,
+        pauses: &StreamPauses,
+        sent_bytes: usize,
+    ) {
+        let late = pauses.lateness(self.first_ms > millis(self.target));
+        let times = &run.times;
+        log::info!(
+            request:% = self.request_id, route:% = self.route, engine:% = run.engine.id, end:? = end,
+            first_ms = self.first_ms as u64,
+            total_ms = self.started_at.elapsed().as_millis() as u64,
+            bytes = sent_bytes, events = events.events(),
+            output_max = self.output_max, output_hint:? = self.output_hint,
+            late, target_ms = self.target.as_millis() as u64, pauses = pauses.over_target(),
+            longest_pause_ms = pauses.longest().as_millis() as u64, priority = run.priority,
+            daemon_ms = times.daemon.as_millis() as u64, queue_ms = times.queue.as_millis() as u64,
+            prefill_ms = times.prefill.as_millis() as u64, transfer_ms = times.transfer.as_millis() as u64,
+            decode_ms = self.started_at.elapsed().as_millis() as u64;
+            "stream ended"
+        );
+        let metrics = &self.shared.metrics;
+        metrics.time("stream.first_event_ms", self.first_ms as u64);
+        if late != "none" {
+            metrics.count(&format!("streams.late_{late}"), 1);
+        }
+    }
+
     /// Records that the request does not crash engines.
     fn record_begin(&self) {
         self.shared.update_quarantine(|quarantine, now| {
