gateway: order requests by need where ranks and targets contradict

Cause: by rank, requests that need an eighth of a target of 1,000 ms go before those that are hardly in time for 500 ms. Change: in a service where a more urgent rank has the longer target, the priority at the engine follows the spare time: the target less the time of the request's own work. A request whose rank is more urgent gets the priority of its rank as soon as it would wait for more than 0.3 of its target, or be refused. Other services keep their order. The handler of the configuration and the choice of engines move out of store_watcher and generation.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -7,12 +7,14 @@
 //! entry VM has only a fraction of a core.
 
 mod caller_connection;
+mod catalog_handler;
 mod client;
 mod connection;
 mod crash_detector;
 mod dialect;
 mod endpoint_handler;
 mod endpoint_index;
+mod engine_choice;
 mod event_counter;
 mod exchange;
 mod failure;
--- /dev/null
+++ b/lib/src/gateway/catalog_handler.rs
@@ -0,0 +1,82 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use ragwortgrade_policy::Instant;
+
+use super::shared::Shared;
+use super::store_watcher::{Read, WatchHandler};
+use super::{Item, Update};
+
+/// Applies versions of the operators' configuration.
+pub(super) struct CatalogHandler {
+    pub(super) shared: Rc<Shared>,
+}
+
+impl CatalogHandler {
+    fn apply_item(&self, item: &Item) {
+        let documents = &self.shared.options.documents;
+        if *item.key != *documents.catalog_key() {
+            return;
+        }
+        let parsed = item
+            .value
+            .as_ref()
+            .ok_or_else(|| "value cannot be decoded".to_owned())
+            .and_then(|value| documents.parse_catalog(value));
+        let catalog = match parsed {
+            Ok(catalog) => catalog,
+            Err(error) => {
+                log::error!(
+                    revision = item.revision, error:% = error;
+                    "configuration cannot be parsed; ignored"
+                );
+                return;
+            }
+        };
+        let mut current = self.shared.catalog.borrow_mut();
+        let current_version = current.as_ref().map(|catalog| catalog.version());
+        if current_version.is_some_and(|version| version >= catalog.version()) {
+            log::debug!(
+                version = catalog.version(), held:? = current_version;
+                "configuration is not newer than the current one; ignored"
+            );
+            return;
+        }
+        log::info!(
+            version = catalog.version(), before:? = current_version, routes = catalog.routes_len(),
+            revision = item.revision;
+            "configuration applied"
+        );
+        self.shared
+            .metrics
+            .gauge("configuration.version", catalog.version());
+        let mut engines = self.shared.engines.borrow_mut();
+        engines.apply_routes(catalog.routes());
+        drop(engines);
+        *current = Some(Rc::new(catalog));
+        self.shared.notify_loaded();
+    }
+}
+
+impl WatchHandler for CatalogHandler {
+    fn on_list(&self, items: Vec<Item>, _read: Read) {
+        for item in &items {
+            self.apply_item(item);
+        }
+    }
+
+    fn on_updates(&self, updates: Vec<Update>, _after: u64, _read: Read) {
+        for update in updates {
+            match update {
+                Update::Written(item) => self.apply_item(&item),
+                Update::Removed { key, .. } => {
+                    log::error!(key:% = key; "configuration was removed; keeping the current one");
+                }
+            }
+        }
+    }
+
+    fn pause(&self, _read_end: Instant) -> Duration {
+        Duration::ZERO
+    }
+}
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -8,6 +8,7 @@
 use ragwortgrade_policy::gateway::{ReadRetry, RegistrationFeed};
 use ragwortgrade_schema::Name;
 
+use super::catalog_handler::CatalogHandler;
 use super::endpoint_handler::EndpointHandler;
 use super::shared::Shared;
 use super::{Item, StoreError, Update, Updates};
@@ -245,73 +246,3 @@
     handler.on_updates(updates, after, read);
     Ok(revision)
 }
-
-struct CatalogHandler {
-    shared: Rc<Shared>,
-}
-
-impl CatalogHandler {
-    fn apply_item(&self, item: &Item) {
-        let documents = &self.shared.options.documents;
-        if *item.key != *documents.catalog_key() {
-            return;
-        }
-        let parsed = item
-            .value
-            .as_ref()
-            .ok_or_else(|| "value cannot be decoded".to_owned())
-            .and_then(|value| documents.parse_catalog(value));
-        let catalog = match parsed {
-            Ok(catalog) => catalog,
-            Err(error) => {
-                log::error!(
-                    revision = item.revision, error:% = error;
-                    "configuration cannot be parsed; ignored"
-                );
-                return;
-            }
-        };
-        let mut current = self.shared.catalog.borrow_mut();
-        let current_version = current.as_ref().map(|catalog| catalog.version());
-        if current_version.is_some_and(|version| version >= catalog.version()) {
-            log::debug!(
-                version = catalog.version(), held:? = current_version;
-                "configuration is not newer than the current one; ignored"
-            );
-            return;
-        }
-        log::info!(
-            version = catalog.version(), before:? = current_version, routes = catalog.routes_len(),
-            revision = item.revision;
-            "configuration applied"
-        );
-        self.shared
-            .metrics
-            .gauge("configuration.version", catalog.version());
-        *current = Some(Rc::new(catalog));
-        self.shared.notify_loaded();
-    }
-}
-
-impl WatchHandler for CatalogHandler {
-    fn on_list(&self, items: Vec<Item>, _read: Read) {
-        for item in &items {
-            self.apply_item(item);
-        }
-    }
-
-    fn on_updates(&self, updates: Vec<Update>, _after: u64, _read: Read) {
-        for update in updates {
-            match update {
-                Update::Written(item) => self.apply_item(&item),
-                Update::Removed { key, .. } => {
-                    log::error!(key:% = key; "configuration was removed; keeping the current one");
-                }
-            }
-        }
-    }
-
-    fn pause(&self, _read_end: Instant) -> Duration {
-        Duration::ZERO
-    }
-}
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -26,6 +26,7 @@
 mod latency_model;
 mod limits;
 mod lost_run;
+mod need_order;
 mod outcome;
 mod peer;
 mod peer_directory;
--- a/policy/src/gateway/catalog.rs
+++ b/policy/src/gateway/catalog.rs
@@ -67,6 +67,11 @@
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns the routes of all hosts in arbitrary order.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.hosts.values().flatten()
+    }
+
     /// Returns the number of routes of all hosts.
     #[must_use]
     pub fn routes_len(&self) -> usize {
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -12,6 +12,7 @@
 use super::engine_load::EngineLoad;
 use super::engine_speeds::EngineSpeeds;
 use super::latency_model::LatencyModels;
+use super::need_order::{NeedOrder, has_spare_time};
 use super::peer_loads::PeerLoads;
 use super::placement_request::PlacementRequest;
 use super::prefill_candidate::PrefillCandidate;
@@ -53,6 +54,7 @@
     latencies: LatencyModels,
     loads: HashMap<Name, EngineLoad>,
     speeds: EngineSpeeds,
+    need_order: NeedOrder,
     peers: PeerLoads,
     /// Shared parts that were sent to engines and not yet reported to other daemons.
     unsent_parts: UnsentParts,
@@ -69,6 +71,7 @@
             latencies: LatencyModels::new(&speed),
             loads: HashMap::new(),
             speeds: EngineSpeeds::default(),
+            need_order: NeedOrder::default(),
             peers: PeerLoads::default(),
             unsent_parts: UnsentParts::default(),
             order_seed: 0,
@@ -82,6 +85,12 @@
         Self { order_seed, ..self }
     }
 
+    /// Applies the routes of a new configuration, whose ranks and targets determine the order of
+    /// requests.
+    pub fn apply_routes<'a>(&mut self, routes: impl IntoIterator<Item = &'a Route>) {
+        self.need_order = NeedOrder::new(routes);
+    }
+
     /// Chooses where a generation runs.
     ///
     /// `time_left` is the time until the caller's deadline or the route's time limit. `wait_limit`
@@ -104,14 +113,26 @@
         data_centre: &Name,
         now: Instant,
     ) -> Result<Placement, Refusal> {
-        let request = self.request(candidates, prompt, route, limits, data_centre, now);
+        let mut request = self.request(candidates, prompt, route, limits, data_centre, now);
         let of_stage = |stage| {
             candidates
                 .iter()
                 .copied()
                 .filter(move |it| it.stage == Some(stage) && !tried.contains(&it.id))
         };
-        let Some(placement) = self.choose(of_stage, &request) else {
+        let mut chosen = self.choose(of_stage, &request);
+        // A more urgent rank lets others go first only while it has time to spare.
+        let rank_priority = priority(route, TargetClass::Met);
+        let needs_rank = |placement: &Placement| {
+            request.priority > rank_priority
+                && (!has_spare_time(placement.expected, route)
+                    || exceeded_limit(placement, route, time_left, wait_limit).is_some())
+        };
+        if chosen.as_ref().is_some_and(needs_rank) {
+            request.priority = rank_priority;
+            chosen = self.choose(of_stage, &request);
+        }
+        let Some(placement) = chosen else {
             return Err(Refusal {
                 reason: "no_engine",
                 estimate: None,
@@ -195,7 +216,7 @@
             affinity_key: prompt.affinity_key(),
             data_centre,
             limits,
-            priority: priority(route, TargetClass::Met),
+            priority: self.met_priority(prompt, route),
             misses_target: false,
             recompute_weight: self.recompute_weight(prompt, route),
             is_large_fleet: candidates.len() > SMALL_FLEET_MAX,
@@ -204,6 +225,25 @@
         }
     }
 
+    /// Returns the priority of a request that can meet its target: by need where ranks and targets
+    /// contradict each other, otherwise by rank.
+    fn met_priority(&self, prompt: &Prompt, route: &Route) -> u8 {
+        let by_need = self.need_order.priority(route, self.own_ms(prompt));
+        by_need.unwrap_or_else(|| priority(route, TargetClass::Met))
+    }
+
+    /// Returns the time until the first event of a prompt on an engine of median speed without other
+    /// work and with the shared parts in its cache, in ms.
+    fn own_ms(&self, prompt: &Prompt) -> f64 {
+        let of_prefill = |is_local_prefill| {
+            let model = self.latencies.for_prefill(is_local_prefill);
+            let shared_tokens = prompt.shared_tokens();
+            let prefill_ms = self.configured_prefill_ms(prompt, shared_tokens, is_local_prefill);
+            model.overhead_ms + model.factor * prefill_ms
+        };
+        of_prefill(true).min(of_prefill(false))
+    }
+
     /// Returns whether the engine's sequences slow each other down so much that a further request
     /// that misses its own target would make others miss theirs.
     fn is_slowed(&self, id: &Name, now: Instant) -> bool {
