gateway: count the pauses that local prefills cause

Cause: each chunk of a local prefill lengthens a decode step of all streams of the engine; on a slow engine, one long or a few short prompts make a pause longer than callers accept. Change: the cost of a local prefill includes the streams that it delays, from the expected pause: the time of an event and of all prefills that the engine still has to do, at its own speed. Before a refusal the pauses don't count.

--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -146,6 +146,7 @@
         // must prefill the shared parts again.
         let without_recompute_cost = PlacementRequest {
             recompute_weight: 0.0,
+            pause_target_ms: None,
             ..request.clone()
         };
         let idle_placement = self
@@ -219,6 +220,7 @@
             priority: self.met_priority(prompt, route),
             misses_target: false,
             recompute_weight: self.recompute_weight(prompt, route),
+            pause_target_ms: route.pause_target.map(|pause| pause.as_secs_f64() * 1e3),
             is_large_fleet: candidates.len() > SMALL_FLEET_MAX,
             reserved_decoders: Rc::new(reserved_decoders(candidates)),
             now,
--- a/policy/src/gateway/engines/costs.rs
+++ b/policy/src/gateway/engines/costs.rs
@@ -25,6 +25,11 @@
 const OUTPUT_WEIGHT: f64 = 0.1;
 /// Ranks paused engines behind all others but leaves them usable when there is no other.
 const PAUSED_COST_MS: f64 = 1e5;
+/// Fraction of the permitted pause from which an expected one counts as likely to exceed it. Prefills
+/// may take one and a half times as long as expected, as `LIKELY_RATIO` assumes.
+const PAUSE_RISK_FRACTION: f64 = 0.6;
+/// Largest number of paused streams that count. With more, the cost exceeds that of a refusal.
+const PAUSED_SEQUENCES_MAX: u32 = 5;
 
 impl Engines {
     pub(super) fn prefill_candidate<'a>(
@@ -56,7 +61,8 @@
                 .prefill_ms(request.prompt.tokens, cached_tokens, is_local_prefill);
         let mut local_cost_ms = 0.0;
         if is_local_prefill {
-            local_cost_ms = self.output_cost_ms(engine, request);
+            local_cost_ms = self.output_cost_ms(engine, request)
+                + self.pause_cost_ms(engine, prefill_ms, request);
             if request.reserved_decoders.contains(&engine.id) {
                 local_cost_ms += prefill_ms * RESERVED_PREFILL_WEIGHT;
             }
@@ -74,6 +80,33 @@
         }
     }
 
+    /// Returns the cost of the pauses that a local prefill causes in the streams of an engine, in ms.
+    ///
+    /// Each chunk of a prefill lengthens one decode step, so an event may be delayed by all prefills
+    /// that the engine still has to do.
+    fn pause_cost_ms(
+        &self,
+        engine: &Endpoint,
+        prefill_ms: f64,
+        request: &PlacementRequest<'_>,
+    ) -> f64 {
+        let Some(target_ms) = request.pause_target_ms else {
+            return 0.0;
+        };
+        let work = self.total_work(&engine.id, request.now);
+        let slowness = self
+            .speeds
+            .factor(&engine.id, SpeedKind::Decode, request.now);
+        let event_ms = f64::from(request.limits.event_tokens)
+            * self.speed.step_ms(work.sequences, 0.0)
+            * slowness;
+        let pause_ms = event_ms + work.prefill_ms.iter().sum::<f64>() + prefill_ms;
+        let risk_ms = target_ms * PAUSE_RISK_FRACTION;
+        let risk = ((pause_ms - risk_ms) / (target_ms - risk_ms)).clamp(0.0, 1.0);
+        let sequences = f64::from(work.sequences.min(PAUSED_SEQUENCES_MAX));
+        risk * sequences * target_ms
+    }
+
     /// Estimates the wait until an engine starts a request.
     fn estimate_wait(&self, engine: &Endpoint, request: &PlacementRequest<'_>) -> WaitEstimate {
         let work = self.total_work(&engine.id, request.now);
--- a/policy/src/gateway/placement_request.rs
+++ b/policy/src/gateway/placement_request.rs
@@ -30,6 +30,9 @@
     pub(super) misses_target: bool,
     /// Weight of the time to prefill a shared part that another engine has cached.
     pub(super) recompute_weight: f64,
+    /// Longest pause between events with which streams of the service meet their target, in ms;
+    /// `None` without a limit, or if the request is served whatever the pauses.
+    pub(super) pause_target_ms: Option<f64>,
     /// Whether the fleet is so large that data centres mostly use their own engines.
     pub(super) is_large_fleet: bool,
     /// Decode engines that are reserved for long outputs.
