gateway: supervise long-lived tasks

Change: the tasks that watch the store, register the daemon, check timeouts and exchange loads are started again with delays from 0.1 to 1.6 s; meanwhile the daemon is not ready. One that fails seven times in a row drains the daemon and ends the process. The decision is in policy::gateway::TaskRestart.

--- a/cli/src/bin/ragwortgrade/gateway.rs
+++ b/cli/src/bin/ragwortgrade/gateway.rs
@@ -52,7 +52,15 @@
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let settings = file.settings().clone();
     let log = observe::start_stdout_logging(settings.log_level)?;
-    let gateway = Gateway::spawn(move || ragwortgrade_platform::options(settings))?;
+    let gateway = Gateway::spawn_with(
+        move || ragwortgrade_platform::options(settings),
+        || {
+            // The drain takes the same path as one that is requested by a signal.
+            if let Err(error) = signal_hook::low_level::raise(SIGTERM) {
+                log::error!(error:% = error; "SIGTERM for a drain could not be raised");
+            }
+        },
+    )?;
     let file = Arc::new(Mutex::new(file));
     let polled_file = Arc::clone(&file);
     std::thread::Builder::new()
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -50,6 +50,7 @@
 mod stream_forwarder;
 mod stream_pauses;
 mod stream_times;
+mod supervisor;
 mod unreadable_datagrams;
 mod work_guard;
 
--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -6,6 +6,8 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use futures::FutureExt as _;
+use futures::future::LocalBoxFuture;
 use http::{Response, StatusCode};
 use ragwortgrade_policy::gateway::Quarantine;
 use tokio::net::{TcpListener, UdpSocket};
@@ -14,7 +16,9 @@
 
 use super::response_body::ResponseBody;
 use super::shared::{DRAIN_MARGIN, Shared};
-use super::{Options, load_exchange, local_response, peers, registration, server, store_watcher};
+use super::{
+    Options, load_exchange, local_response, peers, registration, server, store_watcher, supervisor,
+};
 use crate::observe::{Metrics, Registry};
 
 /// Interval at which connections are checked against the configured timeouts, and evidence of
@@ -58,6 +62,19 @@
     ///
     /// Fails if the thread cannot be started or an address cannot be bound.
     pub fn spawn(options: impl FnOnce() -> Options + Send + 'static) -> io::Result<Self> {
+        Self::spawn_with(options, || {})
+    }
+
+    /// Starts a gateway like [`Self::spawn`]; `on_failure` is called on its thread when one of its
+    /// tasks fails at each start. The gateway then drains, and the process is to end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the thread cannot be started or an address cannot be bound.
+    pub fn spawn_with(
+        options: impl FnOnce() -> Options + Send + 'static,
+        on_failure: impl FnOnce() + Send + 'static,
+    ) -> io::Result<Self> {
         let (drain_sender, drain_receiver) = watch::channel(false);
         let (startup_sender, startup) = std_mpsc::channel();
         let thread = std::thread::Builder::new()
@@ -73,7 +90,8 @@
                         return false;
                     }
                 };
-                LocalSet::new().block_on(&runtime, serve(options(), startup_sender, drain_receiver))
+                let gateway = serve(options(), startup_sender, drain_receiver, on_failure);
+                LocalSet::new().block_on(&runtime, gateway)
             })?;
         let addresses = startup
             .recv()
@@ -119,6 +137,7 @@
     options: Options,
     startup_sender: std_mpsc::Sender<io::Result<Addresses>>,
     mut drain_receiver: watch::Receiver<bool>,
+    on_failure: impl FnOnce(),
 ) -> bool {
     let (addresses, listeners) = match bind(&options).await {
         Ok(bound) => bound,
@@ -141,13 +160,7 @@
         version = env!("CARGO_PKG_VERSION");
         "gateway started"
     );
-    tokio::task::spawn_local(store_watcher::watch_catalog(Rc::clone(&shared)));
-    tokio::task::spawn_local(store_watcher::watch_endpoints(Rc::clone(&shared)));
-    tokio::task::spawn_local(store_watcher::check_registrations(Rc::clone(&shared)));
-    tokio::task::spawn_local(run_periodic_checks(Rc::clone(&shared)));
-    tokio::task::spawn_local(peers::watch_peers(Rc::clone(&shared)));
-    tokio::task::spawn_local(registration::register(Rc::clone(&shared), peers_address));
-    tokio::task::spawn_local(load_exchange::run(Rc::clone(&shared), listeners.peers));
+    spawn_tasks(&shared, Rc::new(listeners.peers), peers_address);
     let readiness_state = Rc::clone(&shared);
     let readiness = move |_: &str| server::readiness_response(&readiness_state);
     tokio::task::spawn_local(server::serve_monitoring(listeners.readiness, readiness));
@@ -157,7 +170,39 @@
     }
     drop(startup_sender.send(Ok(addresses)));
     let callers = pin!(server::serve_callers(Rc::clone(&shared), listeners.callers));
-    serve_until_drained(&shared, callers, &mut drain_receiver).await
+    let failure = async {
+        let task = shared.supervisor.wait_for_failure().await;
+        log::error!(task = task; "a task fails at each start; the daemon ends");
+        on_failure();
+    };
+    serve_until_drained(&shared, callers, &mut drain_receiver, failure).await
+}
+
+/// Spawns the tasks that keep up to date what requests are routed by.
+fn spawn_tasks(shared: &Rc<Shared>, socket: Rc<UdpSocket>, peers_address: SocketAddr) {
+    let spawn = |name, task: fn(Rc<Shared>) -> LocalBoxFuture<'static, ()>| {
+        let task_state = Rc::clone(shared);
+        supervisor::spawn(shared, name, move || task(Rc::clone(&task_state)));
+    };
+    spawn("catalog", |it| {
+        store_watcher::watch_catalog(it).boxed_local()
+    });
+    spawn("endpoints", |it| {
+        store_watcher::watch_endpoints(it).boxed_local()
+    });
+    spawn("registrations", |it| {
+        store_watcher::check_registrations(it).boxed_local()
+    });
+    spawn("checks", |it| run_periodic_checks(it).boxed_local());
+    spawn("peers", |it| peers::watch_peers(it).boxed_local());
+    let state = Rc::clone(shared);
+    supervisor::spawn(shared, "registration", move || {
+        registration::register(Rc::clone(&state), peers_address)
+    });
+    let state = Rc::clone(shared);
+    supervisor::spawn(shared, "exchange", move || {
+        load_exchange::run(Rc::clone(&state), Rc::clone(&socket))
+    });
 }
 
 async fn bind(options: &Options) -> io::Result<(Addresses, Listeners)> {
@@ -182,15 +227,17 @@
     Ok((addresses, listeners))
 }
 
-/// Serves callers until a drain is requested, then waits for requests in flight; returns whether
+/// Serves callers until a drain is requested or `failure` is complete, then waits for requests in flight; returns whether
 /// all of them finished within the drain timeout.
 async fn serve_until_drained(
     shared: &Rc<Shared>,
     mut callers: std::pin::Pin<&mut impl Future<Output = ()>>,
     drain_receiver: &mut watch::Receiver<bool>,
+    failure: impl Future<Output = ()>,
 ) -> bool {
     tokio::select! {
         () = callers.as_mut() => return false,
+        () = failure => {}
         _ = drain_receiver.wait_for(|is_draining| *is_draining) => {}
     }
     let started_at = Instant::now();
--- a/lib/src/gateway/load_exchange.rs
+++ b/lib/src/gateway/load_exchange.rs
@@ -41,7 +41,7 @@
 }
 
 /// Exchanges load updates and news with other daemons until the task is aborted.
-pub(super) async fn run(shared: Rc<Shared>, socket: UdpSocket) {
+pub(super) async fn run(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let started_ms = shared.clock.unix_ms();
     let bytes_per_second =
         shared.options.peer_bytes_per_second * (1.0 - news_exchange::BYTES_FRACTION);
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -18,6 +18,7 @@
 use super::peers::{self, Peers};
 use super::retry_budgets::RetryBudgets;
 use super::shared_reads::SharedReads;
+use super::supervisor::Supervisor;
 use super::{Client, Disposition, Options, ResponseInfo, StoreError, StoreResponse};
 use crate::Clock;
 use crate::observe::Metrics;
@@ -48,6 +49,7 @@
     pub(super) callers: CallerConnections,
     pub(super) client: Client,
     pub(super) metrics: Metrics,
+    pub(super) supervisor: Supervisor,
     /// Whether the registrations were listed at least once.
     pub(super) is_registry_loaded: Cell<bool>,
     /// Wakes requests that wait for the configuration and the first listing.
@@ -102,6 +104,7 @@
             callers: CallerConnections::default(),
             client: Client::default(),
             metrics,
+            supervisor: Supervisor::default(),
             is_registry_loaded: Cell::new(false),
             loaded: Notify::new(),
             drain_started_at: Cell::new(None),
@@ -429,7 +432,7 @@
 
     /// Returns whether the load balancer should send callers to this daemon.
     pub(super) fn is_ready(&self) -> bool {
-        !self.is_draining() && self.is_loaded()
+        !self.is_draining() && self.is_loaded() && self.supervisor.are_all_running()
     }
 
     /// Returns whether the configuration and the registrations have been read.
