gateway: daemons tell each other of changes of keys

A daemon that the store refuses keeps its configuration for up to 9 s, and with it keys that were removed meanwhile.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -9,6 +9,7 @@
 mod authorization;
 mod caller_connection;
 mod client;
+mod configuration;
 mod connection;
 mod crash_detector;
 mod dialect;
@@ -43,6 +44,7 @@
 mod store;
 mod store_watcher;
 mod stream_forwarder;
+mod tenant_statistics;
 mod unreadable_datagrams;
 mod work_guard;
 
--- a/lib/src/gateway/authorization.rs
+++ b/lib/src/gateway/authorization.rs
@@ -58,16 +58,27 @@
         )));
     };
     let mut route = route.clone();
-    let (tenant, hides_tenant_headers) = match authorize(catalog, &route, metadata.api_key.as_ref())
-    {
+    let (tenant, hides_tenant_headers) = match authorize(
+        catalog,
+        &shared.configuration.key_news(),
+        &route,
+        metadata.api_key.as_ref(),
+    ) {
         Authorization::NoTenants => (None, false),
         Authorization::Public => (None, true),
         Authorization::Known { tenant, rank } => {
             route.rank = rank.unwrap_or(route.rank);
             (Some(tenant), true)
         }
-        Authorization::Missing => return Err(refuse(shared, &route, "missing_key")),
-        Authorization::Unknown => return Err(refuse(shared, &route, "unknown_key")),
+        Authorization::Missing => return Err(refuse(shared, &route, "missing_key", None)),
+        Authorization::Unknown { former_tenant } => {
+            return Err(refuse(
+                shared,
+                &route,
+                "unknown_key",
+                former_tenant.as_ref(),
+            ));
+        }
     };
     Ok(AuthorizedRequest {
         metadata,
@@ -77,9 +88,15 @@
     })
 }
 
-fn refuse(shared: &Shared, route: &Route, reason: &str) -> Box<Response<ResponseBody>> {
-    log::debug!(route:% = route.name, reason = reason; "request refused: no valid key");
+fn refuse(
+    shared: &Shared,
+    route: &Route,
+    reason: &'static str,
+    former_tenant: Option<&Name>,
+) -> Box<Response<ResponseBody>> {
     shared.metrics.count("answers.401", 1);
+    let tenants = &shared.tenants;
+    tenants.record_unauthorized(&shared.metrics, reason, former_tenant, route, shared.now());
     let mut response = local_response::with_reason(StatusCode::UNAUTHORIZED, reason);
     let challenge = HeaderValue::from_static("ApiKey");
     response.headers_mut().insert(WWW_AUTHENTICATE, challenge);
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -227,7 +227,8 @@
         late_wait = estimate.map(|it| it.late_wait),
         target_ms = context.route.target.as_millis() as u64,
         prompt_tokens = context.metadata.prompt.tokens, engines = count_candidates(context),
-        retry_after_ms = refusal.retry_after.as_millis() as u64;
+        retry_after_ms = refusal.retry_after.as_millis() as u64,
+        tenant = context.tenant.as_deref();
         "generation refused"
     );
     context.shared.metrics.count("generations.refused", 1);
--- a/lib/src/gateway/news_exchange.rs
+++ b/lib/src/gateway/news_exchange.rs
@@ -126,6 +126,9 @@
         for report in shared.registry.borrow().departure_reports(now) {
             broadcast.publish(Statement::Departure(report), now);
         }
+        for changes in shared.configuration.take_key_changes() {
+            broadcast.publish(Statement::Keys(changes), now);
+        }
     }
 
     /// Sends the next statements that wait.
@@ -150,11 +153,13 @@
         let begun = evidence.begun.into_iter();
         let limits = rate_limits.reports(0).into_iter();
         let departures = shared.registry.borrow().known_departures(now);
+        let key_changes = shared.configuration.held_key_changes(now);
         let lost_runs = evidence.lost_runs.into_iter().map(Statement::LostRun);
         lost_runs
             .chain(begun.map(|(identity, at)| Statement::Begun { identity, at }))
             .chain(departures.into_iter().map(Statement::Departure))
             .chain(limits.map(|report| self.rate_statement(report, version)))
+            .chain(key_changes.into_iter().map(Statement::Keys))
             .collect()
     }
 
@@ -208,8 +213,9 @@
         let message = message.into_message(now);
         if let Message::Statements(mut statements) = message {
             if !self.shared.peers.borrow().is_registered(source) {
-                // Only a registered daemon may change which endpoints are in use.
-                statements.retain(|it| !matches!(it, Statement::Registrations(_)));
+                // Only a registered daemon may change which endpoints and keys are in use.
+                statements
+                    .retain(|it| !matches!(it, Statement::Registrations(_) | Statement::Keys(_)));
             }
             let accepted = self.shared.broadcast.borrow_mut().receive(statements, now);
             self.merge(accepted, &daemon);
@@ -249,6 +255,11 @@
                         PeerHandler { shared }.apply_batch(batch, reported_by);
                     }
                 },
+                Statement::Keys(changes) => {
+                    let metrics = &shared.metrics;
+                    let configuration = &shared.configuration;
+                    configuration.merge_key_changes(changes, reported_by, metrics, now);
+                }
                 Statement::StoreAnswered { at } => shared.observe_store_answer(at, reported_by),
                 Statement::Rate { daemon, report, .. } => {
                     // A daemon's own number of requests does not come from others.
--- a/lib/src/gateway/news_message.rs
+++ b/lib/src/gateway/news_message.rs
@@ -3,8 +3,8 @@
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::epidemic::{Digest, Message, Statement};
 use ragwortgrade_policy::gateway::{
-    ChangesRequest, DepartureReport, LostRun, RateReport, RegistrationBatch, RegistrationChange,
-    RegistrationContent, RegistrationSource,
+    ChangesRequest, DepartureReport, KeyChange, KeyChanges, KeyDigest, LostRun, RateReport,
+    RegistrationBatch, RegistrationChange, RegistrationContent, RegistrationSource,
 };
 use ragwortgrade_schema::Name;
 use serde::{Deserialize, Serialize};
@@ -84,6 +84,22 @@
     StoreAnswered {
         age_ms: u32,
     },
+    Keys {
+        version: u64,
+        after: u64,
+        part: u32,
+        age_ms: u32,
+        keys: Vec<Key>,
+    },
+}
+
+/// Change of one key, of which only the SHA-256 digest is sent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Key {
+    digest: [u8; 32],
+    tenant: Name,
+    rank: Option<u8>,
+    is_removed: bool,
 }
 
 /// Whose registrations were read.
@@ -212,6 +228,13 @@
                 is_vouched: batch.is_vouched,
             },
             Statement::StoreAnswered { at } => Self::StoreAnswered { age_ms: age_ms(at) },
+            Statement::Keys(changes) => Self::Keys {
+                version: changes.version,
+                after: changes.after,
+                part: changes.part,
+                age_ms: age_ms(changes.applied_at),
+                keys: changes.changes.into_iter().map(Key::from).collect(),
+            },
         }
     }
 
@@ -281,6 +304,19 @@
                 changes: changes.into_iter().map(RegistrationChange::from).collect(),
             }),
             Self::StoreAnswered { age_ms } => Statement::StoreAnswered { at: at(age_ms) },
+            Self::Keys {
+                version,
+                after,
+                part,
+                age_ms,
+                keys,
+            } => Statement::Keys(KeyChanges {
+                version,
+                after,
+                part,
+                applied_at: at(age_ms),
+                changes: keys.into_iter().map(KeyChange::from).collect(),
+            }),
         }
     }
 }
@@ -303,6 +339,28 @@
     }
 }
 
+impl From<KeyChange> for Key {
+    fn from(change: KeyChange) -> Self {
+        Self {
+            digest: *change.digest.as_bytes(),
+            tenant: change.tenant,
+            rank: change.rank,
+            is_removed: change.is_removed,
+        }
+    }
+}
+
+impl From<Key> for KeyChange {
+    fn from(key: Key) -> Self {
+        Self {
+            digest: KeyDigest::new(key.digest),
+            tenant: key.tenant,
+            rank: key.rank,
+            is_removed: key.is_removed,
+        }
+    }
+}
+
 impl From<RegistrationChange> for Change {
     fn from(change: RegistrationChange) -> Self {
         Self {
--- a/lib/src/gateway/plain.rs
+++ b/lib/src/gateway/plain.rs
@@ -30,7 +30,8 @@
             Err((reason, retry_after)) => {
                 log::info!(
                     request = context.id(), route:% = context.route.name, reason = reason,
-                    attempts = tried.len(), retry_after_ms = retry_after.as_millis() as u64;
+                    attempts = tried.len(), retry_after_ms = retry_after.as_millis() as u64,
+                    tenant = context.tenant.as_deref();
                     "call refused"
                 );
                 context.shared.metrics.count("calls.refused", 1);
--- a/lib/src/gateway/request_handler.rs
+++ b/lib/src/gateway/request_handler.rs
@@ -105,12 +105,18 @@
     };
     log::info!(
         request = context.id(), route:% = context.route.name, status = response.status().as_u16(),
-        elapsed_ms = millis(context.elapsed()) as u64, version = catalog.version();
+        tenant = context.tenant.as_deref(), elapsed_ms = millis(context.elapsed()) as u64, version = catalog.version();
         "request answered"
     );
     shared
         .metrics
         .count(&format!("answers.{}", response.status().as_u16()), 1);
+    if let Some(tenant) = &context.tenant {
+        let status = response.status();
+        shared
+            .tenants
+            .record_answer(&shared.metrics, tenant, status);
+    }
     response
 }
 
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -13,11 +13,13 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::caller_connection::CallerConnections;
+use super::configuration::Configuration;
 use super::crash_detector::CrashDetector;
 use super::peer_traffic::PeerTraffic;
 use super::peers::{self, Peers};
 use super::retry_budgets::RetryBudgets;
 use super::shared_reads::SharedReads;
+use super::tenant_statistics::TenantStatistics;
 use super::{Client, Disposition, Options, ResponseInfo, StoreError, StoreResponse};
 use crate::Clock;
 use crate::observe::Metrics;
@@ -36,7 +38,8 @@
 pub(super) struct Shared {
     pub(super) clock: Clock,
     pub(super) options: Options,
-    pub(super) catalog: RefCell<Option<Rc<Catalog>>>,
+    pub(super) configuration: Configuration,
+    pub(super) tenants: TenantStatistics,
     pub(super) registry: RefCell<Registry>,
     pub(super) engines: RefCell<Engines>,
     pub(super) size_shares: RefCell<SizeShares>,
@@ -85,7 +88,8 @@
         let seed = xxh3_64_with_seed(options.name.as_bytes(), clock.unix_ms());
         Rc::new(Self {
             clock,
-            catalog: RefCell::new(None),
+            configuration: Configuration::default(),
+            tenants: TenantStatistics::default(),
             registry: RefCell::default(),
             engines: RefCell::new(
                 Engines::open(options.speed).with_order_seed(xxh3_64(options.name.as_bytes())),
@@ -131,15 +135,11 @@
     }
 
     pub(super) fn catalog(&self) -> Option<Rc<Catalog>> {
-        self.catalog.borrow().clone()
+        self.configuration.catalog()
     }
 
-    /// Returns the configured limits on callers' requests; defaults before the first configuration.
     pub(super) fn limits(&self) -> Limits {
-        let catalog = self.catalog.borrow();
-        catalog
-            .as_ref()
-            .map_or_else(Limits::default, |catalog| *catalog.limits())
+        self.configuration.limits()
     }
 
     /// Changes the quarantine and logs what it then holds.
@@ -434,7 +434,7 @@
 
     /// Returns whether the configuration and the registrations have been read.
     pub(super) fn is_loaded(&self) -> bool {
-        self.is_registry_loaded.get() && self.catalog.borrow().is_some()
+        self.is_registry_loaded.get() && self.catalog().is_some()
     }
 
     /// Wakes requests that wait for the configuration or the registrations, which were read.
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -272,25 +272,12 @@
                 return;
             }
         };
-        let mut current = self.shared.catalog.borrow_mut();
-        let current_version = current.as_ref().map(|catalog| catalog.version());
-        if current_version.is_some_and(|version| version >= catalog.version()) {
-            log::debug!(
-                version = catalog.version(), held:? = current_version;
-                "configuration is not newer than the current one; ignored"
-            );
-            return;
+        let shared = &self.shared;
+        let configuration = &shared.configuration;
+        if configuration.apply(catalog, item.revision, &shared.metrics, shared.now()) {
+            shared.notify_loaded();
+            shared.notify_news();
         }
-        log::info!(
-            version = catalog.version(), before:? = current_version, routes = catalog.routes_len(),
-            revision = item.revision;
-            "configuration applied"
-        );
-        self.shared
-            .metrics
-            .gauge("configuration.version", catalog.version());
-        *current = Some(Rc::new(catalog));
-        self.shared.notify_loaded();
     }
 }
 
--- a/policy/src/gateway/authorization.rs
+++ b/policy/src/gateway/authorization.rs
@@ -1,6 +1,6 @@
 use ragwortgrade_schema::Name;
 
-use super::{ApiKey, Catalog, Route};
+use super::{ApiKey, Catalog, KeyNews, Route};
 
 /// Decision on the key of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,14 +19,23 @@
     /// The request has no key.
     Missing,
     /// The key belongs to no tenant.
-    Unknown,
+    Unknown {
+        /// Tenant from which the key was removed, if that is known.
+        former_tenant: Option<Name>,
+    },
 }
 
-/// Decides on the key of a request for a route of the catalog.
+/// Decides on the key of a request for a route of the catalog. Changes of keys that other daemons
+/// have read count if they belong to a later version than the catalog.
 ///
-/// Load: each request, before its body is read; one look-up in a hashed index.
+/// Load: each request, before its body is read; two look-ups in hashed indexes.
 #[must_use]
-pub fn authorize(catalog: &Catalog, route: &Route, key: Option<&ApiKey>) -> Authorization {
+pub fn authorize(
+    catalog: &Catalog,
+    key_news: &KeyNews,
+    route: &Route,
+    key: Option<&ApiKey>,
+) -> Authorization {
     let Some(tenants) = catalog.tenants() else {
         return Authorization::NoTenants;
     };
@@ -36,10 +45,18 @@
     let Some(key) = key else {
         return Authorization::Missing;
     };
-    tenants
-        .find(key)
-        .map_or(Authorization::Unknown, |tenant| Authorization::Known {
-            tenant: tenant.name.clone(),
-            rank: tenant.rank,
-        })
+    let digest = key.digest();
+    let owner = match key_news.change_after(&digest, catalog.version()) {
+        Some(change) => (!change.is_removed).then_some((&change.tenant, change.rank)),
+        None => tenants.find(&digest).map(|it| (&it.name, it.rank)),
+    };
+    match owner {
+        Some((tenant, rank)) => Authorization::Known {
+            tenant: tenant.clone(),
+            rank,
+        },
+        None => Authorization::Unknown {
+            former_tenant: key_news.former_tenant(&digest).cloned(),
+        },
+    }
 }
--- a/policy/src/gateway/epidemic/statement.rs
+++ b/policy/src/gateway/epidemic/statement.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::Instant;
-use crate::gateway::{DepartureReport, LostRun, RateReport, RegistrationBatch};
+use crate::gateway::{DepartureReport, KeyChanges, LostRun, RateReport, RegistrationBatch};
 
 /// Time by which a renewed statement must be later than the known one to be told again. Daemons
 /// that observe the same thing within that time tell it once.
@@ -45,6 +45,8 @@
         /// When the call was sent.
         at: Instant,
     },
+    /// Changes of keys that a version of the configuration made.
+    Keys(KeyChanges),
 }
 
 /// What is remembered of a statement that was told.
@@ -79,6 +81,7 @@
             Self::Rate { report, .. } => report.named_at,
             Self::Departure(report) => report.said_at,
             Self::Registrations(batch) => batch.read_at,
+            Self::Keys(changes) => changes.applied_at,
         }
     }
 
@@ -115,6 +118,10 @@
                 hash(6, "", &[source, era, batch.after, batch.revision])
             }
             Self::StoreAnswered { .. } => hash(7, "", &[]),
+            Self::Keys(changes) => {
+                let part = u64::from(changes.part);
+                hash(8, "", &[changes.version, changes.after, part])
+            }
         }
     }
 
@@ -134,7 +141,7 @@
     /// this one, too.
     pub(super) fn renews(&self, told: &Told) -> bool {
         match self {
-            Self::LostRun(_) => false,
+            Self::LostRun(_) | Self::Keys(_) => false,
             Self::Rate { version, .. } => *version > told.version,
             Self::Begun { .. } | Self::Departure(_) | Self::StoreAnswered { .. } => {
                 self.at() > told.at + RENEWAL_TIME
--- a/policy/src/gateway/tenants.rs
+++ b/policy/src/gateway/tenants.rs
@@ -1,9 +1,9 @@
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
 use ragwortgrade_schema::Name;
 
-use super::{ApiKey, KeyDigest, Tenant};
+use super::{KeyChange, KeyDigest, Tenant};
 
 /// Tenants of one version of the configuration, by the digests of their keys.
 ///
@@ -25,11 +25,15 @@
 impl Tenants {
     /// Indexes the tenants; the digests of tenants that are the same in `previous` are reused.
     ///
-    /// A key that several tenants have belongs to the first of them.
+    /// A key that several tenants have belongs to the first of them. Tenants with the same name are
+    /// one tenant.
     #[must_use]
     pub fn new(tenants: Vec<Tenant>, previous: Option<&Self>) -> Self {
         let mut index = Self::default();
-        for tenant in tenants {
+        for mut tenant in tenants {
+            if let Some(earlier) = index.by_name.get(&tenant.name) {
+                tenant.keys.extend_from_slice(&earlier.tenant.keys);
+            }
             let known = previous.and_then(|previous| previous.by_name.get(&tenant.name));
             let entry = match known {
                 Some(entry) if entry.tenant == tenant => Rc::clone(entry),
@@ -44,10 +48,44 @@
         index
     }
 
-    /// Returns the tenant that has this key.
+    /// Returns the tenant that has the key with this digest.
+    #[must_use]
+    pub fn find(&self, digest: &KeyDigest) -> Option<&Tenant> {
+        self.by_digest.get(digest).map(|it| &it.tenant)
+    }
+
+    /// Returns the keys that were added, removed or given to another tenant or rank since
+    /// `previous`, the removed ones first, in the same order at all daemons.
     #[must_use]
-    pub fn find(&self, key: &ApiKey) -> Option<&Tenant> {
-        self.by_digest.get(&key.digest()).map(|it| &it.tenant)
+    pub fn changes_since(&self, previous: &Self) -> Vec<KeyChange> {
+        let mut digests = BTreeSet::new();
+        for (name, entry) in &self.by_name {
+            let before = previous.by_name.get(name);
+            if before.is_none_or(|before| !Rc::ptr_eq(before, entry)) {
+                digests.extend(entry.digests.iter().copied());
+            }
+        }
+        for (name, entry) in &previous.by_name {
+            let after = self.by_name.get(name);
+            if after.is_none_or(|after| !Rc::ptr_eq(after, entry)) {
+                digests.extend(entry.digests.iter().copied());
+            }
+        }
+        let changes = digests.into_iter().filter_map(|digest| {
+            let (before, after) = (previous.find(&digest), self.find(&digest));
+            let owner = |tenant: &Tenant| (tenant.name.clone(), tenant.rank);
+            let (tenant, rank) = after.or(before).map(owner)?;
+            let is_changed = before.map(owner) != after.map(owner);
+            is_changed.then_some(KeyChange {
+                digest,
+                tenant,
+                rank,
+                is_removed: after.is_none(),
+            })
+        });
+        let mut changes: Vec<KeyChange> = changes.collect();
+        changes.sort_by_key(|change| !change.is_removed);
+        changes
     }
 
     /// Returns the number of tenants.
@@ -65,7 +103,7 @@
 
 impl Entry {
     fn new(tenant: Tenant) -> Self {
-        let digests = tenant.keys.iter().map(ApiKey::digest).collect();
+        let digests = tenant.keys.iter().map(super::ApiKey::digest).collect();
         Self { tenant, digests }
     }
 }
