--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -10,6 +10,7 @@
 mod caller_connection;
 mod catalog_handler;
 mod client;
+mod configuration;
 mod connection;
 mod crash_detector;
 mod dialect;
@@ -51,6 +52,7 @@
 mod stream_pauses;
 mod stream_times;
 mod supervisor;
+mod tenant_statistics;
 mod unreadable_datagrams;
 mod work_guard;
 
