policy: election of the holder and usage windows of duties

Candidates are ranked over the data centres, the lease of the control part elects the holder, tokens have a floor from the store's era, and the content of a usage report is fixed by one write.

--- a/lib/tests/control/main.rs
+++ b/lib/tests/control/main.rs
@@ -27,6 +27,7 @@
         ttl: Duration::from_secs(1),
         expiry_margin: Duration::from_millis(200),
         renew_interval: Duration::from_millis(200),
+        retry_interval: Duration::from_secs(1),
         delivery_max: Duration::from_millis(300),
         takeover_wait: Duration::from_millis(800),
         mark_propagation: Duration::from_millis(50),
--- a/policy/src/authority/lease.rs
+++ b/policy/src/authority/lease.rs
@@ -119,12 +119,33 @@
         }
     }
 
+    /// Returns the revision of the stored holder record while the daemon holds the lease; a write
+    /// conditional on it fails once another daemon has acquired the lease.
+    #[must_use]
+    pub fn record_revision(&self, now: Timestamp) -> Option<u64> {
+        match &self.stage {
+            Stage::Held(held) if self.is_held(now) => Some(held.revision),
+            _ => None,
+        }
+    }
+
     /// Returns whether the lease is neither held nor being acquired or released.
     #[must_use]
     pub fn is_idle(&self) -> bool {
         matches!(self.stage, Stage::Idle { .. })
     }
 
+    /// Returns whether the outcome of a write of the holder record is unknown, so that a read of it
+    /// decides.
+    #[must_use]
+    pub fn is_record_unknown(&self) -> bool {
+        match &self.stage {
+            Stage::RecordUnknown { .. } => true,
+            Stage::Held(held) => held.is_record_unknown,
+            _ => false,
+        }
+    }
+
     /// Removes former holders that are known to be gone from the holder record.
     pub fn remove_former_holders(&mut self, gone: &[Holder]) {
         if let Stage::Held(held) = &mut self.stage {
@@ -350,11 +371,11 @@
         }
     }
 
-    /// Returns an idle stage of one TTL and the jitter, in which another daemon's lease or an
-    /// earlier lock record of this daemon expires.
+    /// Returns an idle stage of the retry interval and the jitter, in which another daemon's lease or
+    /// an earlier lock record of this daemon may expire.
     fn back_off(&self, now: Timestamp) -> Stage {
         Stage::Idle {
-            retry_at: now.monotonic + self.timing.ttl + self.jitter,
+            retry_at: now.monotonic + self.timing.retry_interval + self.jitter,
         }
     }
 
--- a/policy/src/authority/lease_timing.rs
+++ b/policy/src/authority/lease_timing.rs
@@ -14,6 +14,9 @@
     pub expiry_margin: Duration,
     /// Time between two renewals.
     pub renew_interval: Duration,
+    /// Time, in addition to the jitter, after which a candidate reads the lock record again that
+    /// another daemon holds, or that an earlier attempt may have left.
+    pub retry_interval: Duration,
     /// Maximum time from the sending of an order to its delivery.
     pub delivery_max: Duration,
     /// Time that a new holder waits, in addition to [`Self::delivery_max`], before it orders
@@ -39,6 +42,7 @@
             ttl: Duration::from_secs(10),
             expiry_margin: Duration::from_secs(2),
             renew_interval: Duration::from_millis(2_500),
+            retry_interval: Duration::from_secs(10),
             delivery_max: Duration::from_secs(5),
             takeover_wait: Duration::from_secs(8),
             mark_propagation: Duration::from_secs(3),
--- a/policy/src/gateway/duties.rs
+++ b/policy/src/gateway/duties.rs
@@ -5,5 +5,23 @@
 //! the number of candidates and of windows that are kept, not by the size of the fleet.
 
 mod call;
+mod candidates;
+mod election;
+mod fleet_clock;
+mod ledger;
+mod reports;
+mod tally;
+mod timing;
+mod token;
+mod usage_record;
 
 pub use call::{Call, Outcome, TenantCounts};
+pub use candidates::{CANDIDATES, candidates};
+pub use election::Election;
+pub use fleet_clock::FleetClock;
+pub use ledger::{Ledger, RunId, WindowCounts};
+pub use reports::{Reports, Step, Store};
+pub use tally::Tally;
+pub use timing::Timing;
+pub use token::{is_valid_token, token_floor};
+pub use usage_record::UsageRecord;
--- a/spec/src/authority/setup.rs
+++ b/spec/src/authority/setup.rs
@@ -250,6 +250,7 @@
             ttl: Duration::from_secs(3),
             expiry_margin: Duration::from_secs(expiry_margin),
             renew_interval: Duration::from_secs(1),
+            retry_interval: Duration::from_secs(3),
             delivery_max: Duration::from_secs(self.delivery_max),
             takeover_wait: Duration::from_secs(if self.has(Mechanism::TakeoverWait) {
                 self.takeover_wait
