--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -53,5 +53,6 @@
 pub use settings::Settings;
 pub use settings_file::{SettingsChange, SettingsFile};
 pub use store::{
-    Item, LeaseId, Page, Store, StoreError, StoreFuture, StoreResponse, Update, Updates,
+    Item, LeaseId, Page, Put, Store, StoreError, StoreFuture, StoreResponse, Transaction, Update,
+    Updates,
 };
--- a/lib/src/gateway/store.rs
+++ b/lib/src/gateway/store.rs
@@ -35,6 +35,16 @@
 
     /// Removes a key.
     fn remove<'a>(&'a self, key: &'a str) -> StoreFuture<'a, ()>;
+
+    /// Reads a key; `None` if there is none.
+    fn get<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Item>>;
+
+    /// Executes a transaction if its conditions hold, or fails with [`StoreError::Conflict`]. Returns
+    /// the store revision after it.
+    fn commit<'a>(&'a self, transaction: &'a Transaction) -> StoreFuture<'a, u64>;
+
+    /// Ends a lease and removes its keys.
+    fn end_lease(&self, lease: LeaseId) -> StoreFuture<'_, ()>;
 }
 
 /// Response of the store to a call, or why there is none.
@@ -58,6 +68,28 @@
     }
 }
 
+/// Conditional change of several keys.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Transaction {
+    /// Keys with the revisions that they must have, 0 if there must be none.
+    pub expected: Vec<(String, u64)>,
+    /// Keys to write.
+    pub puts: Vec<Put>,
+    /// Keys to remove.
+    pub remove: Vec<String>,
+}
+
+/// Write of a key in a [`Transaction`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Put {
+    /// The key.
+    pub key: String,
+    /// Its new value.
+    pub value: Vec<u8>,
+    /// Lease with which the key ends, if any.
+    pub lease: Option<LeaseId>,
+}
+
 /// ID of a lease in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseId(pub u64);
@@ -117,6 +149,9 @@
     /// read.
     #[error("store was restored from an older copy")]
     Restored,
+    /// A condition of the transaction does not hold; nothing was changed.
+    #[error("condition of the transaction does not hold")]
+    Conflict,
     /// The lease has expired or was revoked.
     #[error("lease has expired or was revoked")]
     LeaseNotFound,
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -104,7 +104,7 @@
     /// Grants a lease and returns its number.
     #[must_use]
     pub fn grant_lease(&self) -> u64 {
-        self.shared.lock().data.grant_lease()
+        self.shared.lock().data.grant_lease(None)
     }
 
     /// Writes an encoded value that is removed when the lease ends.
@@ -171,6 +171,11 @@
         self.shared.lock().is_rejecting = is_rejecting;
     }
 
+    /// Lets new leases end unless they are renewed; before, they last until they are ended.
+    pub fn expire_leases(&self) {
+        self.shared.lock().data.set_expiring();
+    }
+
     /// Lets responses name no era, like a store that does not know of restores.
     pub fn hide_era(&self) {
         self.shared.lock().hides_era = true;
@@ -187,6 +192,13 @@
         self.server.requests()
     }
 
+    /// Returns the value of a key, encoded as the service stores it.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<String> {
+        let item = self.shared.lock().data.item(key)?;
+        item["value"].as_str().map(str::to_owned)
+    }
+
     /// Returns the keys that start with a prefix.
     #[must_use]
     pub fn keys(&self, prefix: &str) -> Vec<String> {
@@ -219,6 +231,9 @@
             .unwrap_or((&request.target, ""));
         {
             let mut state = self.lock();
+            if state.data.expire_leases() {
+                self.changed.notify_all();
+            }
             let is_lost = state.lost_renewals > 0 && path.starts_with("/api/kv-keep/");
             state.lost_renewals -= usize::from(is_lost);
             let is_unanswered = path == "/api/kv-watch"
@@ -238,10 +253,11 @@
                 None => return Response::Close,
             },
             "/api/kv-txn" => self.transaction(&request.body),
-            "/api/kv-lease" => {
-                let lease = self.lock().data.grant_lease();
-                (200, json!({ "lease": lease, "ttlMs": 10_000 }))
-            }
+            "/api/kv-key" => match self.lock().data.item(parameter(query, "key")) {
+                Some(item) => (200, item),
+                None => (404, json!({})),
+            },
+            "/api/kv-lease" => self.grant_lease(&request.body),
             _ => self.lease_call(path),
         };
         if self.lock().hides_era {
@@ -291,6 +307,13 @@
         if !puts.iter().all(|put| is_known(lease(put))) {
             return (404, json!({}));
         }
+        let holds = |condition: &Value| {
+            let key = condition["key"].as_str().unwrap_or_default();
+            Some(state.data.key_revision(key)) == condition["revision"].as_u64()
+        };
+        if !entries("expected").iter().all(holds) {
+            return (412, json!({}));
+        }
         for put in &puts {
             let key = put["key"].as_str().unwrap_or_default();
             let value = put["value"].as_str().unwrap_or_default();
@@ -303,6 +326,14 @@
         (200, json!({ "revision": state.data.revision() }))
     }
 
+    fn grant_lease(&self, body: &[u8]) -> (u16, Value) {
+        let call: Value = serde_json::from_slice(body).unwrap_or_default();
+        let ttl_ms = call["ttlMs"].as_u64();
+        let ttl = ttl_ms.map(Duration::from_millis);
+        let lease = self.lock().data.grant_lease(ttl);
+        (200, json!({ "lease": lease, "ttlMs": ttl_ms }))
+    }
+
     /// Renews or ends a lease.
     fn lease_call(&self, path: &str) -> (u16, Value) {
         let mut state = self.lock();
@@ -314,7 +345,10 @@
             return (404, json!({}));
         }
         match call {
-            "/api/kv-keep" => (200, json!({ "ttlMs": 10_000 })),
+            "/api/kv-keep" => {
+                state.data.renew_lease(lease);
+                (200, json!({ "ttlMs": 10_000 }))
+            }
             "/api/kv-lease-end" => {
                 state.data.end_lease(lease);
                 self.changed.notify_all();
--- a/standins/src/site/store_copy.rs
+++ b/standins/src/site/store_copy.rs
@@ -1,4 +1,5 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -9,8 +10,17 @@
     items: BTreeMap<String, Item>,
     /// Changes in order: revision, key, and the new value, or `None` for a removal.
     history: Vec<(u64, String, Option<String>)>,
+    /// Whether leases that are not renewed end.
+    expires_leases: bool,
     last_lease: u64,
-    leases: BTreeSet<u64>,
+    /// Leases, with the time at which each ends unless it is renewed, if it has one.
+    leases: BTreeMap<u64, Lease>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl: Option<Duration>,
+    renewed_at: Instant,
 }
 
 #[derive(Clone, Debug)]
@@ -39,7 +49,7 @@
     }
 
     pub(super) fn has_lease(&self, lease: u64) -> bool {
-        self.leases.contains(&lease)
+        self.leases.contains_key(&lease)
     }
 
     pub(super) fn write(&mut self, key: &str, value: &str, lease: u64) {
@@ -60,12 +70,52 @@
         self.history.push((self.revision, key.to_owned(), None));
     }
 
-    pub(super) fn grant_lease(&mut self) -> u64 {
+    pub(super) fn set_expiring(&mut self) {
+        self.expires_leases = true;
+    }
+
+    /// Grants a lease; without `ttl` it does not expire.
+    pub(super) fn grant_lease(&mut self, ttl: Option<Duration>) -> u64 {
         self.last_lease += 1;
-        self.leases.insert(self.last_lease);
+        let renewed_at = Instant::now();
+        self.leases
+            .insert(self.last_lease, Lease { ttl, renewed_at });
         self.last_lease
     }
 
+    pub(super) fn renew_lease(&mut self, lease: u64) {
+        if let Some(lease) = self.leases.get_mut(&lease) {
+            lease.renewed_at = Instant::now();
+        }
+    }
+
+    /// Ends the leases that have expired; returns whether there were any.
+    pub(super) fn expire_leases(&mut self) -> bool {
+        let leases = self.leases.iter();
+        let is_expired = |lease: &Lease| {
+            lease
+                .ttl
+                .is_some_and(|ttl| lease.renewed_at.elapsed() >= ttl)
+        };
+        let expired = leases.filter(|(_, lease)| is_expired(lease));
+        let expired: Vec<u64> = expired.map(|(number, _)| *number).collect();
+        for lease in &expired {
+            self.end_lease(*lease);
+        }
+        !expired.is_empty()
+    }
+
+    /// Returns the revision of a key, 0 if there is none.
+    pub(super) fn key_revision(&self, key: &str) -> u64 {
+        self.items.get(key).map_or(0, |item| item.revision)
+    }
+
+    /// Returns a key as the service lists it.
+    pub(super) fn item(&self, key: &str) -> Option<Value> {
+        let item = self.items.get(key)?;
+        Some(json!({ "key": key, "value": item.value, "revision": item.revision }))
+    }
+
     pub(super) fn end_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
         let items = self.items.iter();
