duties: usage reports of the holder

The daemons send their counts by tenant and window to four candidates, one of which holds a lease in the store. It fixes the content of each report by a conditional write and sends it to the platform.

--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -1,6 +1,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::authority::Timestamp;
 
 /// Monotonic clock, with access to the system clock.
 ///
@@ -35,6 +36,15 @@
         Instant::from_micros(elapsed.as_micros() as u64)
     }
 
+    /// Returns a reading of both clocks.
+    #[must_use]
+    pub fn timestamp(&self) -> Timestamp {
+        Timestamp {
+            monotonic: self.now(),
+            unix_ms: self.unix_ms(),
+        }
+    }
+
     /// Returns the Unix time of the system clock in milliseconds.
     #[must_use]
     pub fn unix_ms(&self) -> u64 {
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -91,6 +91,9 @@
                     let mut engines = shared.engines.borrow_mut();
                     engines.observe_first_event(&placement, took_ms);
                     drop(engines);
+                    shared
+                        .duties
+                        .count_run(context.tenant.as_ref(), shared.now());
                     return stream_forwarder::forward(context, *run);
                 }
                 Attempt::Failed(failure, endpoint_response) => (failure, endpoint_response),
--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -14,7 +14,9 @@
 
 use super::response_body::ResponseBody;
 use super::shared::{DRAIN_MARGIN, Shared};
-use super::{Options, load_exchange, local_response, peers, registration, server, store_watcher};
+use super::{
+    Options, duties, load_exchange, local_response, peers, registration, server, store_watcher,
+};
 use crate::observe::{Metrics, Registry};
 
 /// Interval at which connections are checked against the configured timeouts, and evidence of
@@ -147,7 +149,9 @@
     tokio::task::spawn_local(run_periodic_checks(Rc::clone(&shared)));
     tokio::task::spawn_local(peers::watch_peers(Rc::clone(&shared)));
     tokio::task::spawn_local(registration::register(Rc::clone(&shared), peers_address));
-    tokio::task::spawn_local(load_exchange::run(Rc::clone(&shared), listeners.peers));
+    let peers_socket = Rc::new(listeners.peers);
+    tokio::task::spawn_local(duties::run(Rc::clone(&shared), Rc::clone(&peers_socket)));
+    tokio::task::spawn_local(load_exchange::run(Rc::clone(&shared), peers_socket));
     let readiness_state = Rc::clone(&shared);
     let readiness = move |_: &str| server::readiness_response(&readiness_state);
     tokio::task::spawn_local(server::serve_monitoring(listeners.readiness, readiness));
--- a/lib/src/gateway/load_exchange.rs
+++ b/lib/src/gateway/load_exchange.rs
@@ -12,6 +12,7 @@
 use ragwortgrade_schema::Name;
 use tokio::net::UdpSocket;
 
+use super::duties;
 use super::endpoint_index::EndpointIndex;
 use super::load_update::{LoadUpdate, Sender};
 use super::news_exchange::{self, NewsExchange};
@@ -40,7 +41,7 @@
 }
 
 /// Exchanges load updates and news with other daemons until the task is aborted.
-pub(super) async fn run(shared: Rc<Shared>, socket: UdpSocket) {
+pub(super) async fn run(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let started_ms = shared.clock.unix_ms();
     let bytes_per_second =
         shared.options.peer_bytes_per_second * (1.0 - news_exchange::BYTES_FRACTION);
@@ -94,6 +95,8 @@
         let is_readable = length <= DATAGRAM_BYTES_MAX
             && if NewsMessage::is_in(datagram) {
                 news.receive(datagram, source)
+            } else if duties::Message::is_in(datagram) {
+                duties::receive(loads.shared, loads.socket, datagram, source)
             } else {
                 loads.receive(datagram)
             };
--- a/lib/src/gateway/options.rs
+++ b/lib/src/gateway/options.rs
@@ -6,6 +6,7 @@
 use ragwortgrade_policy::gateway::{Catalog, Endpoint, Speed};
 use ragwortgrade_schema::Name;
 
+use super::duties::DutyOptions;
 use super::{Dialect, Store};
 
 /// Start options of a gateway.
@@ -39,6 +40,8 @@
     pub peer_bytes_per_second: f64,
     /// Speeds of the engines.
     pub speed: Speed,
+    /// Options of the duties, if any run.
+    pub duties: Option<DutyOptions>,
     /// Translation of HTTP messages.
     pub dialect: Rc<dyn Dialect>,
     /// Store of the configuration and the registrations.
--- a/lib/src/gateway/plain.rs
+++ b/lib/src/gateway/plain.rs
@@ -6,6 +6,7 @@
 use ragwortgrade_schema::Name;
 
 use super::crash_detector::CrashDetector;
+use super::duties::RunGuard;
 use super::exchange::ExchangeError;
 use super::failure::{handle_failure, refuse, refuse_quarantined};
 use super::local_response::RETRY_AFTER_DEFAULT;
@@ -45,6 +46,7 @@
         tried.push(endpoint.id.clone());
         let may_have_run_before = context.may_have_run();
         let call = CallGuard::start(&context.shared, &endpoint.id);
+        let run = RunGuard::start(&context.shared, context.tenant.as_ref());
         context.record_sent();
         let result = attempt(context, &endpoint).await;
         let (failure, endpoint_response) = match result {
@@ -70,6 +72,7 @@
             }
         };
         record_failure(context, call, failure, may_have_run_before);
+        run.fail(failure);
         let endpoint_response =
             endpoint_response.map(|(head, body)| forward_response(context, &head, body));
         if let Some(response) = handle_failure(context, failure, endpoint_response) {
--- a/lib/src/gateway/request_context.rs
+++ b/lib/src/gateway/request_context.rs
@@ -34,6 +34,8 @@
     pub(super) fingerprint: Fingerprint,
     pub(super) route: Route,
     pub(super) service: Name,
+    /// Tenant whose key the request carries, if any.
+    pub(super) tenant: Option<Name>,
     pub(super) received_at: Instant,
     /// Time limit of the final response.
     pub(super) time_limit: Duration,
--- a/lib/src/gateway/request_handler.rs
+++ b/lib/src/gateway/request_handler.rs
@@ -170,6 +170,7 @@
         fingerprint,
         route,
         service,
+        tenant: None,
         received_at,
         time_limit,
         progress: Progress::default(),
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -7,6 +7,7 @@
 use ragwortgrade_operator::ini;
 use ragwortgrade_schema::Name;
 
+use super::duties::DutySettings;
 use crate::settings::{Problem, Problems};
 
 const SECTION: &str = "gateway";
@@ -38,6 +39,8 @@
     pub open_files_max: usize,
     /// Bandwidth of the VM's network link, in Mbit/s.
     pub link_mbps: f64,
+    /// Settings of the duties, if any run.
+    pub duties: Option<DutySettings>,
     /// Least severe level that is logged.
     pub log_level: LevelFilter,
 }
@@ -74,9 +77,9 @@
     }
 }
 
-struct Reader {
+pub(super) struct Reader {
     values: HashMap<String, ini::Property>,
-    problems: Vec<Problem>,
+    pub(super) problems: Vec<Problem>,
 }
 
 impl Reader {
@@ -109,6 +112,7 @@
         let drain_timeout = self.bounded("stop_timeout_seconds", 1.0, 600.0);
         let open_files_max = self.parsed("open_files_max", "a whole number");
         let link_mbps = self.bounded("link_mbps", 0.1, 1e6);
+        let duties = DutySettings::read(self);
         let log_level = self.parsed("log_level", "error, warn, info, debug or trace");
         Some(Settings {
             name: name?,
@@ -123,6 +127,7 @@
             drain_timeout: Duration::from_secs_f64(drain_timeout?),
             open_files_max: open_files_max?,
             link_mbps: link_mbps?,
+            duties,
             log_level: log_level?,
         })
     }
@@ -141,7 +146,11 @@
         self.parse(&property, expected)
     }
 
-    fn optional<T: std::str::FromStr>(&mut self, key: &str, expected: &str) -> Option<T> {
+    pub(super) fn optional<T: std::str::FromStr>(
+        &mut self,
+        key: &str,
+        expected: &str,
+    ) -> Option<T> {
         let property = self.values.remove(key)?;
         if property.value.is_empty() {
             return None;
@@ -149,6 +158,16 @@
         self.parse(&property, expected)
     }
 
+    /// Reads an optional number, given its default and range.
+    pub(super) fn defaulted(&mut self, key: &str, (default, min, max): (f64, f64, f64)) -> f64 {
+        let is_absent = |property: &ini::Property| property.value.is_empty();
+        if self.values.get(key).is_none_or(is_absent) {
+            self.values.remove(key);
+            return default;
+        }
+        self.bounded(key, min, max).unwrap_or(default)
+    }
+
     fn bounded(&mut self, key: &str, min: f64, max: f64) -> Option<f64> {
         let property = self.required(key)?;
         let expected = format!("a number from {min} to {max}");
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -14,6 +14,7 @@
 
 use super::caller_connection::CallerConnections;
 use super::crash_detector::CrashDetector;
+use super::duties::Duties;
 use super::peer_traffic::PeerTraffic;
 use super::peers::{self, Peers};
 use super::retry_budgets::RetryBudgets;
@@ -47,6 +48,7 @@
     pub(super) retry_budgets: RefCell<RetryBudgets>,
     pub(super) callers: CallerConnections,
     pub(super) client: Client,
+    pub(super) duties: Duties,
     pub(super) metrics: Metrics,
     /// Whether the registrations were listed at least once.
     pub(super) is_registry_loaded: Cell<bool>,
@@ -101,6 +103,7 @@
             )),
             callers: CallerConnections::default(),
             client: Client::default(),
+            duties: Duties::new(&options.name, options.duties.as_ref(), clock.timestamp()),
             metrics,
             is_registry_loaded: Cell::new(false),
             loaded: Notify::new(),
--- a/policy/src/gateway/duties/reports.rs
+++ b/policy/src/gateway/duties/reports.rs
@@ -161,12 +161,12 @@
 
     /// Returns the time from which on any record would still be in the store.
     fn first_safe_ms(store: &Store) -> u64 {
-        if store.era.is_some() {
-            return store.restored_ms + CLOCK_MARGIN_MS;
-        }
         if store.is_first_holder && store.records.is_empty() {
             return store.restored_ms;
         }
+        if store.era.is_some() {
+            return store.restored_ms + CLOCK_MARGIN_MS;
+        }
         // A restore may have gone unnoticed; before the tenure, others may have reported.
         store.tenure_ms + CLOCK_MARGIN_MS
     }
--- a/policy/src/gateway/peer_directory.rs
+++ b/policy/src/gateway/peer_directory.rs
@@ -36,6 +36,12 @@
         self.peers.values().map(|entry| &entry.peer)
     }
 
+    /// Returns the known daemons with their names.
+    pub fn entries(&self) -> impl Iterator<Item = (&Name, &Peer)> {
+        let entries = self.peers.iter();
+        entries.map(|(name, entry)| (name, &entry.peer))
+    }
+
     /// Returns the names of the known daemons.
     pub fn names(&self) -> impl Iterator<Item = &Name> {
         self.peers.keys()
