--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -17,7 +17,8 @@
 use super::response_body::ResponseBody;
 use super::shared::{DRAIN_MARGIN, Shared};
 use super::{
-    Options, load_exchange, local_response, peers, registration, server, store_watcher, supervisor,
+    Options, duties, load_exchange, local_response, peers, registration, server, store_watcher,
+    supervisor,
 };
 use crate::observe::{Metrics, Registry};
 
@@ -199,6 +200,12 @@
     supervisor::spawn(shared, "registration", move || {
         registration::register(Rc::clone(&state), peers_address)
     });
+    if shared.options.duties.is_some() {
+        let (state, duty_socket) = (Rc::clone(shared), Rc::clone(&socket));
+        supervisor::spawn(shared, "duties", move || {
+            duties::run(Rc::clone(&state), Rc::clone(&duty_socket))
+        });
+    }
     let state = Rc::clone(shared);
     supervisor::spawn(shared, "exchange", move || {
         load_exchange::run(Rc::clone(&state), Rc::clone(&socket))
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -15,6 +15,7 @@
 use super::caller_connection::CallerConnections;
 use super::configuration::Configuration;
 use super::crash_detector::CrashDetector;
+use super::duties::Duties;
 use super::peer_traffic::PeerTraffic;
 use super::peers::{self, Peers};
 use super::retry_budgets::RetryBudgets;
@@ -51,6 +52,7 @@
     pub(super) retry_budgets: RefCell<RetryBudgets>,
     pub(super) callers: CallerConnections,
     pub(super) client: Client,
+    pub(super) duties: Duties,
     pub(super) metrics: Metrics,
     pub(super) supervisor: Supervisor,
     /// Whether the registrations were listed at least once.
@@ -107,6 +109,7 @@
             )),
             callers: CallerConnections::default(),
             client: Client::default(),
+            duties: Duties::new(&options.name, options.duties.as_ref(), clock.timestamp()),
             metrics,
             supervisor: Supervisor::default(),
             is_registry_loaded: Cell::new(false),
