platform: terms of scaling and spot workers are read

Cause: the number of workers is to be decided from the configuration's terms and the registered kinds. Change: Service.scaling, Endpoint.is_spot and Endpoint.leaves_in are parsed; all are optional.

--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -46,6 +46,7 @@
 mod registry;
 mod request_metadata;
 mod route;
+pub mod scaling;
 mod service;
 mod size_shares;
 mod speed;
--- a/policy/src/gateway/endpoint.rs
+++ b/policy/src/gateway/endpoint.rs
@@ -24,6 +24,10 @@
     pub stage: Option<Stage>,
     /// Unix time of its start in ms. A restart under the same identity changes it.
     pub started_ms: Option<u64>,
+    /// Whether it runs at the lower price of a worker that the platform may reclaim.
+    pub is_spot: bool,
+    /// Remaining time of an endpoint that the platform reclaims, as last registered.
+    pub leaves_in: Option<Duration>,
 }
 
 /// Whether an endpoint accepts new work.
--- a/policy/src/gateway/service.rs
+++ b/policy/src/gateway/service.rs
@@ -2,6 +2,8 @@
 
 use ragwortgrade_schema::Name;
 
+use super::scaling;
+
 /// A declared service and the common properties of its endpoints.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -13,6 +15,8 @@
     pub connections_max: u32,
     /// Limits of the engines; `None` for a plain service.
     pub engine: Option<EngineLimits>,
+    /// Terms on which workers are ordered; `None` if their number is not decided here.
+    pub scaling: Option<scaling::Terms>,
 }
 
 /// Declared limits of a service's engines.
--- a/policy/tests/gateway_support/mod.rs
+++ b/policy/tests/gateway_support/mod.rs
@@ -153,6 +153,8 @@
         cold_remaining: Duration::ZERO,
         stage: None,
         started_ms: None,
+        is_spot: false,
+        leaves_in: None,
     }
 }
 
