--- a/policy/src/gateway/scaling/terms.rs
+++ b/policy/src/gateway/scaling/terms.rs
@@ -17,3 +17,15 @@
     /// Price of a second of an ordinary worker by data centre. Workers are ordered only in these.
     pub prices: BTreeMap<Name, f64>,
 }
+
+impl Terms {
+    /// Returns the data centres, the cheapest first.
+    pub(super) fn data_centres(&self) -> Vec<Name> {
+        let mut data_centres: Vec<(&Name, &f64)> = self.prices.iter().collect();
+        data_centres.sort_by(|left, right| left.1.total_cmp(right.1).then(left.0.cmp(right.0)));
+        data_centres
+            .into_iter()
+            .map(|(data_centre, _)| data_centre.clone())
+            .collect()
+    }
+}
