--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod demand;
 mod departure_report;
 mod departures;
+pub mod duties;
 mod endpoint;
 mod engine_load;
 mod engines;
