--- a/policy/src/gateway/scaling/fleet.rs
+++ b/policy/src/gateway/scaling/fleet.rs
@@ -19,6 +19,9 @@
 const STARTING_FRACTION: f64 = 0.05;
 /// Fraction by which the number of workers for the same need may change without new orders.
 const CHANGE_FRACTION: f64 = 0.1;
+/// Fraction by which a number of workers may differ from the wanted one without an order, one worker
+/// at least: each order is priced, and estimates of different holders differ by rounding.
+const ORDER_FRACTION: f64 = 0.05;
 /// Time between two orders that remove workers, so that the effect of one is seen before the next:
 /// surplus workers drain within 4 s, and caches of the others warm up meanwhile.
 const STEP_INTERVAL: Duration = Duration::from_secs(3);
@@ -181,19 +184,20 @@
                 let wanted = wanted.min(room);
                 let boot_time = view.terms.boot_time;
                 let may_add = !is_partial || has_lost;
-                let (ordered, reason) = if may_add && wanted > standing {
-                    let reason = match (is_spot, dry.is_empty()) {
-                        (false, false) => Reason::NoSpot,
-                        (true, _) if has_lost => Reason::Reclaimed,
-                        (true, _) if !self.has_grown => Reason::SpotReserve,
-                        _ => Reason::Demand,
+                let (ordered, reason) =
+                    if may_add && wanted > standing && !is_close(wanted, standing) {
+                        let reason = match (is_spot, dry.is_empty()) {
+                            (false, false) => Reason::NoSpot,
+                            (true, _) if has_lost => Reason::Reclaimed,
+                            (true, _) if !self.has_grown => Reason::SpotReserve,
+                            _ => Reason::Demand,
+                        };
+                        (wanted, reason)
+                    } else if let Some(reason) = pool.repetition(boot_time, now) {
+                        (standing, reason)
+                    } else {
+                        continue;
                     };
-                    (wanted, reason)
-                } else if let Some(reason) = pool.repetition(boot_time, now) {
-                    (standing, reason)
-                } else {
-                    continue;
-                };
                 orders.push(Order {
                     service: view.service.clone(),
                     data_centre: data_centre.clone(),
@@ -232,7 +236,11 @@
                 let pool = self.pool(key.clone());
                 let standing = pool.standing();
                 let boot_time = view.terms.boot_time;
-                if pool.is_busy(now) || pool.is_settling(boot_time, now) || standing <= wanted {
+                if pool.is_busy(now)
+                    || pool.is_settling(boot_time, now)
+                    || standing <= wanted
+                    || is_close(standing, wanted)
+                {
                     continue;
                 }
                 let mut step = (standing - wanted).min(step_max);
@@ -280,3 +288,9 @@
         self.pools.entry(key).or_default()
     }
 }
+
+/// Returns whether two numbers of workers differ so little that no order is given.
+fn is_close(one: u32, other: u32) -> bool {
+    let tolerated = (f64::from(one.max(other)) * ORDER_FRACTION).max(1.0);
+    one > 0 && other > 0 && f64::from(one.abs_diff(other)) <= tolerated
+}
--- a/policy/src/gateway/scaling/forecast.rs
+++ b/policy/src/gateway/scaling/forecast.rs
@@ -75,34 +75,32 @@
         self.samples.push_back((now, measured));
         let peak = self.samples.iter().map(|(_, need)| *need);
         let peak = peak.fold(Need::default(), |peak, need| peak.zip(need, f64::max));
-        let expected = peak.scaled(MARGIN);
+        let wanted = peak.scaled(MARGIN);
         let is_under_pressure = refused_share > REFUSED_SHARE;
         let may_grow = |at: Instant| now.since(at) >= REFUSED_INTERVAL;
         if is_under_pressure && self.refused_at.is_none_or(may_grow) {
             self.refused_at = Some(now);
-            let bound = expected.scaled(REFUSED_GROWTH_MAX);
+            let bound = wanted.scaled(REFUSED_GROWTH_MAX);
             let grown = self.need.scaled(REFUSED_GROWTH).zip(bound, f64::min);
             self.need = self.need.zip(grown, f64::max);
         }
         // Rises within the margin don't change the orders.
-        let grown = self.need.zip(expected, |need, expected| {
-            if expected > need {
-                expected * MARGIN
-            } else {
-                need
-            }
-        });
+        let grown = self.need.zip(
+            peak,
+            |need, peak| {
+                if peak > need { peak * MARGIN } else { need }
+            },
+        );
         if grown != self.need {
             self.need = grown;
             self.below_since = None;
         }
-        self.shrink(expected, is_under_pressure, now);
+        self.shrink(wanted, is_under_pressure, now);
     }
 
-    fn shrink(&mut self, expected: Need, is_under_pressure: bool, now: Instant) {
-        let lowest = expected.scaled(MARGIN);
-        let is_below = lowest.prefill < self.need.prefill * SHRINK_FRACTION
-            || lowest.decode < self.need.decode * SHRINK_FRACTION;
+    fn shrink(&mut self, wanted: Need, is_under_pressure: bool, now: Instant) {
+        let is_below = wanted.prefill < self.need.prefill * SHRINK_FRACTION
+            || wanted.decode < self.need.decode * SHRINK_FRACTION;
         if !is_below || is_under_pressure || self.samples.len() < SAMPLES_MIN {
             self.below_since = None;
             return;
@@ -113,6 +111,6 @@
         }
         self.below_since = Some(now);
         let step = self.need.scaled(STEP_FRACTION);
-        self.need = lowest.zip(step, f64::max).zip(self.need, f64::min);
+        self.need = wanted.zip(step, f64::max).zip(self.need, f64::min);
     }
 }
--- a/policy/src/gateway/scaling/pool.rs
+++ b/policy/src/gateway/scaling/pool.rs
@@ -7,11 +7,16 @@
 const DRY_TIME: Duration = Duration::from_millis(9_200);
 /// Time after which an order without a response is given again.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Longest such time; it doubles with each repetition.
+const RETRY_DELAY_MAX: Duration = Duration::from_secs(20);
 /// Time after which an order whose outcome was not reported counts as one without a response.
 const OUTCOME_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time beyond the boot after which the number of workers should match the order: workers were seen
 /// to serve 4 to 8 s after an order with a boot of 4 s.
 const MISMATCH_DELAY: Duration = Duration::from_secs(8);
+/// Fraction by which the number of workers may differ from the order without a repetition, one
+/// worker at least: single workers fail and register again.
+const MISMATCH_FRACTION: f64 = 0.1;
 /// Longest time until an order is repeated because of a mismatch; it doubles with each repetition.
 const MISMATCH_DELAY_MAX: Duration = Duration::from_mins(2);
 /// Time after a loss in which growth counts as its replacement.
@@ -26,6 +31,9 @@
     ordered_at: Option<Instant>,
     dry_until: Option<Instant>,
     lost_at: Option<Instant>,
+    /// Since when the present number differs from the accepted one.
+    mismatch_since: Option<Instant>,
+    /// Number of repetitions of the standing order.
     repetitions: u32,
     /// Number of workers that were present at the last observation.
     present: u32,
@@ -61,8 +69,15 @@
             self.dry_until = Some(now + DRY_TIME);
             self.lost_at = Some(now);
         }
-        if self.accepted == Some(present) {
-            self.repetitions = 0;
+        let difference = self.accepted.map_or(0, |count| count.abs_diff(present));
+        let tolerated = f64::from(self.standing()) * MISMATCH_FRACTION;
+        if f64::from(difference) <= tolerated.max(1.0) {
+            self.mismatch_since = None;
+            if self.pending.is_none() {
+                self.repetitions = 0;
+            }
+        } else {
+            self.mismatch_since.get_or_insert(now);
         }
         self.present = present;
     }
@@ -104,7 +119,8 @@
 
     /// Returns whether an order is under way, or waits for its repetition.
     pub(super) fn is_busy(&self, now: Instant) -> bool {
-        self.pending.is_some_and(|pending| now < pending.due())
+        self.pending
+            .is_some_and(|pending| now < pending.due(self.repetitions))
     }
 
     /// Returns whether workers that were ordered may still be starting or leaving.
@@ -120,11 +136,10 @@
         if self.pending.is_some() {
             return Some(Reason::NoResponse);
         }
+        let since = self.mismatch_since.max(self.ordered_at)?;
         let delay = (MISMATCH_DELAY + boot_time) * 2_u32.saturating_pow(self.repetitions);
-        let delay = delay.min(MISMATCH_DELAY_MAX);
-        let is_due = self.ordered_at.is_some_and(|at| now.since(at) >= delay);
-        (is_due && self.accepted.is_some_and(|count| count != self.present))
-            .then_some(Reason::Mismatch)
+        let is_due = now.since(since) >= delay.min(MISMATCH_DELAY_MAX);
+        (is_due && self.mismatch_since.is_some()).then_some(Reason::Mismatch)
     }
 
     /// Records that an order is given.
@@ -135,10 +150,9 @@
             is_unanswered: false,
         });
         self.ordered_at = Some(now);
-        self.repetitions = if reason == Reason::Mismatch {
-            self.repetitions + 1
-        } else {
-            0
+        self.repetitions = match reason {
+            Reason::Mismatch | Reason::NoResponse => self.repetitions + 1,
+            _ => 0,
         };
     }
 
@@ -166,9 +180,9 @@
 
 impl Pending {
     /// Returns when the order may be given again.
-    fn due(&self) -> Instant {
+    fn due(&self, repetitions: u32) -> Instant {
         let delay = if self.is_unanswered {
-            RETRY_DELAY
+            (RETRY_DELAY * 2_u32.saturating_pow(repetitions)).min(RETRY_DELAY_MAX)
         } else {
             OUTCOME_TIMEOUT
         };
--- a/policy/src/gateway/scaling/target.rs
+++ b/policy/src/gateway/scaling/target.rs
@@ -6,7 +6,7 @@
 
 /// Fraction of the workers that are ordinary, for the time in which several data centres lose
 /// their spot workers.
-const ORDINARY_FRACTION: f64 = 0.1;
+const ORDINARY_FRACTION: f64 = 0.06;
 /// Number of data centres from which the loss of the spot workers of two is covered.
 const TWO_LOSSES_DATA_CENTRES: usize = 4;
 
