--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -8,6 +8,7 @@
 
 mod authorization;
 mod caller_connection;
+mod catalog_handler;
 mod client;
 mod connection;
 mod crash_detector;
@@ -16,6 +17,7 @@
 pub mod duties;
 mod endpoint_handler;
 mod endpoint_index;
+mod engine_choice;
 mod event_counter;
 mod exchange;
 mod failure;
@@ -31,6 +33,7 @@
 mod peer_traffic;
 mod peers;
 mod plain;
+mod prefill_guard;
 mod registration;
 mod request_context;
 mod request_handler;
@@ -42,9 +45,12 @@
 mod shared;
 mod shared_reads;
 mod socket;
+mod speed_report;
 mod store;
 mod store_watcher;
 mod stream_forwarder;
+mod stream_pauses;
+mod stream_times;
 mod unreadable_datagrams;
 mod work_guard;
 
