gateway: task that orders workers, and the demand of each daemon

Cause: the decision needs the registrations, the demand and the outcomes of calls. Change: ScalingTask implements DutyTask, logs each order and sets the metrics; arrivals of scaled services are measured. The loop of the holder that calls it is not there yet.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -39,6 +39,11 @@
 mod request_handler;
 mod response_body;
 mod retry_budgets;
+#[expect(
+    dead_code,
+    reason = "the loop of the holder that calls the task follows"
+)]
+mod scaling_task;
 mod server;
 mod settings;
 mod settings_file;
--- a/lib/src/gateway/engine_choice.rs
+++ b/lib/src/gateway/engine_choice.rs
@@ -11,6 +11,7 @@
 use super::failure::refuse;
 use super::request_context::RequestContext;
 use super::response_body::ResponseBody;
+use super::scaling_task;
 
 /// Chooses where a generation runs. Engines in `excluded` are not considered.
 pub(super) fn place(
@@ -41,6 +42,7 @@
     if excluded.is_empty() {
         let mut size_shares = shared.size_shares.borrow_mut();
         size_shares.record(route, prompt.tokens, result.is_ok());
+        scaling_task::record_arrival(context, &result);
     }
     let placement = result.map_err(|refusal| {
         if limited.is_empty() || refusal.reason != "no_engine" {
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -5,8 +5,8 @@
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::epidemic::Broadcast;
 use ragwortgrade_policy::gateway::{
-    Catalog, Endpoint, Engines, Limits, PlainPool, Quarantine, RateLimits, RegistrationSource,
-    Registry, ResponseEra, SizeShares, StoreEra, StoreOutage,
+    Catalog, Demand, Endpoint, Engines, Limits, PlainPool, Quarantine, RateLimits,
+    RegistrationSource, Registry, ResponseEra, SizeShares, StoreEra, StoreOutage,
 };
 use ragwortgrade_schema::Name;
 use tokio::sync::{Notify, watch};
@@ -48,6 +48,7 @@
     /// Wakes requests that wait for the configuration and the first listing.
     loaded: Notify,
     pub(super) drain: Drain,
+    pub(super) demand: RefCell<Demand>,
     store_era: RefCell<StoreEra>,
     pub(super) store_outage: RefCell<StoreOutage>,
     /// Wakes the task that keeps this daemon registered, to call the store at once.
@@ -99,6 +100,7 @@
             is_registry_loaded: Cell::new(false),
             loaded: Notify::new(),
             drain: Drain::default(),
+            demand: RefCell::default(),
             store_era: RefCell::default(),
             store_outage: RefCell::default(),
             store_call: Notify::new(),
