scaling: log line on what the orders are based on; a minute of reports before removal

Cause: a new holder removed a worker after 59 s, as it counts rounding differences of its predecessor as surplus once 45 samples are there; the peaks of a minute were not known then. 'workers counted' every 10 s.

--- a/lib/src/gateway/scaling_task.rs
+++ b/lib/src/gateway/scaling_task.rs
@@ -21,6 +21,8 @@
 /// Time after an outage or a restore of the store for which no workers are ordered: registrations of
 /// stopped endpoints, which an older copy has, end within it.
 const INTERRUPTION_TIME: Duration = Duration::from_secs(10);
+/// Interval of the log lines on the numbers of workers.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Maximum number of orders whose outcome is awaited.
 const ORDERS_MAX: usize = 256;
 
@@ -40,6 +42,8 @@
     /// Number of interruptions and restores of the store that were noticed, and when.
     interruptions: (u64, u64),
     interrupted_at: Option<Instant>,
+    /// When the numbers of workers were last logged.
+    logged_at: Option<Instant>,
     /// Orders whose outcome is not known.
     orders: Vec<Order>,
     /// When endpoints were first seen with this start and remaining slow time.
@@ -94,6 +98,13 @@
             gauge("spot", status.spot);
             gauge("dry_data_centres", status.dry_data_centres);
         }
+        if state
+            .logged_at
+            .is_none_or(|at| now.since(at) >= LOG_INTERVAL)
+        {
+            state.logged_at = Some(now);
+            log_status(&state.scaling, &views, is_current, now);
+        }
         orders
     }
 
@@ -310,6 +321,25 @@
     demand.record(&context.service, arrival, now);
 }
 
+/// Logs what the orders of workers are based on.
+fn log_status(scaling: &Scaling, views: &[ServiceView<'_>], is_current: bool, now: Instant) {
+    for (service, status) in scaling.status(now) {
+        let mut views = views.iter();
+        let demand = views
+            .find(|view| view.service == service)
+            .and_then(|it| it.demand);
+        log::info!(
+            service:% = service, wanted = status.wanted, present = status.present,
+            spot = status.spot, dry_data_centres = status.dry_data_centres,
+            needed_prefill = status.need.prefill, needed_decode = status.need.decode,
+            measured_prefill:? = demand.map(|it| it.need.prefill),
+            measured_decode:? = demand.map(|it| it.need.decode),
+            refused_share:? = demand.map(|it| it.refused_share), is_current = is_current;
+            "workers counted"
+        );
+    }
+}
+
 /// Returns the services whose workers are ordered.
 fn scaled_services(catalog: &Catalog) -> impl Iterator<Item = &Service> {
     catalog.services().filter(|it| it.scaling.is_some())
--- a/policy/src/gateway/scaling/fleet.rs
+++ b/policy/src/gateway/scaling/fleet.rs
@@ -67,12 +67,12 @@
     /// Returns the orders that are due now.
     pub(super) fn decide(&mut self, view: &ServiceView<'_>, now: Instant) -> Vec<Order> {
         self.observe(view, now);
+        let resumed_at = *self.resumed_at.get_or_insert(now);
         let capacity = Capacity::new(view.workers);
         let Some(forecast) = &mut self.forecast else {
             self.start(view, &capacity, now);
             return Vec::new();
         };
-        let resumed_at = *self.resumed_at.get_or_insert(now);
         if now.since(resumed_at) < STABLE_TIME {
             return Vec::new();
         }
@@ -115,6 +115,7 @@
             present: self.present(),
             spot: spot.map(|(_, pool)| pool.present()).sum(),
             dry_data_centres: dry as u32,
+            need: self.need,
         }
     }
 
--- a/policy/src/gateway/scaling/forecast.rs
+++ b/policy/src/gateway/scaling/forecast.rs
@@ -7,8 +7,9 @@
 /// Time for which a peak of the demand counts. Demand alternates in waves of up to 11 s and bursts
 /// of up to 14 s, so that the window holds several of each.
 const PEAK_TIME: Duration = Duration::from_mins(1);
-/// Number of samples, one a second, below which the peaks are not known well enough to shrink.
-const SAMPLES_MIN: usize = 45;
+/// Number of samples, one a second, from which they cover the window so far that the capacity may
+/// shrink.
+const SAMPLES_MIN: usize = 55;
 /// Number of samples that are kept; more than one a second are not needed.
 const SAMPLES_MAX: usize = 90;
 /// Margin over the peak: averages over seconds hide the load of shorter times.
