policy: test of reclaims at random times

Cause: sequences of reclaims during replacements are too many to list. Change: 40 seeds of 400 s with bursts and reclaims of up to two data centres at a time.

--- a/policy/tests/gateway_scaling.rs
+++ b/policy/tests/gateway_scaling.rs
@@ -6,6 +6,8 @@
 use ragwortgrade_policy::gateway::Scaling;
 use ragwortgrade_policy::gateway::scaling::{Need, Reason};
 use ragwortgrade_testutil::named_cases;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
 use worker_site::Site;
 
 /// Price per second of the 140 ordinary workers at the start.
@@ -249,3 +251,31 @@
     site.run(40, steady);
     assert!(site.total() > before);
 }
+
+/// Guards against rare sequences of reclaims that leave too few workers, or orders above the
+/// maximum.
+#[test]
+fn reclaims_at_random_times() {
+    for seed in 0..40 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut site = Site::new(35);
+        site.run(10, no_demand);
+        let mut dry_until = [0; 4];
+        for second in 0..400_u64 {
+            let dry = dry_until.iter().filter(|until| **until > second).count();
+            if dry < 2 && random.random_bool(0.05) {
+                let index = random.random_range(0..4);
+                // A data centre without spot workers for 9 s has new ones after their boot.
+                dry_until[index] = second + 25;
+                site.reclaim(DATA_CENTRES[index]);
+            }
+            site.run(1, waves_and_bursts);
+        }
+        let keeping = PRICE_AT_START * site.now_s as f64;
+        assert!(
+            site.cost <= keeping / 2.0,
+            "seed {seed}: {} of {keeping}",
+            site.cost
+        );
+    }
+}
