scaling: orders that find no workers after a reclaim are given again after 3 s

Cause: a reclaimed data centre that is dry a little longer than 9.2 s would have waited for 18.4 s. The tests did not notice orders to dry data centres. Change: a shorter wait after a reclaim; the tests count orders that find no workers.

--- a/policy/src/gateway/scaling/pool.rs
+++ b/policy/src/gateway/scaling/pool.rs
@@ -5,6 +5,8 @@
 
 /// Time for which no spot workers are to be had where they were reclaimed or an order found none.
 const DRY_TIME: Duration = Duration::from_millis(9_200);
+/// The same for an order that finds none after that time has passed since a reclaim.
+const FURTHER_DRY_TIME: Duration = Duration::from_secs(3);
 /// Time after which an order without a response is given again.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Longest such time; it doubles with each repetition.
@@ -168,7 +170,12 @@
             }
             Outcome::Unavailable => {
                 self.pending = None;
-                self.dry_until = Some(now + DRY_TIME);
+                let dry_time = if self.has_lost(now) {
+                    FURTHER_DRY_TIME
+                } else {
+                    DRY_TIME
+                };
+                self.dry_until = Some(now + dry_time);
             }
             Outcome::Unknown => {
                 pending.is_unanswered = true;
--- a/policy/tests/gateway_scaling.rs
+++ b/policy/tests/gateway_scaling.rs
@@ -111,6 +111,7 @@
         "{} of {before}",
         site.total()
     );
+    assert_eq!(site.unavailable, 0);
     let orders = &site.orders[orders_before..];
     let is_reclaimed = |name: &str| {
         let mut orders = orders.iter().map(|(_, order)| order);
--- a/policy/tests/worker_site/mod.rs
+++ b/policy/tests/worker_site/mod.rs
@@ -38,6 +38,8 @@
     /// Outcome of the orders instead of the platform's, which executes them all the same.
     pub lost_responses: bool,
     pub hidden: usize,
+    /// Number of orders for which no workers were available.
+    pub unavailable: usize,
     workers: Vec<SiteWorker>,
     dry_until: BTreeMap<Name, u64>,
     service: Name,
@@ -65,6 +67,7 @@
             is_demand_known: true,
             lost_responses: false,
             hidden: 0,
+            unavailable: 0,
             workers: Vec::new(),
             dry_until: BTreeMap::new(),
             service: "models".into(),
@@ -178,6 +181,7 @@
         let before = self.count(&order.data_centre, order.is_spot);
         let dry = self.dry_until.get(&order.data_centre);
         if order.is_spot && order.count > before && dry.is_some_and(|until| self.now_s < *until) {
+            self.unavailable += 1;
             return Outcome::Unavailable;
         }
         let boot_s = BOOT_S[order.data_centre.len() % 2 + self.orders.len() % 2];
