--- a/lib/src/gateway/duties/handle.rs
+++ b/lib/src/gateway/duties/handle.rs
@@ -30,7 +30,6 @@
     }
 
     /// Adds a task that the holder performs.
-    #[allow(dead_code, reason = "the task that scales workers is added separately")]
     pub(in crate::gateway) fn add_task(&self, task: Rc<dyn DutyTask>) {
         if let Some(state) = &self.state {
             state.tasks.borrow_mut().push(task);
--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -14,8 +14,11 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+use super::drain::DRAIN_MARGIN;
+use super::duties::Duty;
 use super::response_body::ResponseBody;
-use super::shared::{DRAIN_MARGIN, Shared};
+use super::scaling_task::ScalingTask;
+use super::shared::Shared;
 use super::{
     Options, duties, load_exchange, local_response, peers, registration, server, store_watcher,
     supervisor,
@@ -200,7 +203,11 @@
     supervisor::spawn(shared, "registration", move || {
         registration::register(Rc::clone(&state), peers_address)
     });
-    if shared.options.duties.is_some() {
+    if let Some(options) = &shared.options.duties {
+        if options.settings.duties.contains(&Duty::Scale) {
+            let task = ScalingTask::new(Rc::clone(shared));
+            shared.duties.add_task(Rc::new(task));
+        }
         let (state, duty_socket) = (Rc::clone(shared), Rc::clone(&socket));
         supervisor::spawn(shared, "duties", move || {
             duties::run(Rc::clone(&state), Rc::clone(&duty_socket))
@@ -248,7 +255,7 @@
         _ = drain_receiver.wait_for(|is_draining| *is_draining) => {}
     }
     let started_at = Instant::now();
-    shared.drain_started_at.set(Some(shared.now()));
+    shared.drain.start(shared.now());
     log::info!(requests = shared.callers.requests_in_flight(); "drain started");
     tokio::task::spawn_local(registration::unregister(Rc::clone(shared)));
     tokio::select! {
