--- a/lib/src/gateway/duties/duty_settings.rs
+++ b/lib/src/gateway/duties/duty_settings.rs
@@ -49,8 +49,14 @@
 
 impl DutySettings {
     /// Reads the settings of the duties; without an address, none run.
+    ///
+    /// The template fills in the other settings also where there is no address; they are not checked
+    /// then.
     pub(in crate::gateway) fn read(reader: &mut Reader) -> Option<Self> {
         let address = reader.optional("duties_address", "an address such as 10.0.0.1:85");
+        if address.is_none() {
+            reader.ignore(&Self::KEYS);
+        }
         let names: Option<String> = reader.optional("duties", "a list such as usage,scale");
         let duties = names.map(|names| read_duties(reader, &names));
         let calls_per_second = reader.defaulted("duty_calls_per_second", Self::CALLS_PER_SECOND);
@@ -71,6 +77,16 @@
         })
     }
 
+    /// Settings that are optional beside the address.
+    const KEYS: [&str; 7] = [
+        "duties",
+        "duty_calls_per_second",
+        "duty_fencing_required",
+        "duty_lease_ms",
+        "duty_thaw_ms",
+        "usage_window_seconds",
+        "usage_late_seconds",
+    ];
     /// Default and range of `duty_calls_per_second`.
     const CALLS_PER_SECOND: (f64, f64, f64) = (50.0, 1.0, 10_000.0);
     /// Default and range of `duty_lease_ms`. Below the minimum, the lease leaves no time for calls to
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -158,6 +158,13 @@
         self.parse(&property, expected)
     }
 
+    /// Skips settings that have no effect.
+    pub(super) fn ignore(&mut self, keys: &[&str]) {
+        for key in keys {
+            self.values.remove(*key);
+        }
+    }
+
     /// Reads an optional number, given its default and range.
     pub(super) fn defaulted(&mut self, key: &str, (default, min, max): (f64, f64, f64)) -> f64 {
         let is_absent = |property: &ini::Property| property.value.is_empty();
--- a/policy/src/gateway/duties/election.rs
+++ b/policy/src/gateway/duties/election.rs
@@ -27,8 +27,8 @@
     previous: Option<HolderRecord>,
     /// Whether this daemon let the others go first since the lock became free.
     has_deferred: bool,
-    /// Whether this process has held the lease before.
-    was_holder: bool,
+    /// Number of restores at the begin of the last tenure of this process.
+    last_tenure: Option<u64>,
     /// Token and begin of the present tenure.
     tenure: Option<(u64, Instant)>,
     highest_token: u64,
@@ -49,7 +49,7 @@
             seen: None,
             previous: None,
             has_deferred: false,
-            was_holder: false,
+            last_tenure: None,
             tenure: None,
             highest_token: 0,
         }
@@ -123,7 +123,7 @@
             return Answer::Lock(Some((lock, revision)));
         }
         // A former holder has to wait before it acts, so the other candidates go first.
-        if self.was_holder && !self.has_deferred && self.lease.is_idle() {
+        if self.last_tenure.is_some() && !self.has_deferred && self.lease.is_idle() {
             self.has_deferred = true;
             return Answer::Failed;
         }
@@ -151,7 +151,7 @@
         self.tenure = token.map(|token| (token, now.monotonic + self.initial_wait(now.monotonic)));
         if let Some(token) = token {
             self.observe_token(token);
-            self.was_holder = true;
+            self.last_tenure = Some(self.restores);
             self.has_deferred = false;
         }
     }
@@ -160,7 +160,9 @@
     fn initial_wait(&self, now: Instant) -> Duration {
         let full_wait = self.timing.lease.takeover_wait;
         let Some(previous) = &self.previous else {
-            return full_wait;
+            // A restore may have lost the record of other holders.
+            let former_wait = self.last_tenure.map(|_| self.timing.lease_time);
+            return full_wait.max(former_wait.unwrap_or_default());
         };
         // The end of the predecessor's lock shows that its lease has ended, unless the store was
         // restored in between.
@@ -175,9 +177,14 @@
         };
         let is_own = |holder: &Holder| holder.daemon == self.own.daemon;
         let has_just_started = now.since(self.started_at) < self.timing.lease_time * 2;
-        let may_have_acted =
-            self.was_holder || has_just_started || previous.former_holders.iter().any(is_own);
-        if may_have_acted && !is_own(&previous.holder) {
+        let may_have_acted = self.last_tenure.is_some()
+            || has_just_started
+            || previous.former_holders.iter().any(is_own);
+        // After a restore the record may lack a holder that acted in between.
+        let was_last = previous.holder.is_same_run(&self.own)
+            && self.era.is_some()
+            && self.last_tenure == Some(self.restores);
+        if may_have_acted && !was_last {
             return wait.max(self.timing.lease_time);
         }
         wait
--- a/policy/tests/duties/main.rs
+++ b/policy/tests/duties/main.rs
@@ -7,7 +7,7 @@
 
 use simulation::{Disabled, Simulation, Violation};
 
-const SEEDS: u64 = 400;
+const SEEDS: u64 = 2_000;
 const RUN_MS: u64 = 60_000;
 
 /// Returns the first violation with a mechanism disabled, and its seed.
--- a/policy/tests/duties/simulation.rs
+++ b/policy/tests/duties/simulation.rs
@@ -191,19 +191,26 @@
     fn inject(&mut self) {
         let index = self.random.random_range(0..DAEMONS);
         let time = self.random.random_range(500..7_000);
-        if self.chance(4) {
-            self.daemons[index].frozen_until = self.now_ms + time;
-        } else if self.chance(4) {
-            self.daemons[index].cut_until = self.now_ms + time;
-        } else if self.restores_left > 0 && self.chance(2) && self.copies.len() > 12 {
-            let age = self.random.random_range(1..12);
-            self.store = self.copies[self.copies.len() - age].clone();
-            self.copies.clear();
-            self.era += 1;
-            self.restores_left -= 1;
+        match self.random.random_range(0..1_000) {
+            0..4 => self.daemons[index].frozen_until = self.now_ms + time,
+            4..8 => self.daemons[index].cut_until = self.now_ms + time,
+            8..10 => self.restore(),
+            _ => {}
         }
     }
 
+    /// Restores the store from a copy of the last seconds.
+    fn restore(&mut self) {
+        if self.restores_left == 0 || self.copies.len() <= 12 {
+            return;
+        }
+        let age = self.random.random_range(1..12);
+        self.store = self.copies[self.copies.len() - age].clone();
+        self.copies.clear();
+        self.era += 1;
+        self.restores_left -= 1;
+    }
+
     fn expire_leases(&mut self) {
         let now_ms = self.now_ms;
         self.store.leases.retain(|_, end| *end > now_ms);
