policy, gateway: tenants share scarce capacity fairly

One tenant that floods a service left hardly any capacity to the others: a test with a worker of 50 requests a second served 4 of 59 requests of a small tenant, and 274 of 7,053 of the large one.

While requests of a service are refused, a tenant whose recent admissions exceed its max-min fair share is admitted only as often as its share, but not below half of the served fraction of all. Each daemon decides from the requests that it sees; refusals for another reason than a lack of capacity do not count. Requests of configurations without tenants are not affected.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -18,6 +18,7 @@
 mod event_counter;
 mod exchange;
 mod failure;
+mod fairness;
 mod generation;
 mod handle;
 mod head_limit;
--- a/lib/src/gateway/authorization.rs
+++ b/lib/src/gateway/authorization.rs
@@ -28,8 +28,9 @@
     pub(super) route: Route,
     /// Tenant whose key the request carries.
     pub(super) tenant: Option<Name>,
-    /// Whether the caller's headers for the key and the tenant are withheld from endpoints.
-    pub(super) hides_tenant_headers: bool,
+    /// Whether the configuration has tenants, so that callers' headers for them are withheld from
+    /// endpoints.
+    pub(super) has_tenants: bool,
 }
 
 /// Finds the route and the tenant of a request.
@@ -58,7 +59,7 @@
         )));
     };
     let mut route = route.clone();
-    let (tenant, hides_tenant_headers) = match authorize(
+    let (tenant, has_tenants) = match authorize(
         catalog,
         &shared.configuration.key_news(),
         &route,
@@ -84,7 +85,7 @@
         metadata,
         route,
         tenant,
-        hides_tenant_headers,
+        has_tenants,
     })
 }
 
--- a/lib/src/gateway/failure.rs
+++ b/lib/src/gateway/failure.rs
@@ -66,6 +66,9 @@
             Some(endpoint_response.unwrap_or_else(failed))
         }
         NextStep::End(Outcome::Unknown | Outcome::NotRun) => {
+            if failure == Failure::NotRun {
+                context.record_no_capacity();
+            }
             Some(refuse(context, "not_run", RETRY_AFTER_DEFAULT))
         }
     }
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -232,6 +232,9 @@
         "generation refused"
     );
     context.shared.metrics.count("generations.refused", 1);
+    if refusal.lacks_capacity() {
+        context.record_no_capacity();
+    }
     refuse(context, refusal.reason, refusal.retry_after)
 }
 
--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -225,7 +225,7 @@
 async fn run_periodic_checks(shared: Rc<Shared>) {
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        shared.callers.close_overdue(&shared.limits());
+        shared.callers.close_overdue(&shared.configuration.limits());
         shared.client.close_expired();
         shared.update_quarantine(Quarantine::expire);
         shared.rate_limits.borrow_mut().expire(shared.now());
--- a/lib/src/gateway/plain.rs
+++ b/lib/src/gateway/plain.rs
@@ -35,6 +35,7 @@
                     "call refused"
                 );
                 context.shared.metrics.count("calls.refused", 1);
+                context.record_no_capacity();
                 return refuse(context, reason, retry_after);
             }
         };
--- a/lib/src/gateway/request_context.rs
+++ b/lib/src/gateway/request_context.rs
@@ -36,8 +36,9 @@
     pub(super) service: Name,
     /// Tenant whose key the request carries.
     pub(super) tenant: Option<Name>,
-    /// Whether the caller's headers for the key and the tenant are withheld from endpoints.
-    pub(super) hides_tenant_headers: bool,
+    /// Whether the configuration has tenants, so that callers' headers for them are withheld from
+    /// endpoints.
+    pub(super) has_tenants: bool,
     pub(super) received_at: Instant,
     /// Time limit of the final response.
     pub(super) time_limit: Duration,
@@ -53,6 +54,8 @@
     sends: Cell<u32>,
     /// Number of remote prefill calls that were sent and failed.
     failed_prefills: Cell<u32>,
+    /// Whether the request was refused for a lack of capacity.
+    lacked_capacity: Cell<bool>,
 }
 
 impl RequestContext {
@@ -107,6 +110,15 @@
         self.progress.failed_prefills.set(failed + 1);
     }
 
+    /// Records that the request is refused for a lack of capacity.
+    pub(super) fn record_no_capacity(&self) {
+        self.progress.lacked_capacity.set(true);
+    }
+
+    pub(super) fn lacked_capacity(&self) -> bool {
+        self.progress.lacked_capacity.get()
+    }
+
     /// Returns whether the attempts left allow another remote prefill call before the run.
     pub(super) fn may_prefill_remotely(&self) -> bool {
         let attempts = self.progress.sends.get() + self.progress.failed_prefills.get();
@@ -144,7 +156,7 @@
             time_left: self.metadata.deadline.map(|_| self.time_left()),
             priority,
             tenant: self.tenant.as_ref(),
-            hides_tenant_headers: self.hides_tenant_headers,
+            hides_tenant_headers: self.has_tenants,
             operation,
         };
         let options = &self.shared.options;
--- a/lib/src/gateway/request_handler.rs
+++ b/lib/src/gateway/request_handler.rs
@@ -17,7 +17,7 @@
 use super::response_body::ResponseBody;
 use super::shared::Shared;
 use super::work_guard::millis;
-use super::{generation, plain};
+use super::{fairness, generation, plain};
 
 /// Longest time for which a request waits until this daemon, which has just started, has read the
 /// configuration and the registrations; normally that takes 0.2 s.
@@ -94,6 +94,9 @@
         .service(&context.service)
         .and_then(|service| service.engine);
     let work = async {
+        if let Some(response) = fairness::refuse_over_share(&context) {
+            return response;
+        }
         match &engine {
             Some(limits) => generation::respond(&context, limits).await,
             None => plain::respond(&context).await,
@@ -111,12 +114,7 @@
     shared
         .metrics
         .count(&format!("answers.{}", response.status().as_u16()), 1);
-    if let Some(tenant) = &context.tenant {
-        let status = response.status();
-        shared
-            .tenants
-            .record_answer(&shared.metrics, tenant, status);
-    }
+    fairness::record_answer(&context, response.status());
     response
 }
 
@@ -154,7 +152,7 @@
         metadata,
         route,
         tenant,
-        hides_tenant_headers,
+        has_tenants,
     } = request;
     let id = metadata.id.as_deref().unwrap_or_default();
     let Some(service) = route.service_for(id).cloned() else {
@@ -181,7 +179,7 @@
         route,
         service,
         tenant,
-        hides_tenant_headers,
+        has_tenants,
         received_at,
         time_limit,
         progress: Progress::default(),
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -62,7 +62,7 @@
     });
     let connection = http1::Builder::new()
         .title_case_headers(true)
-        .max_buf_size(shared.limits().header_bytes + READ_AHEAD_BYTES)
+        .max_buf_size(shared.configuration.limits().header_bytes + READ_AHEAD_BYTES)
         .serve_connection(io, service);
     let mut connection = pin!(connection);
     loop {
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -5,7 +5,7 @@
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::epidemic::Broadcast;
 use ragwortgrade_policy::gateway::{
-    Catalog, Endpoint, Engines, Limits, PlainPool, Quarantine, RateLimits, RegistrationSource,
+    Catalog, Endpoint, Engines, FairShares, PlainPool, Quarantine, RateLimits, RegistrationSource,
     Registry, ResponseEra, SizeShares, StoreEra, StoreOutage,
 };
 use ragwortgrade_schema::Name;
@@ -40,6 +40,7 @@
     pub(super) options: Options,
     pub(super) configuration: Configuration,
     pub(super) tenants: TenantStatistics,
+    pub(super) fair_shares: RefCell<FairShares>,
     pub(super) registry: RefCell<Registry>,
     pub(super) engines: RefCell<Engines>,
     pub(super) size_shares: RefCell<SizeShares>,
@@ -90,6 +91,7 @@
             clock,
             configuration: Configuration::default(),
             tenants: TenantStatistics::default(),
+            fair_shares: RefCell::default(),
             registry: RefCell::default(),
             engines: RefCell::new(
                 Engines::open(options.speed).with_order_seed(xxh3_64(options.name.as_bytes())),
@@ -138,10 +140,6 @@
         self.configuration.catalog()
     }
 
-    pub(super) fn limits(&self) -> Limits {
-        self.configuration.limits()
-    }
-
     /// Changes the quarantine and logs what it then holds.
     pub(super) fn update_quarantine(&self, update: impl FnOnce(&mut Quarantine, Instant)) {
         let now = self.now();
--- a/policy/src/gateway/placement.rs
+++ b/policy/src/gateway/placement.rs
@@ -49,6 +49,16 @@
     pub retry_after: Duration,
 }
 
+impl Refusal {
+    /// Returns whether other requests are the cause, and not the request's own size.
+    #[must_use]
+    pub fn lacks_capacity(&self) -> bool {
+        let is_mostly_queue =
+            |estimate: &Estimate| estimate.queue.as_secs_f64() * 1e3 >= estimate.prefill_ms;
+        self.estimate.as_ref().is_none_or(is_mostly_queue)
+    }
+}
+
 /// Estimate for the cheapest placement of a generation that is refused, and the limits that it
 /// exceeds.
 #[derive(Clone, Copy, Debug, PartialEq)]
