--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -22,6 +22,7 @@
 mod event_counter;
 mod exchange;
 mod failure;
+mod fairness;
 mod generation;
 mod handle;
 mod head_limit;
--- a/lib/src/gateway/engine_choice.rs
+++ b/lib/src/gateway/engine_choice.rs
@@ -149,6 +149,9 @@
         "generation refused"
     );
     context.shared.metrics.count("generations.refused", 1);
+    if refusal.lacks_capacity() {
+        context.record_no_capacity();
+    }
     refuse(context, refusal.reason, refusal.retry_after)
 }
 
