gateway: learn the fixed part of prefill calls

Cause: the fixed part was assumed to be 65 ms. If it is shorter, fast engines seem faster than they are, as their prefills take as long as the difference. Change: it is fitted from the times of calls of different sizes, at most as long as assumed. What is known of an engine is collected once for a candidate instead of four times.

--- a/lib/src/gateway/prefill_guard.rs
+++ b/lib/src/gateway/prefill_guard.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 
 use ragwortgrade_policy::Instant;
-use ragwortgrade_policy::gateway::{CallOutcome, Placement, Prompt};
+use ragwortgrade_policy::gateway::{CallOutcome, ObservedPrefill, Placement, Prompt};
 use ragwortgrade_schema::Name;
 
 use super::shared::Shared;
@@ -15,10 +15,8 @@
     started_at: Instant,
     priority: u8,
     prefill_ms: f64,
-    /// Engine time of the prefill at the configured speed, in ms.
-    configured_ms: f64,
-    /// Expected wait for known work, in ms.
-    wait_ms: f64,
+    /// The prefill, which has not ended yet.
+    observed: ObservedPrefill,
     /// Expected time until the response, including the wait for other work.
     expected_ms: f64,
     outcome: CallOutcome,
@@ -36,11 +34,17 @@
     ) -> Self {
         let started_at = shared.now();
         let (priority, prefill_ms) = (placement.priority, placement.prefill_ms);
-        let is_local_prefill = placement.prefill.is_none();
+        let is_local = placement.prefill.is_none();
         let mut engines = shared.engines.borrow_mut();
-        let configured_ms =
-            engines.configured_prefill_ms(prompt, placement.cached_tokens, is_local_prefill);
+        let cached_tokens = placement.cached_tokens;
         let wait_ms = engines.known_wait_ms(engine, priority, started_at);
+        let observed = ObservedPrefill {
+            is_local,
+            configured_ms: engines.configured_prefill_ms(prompt, cached_tokens, is_local),
+            wait_ms,
+            overhead_ms,
+            millis: 0.0,
+        };
         let expected_ms = wait_ms + prefill_ms + overhead_ms;
         engines.prefill_sent(
             engine,
@@ -58,8 +62,7 @@
             started_at,
             priority,
             prefill_ms,
-            configured_ms,
-            wait_ms,
+            observed,
             expected_ms,
             outcome: CallOutcome::Abandoned,
         }
@@ -90,15 +93,11 @@
             now,
         );
         if let CallOutcome::Done { millis } = self.outcome {
-            // What exceeds the expected time is due to the engine.
-            let engine_ms = self.prefill_ms + millis - self.expected_ms;
-            engines.observe_prefill(
-                &self.engine,
-                self.configured_ms,
-                engine_ms,
-                self.wait_ms,
-                now,
-            );
+            let observed = ObservedPrefill {
+                millis,
+                ..self.observed
+            };
+            engines.observe_prefill(&self.engine, &observed, now);
         }
         drop(engines);
         self.shared.notify_work_changed();
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -64,7 +64,7 @@
 pub use departure_report::DepartureReport;
 pub use endpoint::{Endpoint, EndpointState, Stage};
 pub use engine_load::CallOutcome;
-pub use engine_speeds::{SpeedKind, SpeedSample};
+pub use engine_speeds::{ObservedPrefill, SpeedKind, SpeedSample};
 pub use engines::Engines;
 pub use evidence::Evidence;
 pub use fingerprint::Fingerprint;
--- a/policy/src/gateway/engine_speeds.rs
+++ b/policy/src/gateway/engine_speeds.rs
@@ -3,10 +3,14 @@
 
 use ragwortgrade_schema::Name;
 
+mod call_overhead;
+mod observed_prefill;
 mod speed_estimate;
 mod speed_sample;
 mod unsent_samples;
 
+use call_overhead::CallOverhead;
+pub use observed_prefill::ObservedPrefill;
 use speed_estimate::SpeedEstimate;
 pub use speed_sample::{SpeedKind, SpeedSample};
 use unsent_samples::UnsentSamples;
@@ -35,6 +39,7 @@
     medians: [f64; SpeedKind::COUNT],
     median_at: Option<Instant>,
     unsent: UnsentSamples,
+    call_overhead: CallOverhead,
 }
 
 impl EngineSpeeds {
@@ -44,6 +49,13 @@
         self.record(sample, now);
     }
 
+    /// Records a remote prefill call of `call_ms` apart from the wait, and returns its time without
+    /// the fixed part, which is at most `assumed_ms`.
+    pub(crate) fn observe_call(&mut self, prefill_ms: f64, call_ms: f64, assumed_ms: f64) -> f64 {
+        self.call_overhead.observe(prefill_ms, call_ms);
+        call_ms - self.call_overhead.millis(assumed_ms)
+    }
+
     /// Records a sample of any daemon.
     pub(crate) fn record(&mut self, sample: &SpeedSample, now: Instant) {
         let kind = sample.kind.index();
@@ -72,13 +84,13 @@
         }
     }
 
-    /// Returns the factor of an engine, which is that of the median for engines that are alike and
-    /// those without recent samples.
-    pub(crate) fn factor(&self, id: &Name, kind: SpeedKind, now: Instant) -> f64 {
-        (self.medians[kind.index()] + self.log_relative(id, kind, now)).exp()
+    /// Returns the factor of the fleet's median engine.
+    pub(crate) fn median_factor(&self, kind: SpeedKind) -> f64 {
+        self.medians[kind.index()].exp()
     }
 
-    /// Returns the factor of an engine divided by the median of the fleet.
+    /// Returns the factor of an engine divided by the median of the fleet: 1 for engines that are alike
+    /// and those without recent samples.
     pub(crate) fn relative_factor(&self, id: &Name, kind: SpeedKind, now: Instant) -> f64 {
         self.log_relative(id, kind, now).exp()
     }
--- a/policy/src/gateway/engines/costs.rs
+++ b/policy/src/gateway/engines/costs.rs
@@ -1,9 +1,10 @@
 //! Waits and costs of the candidates of a placement.
 
-use super::super::Endpoint;
+use super::super::engine_load::EngineLoad;
 use super::super::engine_speeds::SpeedKind;
 use super::super::placement_request::{CROSS_DATA_CENTRE_COST_MS, PlacementRequest};
 use super::super::prefill_candidate::{PrefillCandidate, WaitEstimate, slot_wait_ms};
+use super::super::{Endpoint, EngineWork};
 use super::Engines;
 
 /// Cost of a failure rate of 1, in ms: about the time after which a caller abandons its request.
@@ -31,7 +32,40 @@
 /// Largest number of paused streams that count. With more, the cost exceeds that of a refusal.
 const PAUSED_SEQUENCES_MAX: u32 = 5;
 
+/// What a daemon knows of an engine at a decision.
+struct EngineState<'a> {
+    engine: &'a Endpoint,
+    load: Option<&'a EngineLoad>,
+    /// Known work of all daemons.
+    work: EngineWork,
+    /// Decode speed as a factor of the configured time, and of the fleet's median.
+    slowness: f64,
+    relative_slowness: f64,
+}
+
 impl Engines {
+    fn state<'a>(
+        &'a self,
+        engine: &'a Endpoint,
+        request: &PlacementRequest<'_>,
+    ) -> EngineState<'a> {
+        let load = self.loads.get(&engine.id);
+        let mut work = self.peers.total(&engine.id, request.now);
+        if let Some(load) = load {
+            work.add(&load.own_work(request.now));
+        }
+        let relative_slowness =
+            self.speeds
+                .relative_factor(&engine.id, SpeedKind::Decode, request.now);
+        EngineState {
+            engine,
+            load,
+            work,
+            slowness: relative_slowness * self.speeds.median_factor(SpeedKind::Decode),
+            relative_slowness,
+        }
+    }
+
     pub(super) fn prefill_candidate<'a>(
         &self,
         engine: &'a Endpoint,
@@ -39,9 +73,11 @@
         is_local_prefill: bool,
         is_affinity_engine: bool,
     ) -> PrefillCandidate<'a> {
-        let load = self.loads.get(&engine.id);
+        let state = self.state(engine, request);
         let shared = request.prompt.shared();
-        let cached_tokens = load.map_or(0, |load| load.cached_tokens(shared, request.now));
+        let cached_tokens = state
+            .load
+            .map_or(0, |load| load.cached_tokens(shared, request.now));
         let shared_tokens = request.prompt.shared_tokens();
         let recomputed_tokens = if is_affinity_engine {
             0
@@ -49,25 +85,26 @@
             shared_tokens.saturating_sub(cached_tokens)
         };
         // Decode engines are observed by their outputs; samples of their prefills are rarer.
-        let kind = if is_local_prefill {
-            SpeedKind::Decode
+        let relative_factor = if is_local_prefill {
+            state.relative_slowness
         } else {
-            SpeedKind::Prefill
+            self.speeds
+                .relative_factor(&engine.id, SpeedKind::Prefill, request.now)
         };
-        let prefill_ms = self.speeds.relative_factor(&engine.id, kind, request.now)
+        let prefill_ms = relative_factor
             * self.latencies.for_prefill(is_local_prefill).factor
             * self
                 .speed
                 .prefill_ms(request.prompt.tokens, cached_tokens, is_local_prefill);
         let mut local_cost_ms = 0.0;
         if is_local_prefill {
-            local_cost_ms = self.output_cost_ms(engine, request)
-                + self.pause_cost_ms(engine, prefill_ms, request);
+            local_cost_ms = self.output_cost_ms(&state, request)
+                + self.pause_cost_ms(&state, prefill_ms, request);
             if request.reserved_decoders.contains(&engine.id) {
                 local_cost_ms += prefill_ms * RESERVED_PREFILL_WEIGHT;
             }
         }
-        let mut wait = self.estimate_wait(engine, request);
+        let mut wait = estimate_wait(&state, request);
         wait.cost_ms += request.cross_data_centre_cost_ms(engine, is_affinity_engine);
         let recompute_ms = f64::from(recomputed_tokens) / self.speed.prefill_tokens_per_ms
             * request.recompute_weight;
@@ -86,20 +123,17 @@
     /// that the engine still has to do.
     fn pause_cost_ms(
         &self,
-        engine: &Endpoint,
+        state: &EngineState<'_>,
         prefill_ms: f64,
         request: &PlacementRequest<'_>,
     ) -> f64 {
         let Some(target_ms) = request.pause_target_ms else {
             return 0.0;
         };
-        let work = self.total_work(&engine.id, request.now);
-        let slowness = self
-            .speeds
-            .factor(&engine.id, SpeedKind::Decode, request.now);
+        let work = &state.work;
         let event_ms = f64::from(request.limits.event_tokens)
             * self.speed.step_ms(work.sequences, 0.0)
-            * slowness;
+            * state.slowness;
         let pause_ms = event_ms + work.prefill_ms.iter().sum::<f64>() + prefill_ms;
         let risk_ms = target_ms * PAUSE_RISK_FRACTION;
         let risk = ((pause_ms - risk_ms) / (target_ms - risk_ms)).clamp(0.0, 1.0);
@@ -107,42 +141,15 @@
         risk * sequences * target_ms
     }
 
-    /// Estimates the wait until an engine starts a request.
-    fn estimate_wait(&self, engine: &Endpoint, request: &PlacementRequest<'_>) -> WaitEstimate {
-        let work = self.total_work(&engine.id, request.now);
-        let cold_ms = engine.cold_remaining.as_secs_f64() * 1e3 / COLD_DIVISOR;
-        let mut latency_ms = work.ahead_ms(request.priority) + cold_ms;
-        let mut cost_ms = f64::from(work.sequences) * SEQUENCE_DELAY_MS;
-        let slowness = self
-            .speeds
-            .relative_factor(&engine.id, SpeedKind::Decode, request.now);
-        latency_ms += slot_wait_ms(work.sequences, engine.slots) * slowness;
-        if let Some(load) = self.loads.get(&engine.id) {
-            latency_ms += load.delay_ms(request.priority, request.now);
-            cost_ms += load.health.failure_rate() * FAILURE_COST_MS;
-            if !load.health.is_usable(request.now) {
-                cost_ms += PAUSED_COST_MS;
-            }
-        }
-        WaitEstimate {
-            latency_ms,
-            cost_ms: latency_ms + cost_ms,
-        }
-    }
-
     /// Returns the cost of decoding the whole output on an engine, in ms.
-    fn output_cost_ms(&self, engine: &Endpoint, request: &PlacementRequest<'_>) -> f64 {
+    fn output_cost_ms(&self, state: &EngineState<'_>, request: &PlacementRequest<'_>) -> f64 {
         let tokens = request.prompt.output_tokens_hint.unwrap_or_default();
-        let prefill_fraction = if request.reserved_decoders.contains(&engine.id) {
+        let prefill_fraction = if request.reserved_decoders.contains(&state.engine.id) {
             RESERVED_PREFILL_FRACTION
         } else {
             UNRESERVED_PREFILL_FRACTION
         };
-        let sequences = self.total_work(&engine.id, request.now).sequences;
-        let slowness = self
-            .speeds
-            .factor(&engine.id, SpeedKind::Decode, request.now);
-        let step_ms = self.speed.step_ms(sequences, prefill_fraction) * slowness;
+        let step_ms = self.speed.step_ms(state.work.sequences, prefill_fraction) * state.slowness;
         f64::from(tokens) * step_ms * OUTPUT_WEIGHT
     }
 
@@ -154,12 +161,13 @@
         request: &PlacementRequest<'_>,
     ) -> Option<(&'a Endpoint, WaitEstimate)> {
         let wait = |engine: &Endpoint| {
-            let mut wait = self.estimate_wait(engine, request);
+            let state = self.state(engine, request);
+            let mut wait = estimate_wait(&state, request);
             wait.cost_ms += request.cross_data_centre_cost_ms(engine, false);
             if engine.data_centre != prefill.data_centre {
                 wait.cost_ms += CROSS_DATA_CENTRE_COST_MS;
             }
-            wait.cost_ms += self.output_cost_ms(engine, request);
+            wait.cost_ms += self.output_cost_ms(&state, request);
             wait
         };
         decoders
@@ -172,3 +180,23 @@
             })
     }
 }
+
+/// Estimates the wait until an engine starts a request.
+fn estimate_wait(state: &EngineState<'_>, request: &PlacementRequest<'_>) -> WaitEstimate {
+    let EngineState { engine, work, .. } = state;
+    let cold_ms = engine.cold_remaining.as_secs_f64() * 1e3 / COLD_DIVISOR;
+    let mut latency_ms = work.ahead_ms(request.priority) + cold_ms;
+    let mut cost_ms = f64::from(work.sequences) * SEQUENCE_DELAY_MS;
+    latency_ms += slot_wait_ms(work.sequences, engine.slots) * state.relative_slowness;
+    if let Some(load) = state.load {
+        latency_ms += load.delay_ms(request.priority, request.now);
+        cost_ms += load.health.failure_rate() * FAILURE_COST_MS;
+        if !load.health.is_usable(request.now) {
+            cost_ms += PAUSED_COST_MS;
+        }
+    }
+    WaitEstimate {
+        latency_ms,
+        cost_ms: latency_ms + cost_ms,
+    }
+}
--- a/policy/src/gateway/engines/speeds.rs
+++ b/policy/src/gateway/engines/speeds.rs
@@ -2,7 +2,7 @@
 
 use ragwortgrade_schema::Name;
 
-use super::super::engine_speeds::{SpeedKind, SpeedSample};
+use super::super::engine_speeds::{ObservedPrefill, SpeedKind, SpeedSample};
 use super::super::{Placement, Prompt};
 use super::Engines;
 use super::costs::UNRESERVED_PREFILL_FRACTION;
@@ -53,20 +53,20 @@
             .prefill_ms(prompt.tokens, cached_tokens, is_local_prefill)
     }
 
-    /// Updates an engine's prefill speed with a prefill that takes `configured_ms` at the configured
-    /// speed and took `engine_ms`, after it was expected to wait `wait_ms` for known work. `engine_ms`
-    /// excludes the wait and the fixed part of the call.
-    pub fn observe_prefill(
-        &mut self,
-        id: &Name,
-        configured_ms: f64,
-        engine_ms: f64,
-        wait_ms: f64,
-        now: Instant,
-    ) {
-        if configured_ms < PREFILL_SAMPLE_MIN_MS
-            || wait_ms > configured_ms * SAMPLE_WAIT_FRACTION_MAX
-        {
+    /// Updates an engine's prefill speed with a prefill on it.
+    pub fn observe_prefill(&mut self, id: &Name, prefill: &ObservedPrefill, now: Instant) {
+        let configured_ms = prefill.configured_ms;
+        if prefill.wait_ms > configured_ms.max(PREFILL_SAMPLE_MIN_MS) * SAMPLE_WAIT_FRACTION_MAX {
+            return;
+        }
+        let call_ms = prefill.millis - prefill.wait_ms;
+        let engine_ms = if prefill.is_local {
+            call_ms - prefill.overhead_ms
+        } else {
+            self.speeds
+                .observe_call(configured_ms, call_ms, prefill.overhead_ms)
+        };
+        if configured_ms < PREFILL_SAMPLE_MIN_MS {
             return;
         }
         let sample = SpeedSample {
--- a/policy/tests/gateway_engine_speeds.rs
+++ b/policy/tests/gateway_engine_speeds.rs
@@ -7,7 +7,7 @@
 
 use gateway_support::{Fleet, prompt, route};
 use ragwortgrade_policy::Instant;
-use ragwortgrade_policy::gateway::{SpeedKind, SpeedSample};
+use ragwortgrade_policy::gateway::{ObservedPrefill, SpeedKind, SpeedSample};
 use ragwortgrade_schema::Name;
 use ragwortgrade_testutil::named_cases;
 
@@ -125,12 +125,44 @@
     let mut fleet = Fleet::new(1, 1);
     let engine = Name::from("prefill-0");
     let engines = &mut fleet.engines;
-    engines.observe_prefill(&engine, 12.0, 80.0, 0.0, NOW);
-    engines.observe_prefill(&engine, 80.0, 80.0, 60.0, NOW);
-    assert!(engines.take_unsent_speeds_local().is_empty());
-    engines.observe_prefill(&engine, 80.0, 160.0, 2.0, NOW);
+    let mut observe = |configured_ms, engine_ms, wait_ms| {
+        let observed = ObservedPrefill {
+            is_local: false,
+            configured_ms,
+            wait_ms,
+            overhead_ms: 65.0,
+            millis: engine_ms + wait_ms + 65.0,
+        };
+        engines.observe_prefill(&engine, &observed, NOW);
+        engines.take_unsent_speeds_local()
+    };
+    assert!(observe(12.0, 80.0, 0.0).is_empty());
+    assert!(observe(80.0, 80.0, 60.0).is_empty());
     assert_eq!(
-        engines.take_unsent_speeds_local(),
+        observe(80.0, 160.0, 0.0),
         [sample("prefill-0", SpeedKind::Prefill, 2.0)]
     );
 }
+
+/// Guards against a fixed part of calls that is assumed too long, by which engines of the configured
+/// speed seem faster.
+#[test]
+fn the_fixed_part_of_calls_is_learned() {
+    let mut fleet = Fleet::new(1, 1);
+    let engine = Name::from("prefill-0");
+    let mut last = Vec::new();
+    for number in 0..200 {
+        let configured_ms = 20.0 + f64::from(number % 10) * 12.0;
+        let observed = ObservedPrefill {
+            is_local: false,
+            configured_ms,
+            wait_ms: 0.0,
+            overhead_ms: 65.0,
+            millis: configured_ms + 20.0,
+        };
+        fleet.engines.observe_prefill(&engine, &observed, NOW);
+        last.extend(fleet.engines.take_unsent_speeds_local());
+    }
+    let ratio = last.last().unwrap().ratio;
+    assert!((ratio - 1.0).abs() < 0.05, "{ratio}");
+}
--- a/policy/tests/stream_fleet/mod.rs
+++ b/policy/tests/stream_fleet/mod.rs
@@ -6,8 +6,8 @@
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::{
-    CallOutcome, Endpoint, EngineLimits, EngineWork, Engines, Part, Placement, Prompt, Route,
-    Speed, Stage, WaitLimit,
+    CallOutcome, Endpoint, EngineLimits, EngineWork, Engines, ObservedPrefill, Part, Placement,
+    Prompt, Route, Speed, Stage, WaitLimit,
 };
 use ragwortgrade_schema::Name;
 use rand::{RngExt as _, SeedableRng as _};
@@ -404,12 +404,16 @@
         let name = &self.endpoints[engine].id;
         daemon.prefill_ended(name, placement.priority, prefill_ms, expected_ms, done, now);
         if self.setup.policy == Policy::ByNeed {
-            let is_local_prefill = placement.prefill.is_none();
-            let cached_tokens = placement.cached_tokens;
-            let configured_ms =
-                daemon.configured_prefill_ms(&stream.prompt, cached_tokens, is_local_prefill);
-            let engine_ms = prefill_ms + millis - expected_ms;
-            daemon.observe_prefill(name, configured_ms, engine_ms, stream.wait_ms, now);
+            let is_local = placement.prefill.is_none();
+            let cached = placement.cached_tokens;
+            let observed = ObservedPrefill {
+                is_local,
+                configured_ms: daemon.configured_prefill_ms(&stream.prompt, cached, is_local),
+                wait_ms: stream.wait_ms,
+                overhead_ms: CALL_EXPECTED_MS,
+                millis,
+            };
+            daemon.observe_prefill(name, &observed, now);
         }
     }
 
