gateway: hold requests and responses within the machine's memory

Cause: each body and each response had a limit, all of them together had none, and connections without a request kept callers out. Change: a memory account for each request and response. Bodies are copied from the read buffer, refused with 413 before they are read if their declared length is too long, with 503 for lack of memory and with 408 if they stop. Complete responses are handed over in pieces as they are read; streams wait for their callers within 64 KB; a response that an endpoint cuts off after it had to wait is no crash. The number of connections follows from the memory, and one without a request is closed for a new one. Settings memory_mb, body_idle_ms, body_timeout_ms and unread_timeout_ms.

--- a/cli/tests/gateway_settings.rs
+++ b/cli/tests/gateway_settings.rs
@@ -1,9 +1,10 @@
 //! Changes of a gateway's settings file while the gateway runs.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use log::LevelFilter;
-use ragwortgrade_lib::gateway::SettingsFile;
+use ragwortgrade_lib::gateway::{Settings, SettingsFile};
+use ragwortgrade_testutil::named_cases;
 
 const TEXT: &str = "[gateway]\nname = a-1\ndata_centre = a\ncallers_address = 127.0.0.1:0\n\
     readiness_address = 127.0.0.1:0\npeers_address = 127.0.0.1:0\nmetrics_address =\n\
@@ -49,6 +50,31 @@
     assert!(settings.refresh().unwrap().unwrap().needs_restart);
 }
 
+/// Guards against limits that an operator sets beyond what the gateway can keep.
+fn limit_is_checked(line: &str, is_valid: bool) {
+    let text = format!("{TEXT}{line}\n");
+    let parsed = Settings::parse(&text, Path::new("gateway.ini"));
+    assert_eq!(parsed.is_ok(), is_valid, "{parsed:?}");
+}
+
+named_cases! { limit_is_checked:
+    memory_of_the_smallest_machine("memory_mb = 120", true);
+    memory_without_value("memory_mb =", true);
+    too_little_memory("memory_mb = 20", false);
+    memory_that_is_no_number("memory_mb = much", false);
+    short_body_idle_time("body_idle_ms = 1", false);
+    short_body_time("body_timeout_ms = 10", false);
+    short_unread_time("unread_timeout_ms = 10", false);
+}
+
+/// Guards against another default than the smallest machine's memory.
+#[test]
+fn memory_defaults_to_the_smallest_machine() {
+    let parse = |text: &str| Settings::parse(text, Path::new("gateway.ini")).unwrap();
+    let with_memory = format!("{TEXT}memory_mb = 120\n");
+    assert_eq!(parse(TEXT), parse(&with_memory));
+}
+
 #[test]
 fn invalid_versions_are_reported_once_and_not_applied() {
     let file = File::new();
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -7,6 +7,7 @@
 //! entry VM has only a fraction of a core.
 
 mod caller_connection;
+mod caller_limits;
 mod client;
 mod connection;
 mod crash_detector;
@@ -19,9 +20,13 @@
 mod generation;
 mod handle;
 mod head_limit;
+mod held_bytes;
+mod limit_log;
 mod load_exchange;
 mod load_update;
 mod local_response;
+mod memory;
+mod memory_account;
 mod news_exchange;
 mod news_message;
 mod options;
@@ -29,6 +34,7 @@
 mod peers;
 mod plain;
 mod registration;
+mod request_body;
 mod request_context;
 mod request_handler;
 mod response_body;
@@ -45,6 +51,7 @@
 mod unreadable_datagrams;
 mod work_guard;
 
+pub use caller_limits::CallerLimits;
 pub use client::{Client, FetchError, FetchTimeouts};
 pub use dialect::{Dialect, Dispatch, Disposition, Operation, ResponseInfo};
 pub use handle::Gateway;
--- a/lib/src/gateway/exchange.rs
+++ b/lib/src/gateway/exchange.rs
@@ -1,19 +1,23 @@
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, response};
+use http_body::Body as _;
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 
 use super::client::{Client, ConnectError};
 use super::connection::Connection;
+use super::memory_account::MemoryAccount;
 use super::{Dialect, ResponseInfo};
 
 /// Connections to try before a request counts as not sent; the endpoint may have closed a pooled
 /// one.
 const CONNECTION_ATTEMPTS_MAX: usize = 3;
+/// Time for which an endpoint may have to wait before it gives up its response.
+pub(super) const HELD_BACK_TIME: Duration = Duration::from_millis(500);
 /// Idle timeout that is assumed for an endpoint that announces none. Announced timeouts are whole
 /// seconds, so an endpoint cannot announce one below 1 s.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_millis(300);
@@ -45,6 +49,10 @@
     /// The request was sent, but the connection failed before the response was complete.
     #[error("response lost: {0}")]
     Lost(#[from] hyper::Error),
+    /// The connection failed after the endpoint had to wait until there was memory for its response, so
+    /// that it may have given up.
+    #[error("response lost after it was held back: {0}")]
+    HeldBack(hyper::Error),
     /// The connection ended before the first byte of a body that ends with it.
     #[error("response ended with its connection before its first byte")]
     Empty,
@@ -155,18 +163,48 @@
         Ok(first)
     }
 
-    /// Reads a body of at most `bytes_max` bytes to its end and returns the connection to the pool.
+    /// Reads a body of at most `bytes_max` bytes to its end and returns the connection to the pool. With
+    /// an account, the body is read as there is memory for it.
     pub(super) async fn read_to_end(
         mut self,
         client: &Client,
         bytes_max: usize,
+        memory: Option<&MemoryAccount>,
     ) -> Result<(response::Parts, ResponseInfo, Bytes), ExchangeError> {
+        let declared = self.body.size_hint().exact().map(|it| it as usize);
+        if declared.is_some_and(|declared| declared > bytes_max) {
+            return Err(ExchangeError::TooLong { bytes_max });
+        }
         let mut body = Vec::new();
-        while let Some(bytes) = self.next_data().await {
-            let bytes = bytes?;
-            if body.len() + bytes.len() > bytes_max {
+        let mut is_held_back = false;
+        // Responses that each hold a part and wait for the rest would block each other.
+        let mut wanted = declared.unwrap_or_default();
+        loop {
+            if wanted > body.capacity() {
+                if let Some(memory) = memory {
+                    let started_at = Instant::now();
+                    memory.grow_patiently(wanted - body.capacity()).await;
+                    is_held_back |= started_at.elapsed() >= HELD_BACK_TIME;
+                }
+                body.reserve_exact(wanted - body.len());
+            }
+            let bytes = match self.next_data().await {
+                Some(Ok(bytes)) => bytes,
+                Some(Err(error)) if is_held_back => return Err(ExchangeError::HeldBack(error)),
+                Some(Err(error)) => return Err(error.into()),
+                None => break,
+            };
+            let length = body.len() + bytes.len();
+            if length > bytes_max {
                 return Err(ExchangeError::TooLong { bytes_max });
             }
+            if length > body.capacity() {
+                wanted = length.max(2 * body.capacity()).min(bytes_max);
+                if let Some(memory) = memory {
+                    memory.grow_patiently(wanted - body.capacity()).await;
+                }
+                body.reserve_exact(wanted - body.len());
+            }
             body.extend_from_slice(&bytes);
         }
         let head = self.head.clone();
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -299,7 +299,7 @@
         .await
         .map_err(to_failure)?;
     let (head, info, body) = exchange
-        .read_to_end(&context.shared.client, RESPONSE_BYTES_MAX)
+        .read_to_end(&context.shared.client, RESPONSE_BYTES_MAX, None)
         .await
         .map_err(to_failure)?;
     match info.disposition {
@@ -420,7 +420,7 @@
     first: Option<bytes::Bytes>,
 ) -> Option<Response<ResponseBody>> {
     let client = &context.shared.client;
-    let rest = exchange.read_to_end(client, RESPONSE_BYTES_MAX);
+    let rest = exchange.read_to_end(client, RESPONSE_BYTES_MAX, None);
     let rest = tokio::time::timeout(ERROR_RESPONSE_TIMEOUT, rest).await;
     let (head, _, rest) = rest.ok()?.ok()?;
     let mut body = first.unwrap_or_default().to_vec();
--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -225,7 +225,17 @@
 async fn run_periodic_checks(shared: Rc<Shared>) {
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        shared.callers.close_overdue(&shared.limits());
+        let unread_timeout = shared.options.caller_limits.unread_timeout;
+        let unread = shared
+            .callers
+            .close_overdue(&shared.limits(), unread_timeout);
+        for client in unread {
+            let now = shared.now();
+            shared
+                .callers
+                .limit_log
+                .record("response_unread", client, now);
+        }
         shared.client.close_expired();
         shared.update_quarantine(Quarantine::expire);
         shared.rate_limits.borrow_mut().expire(shared.now());
--- a/lib/src/gateway/options.rs
+++ b/lib/src/gateway/options.rs
@@ -6,7 +6,7 @@
 use ragwortgrade_policy::gateway::{Catalog, Endpoint, Speed};
 use ragwortgrade_schema::Name;
 
-use super::{Dialect, Store};
+use super::{CallerLimits, Dialect, Store};
 
 /// Start options of a gateway.
 #[derive(Clone, Debug)]
@@ -35,6 +35,8 @@
     pub read_timeout: Duration,
     /// Maximum number of callers' connections.
     pub connections_max: usize,
+    /// Limits on what callers may hold of the machine.
+    pub caller_limits: CallerLimits,
     /// Bytes per second that this daemon may send to other daemons.
     pub peer_bytes_per_second: f64,
     /// Speeds of the engines.
--- a/lib/src/gateway/plain.rs
+++ b/lib/src/gateway/plain.rs
@@ -2,20 +2,21 @@
 
 use bytes::Bytes;
 use http::{Response, response};
-use ragwortgrade_policy::gateway::{CallOutcome, Endpoint, Failure};
+use ragwortgrade_policy::gateway::{CallOutcome, Endpoint, Failure, Holding};
 use ragwortgrade_schema::Name;
 
 use super::crash_detector::CrashDetector;
 use super::exchange::ExchangeError;
 use super::failure::{handle_failure, refuse, refuse_quarantined};
 use super::local_response::RETRY_AFTER_DEFAULT;
+use super::memory_account::MemoryAccount;
 use super::request_context::RequestContext;
 use super::response_body::ResponseBody;
 use super::work_guard::CallGuard;
 use super::{Disposition, Operation, ResponseInfo};
 
-/// Maximum size of a plain service's response, in bytes. Responses are a few KB long; the limit
-/// leaves room in memory for dozens that reach it at once.
+/// Maximum size of a plain service's response, in bytes. Responses are a few KB long; those that are
+/// held at once are bounded by the memory budget.
 const RESPONSE_BYTES_MAX: usize = 4 << 20;
 
 /// Handles a request to a plain service, with retries.
@@ -46,7 +47,9 @@
         let may_have_run_before = context.may_have_run();
         let call = CallGuard::start(&context.shared, &endpoint.id);
         context.record_sent();
-        let result = attempt(context, &endpoint).await;
+        let memory = context.memory.open_other();
+        memory.set_holding(Holding::Complete);
+        let result = attempt(context, &endpoint, &memory).await;
         let (failure, endpoint_response) = match result {
             Ok((head, info, body)) => match classify_response(&head, &info) {
                 None => {
@@ -54,7 +57,8 @@
                     context.shared.update_quarantine(|quarantine, now| {
                         quarantine.record_begin(&context.fingerprint, now);
                     });
-                    return forward_response(context, &head, body);
+                    let response = forward_response(context, &head, body);
+                    return response.map(|body| body.with_memory(memory));
                 }
                 Some(failure) => (failure, Some((head, body))),
             },
@@ -70,8 +74,9 @@
             }
         };
         record_failure(context, call, failure, may_have_run_before);
-        let endpoint_response =
-            endpoint_response.map(|(head, body)| forward_response(context, &head, body));
+        let endpoint_response = endpoint_response.map(|(head, body)| {
+            forward_response(context, &head, body).map(|body| body.with_memory(memory))
+        });
         if let Some(response) = handle_failure(context, failure, endpoint_response) {
             return response;
         }
@@ -115,10 +120,14 @@
 async fn attempt(
     context: &RequestContext,
     endpoint: &Endpoint,
+    memory: &MemoryAccount,
 ) -> Result<(response::Parts, ResponseInfo, Bytes), ExchangeError> {
     let exchange = context.exchange(endpoint, None, Operation::Run).await?;
     let client = &context.shared.client;
-    exchange.read_to_end(client, RESPONSE_BYTES_MAX).await
+    let memory = Some(memory);
+    exchange
+        .read_to_end(client, RESPONSE_BYTES_MAX, memory)
+        .await
 }
 
 /// Returns how the attempt failed, or `None` if the response is forwarded.
--- a/lib/src/gateway/request_context.rs
+++ b/lib/src/gateway/request_context.rs
@@ -13,6 +13,7 @@
 use ragwortgrade_schema::Name;
 
 use super::exchange::{ConnectOptions, Exchange, ExchangeError};
+use super::memory_account::MemoryAccount;
 use super::shared::Shared;
 use super::{Dispatch, Operation};
 
@@ -31,6 +32,8 @@
     pub(super) metadata: RequestMetadata,
     pub(super) head: Parts,
     pub(super) body: Bytes,
+    /// Memory that is held for the head and the body.
+    pub(super) memory: Rc<MemoryAccount>,
     pub(super) fingerprint: Fingerprint,
     pub(super) route: Route,
     pub(super) service: Name,
--- a/lib/src/gateway/request_handler.rs
+++ b/lib/src/gateway/request_handler.rs
@@ -1,16 +1,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::{Catalog, Fingerprint};
 
+use super::caller_connection::CallerConnection;
 use super::local_response::{self, RETRY_AFTER_DEFAULT};
+use super::request_body::RequestBody;
 use super::request_context::{Progress, RequestContext};
 use super::response_body::ResponseBody;
 use super::shared::Shared;
@@ -20,8 +20,6 @@
 /// Longest time for which a request waits until this daemon, which has just started, has read the
 /// configuration and the registrations; normally that takes 0.2 s.
 const LOADING_WAIT_MAX: Duration = Duration::from_secs(1);
-/// Timeout for reading a body; the configured timeouts cover only the head.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Retry delay of a request that a draining daemon refuses. It is short, since the load balancer
 /// sends the retry to another daemon.
 const RETRY_AFTER_DRAINING: Duration = Duration::from_millis(20);
@@ -29,6 +27,7 @@
 /// Handles one request of a caller.
 pub(super) async fn handle(
     shared: Rc<Shared>,
+    caller: Rc<CallerConnection>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let received_at = shared.now();
@@ -37,7 +36,7 @@
     // Closing the connection keeps bytes after it from being parsed as a request (request
     // smuggling).
     let closes_connection = head.headers.contains_key(TRANSFER_ENCODING);
-    let mut response = respond(&shared, head, body, received_at).await;
+    let mut response = respond(&shared, &caller, head, body, received_at).await;
     if closes_connection || shared.is_draining() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -47,6 +46,7 @@
 
 async fn respond(
     shared: &Rc<Shared>,
+    caller: &Rc<CallerConnection>,
     head: Parts,
     body: Incoming,
     received_at: Instant,
@@ -58,7 +58,8 @@
     let Some(catalog) = shared.catalog() else {
         return local_response::not_run("not_configured", RETRY_AFTER_DEFAULT);
     };
-    let body = match read_body(body, catalog.limits().body_bytes).await {
+    let bytes_max = catalog.limits().body_bytes;
+    let body = match RequestBody::read(shared, caller, &head, body, bytes_max).await {
         Ok(body) => body,
         Err(response) => return response,
     };
@@ -102,34 +103,11 @@
     response
 }
 
-/// Reads the complete body, so that a retry can send the request to another endpoint.
-async fn read_body(body: Incoming, bytes_max: usize) -> Result<Bytes, Response<ResponseBody>> {
-    let limited = Limited::new(body, bytes_max).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, limited).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(local_response::with_reason(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body_too_long",
-        )),
-        Ok(Err(error)) => {
-            log::info!(error:% = error; "request body truncated");
-            Err(local_response::with_reason(
-                StatusCode::BAD_REQUEST,
-                "body_broke_off",
-            ))
-        }
-        Err(_elapsed) => Err(local_response::with_reason(
-            StatusCode::REQUEST_TIMEOUT,
-            "body_too_slow",
-        )),
-    }
-}
-
 fn build_context(
     shared: &Rc<Shared>,
     catalog: &Catalog,
     head: Parts,
-    body: Bytes,
+    body: RequestBody,
     received_at: Instant,
 ) -> Result<RequestContext, Box<Response<ResponseBody>>> {
     let metadata = shared.options.dialect.parse_request(&head);
@@ -159,14 +137,15 @@
         metadata.host.as_bytes(),
         head.method.as_str().as_bytes(),
         path_and_query.as_bytes(),
-        &body,
+        &body.bytes,
     ];
     let fingerprint = Fingerprint::new(&metadata.prompt.parts, &fields);
     Ok(RequestContext {
         shared: Rc::clone(shared),
         metadata,
         head,
-        body,
+        body: body.bytes,
+        memory: body.memory,
         fingerprint,
         route,
         service,
--- a/lib/src/gateway/response_body.rs
+++ b/lib/src/gateway/response_body.rs
@@ -1,13 +1,19 @@
-use std::convert::Infallible;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::Full;
+use ragwortgrade_policy::gateway::Holding;
 use tokio::sync::mpsc::Receiver;
 
 use super::caller_connection::RequestGuard;
+use super::held_bytes::HeldBytes;
+use super::memory_account::MemoryAccount;
+
+/// Longest piece of complete bytes that is handed to the server at once. The server takes further
+/// pieces only as the caller reads.
+const PIECE_BYTES: usize = 16 << 10;
 
 /// Body of a response to a caller: complete bytes or a stream.
 #[derive(Debug)]
@@ -15,11 +21,13 @@
     content: Content,
     /// Marks the caller's connection as busy until the response is sent or dropped.
     _guard: Option<RequestGuard>,
+    /// Memory that complete bytes hold until they are sent.
+    memory: Option<Rc<MemoryAccount>>,
 }
 
 #[derive(Debug)]
 enum Content {
-    Full(Full<Bytes>),
+    Full(Bytes),
     Stream {
         chunks: Receiver<Chunk>,
         /// Whether the truncation of the stream was detected, after which the server gets one poll
@@ -32,7 +40,7 @@
 #[derive(Debug)]
 pub(super) enum Chunk {
     /// Bytes of the body.
-    Data(Bytes),
+    Data(HeldBytes),
     /// End of a complete stream. If the channel closes without it, the connection is aborted, so
     /// that the response does not look complete.
     End,
@@ -46,8 +54,9 @@
 impl ResponseBody {
     pub(super) fn full(bytes: Bytes) -> Self {
         Self {
-            content: Content::Full(Full::new(bytes)),
+            content: Content::Full(bytes),
             _guard: None,
+            memory: None,
         }
     }
 
@@ -58,6 +67,16 @@
                 is_truncated: false,
             },
             _guard: None,
+            memory: None,
+        }
+    }
+
+    /// Counts complete bytes in this account until they are sent.
+    pub(super) fn with_memory(self, memory: Rc<MemoryAccount>) -> Self {
+        memory.set_holding(Holding::Unread);
+        Self {
+            memory: Some(memory),
+            ..self
         }
     }
 
@@ -77,16 +96,20 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        match &mut self.get_mut().content {
-            Content::Full(full) => Pin::new(full)
-                .poll_frame(cx)
-                .map_err(|never: Infallible| match never {}),
+        let this = self.get_mut();
+        match &mut this.content {
+            Content::Full(rest) => {
+                if let Some(memory) = &this.memory {
+                    memory.set_holding(Holding::Unread);
+                }
+                Poll::Ready(next_piece(rest).map(|piece| Ok(Frame::data(piece))))
+            }
             Content::Stream {
                 chunks,
                 is_truncated,
             } => {
                 Poll::Ready(match ready!(chunks.poll_recv(cx)) {
-                    Some(Chunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                    Some(Chunk::Data(held)) => Some(Ok(Frame::data(held.release()))),
                     Some(Chunk::End) => None,
                     None if *is_truncated => Some(Err(Truncated)),
                     None => {
@@ -103,15 +126,33 @@
 
     fn size_hint(&self) -> SizeHint {
         match &self.content {
-            Content::Full(full) => full.size_hint(),
+            Content::Full(rest) => SizeHint::with_exact(rest.len() as u64),
             Content::Stream { .. } => SizeHint::default(),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match &self.content {
-            Content::Full(full) => full.is_end_stream(),
+            Content::Full(rest) => rest.is_empty(),
             Content::Stream { .. } => false,
         }
     }
 }
+
+/// Takes the next piece. Pieces of long bytes are copies, so that what waits in the server's buffer does
+/// not keep all of them in memory.
+fn next_piece(rest: &mut Bytes) -> Option<Bytes> {
+    if rest.is_empty() {
+        return None;
+    }
+    if rest.len() <= PIECE_BYTES {
+        let last = std::mem::take(rest);
+        return Some(if last.is_unique() {
+            last
+        } else {
+            Bytes::copy_from_slice(&last)
+        });
+    }
+    let piece = rest.split_to(PIECE_BYTES);
+    Some(Bytes::copy_from_slice(&piece))
+}
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -1,5 +1,5 @@
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,12 +26,19 @@
 pub(super) async fn serve_callers(shared: Rc<Shared>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) if shared.callers.len() < shared.options.connections_max => {
-                tokio::task::spawn_local(serve_caller(Rc::clone(&shared), stream));
-            }
             Ok((stream, peer)) => {
-                log::warn!(peer:% = peer; "connection limit reached; connection closed");
-                drop(stream);
+                if shared.callers.len() >= shared.options.connections_max {
+                    let closed = shared.callers.close_one();
+                    let client = closed.unwrap_or_else(|| peer.ip());
+                    shared
+                        .callers
+                        .limit_log
+                        .record("connections", client, shared.now());
+                    if closed.is_none() {
+                        continue;
+                    }
+                }
+                tokio::task::spawn_local(serve_caller(Rc::clone(&shared), stream, peer.ip()));
             }
             Err(error) => {
                 log::warn!(error:% = error; "accept failed");
@@ -41,17 +48,17 @@
     }
 }
 
-async fn serve_caller(shared: Rc<Shared>, stream: TcpStream) {
+async fn serve_caller(shared: Rc<Shared>, stream: TcpStream, client: IpAddr) {
     if let Err(error) = socket::configure_stream(&stream) {
         log::debug!(error:% = error; "socket options could not be set");
     }
-    let caller = CallerConnection::new();
+    let caller = CallerConnection::new(client, shared.now());
     shared.callers.add(&caller);
     let service = service_fn(|request: Request<Incoming>| {
         let guard = caller.start_request();
-        let shared = Rc::clone(&shared);
+        let (shared, caller) = (Rc::clone(&shared), Rc::clone(&caller));
         async move {
-            let response = request_handler::handle(shared, request).await;
+            let response = request_handler::handle(shared, caller, request).await;
             Ok::<_, Infallible>(response.map(|body| body.with_guard(guard)))
         }
     });
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -5,11 +5,21 @@
 
 use log::LevelFilter;
 use ragwortgrade_operator::ini;
+use ragwortgrade_policy::gateway::MemoryPlan;
 use ragwortgrade_schema::Name;
 
+use super::CallerLimits;
 use crate::settings::{Problem, Problems};
 
 const SECTION: &str = "gateway";
+/// Memory of the smallest machines.
+const MEMORY_MB_DEFAULT: f64 = 120.0;
+/// Time without any byte of a body; a lost packet and its repetition delay bytes for about 1 s.
+const BODY_IDLE_MS_DEFAULT: f64 = 3_000.0;
+/// Time for a whole body; the largest one (4 MiB) takes 3.4 s on the slowest link (10 Mbit/s).
+const BODY_TIMEOUT_MS_DEFAULT: f64 = 10_000.0;
+/// Time for which a caller reads nothing; callers read events as they arrive.
+const UNREAD_TIMEOUT_MS_DEFAULT: f64 = 10_000.0;
 
 /// Settings of a gateway, from the INI section `[gateway]`.
 #[derive(Clone, Debug, PartialEq)]
@@ -34,8 +44,11 @@
     pub leaving_bound: Duration,
     /// Time limit of a drain.
     pub drain_timeout: Duration,
-    /// Maximum number of open files of the process; callers' connections may use half of them.
+    /// Maximum number of open files of the process; callers' connections may use half of them, if the
+    /// memory suffices.
     pub open_files_max: usize,
+    /// Limits on what callers may hold of the machine, of which `memory_mb` is the memory.
+    pub caller_limits: CallerLimits,
     /// Bandwidth of the VM's network link, in Mbit/s.
     pub link_mbps: f64,
     /// Least severe level that is logged.
@@ -108,6 +121,7 @@
         let leaving_bound = self.bounded("leaving_bound_ms", 100.0, 60_000.0);
         let drain_timeout = self.bounded("stop_timeout_seconds", 1.0, 600.0);
         let open_files_max = self.parsed("open_files_max", "a whole number");
+        let caller_limits = self.caller_limits();
         let link_mbps = self.bounded("link_mbps", 0.1, 1e6);
         let log_level = self.parsed("log_level", "error, warn, info, debug or trace");
         Some(Settings {
@@ -122,11 +136,31 @@
             leaving_bound: Duration::from_secs_f64(leaving_bound? / 1e3),
             drain_timeout: Duration::from_secs_f64(drain_timeout?),
             open_files_max: open_files_max?,
+            caller_limits: caller_limits?,
             link_mbps: link_mbps?,
             log_level: log_level?,
         })
     }
 
+    fn caller_limits(&mut self) -> Option<CallerLimits> {
+        let memory_mb = self.bounded_or("memory_mb", 64.0, 1e6, MEMORY_MB_DEFAULT);
+        let body_idle = self.bounded_or("body_idle_ms", 200.0, 60_000.0, BODY_IDLE_MS_DEFAULT);
+        let body_timeout =
+            self.bounded_or("body_timeout_ms", 1e3, 600_000.0, BODY_TIMEOUT_MS_DEFAULT);
+        let unread_timeout = self.bounded_or(
+            "unread_timeout_ms",
+            1e3,
+            600_000.0,
+            UNREAD_TIMEOUT_MS_DEFAULT,
+        );
+        Some(CallerLimits {
+            memory: MemoryPlan::new(memory_mb? as usize),
+            body_idle: Duration::from_secs_f64(body_idle? / 1e3),
+            body_timeout: Duration::from_secs_f64(body_timeout? / 1e3),
+            unread_timeout: Duration::from_secs_f64(unread_timeout? / 1e3),
+        })
+    }
+
     fn name(&mut self, key: &str) -> Option<Name> {
         let property = self.required(key)?;
         if property.value.is_empty() {
@@ -149,12 +183,24 @@
         self.parse(&property, expected)
     }
 
+    /// Returns a number, or the default if the key is missing or has no value.
+    fn bounded_or(&mut self, key: &str, min: f64, max: f64, default: f64) -> Option<f64> {
+        match self.values.remove(key) {
+            Some(property) if !property.value.is_empty() => self.check(&property, min, max),
+            _ => Some(default),
+        }
+    }
+
     fn bounded(&mut self, key: &str, min: f64, max: f64) -> Option<f64> {
         let property = self.required(key)?;
+        self.check(&property, min, max)
+    }
+
+    fn check(&mut self, property: &ini::Property, min: f64, max: f64) -> Option<f64> {
         let expected = format!("a number from {min} to {max}");
-        let number: f64 = self.parse(&property, &expected)?;
+        let number: f64 = self.parse(property, &expected)?;
         if !(min..=max).contains(&number) {
-            self.reject(&property, &expected);
+            self.reject(property, &expected);
             return None;
         }
         Some(number)
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -99,7 +99,7 @@
                 options.retry_ratio,
                 options.retries_min,
             )),
-            callers: CallerConnections::default(),
+            callers: CallerConnections::new(&options, clock, &metrics),
             client: Client::default(),
             metrics,
             is_registry_loaded: Cell::new(false),
--- a/lib/src/gateway/stream_forwarder.rs
+++ b/lib/src/gateway/stream_forwarder.rs
@@ -3,13 +3,14 @@
 
 use bytes::Bytes;
 use http::Response;
-use ragwortgrade_policy::gateway::{CallOutcome, Endpoint, Fingerprint};
+use ragwortgrade_policy::gateway::{CallOutcome, Endpoint, Fingerprint, Holding};
 use ragwortgrade_schema::Name;
 use tokio::sync::mpsc::{self, Sender};
 
 use super::crash_detector::CrashDetector;
 use super::event_counter::EventCounter;
-use super::exchange::Exchange;
+use super::exchange::{Exchange, HELD_BACK_TIME};
+use super::held_bytes::HeldQueue;
 use super::request_context::RequestContext;
 use super::response_body::{Chunk, ResponseBody};
 use super::shared::Shared;
@@ -39,6 +40,8 @@
 enum StreamEnd {
     Complete,
     Broken,
+    /// The engine ended the stream after it had to wait for a caller that did not read.
+    Unread,
     /// The engine sent bytes that are not a stream of events.
     Malformed,
     CallerLeft,
@@ -65,7 +68,10 @@
         output_hint: context.metadata.prompt.output_tokens_hint,
         fingerprint: context.fingerprint.clone(),
     };
-    tokio::task::spawn_local(forwarder.run(run, sender));
+    let memory = context.memory.open_other();
+    memory.set_holding(Holding::Unread);
+    let queue = HeldQueue::new(memory);
+    tokio::task::spawn_local(forwarder.run(run, sender, queue));
     response
 }
 
@@ -86,11 +92,11 @@
 }
 
 impl StreamForwarder {
-    async fn run(self, mut run: StartedRun, sender: Sender<Chunk>) {
+    async fn run(self, mut run: StartedRun, sender: Sender<Chunk>, queue: HeldQueue) {
         let mut sent_bytes = 0;
         let mut events = EventCounter::new(self.output_max);
         let first = run.first_bytes.take();
-        let forwarding = forward_chunks(&mut run.exchange, first, &sender, |bytes| {
+        let forwarding = forward_chunks(&mut run.exchange, first, &sender, &queue, |bytes| {
             sent_bytes += bytes.len();
             let events_before = events.events();
             let is_valid = events.count(bytes);
@@ -144,6 +150,7 @@
                 run.sequence.finish(CallOutcome::Failed);
                 self.shared.metrics.count("streams.broken", 1);
             }
+            StreamEnd::Unread => self.shared.metrics.count("streams.unread", 1),
             StreamEnd::CallerLeft => self.shared.metrics.count("streams.left", 1),
             StreamEnd::TimeLimit => self.shared.metrics.count("streams.time_limit", 1),
         }
@@ -163,9 +170,11 @@
     exchange: &mut Exchange,
     first: Option<Bytes>,
     sender: &Sender<Chunk>,
+    queue: &HeldQueue,
     mut on_chunk: impl FnMut(&[u8]) -> bool,
 ) -> StreamEnd {
     let mut next = first;
+    let mut is_held_back = false;
     loop {
         let Some(bytes) = next else {
             return StreamEnd::Complete;
@@ -173,12 +182,20 @@
         if !on_chunk(&bytes) {
             return StreamEnd::Malformed;
         }
-        if sender.send(Chunk::Data(bytes)).await.is_err() {
+        let started_at = Instant::now();
+        let held = tokio::select! {
+            held = queue.hold(&bytes) => held,
+            () = sender.closed() => return StreamEnd::CallerLeft,
+        };
+        drop(bytes);
+        if sender.send(Chunk::Data(held)).await.is_err() {
             return StreamEnd::CallerLeft;
         }
+        is_held_back |= started_at.elapsed() >= HELD_BACK_TIME;
         next = tokio::select! {
             chunk = exchange.next_data() => match chunk {
                 Some(Ok(bytes)) => Some(bytes),
+                Some(Err(_lost)) if is_held_back => return StreamEnd::Unread,
                 Some(Err(_lost)) => return StreamEnd::Broken,
                 None => None,
             },
--- a/policy/src/gateway/connection_choice.rs
+++ b/policy/src/gateway/connection_choice.rs
@@ -12,13 +12,13 @@
     pub client: IpAddr,
     /// Whether a request was received on the connection.
     pub has_sent_request: bool,
-    /// Since when the connection waits for the rest of a request.
-    pub waits_since: Instant,
+    /// When the connection was opened.
+    pub opened_at: Instant,
 }
 
 impl ConnectionChoice {
     /// Returns the index of the connection to close: one without any request so far before others, from
-    /// the client with most of them, the longest wait first.
+    /// the client with most of them, the oldest first.
     #[must_use]
     pub fn choose(connections: &[Self]) -> Option<usize> {
         let mut by_client: HashMap<IpAddr, usize> = HashMap::new();
@@ -27,11 +27,7 @@
         }
         let rank = |it: &Self| {
             let count = by_client.get(&it.client).copied().unwrap_or_default();
-            (
-                it.has_sent_request,
-                std::cmp::Reverse(count),
-                it.waits_since,
-            )
+            (it.has_sent_request, std::cmp::Reverse(count), it.opened_at)
         };
         (0..connections.len()).min_by_key(|index| rank(&connections[*index]))
     }
--- a/policy/tests/gateway_memory_budget.rs
+++ b/policy/tests/gateway_memory_budget.rs
@@ -138,11 +138,11 @@
 
 /// Guards against connections without requests that keep new callers out.
 #[test]
-fn longest_wait_of_the_client_with_most_connections_is_closed() {
+fn oldest_of_the_client_with_most_connections_is_closed() {
     let connection = |number: u8, has_sent_request: bool, ms: u64| ConnectionChoice {
         client: client(number),
         has_sent_request,
-        waits_since: at(ms),
+        opened_at: at(ms),
     };
     let connections = [
         connection(1, false, 0),
