--- a/lib/src/gateway/request_body.rs
+++ b/lib/src/gateway/request_body.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::EXPECT;
+use http::header::{CONNECTION, EXPECT, HeaderValue};
 use http::request::Parts;
 use http::{Response, StatusCode};
 use http_body::Body as _;
@@ -85,7 +85,10 @@
                 Err(error) => error,
             }
         };
-        let response = error.response();
+        let mut response = error.response();
+        // The rest of the body must not be parsed as a request.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
         if let Some(reason) = error.limit() {
             let now = shared.now();
             shared.callers.limit_log.record(reason, caller.client, now);
