--- a/lib/src/gateway/exchange.rs
+++ b/lib/src/gateway/exchange.rs
@@ -175,35 +175,25 @@
         if declared.is_some_and(|declared| declared > bytes_max) {
             return Err(ExchangeError::TooLong { bytes_max });
         }
-        let mut body = Vec::new();
+        let mut body: Vec<u8> = Vec::new();
         let mut is_held_back = false;
         // Responses that each hold a part and wait for the rest would block each other.
-        let mut wanted = declared.unwrap_or_default();
-        loop {
-            if wanted > body.capacity() {
-                if let Some(memory) = memory {
-                    let started_at = Instant::now();
-                    memory.grow_patiently(wanted - body.capacity()).await;
-                    is_held_back |= started_at.elapsed() >= HELD_BACK_TIME;
-                }
-                body.reserve_exact(wanted - body.len());
-            }
-            let bytes = match self.next_data().await {
-                Some(Ok(bytes)) => bytes,
-                Some(Err(error)) if is_held_back => return Err(ExchangeError::HeldBack(error)),
-                Some(Err(error)) => return Err(error.into()),
-                None => break,
+        if let Some(declared) = declared {
+            is_held_back |= reserve(&mut body, declared, memory).await;
+        }
+        while let Some(bytes) = self.next_data().await {
+            let bytes = match bytes {
+                Ok(bytes) => bytes,
+                Err(error) if is_held_back => return Err(ExchangeError::HeldBack(error)),
+                Err(error) => return Err(error.into()),
             };
             let length = body.len() + bytes.len();
             if length > bytes_max {
                 return Err(ExchangeError::TooLong { bytes_max });
             }
             if length > body.capacity() {
-                wanted = length.max(2 * body.capacity()).min(bytes_max);
-                if let Some(memory) = memory {
-                    memory.grow_patiently(wanted - body.capacity()).await;
-                }
-                body.reserve_exact(wanted - body.len());
+                let wanted = length.max(2 * body.capacity()).min(bytes_max);
+                is_held_back |= reserve(&mut body, wanted, memory).await;
             }
             body.extend_from_slice(&bytes);
         }
@@ -222,3 +212,16 @@
         }
     }
 }
+
+/// Enlarges a body as soon as there is memory for it; returns whether its endpoint had to wait for long.
+async fn reserve(body: &mut Vec<u8>, capacity: usize, memory: Option<&MemoryAccount>) -> bool {
+    let started_at = Instant::now();
+    let bytes = capacity.saturating_sub(body.capacity());
+    if let Some(memory) = memory
+        && bytes > 0
+    {
+        memory.grow_patiently(bytes).await;
+    }
+    body.reserve_exact(capacity.saturating_sub(body.len()));
+    started_at.elapsed() >= HELD_BACK_TIME
+}
