--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -8,6 +8,7 @@
 
 mod authorization;
 mod caller_connection;
+mod caller_limits;
 mod catalog_handler;
 mod client;
 mod configuration;
@@ -26,9 +27,13 @@
 mod generation;
 mod handle;
 mod head_limit;
+mod held_bytes;
+mod limit_log;
 mod load_exchange;
 mod load_update;
 mod local_response;
+mod memory;
+mod memory_account;
 mod news_exchange;
 mod news_message;
 mod options;
@@ -37,6 +42,7 @@
 mod plain;
 mod prefill_guard;
 mod registration;
+mod request_body;
 mod request_context;
 mod request_handler;
 mod response_body;
@@ -59,6 +65,7 @@
 mod unreadable_datagrams;
 mod work_guard;
 
+pub use caller_limits::CallerLimits;
 pub use client::{Client, FetchError, FetchTimeouts};
 pub use dialect::{Dialect, Dispatch, Disposition, Operation, ResponseInfo};
 pub use handle::Gateway;
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -104,7 +104,7 @@
                 options.retry_ratio,
                 options.retries_min,
             )),
-            callers: CallerConnections::default(),
+            callers: CallerConnections::new(&options, clock, &metrics),
             client: Client::default(),
             duties: Duties::new(&options.name, options.duties.as_ref(), clock.timestamp()),
             metrics,
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -2,12 +2,14 @@
 //! key-value service and its workers.
 
 mod duty_service;
+mod example;
 mod exchange;
 mod store;
 mod store_copy;
 mod worker;
 
 pub use duty_service::{DutyCall, DutyService};
+pub use example::Example;
 pub use exchange::{ENDLESS_BYTES_MAX, Request, Response};
 pub use store::{Entrance, Store};
 pub use store_copy::StoreCopy;
