duties: counts reach a holder without a link through the store

A daemon that gets no answer of the holder leaves its final counts in the store, where the holder reads them before it fixes a window that lacks counts.

--- a/cli/tests/gateway_settings.rs
+++ b/cli/tests/gateway_settings.rs
@@ -1,9 +1,11 @@
 //! Changes of a gateway's settings file while the gateway runs.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use log::LevelFilter;
-use ragwortgrade_lib::gateway::SettingsFile;
+use ragwortgrade_lib::gateway::duties::Duty;
+use ragwortgrade_lib::gateway::{Settings, SettingsFile};
 
 const TEXT: &str = "[gateway]\nname = a-1\ndata_centre = a\ncallers_address = 127.0.0.1:0\n\
     readiness_address = 127.0.0.1:0\npeers_address = 127.0.0.1:0\nmetrics_address =\n\
@@ -62,3 +64,25 @@
     file.write(TEXT);
     assert!(!settings.refresh().unwrap().unwrap().needs_restart);
 }
+
+/// Guards against a deployment without duties that does not start because of values in the template.
+#[test]
+fn duty_settings_have_no_effect_without_an_address() {
+    let text = format!("{TEXT}duties_address =\nduties =\nduty_lease_ms = 1\n");
+    let settings = Settings::parse(&text, &PathBuf::from("test.ini")).unwrap();
+    assert_eq!(settings.duties, None);
+}
+
+#[test]
+fn duty_settings_have_defaults_and_ranges() {
+    let parse = |lines: &str| {
+        let text = format!("{TEXT}duties_address = 127.0.0.1:9\n{lines}");
+        Settings::parse(&text, &PathBuf::from("test.ini"))
+    };
+    let duties = parse("usage_late_seconds =\n").unwrap().duties.unwrap();
+    assert_eq!(duties.duties, [Duty::Usage, Duty::Scale]);
+    assert_eq!(duties.lease_time, Duration::from_secs(3));
+    assert_eq!(duties.usage_late, Duration::from_secs(10));
+    assert!(parse("duty_lease_ms = 1\n").is_err());
+    assert!(parse("duties = usage,other\n").is_err());
+}
--- a/lib/src/gateway/duties.rs
+++ b/lib/src/gateway/duties.rs
@@ -3,6 +3,7 @@
 //! `ragwortgrade_policy::gateway::duties` decides; this module calls the store and the platform and
 //! exchanges datagrams with the candidates.
 
+mod deposit_worker;
 mod duty_options;
 mod duty_platform;
 mod duty_settings;
--- a/lib/src/gateway/duties/exchange.rs
+++ b/lib/src/gateway/duties/exchange.rs
@@ -67,6 +67,9 @@
         let worker = self.worker;
         let now = worker.now();
         let windows = self.due_windows(now.monotonic);
+        let mut delivery = worker.state.delivery.borrow_mut();
+        delivery.record_report(&windows, now.monotonic);
+        drop(delivery);
         let demand = self.demand(now.monotonic);
         let recipients = self.recipients();
         let mut sections = split(windows).into_iter().peekable();
@@ -221,6 +224,9 @@
             let mut clock = state.clock.borrow_mut();
             let clocks = clocks as usize;
             clock.observe_median(&message.daemon, message.unix_ms, clocks, now.monotonic);
+            if holder.as_ref() == Some(&message.daemon) {
+                state.delivery.borrow_mut().record_answer();
+            }
             if let Some(holder) = holder {
                 state.known_holder.replace(Some((holder, now.monotonic)));
             }
--- a/lib/src/gateway/duties/state.rs
+++ b/lib/src/gateway/duties/state.rs
@@ -3,7 +3,9 @@
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::authority::{Holder, Timestamp};
-use ragwortgrade_policy::gateway::duties::{Election, FleetClock, Ledger, Reports, Tally, Timing};
+use ragwortgrade_policy::gateway::duties::{
+    Delivery, Election, FleetClock, Ledger, Reports, Tally, Timing,
+};
 use ragwortgrade_schema::Name;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -17,6 +19,7 @@
     pub(super) started_ms: u64,
     pub(super) clock: RefCell<FleetClock>,
     pub(super) ledger: RefCell<Ledger>,
+    pub(super) delivery: RefCell<Delivery>,
     pub(super) tally: RefCell<Tally>,
     pub(super) election: RefCell<Election>,
     pub(super) reports: RefCell<Reports>,
@@ -48,6 +51,7 @@
             started_ms: now.unix_ms,
             clock: RefCell::new(FleetClock::new(now)),
             ledger: RefCell::new(Ledger::new(settings.usage_window)),
+            delivery: RefCell::default(),
             tally: RefCell::default(),
             election: RefCell::new(Election::open(timing, holder, jitter, now.monotonic)),
             reports: RefCell::new(Reports::new(settings.usage_window, settings.usage_late)),
--- a/lib/src/gateway/duties/usage_worker.rs
+++ b/lib/src/gateway/duties/usage_worker.rs
@@ -7,6 +7,7 @@
 use ragwortgrade_policy::gateway::duties::{Call, Step, Store, TenantCounts, UsageRecord};
 use ragwortgrade_schema::Name;
 
+use super::deposit_worker;
 use super::election_worker::{RECORD_KEY, limited, read_item};
 use super::exchange::Exchange;
 use super::worker::Worker;
@@ -17,6 +18,8 @@
 const USAGE_PREFIX: &str = "ragwortgrade/duties/usage/";
 /// Interval at which due steps are looked for.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of keys of daemons' counts that one write removes; a write has at most 32 entries.
+const KEYS_REMOVED_MAX: usize = 20;
 /// Pause after a call to the store that has failed.
 const STORE_PAUSE: Duration = Duration::from_millis(150);
 /// Pause after a call to the platform that was not accepted, which doubles up to the maximum.
@@ -31,6 +34,9 @@
     let mut restored_at = worker.shared.now();
     let mut restores = worker.shared.store_restores();
     let mut begun_token = None;
+    // Window for which the counts in the store were read, and their keys.
+    let mut collected = None;
+    let mut surplus: Vec<String> = Vec::new();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         if restores != worker.shared.store_restores() {
@@ -52,11 +58,25 @@
             }
             begun_token = Some(tenure.token);
         }
-        if let Some(step) = due_step(worker)
-            && !commit(worker, &step, exchange).await
+        if let Some(window) = incomplete_window(worker)
+            && collected != Some(window)
         {
+            match deposit_worker::collect(worker, window).await {
+                Ok(keys) => {
+                    collected = Some(window);
+                    surplus = keys;
+                }
+                Err(error) => log::info!(error:% = error; "counts in the store could not be read"),
+            }
+        }
+        let Some(step) = due_step(worker) else {
+            continue;
+        };
+        if !commit(worker, &step, &surplus, exchange).await {
             tokio::time::sleep(STORE_PAUSE).await;
+            continue;
         }
+        surplus = surplus.split_off(surplus.len().min(KEYS_REMOVED_MAX));
     }
 }
 
@@ -129,6 +149,20 @@
     }
 }
 
+/// Returns the next window to fix if the counts of some daemons lack and are waited for no longer.
+fn incomplete_window(worker: Worker<'_>) -> Option<u64> {
+    let now_ms = worker.fleet_ms();
+    let reports = worker.state.reports.borrow();
+    let window = reports.due_window(now_ms)?;
+    let since = worker.state.candidate_since.get()?;
+    let since_ms = worker.state.clock.borrow().unix_ms(since);
+    let is_overdue = reports.is_overdue(window, now_ms, since_ms);
+    let peers = worker.shared.peers.borrow();
+    let tally = worker.state.tally.borrow();
+    let is_incomplete = !tally.unsettled(window, peers.directory.names()).is_empty();
+    (is_overdue && is_incomplete).then_some(window)
+}
+
 /// Returns the next report to record, if its counts are complete or are waited for no longer.
 fn due_step(worker: Worker<'_>) -> Option<Step> {
     let state = worker.state;
@@ -157,9 +191,14 @@
     Some(reports.fix(window, tally.counts(window)))
 }
 
-/// Records a report, or reads the record that another holder has made; returns whether its content is
-/// fixed.
-async fn commit(worker: Worker<'_>, step: &Step, exchange: &Exchange<'_>) -> bool {
+/// Records a report and removes surplus keys, or reads the record that another holder has made; returns
+/// whether its content is fixed.
+async fn commit(
+    worker: Worker<'_>,
+    step: &Step,
+    surplus: &[String],
+    exchange: &Exchange<'_>,
+) -> bool {
     let key = usage_key(step.window);
     let now = worker.now();
     let Some(revision) = worker.state.election.borrow().record_revision(now) else {
@@ -177,6 +216,7 @@
             .remove
             .iter()
             .map(|window| usage_key(*window))
+            .chain(surplus.iter().take(KEYS_REMOVED_MAX).cloned())
             .collect(),
     };
     let store = &worker.shared.options.store;
--- a/lib/src/gateway/duties/worker.rs
+++ b/lib/src/gateway/duties/worker.rs
@@ -10,7 +10,7 @@
 use super::exchange::Exchange;
 use super::state::State;
 use super::{Duty, DutyAnswer, DutyStamp, Tenure};
-use super::{election_worker, task_worker, usage_worker};
+use super::{deposit_worker, election_worker, task_worker, usage_worker};
 use crate::gateway::shared::Shared;
 
 /// Fraction of the platform's rate that the holder uses: late calls of a predecessor count, too.
@@ -35,7 +35,8 @@
         exchange.run(),
         usage_worker::record(worker, &exchange),
         usage_worker::send(worker),
-        task_worker::run(worker)
+        task_worker::run(worker),
+        deposit_worker::run(worker)
     );
 }
 
--- a/policy/src/gateway/duties.rs
+++ b/policy/src/gateway/duties.rs
@@ -6,6 +6,7 @@
 
 mod call;
 mod candidates;
+mod delivery;
 mod election;
 mod fleet_clock;
 mod ledger;
@@ -17,6 +18,7 @@
 
 pub use call::{Call, Outcome, TenantCounts};
 pub use candidates::{CANDIDATES, candidates};
+pub use delivery::Delivery;
 pub use election::Election;
 pub use fleet_clock::FleetClock;
 pub use ledger::{Ledger, RunId, WindowCounts};
--- a/policy/src/gateway/duties/ledger.rs
+++ b/policy/src/gateway/duties/ledger.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// Returns the counts of a window.
+    #[must_use]
+    pub fn counts(&self, window: u64) -> TenantCounts {
+        self.windows.get(&window).cloned().unwrap_or_default()
+    }
+
     /// Returns the counts of the window that contains `now` and of those that ended less than `age`
     /// before.
     #[must_use]
@@ -94,7 +100,7 @@
         windows
             .map(|window| WindowCounts {
                 window,
-                counts: self.windows.get(&window).cloned().unwrap_or_default(),
+                counts: self.counts(window),
                 is_final: settled_ms >= (window + 1) * self.window_ms,
             })
             .collect()
--- a/policy/tests/duties/units.rs
+++ b/policy/tests/duties/units.rs
@@ -4,8 +4,8 @@
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::authority::Timestamp;
 use ragwortgrade_policy::gateway::duties::{
-    FleetClock, Ledger, Reports, Store, Tally, TenantCounts, UsageRecord, WindowCounts, candidates,
-    is_valid_token, token_floor,
+    Delivery, FleetClock, Ledger, Reports, Store, Tally, TenantCounts, UsageRecord, WindowCounts,
+    candidates, is_valid_token, token_floor,
 };
 use ragwortgrade_schema::Name;
 
@@ -201,3 +201,21 @@
         assert!(is_valid_token(token_floor(era, u64::MAX) + (1 << 20)));
     }
 }
+
+/// Guards against counts that no candidate gets since a link is cut, and against writes to the store
+/// while the holder answers.
+#[test]
+fn counts_without_an_answer_go_to_the_store() {
+    let mut delivery = Delivery::default();
+    let report = [sent(9, 3, true), sent(10, 4, false)];
+    delivery.record_report(&report, at(0));
+    delivery.record_answer();
+    assert!(delivery.overdue(at(5_000)).is_empty());
+    let report = [sent(9, 3, true), sent(10, 4, true), sent(11, 1, false)];
+    delivery.record_report(&report, at(5_000));
+    assert!(delivery.overdue(at(5_100)).is_empty());
+    assert_eq!(delivery.overdue(at(6_300)), [10]);
+    delivery.record_stored(10);
+    delivery.record_report(&report, at(6_400));
+    assert!(delivery.overdue(at(8_000)).is_empty());
+}
--- a/standins/src/site/duty_service.rs
+++ b/standins/src/site/duty_service.rs
@@ -22,6 +22,8 @@
     pub holder: String,
     /// Its fencing token.
     pub token: u64,
+    /// Window of a usage report.
+    pub window: Option<u64>,
     /// The body.
     pub body: Value,
     /// When it arrived.
@@ -80,6 +82,7 @@
         return Response::complete(status, &[], "{}");
     }
     let token = request.header("x-fencing-token");
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     state.calls.push(DutyCall {
         path: request.target.clone(),
         holder: request
@@ -89,7 +92,8 @@
         token: token
             .and_then(|token| token.parse().ok())
             .unwrap_or_default(),
-        body: serde_json::from_slice(&request.body).unwrap_or_default(),
+        window: body["windowId"].as_u64(),
+        body,
         at: Instant::now(),
     });
     if state.lost_answers > 0 {
