--- a/policy/benches/placement.rs
+++ b/policy/benches/placement.rs
@@ -32,6 +32,8 @@
             Stage::Decode
         }),
         started_ms: None,
+        is_spot: false,
+        leaves_in: None,
     };
     (0..count).map(endpoint).collect()
 }
@@ -47,6 +49,7 @@
         pause_target: Some(Duration::from_millis(200)),
         rank,
         attempts_max: 1,
+        is_public: false,
         traffic_split: vec![("models".into(), 1)],
     }
 }
