gateway: changes of keys have messages of their own

Daemons of earlier builds drop a message with a statement that they do not know, and with it other news. Changes of keys are therefore not put into messages with other statements.

--- a/policy/src/gateway/epidemic/broadcast.rs
+++ b/policy/src/gateway/epidemic/broadcast.rs
@@ -89,13 +89,10 @@
             (&mut self.own, FIRST_RECIPIENTS)
         };
         let mut bytes = 0;
-        let sizes = queue
-            .iter()
-            .take(STATEMENTS_MAX)
-            .map(Statement::registration_bytes);
-        let fitting = sizes.take_while(|size| {
-            bytes += size;
-            bytes <= REGISTRATION_BYTES_MAX
+        let are_keys = queue.front().is_some_and(Statement::is_keys);
+        let fitting = queue.iter().take(STATEMENTS_MAX).take_while(|statement| {
+            bytes += statement.registration_bytes();
+            bytes <= REGISTRATION_BYTES_MAX && statement.is_keys() == are_keys
         });
         // A single statement is sent whatever its size.
         let count = fitting.count().max(1).min(queue.len());
@@ -190,10 +187,13 @@
     }
 }
 
-/// Returns messages that tell these statements.
+/// Returns messages that tell these statements. Those about keys have messages of their own, as
+/// daemons of earlier builds cannot read them.
 fn tell(statements: &[&Statement]) -> Vec<Message> {
     let statements = &statements[..statements.len().min(ANSWER_MAX)];
-    let messages = statements.chunks(STATEMENTS_MAX).map(|chunk| {
+    let same_kind = statements.chunk_by(|left, right| left.is_keys() == right.is_keys());
+    let chunks = same_kind.flat_map(|statements| statements.chunks(STATEMENTS_MAX));
+    let messages = chunks.map(|chunk| {
         let statements = chunk.iter().map(|it| (*it).clone());
         Message::Statements(statements.collect())
     });
--- a/policy/src/gateway/epidemic/statement.rs
+++ b/policy/src/gateway/epidemic/statement.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Returns whether the statement is about keys.
+    pub(super) const fn is_keys(&self) -> bool {
+        matches!(self, Self::Keys(_))
+    }
+
     /// Returns the size of the registrations in this statement, in bytes; other statements are small.
     pub(super) fn registration_bytes(&self) -> usize {
         match self {
--- a/policy/tests/gateway_epidemic.rs
+++ b/policy/tests/gateway_epidemic.rs
@@ -7,7 +7,7 @@
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::epidemic::{Broadcast, ByteBudget, Digest, Message, Statement};
 use ragwortgrade_policy::gateway::{
-    DepartureReport, Fingerprint, LostRun, Quarantine, RateReport, RegistrationBatch,
+    DepartureReport, Fingerprint, KeyChanges, LostRun, Quarantine, RateReport, RegistrationBatch,
     RegistrationChange, RegistrationContent, RegistrationSource,
 };
 use ragwortgrade_testutil::named_cases;
@@ -349,3 +349,32 @@
     quarantine.merge(evidence, at(60_000));
     assert_eq!(quarantine.evidence().lost_runs, cleared);
 }
+
+/// Guards against other news that daemons of earlier builds miss, as they cannot read messages with
+/// changes of keys.
+#[test]
+fn changes_of_keys_are_told_in_messages_of_their_own() {
+    let keys = |version| {
+        Statement::Keys(KeyChanges {
+            version,
+            after: version - 1,
+            part: 0,
+            applied_at: at(0),
+            changes: Vec::new(),
+        })
+    };
+    let begun = |identity| Statement::Begun {
+        identity,
+        at: at(0),
+    };
+    let statements = [begun(1), keys(2), keys(3), begun(4)];
+    let mut broadcast = Broadcast::new(1);
+    for statement in &statements {
+        broadcast.publish(statement.clone(), at(0));
+    }
+    let pushes = std::iter::from_fn(|| broadcast.next_push());
+    let pushes: Vec<usize> = pushes.map(|push| push.statements.len()).collect();
+    assert_eq!(pushes, [1, 2, 1]);
+    let answers = broadcast.answer(&Message::Digest(Digest::default()), &statements);
+    assert_eq!(answers.len(), 3);
+}
