front: test that declared lengths alone keep no caller out

The own interface reserves a declared length when it has read the head, so that 8 callers that send only heads use up the 256 MiB for bodies.

--- a/lib/tests/front.rs
+++ b/lib/tests/front.rs
@@ -103,6 +103,28 @@
     assert_eq!(response.status, 200);
 }
 
+#[test]
+fn declared_lengths_alone_keep_no_caller_out() {
+    // Guards against callers that send only heads and thereby take the memory for bodies.
+    let fixture = Fixture::with_limits(&json!({"body_bytes": 64 << 20}));
+    fixture.engine("e1");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\n{LAB}Content-Length: {}\r\n\r\n",
+        64 << 20
+    );
+    let waiting: Vec<Caller> = (0..8)
+        .map(|_| {
+            let mut caller = fixture.caller();
+            caller.send(head.as_bytes());
+            caller
+        })
+        .collect();
+    // The heads are read by other threads.
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    let response = fixture.caller().send(chat(LAB, BODY).as_bytes()).response();
+    assert_eq!(response.status, 200, "{} heads", waiting.len());
+}
+
 #[test]
 fn open_requests_are_limited() {
     // Guards against a daemon that accepts more requests than it has threads and memory for.
