--- a/lib/src/gateway/scaling_task.rs
+++ b/lib/src/gateway/scaling_task.rs
@@ -287,7 +287,7 @@
 /// ordered.
 pub(super) fn record_arrival(context: &RequestContext, result: &Result<Placement, Refusal>) {
     let shared = &context.shared;
-    let is_scaled = shared.catalog.borrow().as_ref().is_some_and(|catalog| {
+    let is_scaled = shared.catalog().is_some_and(|catalog| {
         let service = catalog.service(&context.service);
         service.is_some_and(|service| service.scaling.is_some())
     });
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -13,12 +13,15 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::caller_connection::CallerConnections;
+use super::configuration::Configuration;
 use super::crash_detector::CrashDetector;
 use super::drain::Drain;
 use super::peer_traffic::PeerTraffic;
 use super::peers::{self, Peers};
 use super::retry_budgets::RetryBudgets;
 use super::shared_reads::SharedReads;
+use super::supervisor::Supervisor;
+use super::tenant_statistics::TenantStatistics;
 use super::{Client, Disposition, Options, ResponseInfo, StoreError, StoreResponse};
 use crate::Clock;
 use crate::observe::Metrics;
@@ -31,7 +34,8 @@
 pub(super) struct Shared {
     pub(super) clock: Clock,
     pub(super) options: Options,
-    pub(super) catalog: RefCell<Option<Rc<Catalog>>>,
+    pub(super) configuration: Configuration,
+    pub(super) tenants: TenantStatistics,
     pub(super) registry: RefCell<Registry>,
     pub(super) engines: RefCell<Engines>,
     pub(super) size_shares: RefCell<SizeShares>,
@@ -43,6 +47,7 @@
     pub(super) callers: CallerConnections,
     pub(super) client: Client,
     pub(super) metrics: Metrics,
+    pub(super) supervisor: Supervisor,
     /// Whether the registrations were listed at least once.
     pub(super) is_registry_loaded: Cell<bool>,
     /// Wakes requests that wait for the configuration and the first listing.
@@ -80,7 +85,8 @@
         let seed = xxh3_64_with_seed(options.name.as_bytes(), clock.unix_ms());
         Rc::new(Self {
             clock,
-            catalog: RefCell::new(None),
+            configuration: Configuration::default(),
+            tenants: TenantStatistics::default(),
             registry: RefCell::default(),
             engines: RefCell::new(
                 Engines::open(options.speed).with_order_seed(xxh3_64(options.name.as_bytes())),
@@ -97,6 +103,7 @@
             callers: CallerConnections::default(),
             client: Client::default(),
             metrics,
+            supervisor: Supervisor::default(),
             is_registry_loaded: Cell::new(false),
             loaded: Notify::new(),
             drain: Drain::default(),
@@ -127,15 +134,11 @@
     }
 
     pub(super) fn catalog(&self) -> Option<Rc<Catalog>> {
-        self.catalog.borrow().clone()
+        self.configuration.catalog()
     }
 
-    /// Returns the configured limits on callers' requests; defaults before the first configuration.
     pub(super) fn limits(&self) -> Limits {
-        let catalog = self.catalog.borrow();
-        catalog
-            .as_ref()
-            .map_or_else(Limits::default, |catalog| *catalog.limits())
+        self.configuration.limits()
     }
 
     /// Changes the quarantine and logs what it then holds.
@@ -419,12 +422,12 @@
 
     /// Returns whether the load balancer should send callers to this daemon.
     pub(super) fn is_ready(&self) -> bool {
-        !self.is_draining() && self.is_loaded()
+        !self.is_draining() && self.is_loaded() && self.supervisor.are_all_running()
     }
 
     /// Returns whether the configuration and the registrations have been read.
     pub(super) fn is_loaded(&self) -> bool {
-        self.is_registry_loaded.get() && self.catalog.borrow().is_some()
+        self.is_registry_loaded.get() && self.catalog().is_some()
     }
 
     /// Wakes requests that wait for the configuration or the registrations, which were read.
