--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -40,10 +40,6 @@
 mod request_handler;
 mod response_body;
 mod retry_budgets;
-#[expect(
-    dead_code,
-    reason = "the loop of the holder that calls the task follows"
-)]
 mod scaling_task;
 mod server;
 mod settings;
@@ -69,5 +65,6 @@
 pub use settings::Settings;
 pub use settings_file::{SettingsChange, SettingsFile};
 pub use store::{
-    Item, LeaseId, Page, Store, StoreError, StoreFuture, StoreResponse, Update, Updates,
+    Item, LeaseId, Page, Put, Store, StoreError, StoreFuture, StoreResponse, Transaction, Update,
+    Updates,
 };
--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -15,10 +15,13 @@
 use tokio::task::LocalSet;
 
 use super::drain::DRAIN_MARGIN;
+use super::duties::Duty;
 use super::response_body::ResponseBody;
+use super::scaling_task::ScalingTask;
 use super::shared::Shared;
 use super::{
-    Options, load_exchange, local_response, peers, registration, server, store_watcher, supervisor,
+    Options, duties, load_exchange, local_response, peers, registration, server, store_watcher,
+    supervisor,
 };
 use crate::observe::{Metrics, Registry};
 
@@ -200,6 +203,15 @@
     supervisor::spawn(shared, "registration", move || {
         registration::register(Rc::clone(&state), peers_address)
     });
+    if let Some(options) = &shared.options.duties {
+        if options.settings.duties.contains(&Duty::Scale) {
+            shared.duties.add_task(Rc::new(ScalingTask::new(shared)));
+        }
+        let (state, duty_socket) = (Rc::clone(shared), Rc::clone(&socket));
+        supervisor::spawn(shared, "duties", move || {
+            duties::run(Rc::clone(&state), Rc::clone(&duty_socket))
+        });
+    }
     let state = Rc::clone(shared);
     supervisor::spawn(shared, "exchange", move || {
         load_exchange::run(Rc::clone(&state), Rc::clone(&socket))
--- a/lib/src/gateway/load_exchange.rs
+++ b/lib/src/gateway/load_exchange.rs
@@ -12,6 +12,7 @@
 use ragwortgrade_schema::Name;
 use tokio::net::UdpSocket;
 
+use super::duties;
 use super::endpoint_index::EndpointIndex;
 use super::load_update::{LoadUpdate, Sender};
 use super::news_exchange::{self, NewsExchange};
@@ -95,6 +96,8 @@
         let is_readable = length <= DATAGRAM_BYTES_MAX
             && if NewsMessage::is_in(datagram) {
                 news.receive(datagram, source)
+            } else if duties::Message::is_in(datagram) {
+                duties::receive(loads.shared, loads.socket, datagram, source)
             } else {
                 loads.receive(datagram)
             };
--- a/lib/src/gateway/scaling_task.rs
+++ b/lib/src/gateway/scaling_task.rs
@@ -1,6 +1,6 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use ragwortgrade_policy::Instant;
@@ -29,7 +29,8 @@
 /// Duty of ordering workers, and the exchange of the demand that the orders are based on.
 #[derive(Debug)]
 pub(super) struct ScalingTask {
-    shared: Rc<Shared>,
+    /// State that holds this task.
+    shared: Weak<Shared>,
     state: RefCell<State>,
 }
 
@@ -51,22 +52,22 @@
 }
 
 impl ScalingTask {
-    pub(super) fn new(shared: Rc<Shared>) -> Self {
+    pub(super) fn new(shared: &Rc<Shared>) -> Self {
         Self {
-            shared,
+            shared: Rc::downgrade(shared),
             state: RefCell::default(),
         }
     }
 
     /// Returns the orders that are due.
-    fn orders(&self, catalog: &Catalog, now: Instant) -> Vec<Order> {
+    fn orders(&self, shared: &Shared, catalog: &Catalog, now: Instant) -> Vec<Order> {
         let state = &mut *self.state.borrow_mut();
-        let workers = self.workers(state, now);
+        let workers = workers(shared, state, now);
         let mut daemons: HashSet<Name> = {
-            let peers = self.shared.peers.borrow();
+            let peers = shared.peers.borrow();
             peers.directory.names().cloned().collect()
         };
-        daemons.insert(self.shared.options.name.clone());
+        daemons.insert(shared.options.name.clone());
         state.collector.expire(now);
         let mut views = Vec::new();
         for service in scaled_services(catalog) {
@@ -80,16 +81,16 @@
                 service: &service.name,
                 terms,
                 workers,
-                demand: self.demand_of(service, slots, &state.collector, &daemons, now),
+                demand: demand_of(shared, service, slots, &state.collector, &daemons, now),
             });
         }
         let is_interrupted = state
             .interrupted_at
             .is_some_and(|at| now.since(at) < INTERRUPTION_TIME);
-        let is_current = !is_interrupted && self.are_registrations_current(now);
+        let is_current = !is_interrupted && are_registrations_current(shared, now);
         let orders = state.scaling.decide(&views, is_current, now);
         for (service, status) in state.scaling.status(now) {
-            let metrics = &self.shared.metrics;
+            let metrics = &shared.metrics;
             let gauge = |name: &str, value: u32| {
                 metrics.gauge(&format!("workers.{name}.{service}"), u64::from(value));
             };
@@ -107,67 +108,6 @@
         }
         orders
     }
-
-    fn are_registrations_current(&self, now: Instant) -> bool {
-        let registry = self.shared.registry.borrow();
-        self.shared.is_registry_loaded.get()
-            && registry.vouches(now)
-            && registry.lapsed().next().is_none()
-    }
-
-    /// Returns the demand of all daemons for a service, if enough of them have reported it.
-    fn demand_of(
-        &self,
-        service: &Service,
-        slots: u32,
-        collector: &Collector,
-        daemons: &HashSet<Name>,
-        now: Instant,
-    ) -> Option<MeasuredDemand> {
-        let total = collector.total(&service.name, daemons, now);
-        if !total.is_complete() {
-            return None;
-        }
-        let demand = total.demand;
-        let speed = &self.shared.options.speed;
-        // The work of a plain service is not measured; its capacity is kept.
-        let need = service.engine.map_or_else(Need::default, |limits| {
-            Need::of_demand(
-                demand.prefill_ms,
-                demand.output_tokens,
-                slots,
-                &limits,
-                speed,
-            )
-        });
-        Some(MeasuredDemand {
-            need,
-            refused_share: demand.refused / demand.requests.max(1.0),
-        })
-    }
-
-    /// Returns the registered workers by service.
-    fn workers(&self, state: &mut State, now: Instant) -> HashMap<Name, ServiceWorkers> {
-        let registry = self.shared.registry.borrow();
-        state.seen.retain(|id, _| registry.get(id).is_some());
-        let mut services: HashMap<Name, ServiceWorkers> = HashMap::new();
-        for endpoint in registry.ids().filter_map(|id| registry.get(id)) {
-            let start = (endpoint.started_ms, endpoint.cold_remaining);
-            let seen = state.seen.entry(endpoint.id.clone());
-            let seen = seen.or_insert((start, now));
-            if seen.0 != start {
-                *seen = (start, now);
-            }
-            let is_warm = now.since(seen.1) >= endpoint.cold_remaining;
-            let mut endpoint = endpoint.clone();
-            if !registry.is_usable(&endpoint.id) {
-                endpoint.state = EndpointState::Draining;
-            }
-            let service = services.entry(endpoint.service.clone()).or_default();
-            service.add(&endpoint, is_warm);
-        }
-        services
-    }
 }
 
 /// Workers of one service.
@@ -189,7 +129,10 @@
 
 impl DutyTask for ScalingTask {
     fn due_calls(&self, tenure: Tenure, now: Instant) -> Vec<Call> {
-        let Some(catalog) = self.shared.catalog() else {
+        let Some(shared) = self.shared.upgrade() else {
+            return Vec::new();
+        };
+        let Some(catalog) = shared.catalog() else {
             return Vec::new();
         };
         if scaled_services(&catalog).next().is_none() {
@@ -203,16 +146,16 @@
                 state.scaling = Scaling::default();
                 state.orders.clear();
             }
-            let interruptions = (self.shared.store_interruptions(), tenure.store_restores);
+            let interruptions = (shared.store_interruptions(), tenure.store_restores);
             if state.interruptions != interruptions {
                 state.interruptions = interruptions;
                 state.interrupted_at = Some(now);
             }
         }
         if let Some(report) = own_report {
-            self.receive_demand(&self.shared.options.name, &report, now);
+            self.receive_demand(&shared.options.name, &report, now);
         }
-        let orders = self.orders(&catalog, now);
+        let orders = self.orders(&shared, &catalog, now);
         for order in &orders {
             log::info!(
                 service:% = order.service, data_centre:% = order.data_centre, count = order.count,
@@ -220,7 +163,7 @@
                 token = tenure.token;
                 "workers ordered"
             );
-            self.shared.metrics.count("workers.orders", 1);
+            shared.metrics.count("workers.orders", 1);
         }
         let calls = orders.iter().map(to_call).collect();
         let state = &mut *self.state.borrow_mut();
@@ -243,13 +186,15 @@
                 Outcome::Unknown
             }
         };
-        if result != Outcome::Accepted {
+        if result != Outcome::Accepted
+            && let Some(shared) = self.shared.upgrade()
+        {
             log::info!(
                 service:% = order.service, data_centre:% = order.data_centre, count = order.count,
                 spot = order.is_spot, outcome:? = outcome;
                 "order of workers not accepted"
             );
-            self.shared.metrics.count("workers.orders_refused", 1);
+            shared.metrics.count("workers.orders_refused", 1);
         }
         state.scaling.record(&order, result, now);
     }
@@ -262,13 +207,14 @@
     }
 
     fn demand(&self, now: Instant) -> Option<Vec<u8>> {
-        let catalog = self.shared.catalog()?;
+        let shared = self.shared.upgrade()?;
+        let catalog = shared.catalog()?;
         let mut services: Vec<&Name> = scaled_services(&catalog).map(|it| &it.name).collect();
         if services.is_empty() {
             return None;
         }
         services.sort_unstable();
-        let mut demand = self.shared.demand.borrow_mut();
+        let mut demand = shared.demand.borrow_mut();
         Some(demand.report(services.into_iter(), now).to_bytes())
     }
 
@@ -278,7 +224,11 @@
                 let mut state = self.state.borrow_mut();
                 state.collector.record(daemon, report, now);
             }
-            None => self.shared.metrics.count("workers.demand_unreadable", 1),
+            None => {
+                if let Some(shared) = self.shared.upgrade() {
+                    shared.metrics.count("workers.demand_unreadable", 1);
+                }
+            }
         }
     }
 }
@@ -340,6 +290,65 @@
     }
 }
 
+fn are_registrations_current(shared: &Shared, now: Instant) -> bool {
+    let registry = shared.registry.borrow();
+    shared.is_registry_loaded.get() && registry.vouches(now) && registry.lapsed().next().is_none()
+}
+
+/// Returns the demand of all daemons for a service, if enough of them have reported it.
+fn demand_of(
+    shared: &Shared,
+    service: &Service,
+    slots: u32,
+    collector: &Collector,
+    daemons: &HashSet<Name>,
+    now: Instant,
+) -> Option<MeasuredDemand> {
+    let total = collector.total(&service.name, daemons, now);
+    if !total.is_complete() {
+        return None;
+    }
+    let demand = total.demand;
+    let speed = &shared.options.speed;
+    // The work of a plain service is not measured; its capacity is kept.
+    let need = service.engine.map_or_else(Need::default, |limits| {
+        Need::of_demand(
+            demand.prefill_ms,
+            demand.output_tokens,
+            slots,
+            &limits,
+            speed,
+        )
+    });
+    Some(MeasuredDemand {
+        need,
+        refused_share: demand.refused / demand.requests.max(1.0),
+    })
+}
+
+/// Returns the registered workers by service.
+fn workers(shared: &Shared, state: &mut State, now: Instant) -> HashMap<Name, ServiceWorkers> {
+    let registry = shared.registry.borrow();
+    state.seen.retain(|id, _| registry.get(id).is_some());
+    let mut services: HashMap<Name, ServiceWorkers> = HashMap::new();
+    for endpoint in registry.ids().filter_map(|id| registry.get(id)) {
+        let start = (endpoint.started_ms, endpoint.cold_remaining);
+        let seen = state.seen.entry(endpoint.id.clone());
+        let seen = seen.or_insert((start, now));
+        if seen.0 != start {
+            *seen = (start, now);
+        }
+        let is_warm = now.since(seen.1) >= endpoint.cold_remaining;
+        let mut endpoint = endpoint.clone();
+        if !registry.is_usable(&endpoint.id) {
+            endpoint.state = EndpointState::Draining;
+        }
+        let service = services.entry(endpoint.service.clone()).or_default();
+        service.add(&endpoint, is_warm);
+    }
+    services
+}
+
 /// Returns the services whose workers are ordered.
 fn scaled_services(catalog: &Catalog) -> impl Iterator<Item = &Service> {
     catalog.services().filter(|it| it.scaling.is_some())
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -16,6 +16,7 @@
 use super::configuration::Configuration;
 use super::crash_detector::CrashDetector;
 use super::drain::Drain;
+use super::duties::Duties;
 use super::peer_traffic::PeerTraffic;
 use super::peers::{self, Peers};
 use super::retry_budgets::RetryBudgets;
@@ -46,6 +47,7 @@
     pub(super) retry_budgets: RefCell<RetryBudgets>,
     pub(super) callers: CallerConnections,
     pub(super) client: Client,
+    pub(super) duties: Duties,
     pub(super) metrics: Metrics,
     pub(super) supervisor: Supervisor,
     /// Whether the registrations were listed at least once.
@@ -102,6 +104,7 @@
             )),
             callers: CallerConnections::default(),
             client: Client::default(),
+            duties: Duties::new(&options.name, options.duties.as_ref(), clock.timestamp()),
             metrics,
             supervisor: Supervisor::default(),
             is_registry_loaded: Cell::new(false),
