scaling: stability of the registrations is observed before the tenure

Cause: a new holder waited 4 s longer than needed, while ordinary workers are billed in full. Change: the task notes with each report since when the registrations are current and their number the same.

--- a/lib/src/gateway/scaling_task.rs
+++ b/lib/src/gateway/scaling_task.rs
@@ -43,6 +43,8 @@
     /// Number of interruptions and restores of the store that were noticed, and when.
     interruptions: (u64, u64),
     interrupted_at: Option<Instant>,
+    /// Number of usable endpoints while the registrations are current, and since when.
+    stable: Option<(usize, Instant)>,
     /// When the numbers of workers were last logged.
     logged_at: Option<Instant>,
     /// Orders whose outcome is not known.
@@ -81,13 +83,11 @@
                 service: &service.name,
                 terms,
                 workers,
+                stable_since: state.stable.map(|(_, since)| since),
                 demand: demand_of(shared, service, slots, &state.collector, &daemons, now),
             });
         }
-        let is_interrupted = state
-            .interrupted_at
-            .is_some_and(|at| now.since(at) < INTERRUPTION_TIME);
-        let is_current = !is_interrupted && are_registrations_current(shared, now);
+        let is_current = state.stable.is_some();
         let orders = state.scaling.decide(&views, is_current, now);
         for (service, status) in state.scaling.status(now) {
             let metrics = &shared.metrics;
@@ -146,11 +146,6 @@
                 state.scaling = Scaling::default();
                 state.orders.clear();
             }
-            let interruptions = (shared.store_interruptions(), tenure.store_restores);
-            if state.interruptions != interruptions {
-                state.interruptions = interruptions;
-                state.interrupted_at = Some(now);
-            }
         }
         if let Some(report) = own_report {
             self.receive_demand(&shared.options.name, &report, now);
@@ -214,6 +209,7 @@
             return None;
         }
         services.sort_unstable();
+        track_registrations(&shared, &mut self.state.borrow_mut(), now);
         let mut demand = shared.demand.borrow_mut();
         Some(demand.report(services.into_iter(), now).to_bytes())
     }
@@ -290,6 +286,27 @@
     }
 }
 
+/// Records whether the registrations are current, and since when their number has been the same.
+fn track_registrations(shared: &Shared, state: &mut State, now: Instant) {
+    let interruptions = (shared.store_interruptions(), shared.store_restores());
+    if state.interruptions != interruptions {
+        state.interruptions = interruptions;
+        state.interrupted_at = Some(now);
+    }
+    let is_interrupted = state
+        .interrupted_at
+        .is_some_and(|at| now.since(at) < INTERRUPTION_TIME);
+    if is_interrupted || !are_registrations_current(shared, now) {
+        state.stable = None;
+        return;
+    }
+    let endpoints = shared.registry.borrow().usable().count();
+    match state.stable {
+        Some((known, _)) if known == endpoints => {}
+        _ => state.stable = Some((endpoints, now)),
+    }
+}
+
 fn are_registrations_current(shared: &Shared, now: Instant) -> bool {
     let registry = shared.registry.borrow();
     shared.is_registry_loaded.get() && registry.vouches(now) && registry.lapsed().next().is_none()
--- a/policy/src/gateway/scaling/fleet.rs
+++ b/policy/src/gateway/scaling/fleet.rs
@@ -67,10 +67,15 @@
     /// Returns the orders that are due now.
     pub(super) fn decide(&mut self, view: &ServiceView<'_>, now: Instant) -> Vec<Order> {
         self.observe(view, now);
-        let resumed_at = *self.resumed_at.get_or_insert(now);
+        let stable_since = view.stable_since.unwrap_or(now);
+        let resumed_at = *self.resumed_at.get_or_insert(stable_since);
+        let present = self.present();
+        self.stable.get_or_insert((present, stable_since));
         let capacity = Capacity::new(view.workers);
-        let Some(forecast) = &mut self.forecast else {
+        if self.forecast.is_none() {
             self.start(view, &capacity, now);
+        }
+        let Some(forecast) = &mut self.forecast else {
             return Vec::new();
         };
         if now.since(resumed_at) < STABLE_TIME {
--- a/policy/src/gateway/scaling/service_view.rs
+++ b/policy/src/gateway/scaling/service_view.rs
@@ -1,6 +1,7 @@
 use ragwortgrade_schema::Name;
 
 use super::{Need, Terms, Worker};
+use crate::Instant;
 
 /// What is known of a service whose workers are ordered.
 #[derive(Clone, Debug)]
@@ -11,6 +12,9 @@
     pub terms: &'a Terms,
     /// Registered workers.
     pub workers: &'a [Worker],
+    /// Since when the registrations have been current and their number the same, as far as that was
+    /// observed before this value decides.
+    pub stable_since: Option<Instant>,
     /// Demand of all daemons; `None` while too few of them have reported it.
     pub demand: Option<MeasuredDemand>,
 }
--- a/policy/tests/worker_site/mod.rs
+++ b/policy/tests/worker_site/mod.rs
@@ -93,6 +93,7 @@
             service: &self.service,
             terms: &self.terms,
             workers: &registered[self.hidden.min(registered.len())..],
+            stable_since: None,
             demand: self.is_demand_known.then_some(MeasuredDemand {
                 need,
                 refused_share: self.refused_share,
