--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -205,8 +205,7 @@
     });
     if let Some(options) = &shared.options.duties {
         if options.settings.duties.contains(&Duty::Scale) {
-            let task = ScalingTask::new(Rc::clone(shared));
-            shared.duties.add_task(Rc::new(task));
+            shared.duties.add_task(Rc::new(ScalingTask::new(shared)));
         }
         let (state, duty_socket) = (Rc::clone(shared), Rc::clone(&socket));
         supervisor::spawn(shared, "duties", move || {
