--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -11,6 +11,7 @@
 mod connection;
 mod crash_detector;
 mod dialect;
+mod drain;
 pub mod duties;
 mod endpoint_handler;
 mod endpoint_index;
--- a/lib/src/gateway/duties/task_worker.rs
+++ b/lib/src/gateway/duties/task_worker.rs
@@ -7,12 +7,15 @@
 
 use super::election_worker;
 use super::worker::Worker;
-use super::{DutyAnswer, DutyTask, Tenure};
+use super::{Duty, DutyAnswer, DutyTask, Tenure};
 
 /// Interval at which tasks are asked for calls.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
 
 pub(super) async fn run(worker: Worker<'_>) {
+    if !worker.runs(Duty::Scale) {
+        return;
+    }
     loop {
         tokio::time::sleep(ASK_INTERVAL).await;
         let tasks: Vec<Rc<dyn DutyTask>> = worker.state.tasks.borrow().clone();
--- a/lib/src/gateway/duties/usage_worker.rs
+++ b/lib/src/gateway/duties/usage_worker.rs
@@ -171,6 +171,14 @@
     if let Some(step) = reports.lost_record() {
         return Some(step);
     }
+    let passed_over = reports.pass_over_old(now_ms);
+    if passed_over > 0 {
+        log::warn!(windows = passed_over, reason = "too_old"; "usage windows skipped");
+        worker
+            .shared
+            .metrics
+            .count("duties.usage.skipped", passed_over);
+    }
     let window = reports.due_window(now_ms)?;
     let gathering_since = state.candidate_since.get()?;
     let gathering_since_ms = state.clock.borrow().unix_ms(gathering_since);
--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -12,8 +12,9 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+use super::drain::DRAIN_MARGIN;
 use super::response_body::ResponseBody;
-use super::shared::{DRAIN_MARGIN, Shared};
+use super::shared::Shared;
 use super::{
     Options, duties, load_exchange, local_response, peers, registration, server, store_watcher,
 };
@@ -198,7 +199,7 @@
         _ = drain_receiver.wait_for(|is_draining| *is_draining) => {}
     }
     let started_at = Instant::now();
-    shared.drain_started_at.set(Some(shared.now()));
+    shared.drain.start(shared.now());
     log::info!(requests = shared.callers.requests_in_flight(); "drain started");
     tokio::task::spawn_local(registration::unregister(Rc::clone(shared)));
     tokio::select! {
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -14,6 +14,7 @@
 
 use super::caller_connection::CallerConnections;
 use super::crash_detector::CrashDetector;
+use super::drain::Drain;
 use super::duties::Duties;
 use super::peer_traffic::PeerTraffic;
 use super::peers::{self, Peers};
@@ -23,14 +24,9 @@
 use crate::Clock;
 use crate::observe::Metrics;
 
-/// Time for which a draining daemon accepts every request: the load balancer stops sending callers
-/// after two failed probes, one per second, and a stream needs the rest of the drain timeout to end.
-const ACCEPT_TIME: Duration = Duration::from_millis(2_500);
 /// Time before the start of the process that its clock can express: peers report crashes of that
 /// time.
 const TIME_BEFORE_START: Duration = Duration::from_hours(1);
-/// Time before the end of the drain timeout at which a drain stops waiting for requests.
-pub(super) const DRAIN_MARGIN: Duration = Duration::from_millis(600);
 
 /// State shared by the gateway's tasks, which all run on one thread.
 #[derive(Debug)]
@@ -54,8 +50,7 @@
     pub(super) is_registry_loaded: Cell<bool>,
     /// Wakes requests that wait for the configuration and the first listing.
     loaded: Notify,
-    /// When the drain started, if it has.
-    pub(super) drain_started_at: Cell<Option<Instant>>,
+    pub(super) drain: Drain,
     store_era: RefCell<StoreEra>,
     pub(super) store_outage: RefCell<StoreOutage>,
     /// Wakes the task that keeps this daemon registered, to call the store at once.
@@ -107,7 +102,7 @@
             metrics,
             is_registry_loaded: Cell::new(false),
             loaded: Notify::new(),
-            drain_started_at: Cell::new(None),
+            drain: Drain::new(options.drain_timeout),
             store_era: RefCell::default(),
             store_outage: RefCell::default(),
             store_call: Notify::new(),
@@ -414,20 +409,12 @@
 
     /// Returns whether a drain has started.
     pub(super) fn is_draining(&self) -> bool {
-        self.drain_started_at.get().is_some()
+        self.drain.has_started()
     }
 
     /// Returns whether a request that starts now could be cut off by the end of the drain.
-    ///
-    /// Early in a drain every request is accepted, since the load balancer still sends callers.
     pub(super) fn could_outlast_drain(&self, is_stream: bool, time_limit: Duration) -> bool {
-        let Some(started_at) = self.drain_started_at.get() else {
-            return false;
-        };
-        let elapsed = self.now().since(started_at);
-        let drain_time = self.options.drain_timeout.saturating_sub(DRAIN_MARGIN);
-        let could_be_late = is_stream || elapsed.saturating_add(time_limit) > drain_time;
-        elapsed > ACCEPT_TIME && could_be_late
+        self.drain.could_cut_off(is_stream, time_limit, self.now())
     }
 
     /// Returns whether the load balancer should send callers to this daemon.
--- a/policy/src/gateway/duties/reports.rs
+++ b/policy/src/gateway/duties/reports.rs
@@ -177,6 +177,16 @@
         self.draft = None;
     }
 
+    /// Passes over windows that ended too long ago to be reported; returns their number.
+    pub fn pass_over_old(&mut self, now_ms: u64) -> u64 {
+        let oldest = self.window_at(now_ms).saturating_sub(WINDOWS_MAX);
+        let Some(next) = self.next.filter(|next| *next < oldest) else {
+            return 0;
+        };
+        self.next = Some(oldest);
+        oldest - next
+    }
+
     /// Returns the next window whose counts are to be fixed, if it has ended.
     #[must_use]
     pub fn due_window(&self, now_ms: u64) -> Option<u64> {
--- a/policy/tests/duties/units.rs
+++ b/policy/tests/duties/units.rs
@@ -219,3 +219,14 @@
     delivery.record_report(&report, at(6_400));
     assert!(delivery.overdue(at(8_000)).is_empty());
 }
+
+/// Guards against a write for each of many windows after a jump of the fleet's clock.
+#[test]
+fn windows_of_long_ago_are_passed_over() {
+    let mut reports = Reports::new(WINDOW, Duration::from_secs(10));
+    reports.begin(&store(BTreeMap::new(), Some(1)));
+    assert_eq!(reports.pass_over_old(150_000), 0);
+    let next = reports.due_window(150_000).unwrap();
+    assert_eq!(reports.pass_over_old(5_000_000), 1_000 - 24 - next);
+    assert_eq!(reports.due_window(5_000_000), Some(976));
+}
