--- a/policy/src/gateway/admission.rs
+++ b/policy/src/gateway/admission.rs
@@ -7,6 +7,9 @@
 /// Fraction of the target above which an estimate counts as missing it. Estimates are too low while
 /// load grows.
 const MISSED_TARGET_FRACTION: f64 = 0.8;
+/// The same in a service that is ordered by need, where few later requests overtake one that has
+/// hardly time to spare.
+const MISSED_TARGET_FRACTION_BY_NEED: f64 = 0.95;
 /// Fraction of the target that a request of the least urgent ranks may wait for an engine if it
 /// will miss its target, or while the limit is the same for all sizes. More urgent requests may
 /// wait a multiple of it, since they delay few others.
@@ -58,6 +61,7 @@
     route: &Route,
     time_left: Duration,
     wait_limit: WaitLimit,
+    is_ordered_by_need: bool,
 ) -> Option<ExceededLimit> {
     let exceeded = |name, time| Some(ExceededLimit { name, time });
     if placement.expected > time_left {
@@ -71,7 +75,12 @@
     let wait_max = route.target.mul_f64(WAIT_FRACTION_MAX * f64::from(urgency));
     match wait_limit {
         WaitLimit::WhileTargetIsMet => {
-            let target_max = route.target.mul_f64(MISSED_TARGET_FRACTION);
+            let fraction = if is_ordered_by_need {
+                MISSED_TARGET_FRACTION_BY_NEED
+            } else {
+                MISSED_TARGET_FRACTION
+            };
+            let target_max = route.target.mul_f64(fraction);
             let misses_target = placement.expected > target_max;
             if misses_target && queue_wait(placement) > wait_max {
                 return exceeded("wait", wait_max);
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -121,21 +121,22 @@
                 .filter(move |it| it.stage == Some(stage) && !tried.contains(&it.id))
         };
         let mut chosen = self.choose(of_stage, &request);
+        let is_by_need = self.need_order.applies_to(route);
+        let exceeded = |placement: &Placement| {
+            exceeded_limit(placement, route, time_left, wait_limit, is_by_need)
+        };
         // A more urgent rank lets others go first only while it has time to spare.
         let rank_priority = priority(route, TargetClass::Met);
         let needs_rank = |placement: &Placement| {
             request.priority > rank_priority
-                && (!has_spare_time(placement.expected, route)
-                    || exceeded_limit(placement, route, time_left, wait_limit).is_some())
+                && (!has_spare_time(placement.expected, route) || exceeded(placement).is_some())
         };
         if chosen.as_ref().is_some_and(needs_rank) {
             request.priority = rank_priority;
             chosen = self.choose(of_stage, &request);
         }
         // A sample without an engine that has room says nothing about the others.
-        let exceeds = |placement: &Placement| {
-            exceeded_limit(placement, route, time_left, wait_limit).is_some()
-        };
+        let exceeds = |placement: &Placement| exceeded(placement).is_some();
         if candidates.len() > COMPARED_MAX && chosen.as_ref().is_some_and(exceeds) {
             request.sample_seed = None;
             chosen = self.choose(of_stage, &request);
@@ -147,7 +148,7 @@
                 retry_after: Duration::from_millis(500),
             });
         };
-        let Some(exceeded) = exceeded_limit(&placement, route, time_left, wait_limit) else {
+        let Some(limit) = exceeded(&placement) else {
             return Ok(placement);
         };
         // Before a queue causes a refusal, the request goes to an idle engine, even if that engine
@@ -160,7 +161,7 @@
         let idle_placement = self
             .choose(of_stage, &without_recompute_cost)
             .filter(|placement| placement.queue <= IDLE_QUEUE_MAX)
-            .filter(|placement| exceeded_limit(placement, route, time_left, wait_limit).is_none());
+            .filter(|placement| exceeded(placement).is_none());
         if let Some(placement) = idle_placement {
             return Ok(placement);
         }
@@ -173,9 +174,9 @@
             .choose(of_stage, &missed_target)
             .filter(|placement| may_wait(placement, route, time_left));
         match late_placement {
-            None => Err(refusal(&placement, route, exceeded, "too_long")),
+            None => Err(refusal(&placement, route, limit, "too_long")),
             Some(late_placement) if self.is_slowed(&late_placement.decode, now) => {
-                Err(refusal(&placement, route, exceeded, "decode_engine_slowed"))
+                Err(refusal(&placement, route, limit, "decode_engine_slowed"))
             }
             Some(late_placement) => Ok(late_placement),
         }
--- a/policy/src/gateway/need_order.rs
+++ b/policy/src/gateway/need_order.rs
@@ -48,6 +48,11 @@
         Self { shortest_targets }
     }
 
+    /// Returns whether the requests of a route are ordered by need.
+    pub(crate) fn applies_to(&self, route: &Route) -> bool {
+        self.shortest_targets.contains_key(&route.name)
+    }
+
     /// Returns the priority at the engine of a request whose own work takes `own_ms` until its first
     /// event; `None` if its service has no contradiction. 0 is the most urgent.
     pub(crate) fn priority(&self, route: &Route, own_ms: f64) -> Option<u8> {
