--- a/lib/src/gateway/stream_forwarder.rs
+++ b/lib/src/gateway/stream_forwarder.rs
@@ -125,15 +125,7 @@
                 if events.events() < BEGUN_EVENTS {
                     self.record_begin();
                 }
-                // The time below starts with the first event, so its tokens do not count.
-                let tokens = events.events().saturating_sub(1) * self.event_tokens;
-                let elapsed_ms = millis(self.started_at.elapsed());
-                self.shared.engines.borrow_mut().observe_output(
-                    &run.engine.id,
-                    tokens,
-                    elapsed_ms,
-                    self.shared.now(),
-                );
+                self.observe_output(&run, &events);
                 // The duration of a sequence is not used.
                 run.sequence.finish(CallOutcome::Done { millis: 0.0 });
                 run.exchange.return_connection(&self.shared.client);
@@ -152,6 +144,17 @@
         }
     }
 
+    /// Records the length and the speed of a complete output.
+    fn observe_output(&self, run: &StartedRun, events: &EventCounter) {
+        // The time below starts with the first event, so its tokens do not count.
+        let tokens = events.events().saturating_sub(1) * self.event_tokens;
+        let elapsed_ms = millis(self.started_at.elapsed());
+        let mut engines = self.shared.engines.borrow_mut();
+        engines.observe_output(&run.engine.id, tokens, elapsed_ms, self.shared.now());
+        let output_tokens = events.events().saturating_mul(self.event_tokens);
+        engines.observe_output_length(&self.route, self.output_hint, output_tokens);
+    }
+
     /// Reports how the stream ended, whether it missed its target and where its time went.
     fn report(
         &self,
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -29,6 +29,7 @@
 mod lost_run;
 mod need_order;
 mod outcome;
+mod output_lengths;
 mod peer;
 mod peer_directory;
 mod peer_loads;
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -13,6 +13,7 @@
 use super::engine_speeds::EngineSpeeds;
 use super::latency_model::LatencyModels;
 use super::need_order::{NeedOrder, has_spare_time};
+use super::output_lengths::OutputLengths;
 use super::peer_loads::PeerLoads;
 use super::placement_request::PlacementRequest;
 use super::prefill_candidate::PrefillCandidate;
@@ -55,6 +56,7 @@
     loads: HashMap<Name, EngineLoad>,
     speeds: EngineSpeeds,
     need_order: NeedOrder,
+    output_lengths: OutputLengths,
     peers: PeerLoads,
     /// Shared parts that were sent to engines and not yet reported to other daemons.
     unsent_parts: UnsentParts,
@@ -72,6 +74,7 @@
             loads: HashMap::new(),
             speeds: EngineSpeeds::default(),
             need_order: NeedOrder::default(),
+            output_lengths: OutputLengths::default(),
             peers: PeerLoads::default(),
             unsent_parts: UnsentParts::default(),
             order_seed: 0,
@@ -233,6 +236,7 @@
             pause_target_ms: route.pause_target.map(|pause| pause.as_secs_f64() * 1e3),
             is_large_fleet: candidates.len() > SMALL_FLEET_MAX,
             reserved_decoders: ReservedDecoders::new(candidates),
+            output_tokens: self.output_lengths.expected(&route.name, prompt),
             sample_seed: Some(xxh3_64_with_seed(&micros.to_le_bytes(), self.order_seed)),
             now,
         }
--- a/policy/src/gateway/engines/costs.rs
+++ b/policy/src/gateway/engines/costs.rs
@@ -144,14 +144,13 @@
 
     /// Returns the cost of decoding the whole output on an engine, in ms.
     fn output_cost_ms(&self, state: &EngineState<'_>, request: &PlacementRequest<'_>) -> f64 {
-        let tokens = request.prompt.output_tokens_hint.unwrap_or_default();
         let prefill_fraction = if request.reserved_decoders.contains(&state.engine.id) {
             RESERVED_PREFILL_FRACTION
         } else {
             UNRESERVED_PREFILL_FRACTION
         };
         let step_ms = self.speed.step_ms(state.work.sequences, prefill_fraction) * state.slowness;
-        f64::from(tokens) * step_ms * OUTPUT_WEIGHT
+        request.output_tokens * step_ms * OUTPUT_WEIGHT
     }
 
     /// Returns the engine that decodes after a remote prefill on `prefill`.
--- a/policy/src/gateway/engines/speeds.rs
+++ b/policy/src/gateway/engines/speeds.rs
@@ -40,6 +40,11 @@
         self.speeds.observe(&sample, now);
     }
 
+    /// Records the length of a complete output of a route, in tokens, and the caller's hint.
+    pub fn observe_output_length(&mut self, route: &Name, hint: Option<u32>, tokens: u32) {
+        self.output_lengths.observe(route, hint, tokens);
+    }
+
     /// Returns the engine time of a prefill at the configured speed, in ms, of which the first
     /// `cached_tokens` are in the cache.
     #[must_use]
--- a/policy/src/gateway/placement_request.rs
+++ b/policy/src/gateway/placement_request.rs
@@ -35,6 +35,8 @@
     pub(super) is_large_fleet: bool,
     /// Decode engines that are reserved for long outputs.
     pub(super) reserved_decoders: ReservedDecoders,
+    /// Expected length of the output, in tokens.
+    pub(super) output_tokens: f64,
     /// Seed of the sample of engines that are compared in a very large fleet; `None` if all are.
     pub(super) sample_seed: Option<u64>,
     pub(super) now: Instant,
