--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -43,6 +43,7 @@
 mod memory_plan;
 mod need_order;
 mod outcome;
+mod output_lengths;
 mod peer;
 mod peer_directory;
 mod peer_loads;
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -13,6 +13,7 @@
 use super::engine_speeds::EngineSpeeds;
 use super::latency_model::LatencyModels;
 use super::need_order::{NeedOrder, has_spare_time};
+use super::output_lengths::OutputLengths;
 use super::peer_loads::PeerLoads;
 use super::placement_request::PlacementRequest;
 use super::prefill_candidate::PrefillCandidate;
@@ -55,6 +56,7 @@
     loads: HashMap<Name, EngineLoad>,
     speeds: EngineSpeeds,
     need_order: NeedOrder,
+    output_lengths: OutputLengths,
     peers: PeerLoads,
     /// Shared parts that were sent to engines and not yet reported to other daemons.
     unsent_parts: UnsentParts,
@@ -72,6 +74,7 @@
             loads: HashMap::new(),
             speeds: EngineSpeeds::default(),
             need_order: NeedOrder::default(),
+            output_lengths: OutputLengths::default(),
             peers: PeerLoads::default(),
             unsent_parts: UnsentParts::default(),
             order_seed: 0,
@@ -121,21 +124,22 @@
                 .filter(move |it| it.stage == Some(stage) && !tried.contains(&it.id))
         };
         let mut chosen = self.choose(of_stage, &request);
+        let is_by_need = self.need_order.applies_to(route);
+        let exceeded = |placement: &Placement| {
+            exceeded_limit(placement, route, time_left, wait_limit, is_by_need)
+        };
         // A more urgent rank lets others go first only while it has time to spare.
         let rank_priority = priority(route, TargetClass::Met);
         let needs_rank = |placement: &Placement| {
             request.priority > rank_priority
-                && (!has_spare_time(placement.expected, route)
-                    || exceeded_limit(placement, route, time_left, wait_limit).is_some())
+                && (!has_spare_time(placement.expected, route) || exceeded(placement).is_some())
         };
         if chosen.as_ref().is_some_and(needs_rank) {
             request.priority = rank_priority;
             chosen = self.choose(of_stage, &request);
         }
         // A sample without an engine that has room says nothing about the others.
-        let exceeds = |placement: &Placement| {
-            exceeded_limit(placement, route, time_left, wait_limit).is_some()
-        };
+        let exceeds = |placement: &Placement| exceeded(placement).is_some();
         if candidates.len() > COMPARED_MAX && chosen.as_ref().is_some_and(exceeds) {
             request.sample_seed = None;
             chosen = self.choose(of_stage, &request);
@@ -147,7 +151,7 @@
                 retry_after: Duration::from_millis(500),
             });
         };
-        let Some(exceeded) = exceeded_limit(&placement, route, time_left, wait_limit) else {
+        let Some(limit) = exceeded(&placement) else {
             return Ok(placement);
         };
         // Before a queue causes a refusal, the request goes to an idle engine, even if that engine
@@ -160,7 +164,7 @@
         let idle_placement = self
             .choose(of_stage, &without_recompute_cost)
             .filter(|placement| placement.queue <= IDLE_QUEUE_MAX)
-            .filter(|placement| exceeded_limit(placement, route, time_left, wait_limit).is_none());
+            .filter(|placement| exceeded(placement).is_none());
         if let Some(placement) = idle_placement {
             return Ok(placement);
         }
@@ -173,9 +177,9 @@
             .choose(of_stage, &missed_target)
             .filter(|placement| may_wait(placement, route, time_left));
         match late_placement {
-            None => Err(refusal(&placement, route, exceeded, "too_long")),
+            None => Err(refusal(&placement, route, limit, "too_long")),
             Some(late_placement) if self.is_slowed(&late_placement.decode, now) => {
-                Err(refusal(&placement, route, exceeded, "decode_engine_slowed"))
+                Err(refusal(&placement, route, limit, "decode_engine_slowed"))
             }
             Some(late_placement) => Ok(late_placement),
         }
@@ -232,6 +236,7 @@
             pause_target_ms: route.pause_target.map(|pause| pause.as_secs_f64() * 1e3),
             is_large_fleet: candidates.len() > SMALL_FLEET_MAX,
             reserved_decoders: ReservedDecoders::new(candidates),
+            output_tokens: self.output_lengths.expected(&route.name, prompt),
             sample_seed: Some(xxh3_64_with_seed(&micros.to_le_bytes(), self.order_seed)),
             now,
         }
--- a/policy/src/gateway/engines/costs.rs
+++ b/policy/src/gateway/engines/costs.rs
@@ -27,8 +27,8 @@
 const OUTPUT_WEIGHT: f64 = 0.1;
 /// Ranks paused engines behind all others but leaves them usable when there is no other.
 const PAUSED_COST_MS: f64 = 1e5;
-/// Fraction of the permitted pause from which an expected one counts as likely to exceed it. Prefills
-/// may take one and a half times as long as expected, as `LIKELY_RATIO` assumes.
+/// Fraction of the permitted pause from which an expected one may exceed it. Prefills may take one and
+/// a half times as long as expected, as `LIKELY_RATIO` assumes.
 const PAUSE_RISK_FRACTION: f64 = 0.6;
 /// Largest number of paused streams that count. With more, the cost exceeds that of a refusal.
 const PAUSED_SEQUENCES_MAX: u32 = 5;
@@ -144,14 +144,13 @@
 
     /// Returns the cost of decoding the whole output on an engine, in ms.
     fn output_cost_ms(&self, state: &EngineState<'_>, request: &PlacementRequest<'_>) -> f64 {
-        let tokens = request.prompt.output_tokens_hint.unwrap_or_default();
         let prefill_fraction = if request.reserved_decoders.contains(&state.engine.id) {
             RESERVED_PREFILL_FRACTION
         } else {
             UNRESERVED_PREFILL_FRACTION
         };
         let step_ms = self.speed.step_ms(state.work.sequences, prefill_fraction) * state.slowness;
-        f64::from(tokens) * step_ms * OUTPUT_WEIGHT
+        request.output_tokens * step_ms * OUTPUT_WEIGHT
     }
 
     /// Returns the engine that decodes after a remote prefill on `prefill`.
