policy: test of orders without spot workers

Cause: terms without a spot price are allowed and were not tested. Change: a test with waves and a fall by a half.

--- a/policy/tests/gateway_scaling.rs
+++ b/policy/tests/gateway_scaling.rs
@@ -280,3 +280,17 @@
         );
     }
 }
+
+/// Guards against orders of spot workers where the terms have none, and against keeping what the
+/// demand does not need.
+#[test]
+fn ordinary_workers_follow_the_demand_without_spot_workers() {
+    let mut site = Site::new(35);
+    site.terms.spot_price = None;
+    site.run(60, no_demand);
+    assert_eq!(site.orders, []);
+    site.run(300, waves_and_bursts);
+    assert!(site.orders.iter().all(|(_, order)| !order.is_spot));
+    site.run(200, |_| need(0.5));
+    assert!(site.total() < 100, "{} workers", site.total());
+}
