--- a/standins/src/site/duty_service.rs
+++ b/standins/src/site/duty_service.rs
@@ -33,6 +33,7 @@
 #[derive(Debug, Default)]
 struct State {
     calls: Vec<DutyCall>,
+    refused: Vec<DutyCall>,
     /// Status of the next calls, which are not executed; `None` executes them.
     refusal: Option<u16>,
     /// Number of the next calls that are executed and get no response.
@@ -65,6 +66,12 @@
         lock(&self.state).calls.clone()
     }
 
+    /// Returns the calls refused so far.
+    #[must_use]
+    pub fn refused(&self) -> Vec<DutyCall> {
+        lock(&self.state).refused.clone()
+    }
+
     /// Refuses calls with this status, or executes them again.
     pub fn set_refusal(&self, status: Option<u16>) {
         lock(&self.state).refusal = status;
@@ -78,12 +85,9 @@
 
 fn respond(state: &Mutex<State>, request: &Request) -> Response {
     let mut state = lock(state);
-    if let Some(status) = state.refusal {
-        return Response::complete(status, &[], "{}");
-    }
     let token = request.header("x-fencing-token");
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-    state.calls.push(DutyCall {
+    let call = DutyCall {
         path: request.target.clone(),
         holder: request
             .header("x-duty-holder")
@@ -95,7 +99,12 @@
         window: body["windowId"].as_u64(),
         body,
         at: Instant::now(),
-    });
+    };
+    if let Some(status) = state.refusal {
+        state.refused.push(call);
+        return Response::complete(status, &[], "{}");
+    }
+    state.calls.push(call);
     if state.lost_answers > 0 {
         state.lost_answers -= 1;
         return Response::NoResponse;
