gateway: take only remote prefills as samples of the prefill speed

Cause: local prefills wait for slots and share the engine with outputs; their ratios moved the median, so that prefill engines seemed fast. Change: only remote prefills are samples.

--- a/policy/src/gateway/engines/speeds.rs
+++ b/policy/src/gateway/engines/speeds.rs
@@ -58,19 +58,20 @@
             .prefill_ms(prompt.tokens, cached_tokens, is_local_prefill)
     }
 
-    /// Updates an engine's prefill speed with a prefill on it.
+    /// Updates an engine's prefill speed with a remote prefill on it.
+    ///
+    /// Local prefills are no samples: they may wait for a slot and share the engine with outputs, and
+    /// the median of the fleet would mix both kinds.
     pub fn observe_prefill(&mut self, id: &Name, prefill: &ObservedPrefill, now: Instant) {
         let configured_ms = prefill.configured_ms;
-        if prefill.wait_ms > configured_ms.max(PREFILL_SAMPLE_MIN_MS) * SAMPLE_WAIT_FRACTION_MAX {
+        let wait_max_ms = configured_ms.max(PREFILL_SAMPLE_MIN_MS) * SAMPLE_WAIT_FRACTION_MAX;
+        if prefill.is_local || prefill.wait_ms > wait_max_ms {
             return;
         }
         let call_ms = prefill.millis - prefill.wait_ms;
-        let engine_ms = if prefill.is_local {
-            call_ms - prefill.overhead_ms
-        } else {
-            self.speeds
-                .observe_call(configured_ms, call_ms, prefill.overhead_ms)
-        };
+        let engine_ms = self
+            .speeds
+            .observe_call(configured_ms, call_ms, prefill.overhead_ms);
         if configured_ms < PREFILL_SAMPLE_MIN_MS {
             return;
         }
--- a/policy/tests/gateway_engine_speeds.rs
+++ b/policy/tests/gateway_engine_speeds.rs
@@ -144,6 +144,22 @@
     );
 }
 
+/// Guards against prefills that share an engine with outputs and make prefill engines seem fast.
+#[test]
+fn local_prefills_are_no_samples() {
+    let mut fleet = Fleet::new(1, 1);
+    let observed = ObservedPrefill {
+        is_local: true,
+        configured_ms: 80.0,
+        wait_ms: 0.0,
+        overhead_ms: 65.0,
+        millis: 400.0,
+    };
+    let engine = Name::from("decode-0");
+    fleet.engines.observe_prefill(&engine, &observed, NOW);
+    assert!(fleet.engines.take_unsent_speeds_local().is_empty());
+}
+
 /// Guards against a fixed part of calls that is assumed too long, by which engines of the configured
 /// speed seem faster.
 #[test]
