settings: placeholders that were not filled in count as no value

Cause: a platform that does not know a field of the template leaves its placeholder as it is, as the stand-ins of review/ do, and each new optional key made the settings invalid there. Change: a value {{...}} counts as absent; a required key is then reported as before. Measured: gateway_settings has a case for it.

--- a/cli/tests/gateway_settings.rs
+++ b/cli/tests/gateway_settings.rs
@@ -62,6 +62,7 @@
 named_cases! { limit_is_checked:
     memory_of_the_smallest_machine("memory_mb = 120", true);
     memory_without_value("memory_mb =", true);
+    memory_that_the_platform_does_not_fill_in("memory_mb = {{limits.memoryMb}}", true);
     too_little_memory("memory_mb = 20", false);
     memory_that_is_no_number("memory_mb = much", false);
     short_body_idle_time("body_idle_ms = 1", false);
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -106,8 +106,13 @@
                 problems.push(Problem::at(section.line, message));
                 continue;
             }
-            let properties = section.properties.into_iter();
-            values.extend(properties.map(|property| (property.key.clone(), property)));
+            for mut property in section.properties {
+                // A platform that does not know a field leaves its placeholder as it is.
+                if property.value.starts_with("{{") && property.value.ends_with("}}") {
+                    property.value.clear();
+                }
+                values.insert(property.key.clone(), property);
+            }
         }
         Self { values, problems }
     }
