gateway: daemons tell each other of versions without changes of keys

A metric shows the latest version that any daemon has read, so that a daemon with an older one is noticed.

--- a/lib/src/gateway/configuration.rs
+++ b/lib/src/gateway/configuration.rs
@@ -90,7 +90,10 @@
     ) {
         let held = self.catalog().map(|catalog| catalog.version());
         let (version, count) = (changes.version, changes.changes.len());
-        let is_news = self.key_news.borrow_mut().merge(changes, now);
+        let mut key_news = self.key_news.borrow_mut();
+        let is_news = key_news.merge(changes, now);
+        let newest_version = key_news.newest_version();
+        metrics.gauge("configuration.newest_version", newest_version);
         if is_news && held.is_some_and(|held| held < version) {
             log::info!(
                 version = version, held:? = held, changes = count, reported_by:% = reported_by;
--- a/policy/src/gateway/key_news.rs
+++ b/policy/src/gateway/key_news.rs
@@ -34,6 +34,7 @@
     held: VecDeque<KeyChanges>,
     /// Parts that this daemon has read and not yet told.
     unsent: Vec<KeyChanges>,
+    newest_version: u64,
 }
 
 #[derive(Debug)]
@@ -50,7 +51,10 @@
             return 0;
         };
         let changes = tenants.changes_since(before);
-        let parts = changes.chunks(PART_CHANGES_MAX).take(PARTS_MAX).zip(0..);
+        // A version without changes of keys is told, too.
+        let no_changes = changes.is_empty().then_some([].as_slice());
+        let chunks = changes.chunks(PART_CHANGES_MAX).chain(no_changes);
+        let parts = chunks.take(PARTS_MAX).zip(0..);
         for (changes, part) in parts {
             let changes = KeyChanges {
                 version: current.version(),
@@ -65,8 +69,15 @@
         changes.len().saturating_sub(PART_CHANGES_MAX * PARTS_MAX)
     }
 
+    /// Returns the latest version that this or another daemon has read.
+    #[must_use]
+    pub const fn newest_version(&self) -> u64 {
+        self.newest_version
+    }
+
     /// Adds changes that this or another daemon has read; returns whether any was not known.
     pub fn merge(&mut self, changes: KeyChanges, now: Instant) -> bool {
+        self.newest_version = self.newest_version.max(changes.version);
         let mut is_news = false;
         for change in &changes.changes {
             let known = self.known.get(&change.digest);
--- a/policy/tests/gateway_tenants.rs
+++ b/policy/tests/gateway_tenants.rs
@@ -234,3 +234,18 @@
     });
     assert_eq!(known.count(), 4_096);
 }
+
+/// Guards against versions without changes of keys that other daemons do not hear of.
+#[test]
+fn versions_without_changes_are_told() {
+    let versions = [catalog(1, &[("a", &["1"])]), catalog(2, &[("a", &["1"])])];
+    let changes = told(&versions[0], &versions[1]);
+    assert_eq!(
+        changes
+            .iter()
+            .map(|it| it.changes.len())
+            .collect::<Vec<_>>(),
+        [0]
+    );
+    assert_eq!(merged(changes).newest_version(), 2);
+}
