gateway: a connection that served requests is closed without cutting off its last response

Cause: at the bound on connections the chosen one was aborted, also while the server still wrote the end of its last response. Change: only connections without any request so far are aborted.

--- a/lib/src/gateway/caller_connection.rs
+++ b/lib/src/gateway/caller_connection.rs
@@ -174,7 +174,12 @@
             })
             .collect();
         let closed = &without_request[ConnectionChoice::choose(&choices)?];
-        closed.abort.notify_one();
+        if closed.has_sent_request.get() {
+            // The end of its last response may still be in the server's buffer.
+            closed.close.notify_one();
+        } else {
+            closed.abort.notify_one();
+        }
         // It no longer counts, so that it is not chosen again before its task has ended.
         open.retain(|caller| !std::ptr::eq(caller.as_ptr(), Rc::as_ptr(closed)));
         Some(closed.client)
