duties: windows of a predecessor are reported where the store names no era

Change: a restore interrupts the store's service; a record whose window ended after the daemon last noticed an outage counts as current.

--- a/lib/src/gateway/duties/usage_worker.rs
+++ b/lib/src/gateway/duties/usage_worker.rs
@@ -33,6 +33,8 @@
     }
     let mut restored_at = worker.shared.now();
     let mut restores = worker.shared.store_restores();
+    let mut interruptions = worker.shared.store_interruptions();
+    let mut uninterrupted_since = worker.shared.now();
     let mut begun_token = None;
     // Window for which the counts in the store were read, and their keys.
     let mut collected = None;
@@ -45,6 +47,11 @@
             let era = worker.shared.store_era_named();
             worker.state.reports.borrow_mut().store_restored(era);
         }
+        let is_interrupted = worker.shared.store_outage.borrow().is_active();
+        if is_interrupted || interruptions != worker.shared.store_interruptions() {
+            interruptions = worker.shared.store_interruptions();
+            uninterrupted_since = worker.shared.now();
+        }
         let Some(tenure) = worker.tenure() else {
             if begun_token.take().is_some() {
                 worker.state.reports.borrow_mut().end();
@@ -52,7 +59,7 @@
             continue;
         };
         if begun_token != Some(tenure.token) {
-            if !begin(worker, tenure, restored_at).await {
+            if !begin(worker, tenure, restored_at, uninterrupted_since).await {
                 tokio::time::sleep(STORE_PAUSE).await;
                 continue;
             }
@@ -81,7 +88,12 @@
 }
 
 /// Continues from the records in the store; returns whether they could be read.
-async fn begin(worker: Worker<'_>, tenure: Tenure, restored_at: Instant) -> bool {
+async fn begin(
+    worker: Worker<'_>,
+    tenure: Tenure,
+    restored_at: Instant,
+    uninterrupted_since: Instant,
+) -> bool {
     let restores = worker.shared.store_restores();
     let records = match list(worker).await {
         Ok(records) => records,
@@ -100,6 +112,7 @@
     let store = Store {
         era: worker.shared.store_era_named(),
         restored_ms: clock.unix_ms(restored_at),
+        uninterrupted_since_ms: clock.unix_ms(uninterrupted_since),
         tenure_ms: clock.unix_ms(tenure.since),
         is_first_holder: worker.state.election.borrow().is_first_holder(),
         records,
--- a/policy/src/gateway/duties/reports.rs
+++ b/policy/src/gateway/duties/reports.rs
@@ -27,6 +27,9 @@
     pub era: Option<u64>,
     /// Start of this process, or when it last noticed a restore of the store.
     pub restored_ms: u64,
+    /// Time since which this daemon has noticed no outage of the store. A store that names no era is
+    /// taken as not restored since then, as a restore interrupts its service.
+    pub uninterrupted_since_ms: u64,
     /// Begin of the tenure.
     pub tenure_ms: u64,
     /// Whether the store has no record of an earlier holder.
@@ -135,8 +138,11 @@
         self.accepted = self.accepted.max(accepted);
         let newest_fixed = newest.map_or(0, |(window, _)| *window);
         let after_newest = newest_fixed.max(self.accepted) + 1;
-        let is_current =
-            newest.is_some_and(|(_, record)| store.era.is_some() && record.era == store.era);
+        let is_current = newest.is_some_and(|(window, record)| {
+            let is_unrestored =
+                store.era.is_some() || self.end_ms(*window) > store.uninterrupted_since_ms;
+            is_unrestored && record.era == store.era
+        });
         let first = match newest {
             // Whatever was written after the newest record would be there.
             Some((_, record)) if is_current => record.first_own,
--- a/policy/tests/duties/units.rs
+++ b/policy/tests/duties/units.rs
@@ -44,6 +44,7 @@
         records,
         era,
         restored_ms: 100_000,
+        uninterrupted_since_ms: u64::MAX,
         tenure_ms: 150_000,
         is_first_holder: false,
     }
@@ -150,6 +151,23 @@
     assert_eq!(reports.due_window(200_000), Some(30));
 }
 
+/// Guards against windows that are missed when the holder changes while the store, which names no era,
+/// is available.
+#[test]
+fn uninterrupted_store_without_an_era_allows_the_windows_of_the_predecessor() {
+    let mut reports = Reports::new(WINDOW, Duration::from_secs(10));
+    let last = UsageRecord {
+        era: None,
+        ..record(4, 1, 10)
+    };
+    let uninterrupted = Store {
+        uninterrupted_since_ms: 100_000,
+        ..store(BTreeMap::from([(27, last)]), None)
+    };
+    assert!(reports.begin(&uninterrupted).is_empty());
+    assert_eq!(reports.due_window(200_000), Some(28));
+}
+
 /// Guards against a report that changes between two attempts to record it.
 #[test]
 fn repeated_attempt_has_the_same_counts() {
