duties: windows after the begin of a store outage are reported without an era

Change: a holder that cannot renew its lease acts for less than the lease time after the begin of the outage, so windows that ended later cannot have been reported without a record. Ruled out: to trust records from before the outage, which a restore may have put back.

--- a/lib/src/gateway/duties/usage_worker.rs
+++ b/lib/src/gateway/duties/usage_worker.rs
@@ -34,7 +34,8 @@
     let mut restored_at = worker.shared.now();
     let mut restores = worker.shared.store_restores();
     let mut interruptions = worker.shared.store_interruptions();
-    let mut uninterrupted_since = worker.shared.now();
+    let mut was_interrupted = false;
+    let mut recorded_since = worker.shared.now();
     let mut begun_token = None;
     // Window for which the counts in the store were read, and their keys.
     let mut collected = None;
@@ -48,10 +49,14 @@
             worker.state.reports.borrow_mut().store_restored(era);
         }
         let is_interrupted = worker.shared.store_outage.borrow().is_active();
-        if is_interrupted || interruptions != worker.shared.store_interruptions() {
-            interruptions = worker.shared.store_interruptions();
-            uninterrupted_since = worker.shared.now();
+        let has_ended = interruptions != worker.shared.store_interruptions();
+        if !was_interrupted && (is_interrupted || has_ended) {
+            // A holder that can no longer renew its lease acts for less than this.
+            let lease_time = worker.state.options.settings.lease_time;
+            recorded_since = worker.shared.now() + lease_time;
         }
+        interruptions = worker.shared.store_interruptions();
+        was_interrupted = is_interrupted;
         let Some(tenure) = worker.tenure() else {
             if begun_token.take().is_some() {
                 worker.state.reports.borrow_mut().end();
@@ -59,7 +64,7 @@
             continue;
         };
         if begun_token != Some(tenure.token) {
-            if !begin(worker, tenure, restored_at, uninterrupted_since).await {
+            if !begin(worker, tenure, restored_at, recorded_since).await {
                 tokio::time::sleep(STORE_PAUSE).await;
                 continue;
             }
@@ -92,7 +97,7 @@
     worker: Worker<'_>,
     tenure: Tenure,
     restored_at: Instant,
-    uninterrupted_since: Instant,
+    recorded_since: Instant,
 ) -> bool {
     let restores = worker.shared.store_restores();
     let records = match list(worker).await {
@@ -112,7 +117,7 @@
     let store = Store {
         era: worker.shared.store_era_named(),
         restored_ms: clock.unix_ms(restored_at),
-        uninterrupted_since_ms: clock.unix_ms(uninterrupted_since),
+        recorded_since_ms: clock.unix_ms(recorded_since),
         tenure_ms: clock.unix_ms(tenure.since),
         is_first_holder: worker.state.election.borrow().is_first_holder(),
         records,
--- a/policy/src/gateway/duties/reports.rs
+++ b/policy/src/gateway/duties/reports.rs
@@ -27,9 +27,10 @@
     pub era: Option<u64>,
     /// Start of this process, or when it last noticed a restore of the store.
     pub restored_ms: u64,
-    /// Time since which this daemon has noticed no outage of the store. A store that names no era is
-    /// taken as not restored since then, as a restore interrupts its service.
-    pub uninterrupted_since_ms: u64,
+    /// Time since which reports that were sent are recorded in a store that names no era: it may have
+    /// been restored in the last outage that this daemon noticed, and soon after the begin of an
+    /// outage nobody holds the lease.
+    pub recorded_since_ms: u64,
     /// Begin of the tenure.
     pub tenure_ms: u64,
     /// Whether the store has no record of an earlier holder.
@@ -140,7 +141,7 @@
         let after_newest = newest_fixed.max(self.accepted) + 1;
         let is_current = newest.is_some_and(|(window, record)| {
             let is_unrestored =
-                store.era.is_some() || self.end_ms(*window) > store.uninterrupted_since_ms;
+                store.era.is_some() || self.end_ms(*window) > store.recorded_since_ms;
             is_unrestored && record.era == store.era
         });
         let first = match newest {
@@ -173,8 +174,8 @@
         if store.era.is_some() {
             return store.restored_ms + CLOCK_MARGIN_MS;
         }
-        // A restore may have gone unnoticed; before the tenure, others may have reported.
-        store.tenure_ms + CLOCK_MARGIN_MS
+        // Before that, others may have sent reports whose records a restore has removed.
+        store.tenure_ms.min(store.recorded_since_ms) + CLOCK_MARGIN_MS
     }
 
     /// Ends the tenure.
--- a/policy/tests/duties/simulation.rs
+++ b/policy/tests/duties/simulation.rs
@@ -390,7 +390,7 @@
             era: Some(daemon.era),
             restored_ms,
             tenure_ms: self.now_ms,
-            uninterrupted_since_ms: u64::MAX,
+            recorded_since_ms: u64::MAX,
             is_first_holder: daemon.election.is_first_holder(),
         });
         drop(skipped);
--- a/policy/tests/duties/units.rs
+++ b/policy/tests/duties/units.rs
@@ -44,7 +44,7 @@
         records,
         era,
         restored_ms: 100_000,
-        uninterrupted_since_ms: u64::MAX,
+        recorded_since_ms: u64::MAX,
         tenure_ms: 150_000,
         is_first_holder: false,
     }
@@ -161,13 +161,38 @@
         ..record(4, 1, 10)
     };
     let uninterrupted = Store {
-        uninterrupted_since_ms: 100_000,
+        recorded_since_ms: 100_000,
         ..store(BTreeMap::from([(27, last)]), None)
     };
     assert!(reports.begin(&uninterrupted).is_empty());
     assert_eq!(reports.due_window(200_000), Some(28));
 }
 
+/// Guards against windows of an outage that are missed after it, and against a second report of those
+/// before it.
+#[test]
+fn windows_after_the_begin_of_an_outage_are_reported_without_an_era() {
+    let mut reports = Reports::new(WINDOW, Duration::from_secs(10));
+    let last = UsageRecord {
+        era: None,
+        ..record(4, 1, 10)
+    };
+    let after_outage = Store {
+        recorded_since_ms: 147_000,
+        ..store(BTreeMap::from([(26, last)]), None)
+    };
+    let after_outage = Store {
+        tenure_ms: 160_000,
+        ..after_outage
+    };
+    let first = reports.window_at(147_000 + 1_000);
+    assert_eq!(
+        reports.begin(&after_outage),
+        (27..first).collect::<Vec<u64>>()
+    );
+    assert_eq!(reports.due_window(200_000), Some(first));
+}
+
 /// Guards against a report that changes between two attempts to record it.
 #[test]
 fn repeated_attempt_has_the_same_counts() {
