--- a/policy/src/gateway/service.rs
+++ b/policy/src/gateway/service.rs
@@ -4,6 +4,9 @@
 
 use super::scaling;
 
+/// Longest transfer that is told apart: no caller waits for it.
+const TRANSFER_TIME_MAX: Duration = Duration::from_hours(1);
+
 /// A declared service and the common properties of its endpoints.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -44,6 +47,8 @@
             return Duration::ZERO;
         }
         let bits = f64::from(tokens) * self.kv_token_bytes * 8.0;
-        Duration::from_secs_f64(bits / (self.link_mbps * 1e6))
+        let seconds = bits / (self.link_mbps * 1e6);
+        let time = Duration::try_from_secs_f64(seconds).unwrap_or(TRANSFER_TIME_MAX);
+        time.min(TRANSFER_TIME_MAX)
     }
 }
