policy: pauses and learned output lengths count where requests are ordered by need

Change: both count only in services ordered by need, there from 0.3 of the permitted pause.

lib: Retry-After is rounded up.

--- a/lib/src/gateway/local_response.rs
+++ b/lib/src/gateway/local_response.rs
@@ -23,7 +23,9 @@
 /// Returns a refusal, which guarantees that the request has not run and never will.
 pub(super) fn not_run(reason: &str, retry_after: Duration) -> Response<ResponseBody> {
     let mut response = with_reason(StatusCode::SERVICE_UNAVAILABLE, reason);
-    let seconds = format!("{:.3}", retry_after.as_secs_f64());
+    // Rounded up: a caller that returns earlier than the time may be refused again.
+    let millis = retry_after.as_micros().div_ceil(1_000);
+    let seconds = format!("{}.{:03}", millis / 1_000, millis % 1_000);
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(RETRY_AFTER, value);
     }
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -225,6 +225,14 @@
         now: Instant,
     ) -> PlacementRequest<'a> {
         let micros = now.since(Instant::default()).as_micros();
+        // In other services these costs move prefills away from the engines that hold shared parts.
+        let is_by_need = self.need_order.applies_to(route);
+        let pause_target = route.pause_target.filter(|_| is_by_need);
+        let output_tokens = if is_by_need {
+            self.output_lengths.expected(&route.name, prompt)
+        } else {
+            f64::from(prompt.output_tokens_hint.unwrap_or_default())
+        };
         PlacementRequest {
             prompt,
             affinity_key: prompt.affinity_key(),
@@ -233,10 +241,10 @@
             priority: self.met_priority(prompt, route),
             misses_target: false,
             recompute_weight: self.recompute_weight(prompt, route),
-            pause_target_ms: route.pause_target.map(|pause| pause.as_secs_f64() * 1e3),
+            pause_target_ms: pause_target.map(|pause| pause.as_secs_f64() * 1e3),
             is_large_fleet: candidates.len() > SMALL_FLEET_MAX,
             reserved_decoders: ReservedDecoders::new(candidates),
-            output_tokens: self.output_lengths.expected(&route.name, prompt),
+            output_tokens,
             sample_seed: Some(xxh3_64_with_seed(&micros.to_le_bytes(), self.order_seed)),
             now,
         }
--- a/policy/src/gateway/engines/costs.rs
+++ b/policy/src/gateway/engines/costs.rs
@@ -27,9 +27,9 @@
 const OUTPUT_WEIGHT: f64 = 0.1;
 /// Ranks paused engines behind all others but leaves them usable when there is no other.
 const PAUSED_COST_MS: f64 = 1e5;
-/// Fraction of the permitted pause from which an expected one may exceed it. Prefills may take one and
-/// a half times as long as expected, as `LIKELY_RATIO` assumes.
-const PAUSE_RISK_FRACTION: f64 = 0.6;
+/// Fraction of the permitted pause from which an expected one may exceed it: prefills of several daemons
+/// that do not know of each other meet on an engine.
+const PAUSE_RISK_FRACTION: f64 = 0.3;
 /// Largest number of paused streams that count. With more, the cost exceeds that of a refusal.
 const PAUSED_SEQUENCES_MAX: u32 = 5;
 
--- a/policy/tests/gateway_output_lengths.rs
+++ b/policy/tests/gateway_output_lengths.rs
@@ -4,7 +4,7 @@
 
 use gateway_support::{Fleet, prompt, route};
 use ragwortgrade_policy::Instant;
-use ragwortgrade_policy::gateway::{EngineWork, Prompt};
+use ragwortgrade_policy::gateway::{EngineWork, Prompt, Route};
 use ragwortgrade_testutil::named_cases;
 
 const NOW: Instant = Instant::from_millis(1_000);
@@ -19,7 +19,16 @@
         parts: Vec::new(),
         ..prompt(600, None)
     };
+    // Lengths are learned where requests are ordered by need: the less urgent rank has the shorter
+    // target.
     let route = route(0);
+    let less_urgent = Route {
+        name: "less-urgent".into(),
+        rank: 1,
+        target: route.target / 2,
+        ..route.clone()
+    };
+    fleet.engines.apply_routes([&route, &less_urgent]);
     let preferred = fleet.place(&request, &route, NOW).unwrap().decode;
     let other = if &*preferred == "decode-0" {
         "decode-1"
