policy: learned speeds count where requests are ordered by need

There the moving average of a daemon's own outputs also tells of load that is not known; the medians of the fleet, and the limit within which engines count as alike, lose that. Change: in services without contradiction the slowness is what it was before; learned speeds, pauses and output lengths count in services ordered by need.

--- a/policy/src/gateway/engine_load.rs
+++ b/policy/src/gateway/engine_load.rs
@@ -29,6 +29,12 @@
 const LIKELY_RATIO: f64 = 1.5;
 const LIKELY_MIN_MS: f64 = 40.0;
 
+/// Weight of one output in the moving average of the slowness; about seven outputs dominate it.
+const SLOWNESS_WEIGHT: f64 = 0.15;
+/// Bounds of the slowness that one output can show. Engines that degrade are up to 8 times slower.
+const SLOWNESS_MIN: f64 = 0.5;
+const SLOWNESS_MAX: f64 = 8.0;
+
 /// How a call to an endpoint ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum CallOutcome {
@@ -58,6 +64,7 @@
     pub(crate) health: Health,
     /// Delays by priority.
     delays: [Delay; PRIORITY_LEVELS],
+    slowness: Slowness,
     /// Latest use of each cached part, by its identity.
     parts: HashMap<u64, Instant>,
 }
@@ -96,6 +103,17 @@
     }
 }
 
+/// Factor by which this daemon's own outputs show an engine to be slower than the configured speeds,
+/// because of its speed or of load that is not known.
+#[derive(Clone, Copy, Debug)]
+struct Slowness(f64);
+
+impl Default for Slowness {
+    fn default() -> Self {
+        Self(1.0)
+    }
+}
+
 /// Observed delay that the known work does not explain.
 #[derive(Clone, Copy, Debug, Default)]
 struct Delay {
@@ -149,6 +167,17 @@
         work
     }
 
+    /// Returns the factor by which the engine is slower than the configured speeds.
+    pub(crate) const fn slowness(&self) -> f64 {
+        self.slowness.0
+    }
+
+    /// Updates the slowness with the ratio of actual to expected time of one output.
+    pub(crate) fn observe_slowness(&mut self, ratio: f64) {
+        let ratio = ratio.clamp(SLOWNESS_MIN, SLOWNESS_MAX);
+        self.slowness.0 += (ratio - self.slowness.0) * SLOWNESS_WEIGHT;
+    }
+
     /// Returns the recent delay of requests with this priority that the known work does not
     /// explain, in ms.
     pub(crate) fn delay_ms(&self, priority: u8, now: Instant) -> f64 {
@@ -199,6 +228,7 @@
     pub(crate) fn reset(&mut self) {
         self.parts.clear();
         self.delays = [Delay::default(); PRIORITY_LEVELS];
+        self.slowness = Slowness::default();
         self.health = Health::default();
     }
 }
--- a/policy/src/gateway/engines.rs
+++ b/policy/src/gateway/engines.rs
@@ -241,6 +241,7 @@
             priority: self.met_priority(prompt, route),
             misses_target: false,
             recompute_weight: self.recompute_weight(prompt, route),
+            is_by_need,
             pause_target_ms: pause_target.map(|pause| pause.as_secs_f64() * 1e3),
             is_large_fleet: candidates.len() > SMALL_FLEET_MAX,
             reserved_decoders: ReservedDecoders::new(candidates),
--- a/policy/src/gateway/engines/costs.rs
+++ b/policy/src/gateway/engines/costs.rs
@@ -42,6 +42,8 @@
     /// Decode speed as a factor of the configured time, and of the fleet's median.
     slowness: f64,
     relative_slowness: f64,
+    /// Factor of the time for which sequences hold the engine's slots.
+    slot_factor: f64,
 }
 
 impl Engines {
@@ -55,6 +57,17 @@
         if let Some(load) = load {
             work.add(&load.own_work(request.now));
         }
+        if !request.is_by_need {
+            let slowness = load.map_or(1.0, EngineLoad::slowness);
+            return EngineState {
+                engine,
+                load,
+                work,
+                slowness,
+                relative_slowness: slowness,
+                slot_factor: 1.0,
+            };
+        }
         let relative_slowness =
             self.speeds
                 .relative_factor(&engine.id, SpeedKind::Decode, request.now);
@@ -64,6 +77,7 @@
             work,
             slowness: relative_slowness * self.speeds.median_factor(SpeedKind::Decode),
             relative_slowness,
+            slot_factor: relative_slowness,
         }
     }
 
@@ -86,7 +100,7 @@
             shared_tokens.saturating_sub(cached_tokens)
         };
         // Decode engines are observed by their outputs; samples of their prefills are rarer.
-        let relative_factor = if is_local_prefill {
+        let relative_factor = if is_local_prefill || !request.is_by_need {
             state.relative_slowness
         } else {
             self.speeds
@@ -189,7 +203,7 @@
     let cold_ms = engine.cold_remaining.as_secs_f64() * 1e3 / COLD_DIVISOR;
     let mut latency_ms = work.ahead_ms(request.priority) + cold_ms;
     let mut cost_ms = f64::from(work.sequences) * SEQUENCE_DELAY_MS;
-    latency_ms += slot_wait_ms(work.sequences, engine.slots) * state.relative_slowness;
+    latency_ms += slot_wait_ms(work.sequences, engine.slots) * state.slot_factor;
     if let Some(load) = state.load {
         latency_ms += load.delay_ms(request.priority, request.now);
         cost_ms += load.health.failure_rate() * FAILURE_COST_MS;
--- a/policy/src/gateway/engines/speeds.rs
+++ b/policy/src/gateway/engines/speeds.rs
@@ -32,10 +32,14 @@
         let sequences = self.total_work(id, now).sequences;
         let expected_ms =
             self.speed.step_ms(sequences, UNRESERVED_PREFILL_FRACTION) * f64::from(tokens);
+        let ratio = millis / expected_ms;
+        if let Some(load) = self.loads.get_mut(id) {
+            load.observe_slowness(ratio);
+        }
         let sample = SpeedSample {
             engine: id.clone(),
             kind: SpeedKind::Decode,
-            ratio: millis / expected_ms,
+            ratio,
         };
         self.speeds.observe(&sample, now);
     }
--- a/policy/src/gateway/placement_request.rs
+++ b/policy/src/gateway/placement_request.rs
@@ -31,6 +31,8 @@
     /// Longest pause between events with which streams of the service meet their target, in ms;
     /// `None` without a limit, or if the request is served whatever the pauses.
     pub(super) pause_target_ms: Option<f64>,
+    /// Whether the requests of the service are ordered by need, and placed by learned speeds.
+    pub(super) is_by_need: bool,
     /// Whether the fleet is so large that data centres mostly use their own engines.
     pub(super) is_large_fleet: bool,
     /// Decode engines that are reserved for long outputs.
--- a/policy/tests/gateway_engine_speeds.rs
+++ b/policy/tests/gateway_engine_speeds.rs
@@ -7,7 +7,7 @@
 
 use gateway_support::{Fleet, prompt, route};
 use ragwortgrade_policy::Instant;
-use ragwortgrade_policy::gateway::{ObservedPrefill, SpeedKind, SpeedSample};
+use ragwortgrade_policy::gateway::{ObservedPrefill, Route, SpeedKind, SpeedSample};
 use ragwortgrade_schema::Name;
 use ragwortgrade_testutil::named_cases;
 
@@ -25,6 +25,14 @@
 /// Reports samples of prefill engines, of which the last has another ratio.
 fn fleet_with_last(ratio: f64, count: usize, at: Instant) -> Fleet {
     let mut fleet = Fleet::new(ENGINES, 1);
+    // Speeds count where requests are ordered by need: the more urgent rank has the longer target.
+    let more_urgent = Route {
+        name: "more-urgent".into(),
+        rank: 1,
+        target: route(2).target * 2,
+        ..route(2)
+    };
+    fleet.engines.apply_routes([&route(2), &more_urgent]);
     for _ in 0..8 {
         for number in 0..ENGINES {
             let name = format!("prefill-{number}");
@@ -49,7 +57,8 @@
         let engine = placement.prefill.unwrap();
         let prefill_ms = placement.prefill_ms;
         let engines = &mut fleet.engines;
-        engines.prefill_sent(&engine, 4, prefill_ms, prefill_ms, &request, now);
+        let priority = placement.priority;
+        engines.prefill_sent(&engine, priority, prefill_ms, prefill_ms, &request, now);
         *counts.entry(engine).or_default() += 1;
     }
     counts
