--- a/policy/src/gateway/scaling/fleet.rs
+++ b/policy/src/gateway/scaling/fleet.rs
@@ -22,10 +22,9 @@
 /// Fraction by which a number of workers may differ from the wanted one without an order, one worker
 /// at least: each order is priced, and estimates of different holders differ by rounding.
 const ORDER_FRACTION: f64 = 0.05;
-/// Time between two orders that remove workers. The capacity that is left counts the ordered removals,
-/// so the next one need not wait for their drain; ordinary workers that spot workers have replaced
-/// are to leave before a reclaim makes all removals wait.
-const STEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two orders that remove workers, so that the effect of one is seen before the next:
+/// surplus workers drain within 4 s, and caches of the others warm up meanwhile.
+const STEP_INTERVAL: Duration = Duration::from_secs(3);
 /// Fraction of the serving workers that one such order removes at most.
 const STEP_FRACTION: f64 = 0.13;
 
