review: files are as they were

Cause: changed the review's stand-ins so that they drop placeholders without a value; its revert was announced and had not taken place.

--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -294,10 +294,6 @@
         for (field, value) in fields {
             settings = settings.replace(&format!("{{{{{field}}}}}"), &value);
         }
-        // A field without a value yields nothing.
-        let lines = settings.lines();
-        let lines = lines.map(|line| line.split_once("{{").map_or(line, |(start, _)| start));
-        let settings = lines.collect::<Vec<_>>().join("\n");
         let path = folder.join(format!("{name}.ini"));
         std::fs::write(&path, settings).expect("settings");
         let log = File::create(folder.join(format!("{name}.log"))).expect("log");
