gateway: the route says whether a response is a stream

A call that a route sends to engines was taken for a stream, and its complete response cut off.

Cause: the kind of response was taken from the service. `plain::respond` collected each body; `generation::respond` forwarded each one as events.

Change: the route decides. The forwarder takes streams of both kinds of service, and a call of an engine is read to its end.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -60,6 +60,7 @@
 mod stream_forwarder;
 mod stream_pauses;
 mod stream_times;
+mod stream_work;
 mod supervisor;
 mod tenant_statistics;
 mod unreadable_datagrams;
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
 use http::Response;
-use ragwortgrade_policy::gateway::{CallOutcome, Endpoint, EngineLimits, Failure, Placement};
+use ragwortgrade_policy::gateway::{
+    CallOutcome, Endpoint, EngineLimits, Failure, Holding, Placement,
+};
 use ragwortgrade_schema::Name;
 
 use super::crash_detector::CrashDetector;
@@ -9,12 +11,13 @@
 use super::exchange::{Exchange, ExchangeError};
 use super::failure::{handle_failure, refuse, refuse_quarantined};
 use super::local_response::RETRY_AFTER_DEFAULT;
-use super::plain::{failure_from, forward_response};
+use super::plain::{self, failure_from, forward_response};
 use super::prefill_guard::PrefillGuard;
 use super::request_context::RequestContext;
 use super::response_body::ResponseBody;
 use super::stream_forwarder::{self, StartedRun};
 use super::stream_times::StreamTimes;
+use super::stream_work::StreamWork;
 use super::work_guard::{SequenceGuard, millis};
 use super::{Disposition, Operation};
 
@@ -22,8 +25,7 @@
 /// time to first token and a network round trip.
 const PREFILL_CALL_OVERHEAD_MS: f64 = 65.0;
 
-/// Maximum size of an engine's response that is not a stream, in bytes: the result of a remote
-/// prefill or an error.
+/// Maximum size of the result of a remote prefill and of an engine's error, in bytes.
 const RESPONSE_BYTES_MAX: usize = 64 << 10;
 /// Timeout for the rest of an error response. The request can go on without it.
 const ERROR_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -35,15 +37,25 @@
     handle: Name,
 }
 
+/// Response of an engine to one attempt.
+enum Answer {
+    /// Its head and its first bytes, if it has any.
+    Begun(Exchange, Option<bytes::Bytes>),
+    /// The complete successful response of a route without streams.
+    Complete(Response<ResponseBody>),
+}
+
 /// Result of an attempt before anything is sent to the caller.
 #[derive(Debug)]
 enum Attempt {
+    /// The stream has begun.
     Started(Box<StartedRun>),
+    Complete(Response<ResponseBody>),
     /// How it failed, and the engine's own error response, if there is one.
     Failed(Failure, Option<Response<ResponseBody>>),
 }
 
-/// Handles a generation request: placement, remote prefill, run and retries.
+/// Handles a request to engines: placement, remote prefill, run and retries.
 pub(super) async fn respond(
     context: &RequestContext,
     limits: &EngineLimits,
@@ -107,6 +119,13 @@
                         .count_run(context.tenant.as_ref(), shared.now());
                     return stream_forwarder::forward(context, *run);
                 }
+                Attempt::Complete(response) => {
+                    let shared = &context.shared;
+                    shared
+                        .duties
+                        .count_run(context.tenant.as_ref(), shared.now());
+                    return response;
+                }
                 Attempt::Failed(failure, endpoint_response) => (failure, endpoint_response),
             };
         if let Some(response) = handle_failure(context, failure, endpoint_response) {
@@ -193,7 +212,8 @@
     dialect.parse_prefill_handle(&body).ok_or(Failure::Failed)
 }
 
-/// Sends the request to an engine and waits for the first bytes of the response.
+/// Sends the request to an engine and waits for the first bytes of the response, or for all of it on a
+/// route without streams.
 async fn start_run(
     context: &RequestContext,
     limits: &EngineLimits,
@@ -210,9 +230,17 @@
         .then(|| PrefillGuard::start(shared, &engine.id, placement, overhead_ms, prompt));
     let may_have_run_before = context.may_have_run();
     context.record_sent();
-    let result = first_bytes(context, engine, placement.priority, operation).await;
+    let result = attempt(context, engine, placement.priority, operation).await;
     let failure = match result {
-        Ok((exchange, first)) => match classify_response(&exchange) {
+        Ok(Answer::Complete(response)) => {
+            shared.update_quarantine(|quarantine, now| {
+                quarantine.record_begin(&context.fingerprint, now);
+            });
+            // The duration of a sequence is not used. That of the prefill is not known.
+            sequence.finish(CallOutcome::Done { millis: 0.0 });
+            return Attempt::Complete(response);
+        }
+        Ok(Answer::Begun(exchange, first)) => match classify_response(&exchange) {
             None => {
                 let first_ms = prefill_guard.map(PrefillGuard::complete);
                 log::debug!(
@@ -223,10 +251,12 @@
                 let run = StartedRun {
                     exchange,
                     first_bytes: first,
-                    sequence,
-                    engine: engine.clone(),
-                    event_tokens: limits.event_tokens,
-                    priority: placement.priority,
+                    endpoint: engine.clone(),
+                    work: StreamWork::Generation {
+                        sequence,
+                        event_tokens: limits.event_tokens,
+                        priority: placement.priority,
+                    },
                     times: StreamTimes::default(),
                 };
                 return Attempt::Started(Box::new(run));
@@ -262,16 +292,29 @@
 }
 
 /// Sends the request and waits for the first bytes of the body: a run that fails before them can
-/// still be retried or answered with an error.
-async fn first_bytes(
+/// still be retried or answered with an error. On a route without streams, a successful response is
+/// read to its end.
+async fn attempt(
     context: &RequestContext,
     engine: &Endpoint,
     priority: u8,
     operation: Operation,
-) -> Result<(Exchange, Option<bytes::Bytes>), ExchangeError> {
+) -> Result<Answer, ExchangeError> {
     let mut exchange = context.exchange(engine, Some(priority), operation).await?;
-    let first = exchange.first_data().await?;
-    Ok((exchange, first))
+    if context.delivery().is_stream() || classify_response(&exchange).is_some() {
+        let first = exchange.first_data().await?;
+        return Ok(Answer::Begun(exchange, first));
+    }
+    let memory = context.memory.open_other();
+    memory.set_holding(Holding::Complete);
+    let client = &context.shared.client;
+    let (head, _, body) = exchange
+        .read_to_end(client, plain::RESPONSE_BYTES_MAX, Some(&memory))
+        .await?;
+    let response = forward_response(context, &head, body);
+    Ok(Answer::Complete(
+        response.map(|body| body.with_memory(memory)),
+    ))
 }
 
 /// Returns how the attempt failed, or `None` if the response is streamed to the caller.
--- a/lib/src/gateway/plain.rs
+++ b/lib/src/gateway/plain.rs
@@ -2,23 +2,34 @@
 
 use bytes::Bytes;
 use http::{Response, response};
+use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::{CallOutcome, Endpoint, Failure, Holding};
 use ragwortgrade_schema::Name;
 
 use super::crash_detector::CrashDetector;
 use super::duties::RunGuard;
-use super::exchange::ExchangeError;
+use super::exchange::{Exchange, ExchangeError};
 use super::failure::{handle_failure, refuse, refuse_quarantined};
 use super::local_response::RETRY_AFTER_DEFAULT;
 use super::memory_account::MemoryAccount;
 use super::request_context::RequestContext;
 use super::response_body::ResponseBody;
+use super::stream_forwarder::{self, StartedRun};
+use super::stream_times::StreamTimes;
+use super::stream_work::StreamWork;
 use super::work_guard::CallGuard;
 use super::{Disposition, Operation, ResponseInfo};
 
-/// Maximum size of a plain service's response, in bytes. Responses are a few KB long; those that are
-/// held at once are bounded by the memory budget.
-const RESPONSE_BYTES_MAX: usize = 4 << 20;
+/// Maximum size of a response that is not a stream, in bytes. Responses are a few KB long; those that
+/// are held at once are bounded by the memory budget.
+pub(super) const RESPONSE_BYTES_MAX: usize = 4 << 20;
+
+/// Response of an endpoint to one attempt.
+enum Answer {
+    Complete(response::Parts, ResponseInfo, Bytes),
+    /// A stream, with its first bytes, if it has any.
+    Stream(Exchange, Option<Bytes>),
+}
 
 /// Handles a request to a plain service, with retries.
 pub(super) async fn respond(context: &RequestContext) -> Response<ResponseBody> {
@@ -47,6 +58,7 @@
             "call placed"
         );
         tried.push(endpoint.id.clone());
+        let placed_at = context.shared.now();
         let may_have_run_before = context.may_have_run();
         let call = CallGuard::start(&context.shared, &endpoint.id);
         let run = RunGuard::start(&context.shared, context.tenant.as_ref());
@@ -55,7 +67,10 @@
         memory.set_holding(Holding::Complete);
         let result = attempt(context, &endpoint, &memory).await;
         let (failure, endpoint_response) = match result {
-            Ok((head, info, body)) => match classify_response(&head, &info) {
+            Ok(Answer::Stream(exchange, first_bytes)) => {
+                return forward_stream(context, exchange, first_bytes, endpoint, call, placed_at);
+            }
+            Ok(Answer::Complete(head, info, body)) => match classify_response(&head, &info) {
                 None => {
                     call.complete();
                     context.shared.update_quarantine(|quarantine, now| {
@@ -122,17 +137,49 @@
     Ok(chosen.clone())
 }
 
+/// Sends the request and reads the complete response, or the first bytes of a successful one on a
+/// route of streams.
 async fn attempt(
     context: &RequestContext,
     endpoint: &Endpoint,
     memory: &MemoryAccount,
-) -> Result<(response::Parts, ResponseInfo, Bytes), ExchangeError> {
-    let exchange = context.exchange(endpoint, None, Operation::Run).await?;
+) -> Result<Answer, ExchangeError> {
+    let mut exchange = context.exchange(endpoint, None, Operation::Run).await?;
+    let is_success = exchange.head.status.is_success()
+        && classify_response(&exchange.head, &exchange.info).is_none();
+    if is_success && context.delivery().is_stream() {
+        let first_bytes = exchange.first_data().await?;
+        return Ok(Answer::Stream(exchange, first_bytes));
+    }
     let client = &context.shared.client;
     let memory = Some(memory);
-    exchange
+    let (head, info, body) = exchange
         .read_to_end(client, RESPONSE_BYTES_MAX, memory)
-        .await
+        .await?;
+    Ok(Answer::Complete(head, info, body))
+}
+
+/// Forwards a stream that has begun. `placed_at` is when its endpoint was chosen.
+fn forward_stream(
+    context: &RequestContext,
+    exchange: Exchange,
+    first_bytes: Option<Bytes>,
+    endpoint: Endpoint,
+    mut call: CallGuard,
+    placed_at: Instant,
+) -> Response<ResponseBody> {
+    call.record_first_bytes();
+    let run = StartedRun {
+        exchange,
+        first_bytes,
+        endpoint,
+        work: StreamWork::Call(call),
+        times: StreamTimes {
+            daemon: placed_at.since(context.received_at),
+            ..StreamTimes::default()
+        },
+    };
+    stream_forwarder::forward(context, run)
 }
 
 /// Returns how the attempt failed, or `None` if the response is forwarded.
--- a/lib/src/gateway/stream_forwarder.rs
+++ b/lib/src/gateway/stream_forwarder.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use http::Response;
-use ragwortgrade_policy::gateway::{CallOutcome, Endpoint, Fingerprint, Holding};
+use ragwortgrade_policy::gateway::{Endpoint, Fingerprint, Holding};
 use ragwortgrade_schema::Name;
 use tokio::sync::mpsc::{self, Sender};
 
@@ -16,12 +16,13 @@
 use super::shared::Shared;
 use super::stream_pauses::StreamPauses;
 use super::stream_times::StreamTimes;
-use super::work_guard::{SequenceGuard, millis};
+use super::stream_work::StreamWork;
+use super::work_guard::millis;
 
-/// Chunks buffered for a slow caller; with a full buffer the engine's connection is not read.
+/// Chunks buffered for a slow caller; with a full buffer the endpoint's connection is not read.
 const BUFFERED_CHUNKS_MAX: usize = 16;
 
-/// Events from which on a run counts as begun. An engine that crashes as it begins an output may
+/// Events from which on a run counts as begun. An endpoint that crashes as it begins an output may
 /// still send the first one.
 const BEGUN_EVENTS: u32 = 2;
 
@@ -31,12 +32,8 @@
     pub(super) exchange: Exchange,
     /// First bytes of the body; `None` if it is empty.
     pub(super) first_bytes: Option<Bytes>,
-    pub(super) sequence: SequenceGuard,
-    pub(super) engine: Endpoint,
-    /// Tokens per event.
-    pub(super) event_tokens: u32,
-    /// Priority at the engine; 0 is the most urgent.
-    pub(super) priority: u8,
+    pub(super) endpoint: Endpoint,
+    pub(super) work: StreamWork,
     pub(super) times: StreamTimes,
 }
 
@@ -45,9 +42,9 @@
 enum StreamEnd {
     Complete,
     Broken,
-    /// The engine ended the stream after it had to wait for a caller that did not read.
+    /// The endpoint ended the stream after it had to wait for a caller that did not read.
     Unread,
-    /// The engine sent bytes that are not a stream of events.
+    /// The endpoint sent bytes that are not a stream of events.
     Malformed,
     CallerLeft,
     TimeLimit,
@@ -69,9 +66,13 @@
         target: context.route.target,
         pause_target: context.route.pause_target,
         time_left: context.time_left(),
-        event_tokens: run.event_tokens,
         started_at: Instant::now(),
-        output_max: context.metadata.prompt.output_tokens_max,
+        // Only the events of generations have tokens.
+        output_max: if run.work.is_generation() {
+            context.metadata.prompt.output_tokens_max
+        } else {
+            0
+        },
         output_hint: context.metadata.prompt.output_tokens_hint,
         fingerprint: context.fingerprint.clone(),
     };
@@ -94,7 +95,6 @@
     /// Longest pause with which the stream meets its target.
     pause_target: Option<Duration>,
     time_left: Duration,
-    event_tokens: u32,
     /// When the first event arrived.
     started_at: Instant,
     output_max: u32,
@@ -132,17 +132,16 @@
                     self.record_begin();
                 }
                 self.observe_output(&run, &events);
-                // The duration of a sequence is not used.
-                run.sequence.finish(CallOutcome::Done { millis: 0.0 });
+                run.work.complete();
                 run.exchange.return_connection(&self.shared.client);
                 self.shared.metrics.count("streams.complete", 1);
                 drop(sender.send(Chunk::End).await);
             }
             StreamEnd::Broken | StreamEnd::Malformed => {
                 if end == StreamEnd::Broken && events.events() < BEGUN_EVENTS {
-                    CrashDetector::run_lost(&self.shared, &run.engine, &self.fingerprint);
+                    CrashDetector::run_lost(&self.shared, &run.endpoint, &self.fingerprint);
                 }
-                run.sequence.finish(CallOutcome::Failed);
+                run.work.fail();
                 self.shared.metrics.count("streams.broken", 1);
             }
             StreamEnd::Unread => self.shared.metrics.count("streams.unread", 1),
@@ -151,14 +150,17 @@
         }
     }
 
-    /// Records the length and the speed of a complete output.
+    /// Records the length and the speed of a complete output of an engine.
     fn observe_output(&self, run: &StartedRun, events: &EventCounter) {
+        let Some(event_tokens) = run.work.event_tokens() else {
+            return;
+        };
         // The time below starts with the first event, so its tokens do not count.
-        let tokens = events.events().saturating_sub(1) * self.event_tokens;
+        let tokens = events.events().saturating_sub(1) * event_tokens;
         let elapsed_ms = millis(self.started_at.elapsed());
         let mut engines = self.shared.engines.borrow_mut();
-        engines.observe_output(&run.engine.id, tokens, elapsed_ms, self.shared.now());
-        let output_tokens = events.events().saturating_mul(self.event_tokens);
+        engines.observe_output(&run.endpoint.id, tokens, elapsed_ms, self.shared.now());
+        let output_tokens = events.events().saturating_mul(event_tokens);
         engines.observe_output_length(&self.route, self.output_hint, output_tokens);
     }
 
@@ -173,14 +175,20 @@
     ) {
         let late = pauses.lateness(self.first_ms > millis(self.target));
         let times = &run.times;
+        let id: &str = &run.endpoint.id;
+        let (engine, endpoint) = if run.work.is_generation() {
+            (Some(id), None)
+        } else {
+            (None, Some(id))
+        };
         log::info!(
-            request:% = self.request_id, route:% = self.route, engine:% = run.engine.id, end:? = end,
+            request:% = self.request_id, route:% = self.route, engine, endpoint, end:? = end,
             first_ms = self.first_ms as u64,
             total_ms = self.started_at.elapsed().as_millis() as u64,
             bytes = sent_bytes, events = events.events(),
             output_max = self.output_max, output_hint:? = self.output_hint,
             late, target_ms = self.target.as_millis() as u64, pauses = pauses.over_target(),
-            longest_pause_ms = pauses.longest().as_millis() as u64, priority = run.priority,
+            longest_pause_ms = pauses.longest().as_millis() as u64, priority = run.work.priority(),
             daemon_ms = times.daemon.as_millis() as u64, queue_ms = times.queue.as_millis() as u64,
             prefill_ms = times.prefill.as_millis() as u64, transfer_ms = times.transfer.as_millis() as u64,
             decode_ms = self.started_at.elapsed().as_millis() as u64;
@@ -193,7 +201,7 @@
         }
     }
 
-    /// Records that the request does not crash engines.
+    /// Records that the request does not crash endpoints.
     fn record_begin(&self) {
         self.shared.update_quarantine(|quarantine, now| {
             quarantine.record_begin(&self.fingerprint, now);
--- a/lib/src/gateway/work_guard.rs
+++ b/lib/src/gateway/work_guard.rs
@@ -16,6 +16,8 @@
     shared: Rc<Shared>,
     endpoint: Name,
     started_at: Instant,
+    /// Time until the response began, if it is a stream.
+    first_ms: Option<f64>,
     outcome: CallOutcome,
 }
 
@@ -27,13 +29,23 @@
             shared: Rc::clone(shared),
             endpoint: endpoint.clone(),
             started_at,
+            first_ms: None,
             outcome: CallOutcome::Abandoned,
         }
     }
 
+    /// Records that a stream has begun: how long it lasts says nothing about the endpoint's speed.
+    pub(super) fn record_first_bytes(&mut self) {
+        self.first_ms = Some(self.elapsed_ms());
+    }
+
     pub(super) fn complete(self) {
-        let elapsed_ms = millis(self.shared.now().since(self.started_at));
-        self.finish(CallOutcome::Done { millis: elapsed_ms });
+        let millis = self.first_ms.unwrap_or_else(|| self.elapsed_ms());
+        self.finish(CallOutcome::Done { millis });
+    }
+
+    fn elapsed_ms(&self) -> f64 {
+        millis(self.shared.now().since(self.started_at))
     }
 
     pub(super) fn finish(mut self, outcome: CallOutcome) {
