--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -11,7 +11,7 @@
 use super::catalog_handler::CatalogHandler;
 use super::endpoint_handler::EndpointHandler;
 use super::shared::Shared;
-use super::{Item, StoreError, Update, Updates};
+use super::{Item, Page, StoreError, Update, Updates};
 
 /// Maximum wait of one watch, which costs one call however long it waits.
 pub(super) const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
@@ -211,9 +211,13 @@
         let page = shared.call_store(call).await?;
         // The pages are not a snapshot: the watch delivers what changed after the first one.
         first_revision.get_or_insert(page.revision);
+        if !advances(&items, &page) {
+            let message = format!("page after {after:?} repeats items or is empty");
+            return Err(StoreError::Malformed(message));
+        }
         after = page.items.last().map(|item| item.key.clone());
         items.extend(page.items);
-        if !page.has_more || after.is_none() {
+        if !page.has_more {
             break;
         }
     }
@@ -226,6 +230,14 @@
     Ok(revision)
 }
 
+/// Returns whether a listing comes closer to its end with this page.
+fn advances(items: &[Item], page: &Page) -> bool {
+    match page.items.first() {
+        Some(first) => items.iter().all(|known| known.key != first.key),
+        None => !page.has_more,
+    }
+}
+
 async fn watch(
     shared: &Shared,
     prefix: &str,
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -64,6 +64,16 @@
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
+/// Decodes a value of a query like an HTML form: `+` is a space. Returns `None` for an invalid escape.
+pub(crate) fn form_decode(text: &str) -> Option<String> {
+    let mut escapes = text.split('%').skip(1);
+    let is_valid = escapes.all(|rest| {
+        let digits = rest.get(..2);
+        digits.is_some_and(|digits| digits.bytes().all(|digit| digit.is_ascii_hexdigit()))
+    });
+    is_valid.then(|| percent_decode(&text.replace('+', " ")))
+}
+
 /// Returns the value of a header, whose name is compared without case.
 pub(crate) fn header(request: &Request, name: &str) -> Option<String> {
     let found = request
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -11,6 +11,6 @@
 pub use duty_service::{DutyCall, DutyService};
 pub use example::Example;
 pub use exchange::{ENDLESS_BYTES_MAX, Request, Response};
-pub use store::{Entrance, Store};
+pub use store::{Entrance, PageFault, Store};
 pub use store_copy::StoreCopy;
 pub use worker::Worker;
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -6,6 +6,10 @@
 use serde_json::{Value, json};
 
 use super::{Request, Response, StoreCopy, Worker};
+use crate::http::form_decode;
+
+/// Items of one page of a listing, unless a test sets fewer.
+const PAGE_ITEMS: usize = 500;
 
 /// In-memory stand-in for the key-value service of the users' platform.
 #[derive(Debug)]
@@ -48,6 +52,18 @@
     lost_renewals: usize,
     /// Number of times that the waiting watches were cut.
     cuts: u64,
+    /// Items of one page of a listing.
+    page_items: usize,
+    page_fault: Option<PageFault>,
+}
+
+/// What is wrong with the pages of listings, after which more are always announced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PageFault {
+    /// Each page is the first one.
+    Repeated,
+    /// Pages have no items.
+    Empty,
 }
 
 impl Store {
@@ -61,6 +77,7 @@
         let shared = Arc::new(Shared::default());
         shared.lock().era = 1;
         shared.lock().data = StoreCopy::empty();
+        shared.lock().page_items = PAGE_ITEMS;
         let handler = Arc::clone(&shared);
         let server = Worker::bind(move |request| handler.handle(request));
         Self { server, shared }
@@ -140,6 +157,16 @@
         state.compacted_revision = state.data.revision();
     }
 
+    /// Sets the number of items of one page of a listing.
+    pub fn set_page_items(&self, items: usize) {
+        self.shared.lock().page_items = items;
+    }
+
+    /// Sets what is wrong with the pages of listings.
+    pub fn set_page_fault(&self, fault: Option<PageFault>) {
+        self.shared.lock().page_fault = fault;
+    }
+
     /// Sets a prefix whose watches are refused with status 503, or clears it.
     pub fn set_refused_prefix(&self, prefix: Option<&str>) {
         self.shared.lock().refused_prefix = prefix.map(str::to_owned);
@@ -237,7 +264,8 @@
             let is_lost = state.lost_renewals > 0 && path.starts_with("/api/kv-keep/");
             state.lost_renewals -= usize::from(is_lost);
             let is_unanswered = path == "/api/kv-watch"
-                && state.unanswered_prefix.as_deref() == Some(parameter(query, "prefix"));
+                && state.unanswered_prefix.is_some()
+                && state.unanswered_prefix == parameter(query, "prefix");
             let is_unanswered = is_unanswered || state.unanswered_path.as_deref() == Some(path);
             if state.is_silent || is_lost || is_unanswered {
                 return Response::NoResponse;
@@ -247,15 +275,18 @@
             }
         }
         let (status, body) = match path {
-            "/api/kv-range" => (200, self.lock().data.range(parameter(query, "prefix"))),
+            "/api/kv-range" => self.range(query),
             "/api/kv-watch" => match self.watch(query) {
                 Some(response) => response,
                 None => return Response::Close,
             },
             "/api/kv-txn" => self.transaction(&request.body),
-            "/api/kv-key" => match self.lock().data.item(parameter(query, "key")) {
-                Some(item) => (200, item),
-                None => (404, json!({})),
+            "/api/kv-key" => match parameter(query, "key") {
+                Some(key) => match self.lock().data.item(&key) {
+                    Some(item) => (200, item),
+                    None => (404, json!({})),
+                },
+                None => (400, json!({})),
             },
             "/api/kv-lease" => self.grant_lease(&request.body),
             _ => self.lease_call(path),
@@ -267,14 +298,35 @@
         Response::complete(status, &[("Store-Era", &era)], &body.to_string())
     }
 
+    fn range(&self, query: &str) -> (u16, Value) {
+        let (Some(prefix), Some(after)) = (parameter(query, "prefix"), parameter(query, "after"))
+        else {
+            return (400, json!({}));
+        };
+        let state = self.lock();
+        let (after, items_max) = match state.page_fault {
+            None => (after.as_str(), state.page_items),
+            Some(PageFault::Repeated) => ("", state.page_items),
+            Some(PageFault::Empty) => ("", 0),
+        };
+        let mut page = state.data.range(&prefix, after, items_max);
+        if state.page_fault.is_some() {
+            page["morePages"] = json!(true);
+        }
+        (200, page)
+    }
+
     /// Returns the response to a watch; `None` if it is cut.
     fn watch(&self, query: &str) -> Option<(u16, Value)> {
-        let prefix = parameter(query, "prefix");
-        let after = parameter(query, "after").parse().unwrap_or_default();
-        let wait_ms = parameter(query, "waitMs").parse().unwrap_or_default();
+        let Some(prefix) = parameter(query, "prefix") else {
+            return Some((400, json!({})));
+        };
+        let number = |name| parameter(query, name)?.parse().ok();
+        let after = number("after").unwrap_or_default();
+        let wait_ms = number("waitMs").unwrap_or_default();
         let end = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.lock();
-        if state.refused_prefix.as_deref() == Some(prefix) {
+        if state.refused_prefix.as_deref() == Some(&prefix) {
             return Some((503, json!({})));
         }
         let cuts = state.cuts;
@@ -282,7 +334,7 @@
             if after < state.compacted_revision || after > state.data.revision() {
                 return Some((410, json!({})));
             }
-            let events = state.data.events(prefix, after);
+            let events = state.data.events(&prefix, after);
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let revision = state.data.revision();
@@ -359,8 +411,10 @@
     }
 }
 
-fn parameter<'a>(query: &'a str, name: &str) -> &'a str {
+/// Returns a parameter of a query, empty if it is missing, or `None` if it is not encoded correctly.
+fn parameter(query: &str, name: &str) -> Option<String> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let mut found = pairs.filter(|(key, _)| *key == name);
-    found.next().map_or("", |(_, value)| value)
+    let value = found.next().map_or("", |(_, value)| value);
+    form_decode(value)
 }
--- a/standins/src/site/store_copy.rs
+++ b/standins/src/site/store_copy.rs
@@ -126,14 +126,19 @@
         }
     }
 
-    pub(super) fn range(&self, prefix: &str) -> Value {
-        let items = self.items.iter().filter(|(key, _)| key.starts_with(prefix));
-        let items: Vec<Value> = items
+    /// Returns the page of at most `items_max` items that begins after the key `after`.
+    pub(super) fn range(&self, prefix: &str, after: &str, items_max: usize) -> Value {
+        let items = self.items.iter();
+        let mut rest = items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
+        let page: Vec<Value> = rest
+            .by_ref()
+            .take(items_max)
             .map(
                 |(key, item)| json!({ "key": key, "value": item.value, "revision": item.revision }),
             )
             .collect();
-        json!({ "items": items, "morePages": false, "storeRevision": self.revision })
+        let has_more = rest.next().is_some();
+        json!({ "items": page, "morePages": has_more, "storeRevision": self.revision })
     }
 
     pub(super) fn events(&self, prefix: &str, after: u64) -> Vec<Value> {
