gateway: refuse statuses that no final response can have

Cause: the HTTP library accepts statuses from 100 to 999 and ends its part in a connection after a 101; the gateway took each of these for the worker's own response.

Change: a response whose status is not from 200 to 599 counts as lost.

--- a/lib/src/gateway/exchange.rs
+++ b/lib/src/gateway/exchange.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -22,6 +23,9 @@
 /// seconds, so an endpoint cannot announce one below 1 s.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_millis(300);
 
+/// Statuses of final responses (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// A request whose response head has arrived.
 #[derive(Debug)]
 pub(super) struct Exchange {
@@ -59,6 +63,10 @@
     /// The body exceeds what is accepted.
     #[error("response body is longer than {bytes_max} bytes")]
     TooLong { bytes_max: usize },
+    /// The status is not that of a final response: a switch of protocols, which no request asks for,
+    /// or a number that HTTP does not define. Other interim responses are skipped.
+    #[error("response has status {0}, which is not that of a final response")]
+    InvalidStatus(u16),
     /// The response carries the ID of another request.
     #[error("response carries the ID of another request")]
     RequestIdMismatch,
@@ -121,6 +129,10 @@
         request_id: Option<&str>,
     ) -> Result<Self, ExchangeError> {
         let (head, body) = response.into_parts();
+        let status = head.status.as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            return Err(ExchangeError::InvalidStatus(status));
+        }
         let info = dialect.parse_response(&head);
         let is_mismatch = match (request_id, &info.request_id) {
             (Some(expected), Some(received)) => expected.as_bytes() != received.as_ref(),
