gateway: a response has to name its request or its endpoint

A bare 408, 429 or 503 reached the caller as a promise that the request has not run, while the worker ran it; after a bare 421 the request was sent to a second worker.

Cause: the ID of a response was compared only if it had one.

Change: without an ID, a response needs a signature, X-Not-Processed or X-Instance-Id; otherwise its outcome is unknown, and the connection is closed.

--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -91,6 +91,9 @@
     pub disposition: Disposition,
     /// Whether the response carries the endpoint's signature.
     pub is_signed: bool,
+    /// Whether a header shows that an endpoint sent it: a signature, a rejection or the name of the
+    /// endpoint.
+    pub names_origin: bool,
     /// Request ID in the response.
     pub request_id: Option<Bytes>,
     /// Idle timeout that the endpoint announces for the connection.
--- a/lib/src/gateway/exchange.rs
+++ b/lib/src/gateway/exchange.rs
@@ -67,6 +67,10 @@
     /// or a number that HTTP does not define. Other interim responses are skipped.
     #[error("response has status {0}, which is not that of a final response")]
     InvalidStatus(u16),
+    /// The response carries no ID, and nothing else shows that it is the endpoint's: it may be additional
+    /// bytes after the response to an earlier request.
+    #[error("response names neither a request nor an endpoint")]
+    Unidentified,
     /// The response carries the ID of another request.
     #[error("response carries the ID of another request")]
     RequestIdMismatch,
@@ -134,12 +138,12 @@
             return Err(ExchangeError::InvalidStatus(status));
         }
         let info = dialect.parse_response(&head);
-        let is_mismatch = match (request_id, &info.request_id) {
-            (Some(expected), Some(received)) => expected.as_bytes() != received.as_ref(),
-            _ => false,
-        };
-        if is_mismatch {
-            return Err(ExchangeError::RequestIdMismatch);
+        match (request_id, &info.request_id) {
+            (Some(expected), Some(received)) if expected.as_bytes() != received.as_ref() => {
+                return Err(ExchangeError::RequestIdMismatch);
+            }
+            (Some(_), None) if !info.names_origin => return Err(ExchangeError::Unidentified),
+            _ => {}
         }
         Ok(Self {
             head,
