--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -68,7 +68,7 @@
 
 pub use caller_limits::CallerLimits;
 pub use client::{Client, FetchError, FetchTimeouts};
-pub use dialect::{Dialect, Dispatch, Disposition, Operation, ResponseInfo};
+pub use dialect::{Dialect, Dispatch, Disposition, Operation, Origin, ResponseInfo};
 pub use handle::Gateway;
 pub use options::{DocumentFormat, Options};
 pub use settings::Settings;
--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -72,6 +72,18 @@
     },
 }
 
+/// What a response shows of its sender.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Origin {
+    /// Nothing: the bytes need not be a response.
+    #[default]
+    Unknown,
+    /// A rejection, or the name of an endpoint.
+    Endpoint,
+    /// The signature of an endpoint.
+    Signed,
+}
+
 /// Whether an endpoint accepted a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Disposition {
@@ -89,11 +101,8 @@
 pub struct ResponseInfo {
     /// Whether the endpoint accepted the request.
     pub disposition: Disposition,
-    /// Whether the response carries the endpoint's signature.
-    pub is_signed: bool,
-    /// Whether a header shows that an endpoint sent it: a signature, a rejection or the name of the
-    /// endpoint.
-    pub names_origin: bool,
+    /// What the response shows of its sender.
+    pub origin: Origin,
     /// Request ID in the response.
     pub request_id: Option<Bytes>,
     /// Idle timeout that the endpoint announces for the connection.
--- a/lib/src/gateway/exchange.rs
+++ b/lib/src/gateway/exchange.rs
@@ -12,7 +12,7 @@
 use super::client::{Client, ConnectError};
 use super::connection::Connection;
 use super::memory_account::MemoryAccount;
-use super::{Dialect, ResponseInfo};
+use super::{Dialect, Origin, ResponseInfo};
 
 /// Connections to try before a request counts as not sent; the endpoint may have closed a pooled
 /// one.
@@ -142,7 +142,9 @@
             (Some(expected), Some(received)) if expected.as_bytes() != received.as_ref() => {
                 return Err(ExchangeError::RequestIdMismatch);
             }
-            (Some(_), None) if !info.names_origin => return Err(ExchangeError::Unidentified),
+            (Some(_), None) if info.origin == Origin::Unknown => {
+                return Err(ExchangeError::Unidentified);
+            }
             _ => {}
         }
         Ok(Self {
--- a/lib/src/gateway/generation.rs
+++ b/lib/src/gateway/generation.rs
@@ -19,7 +19,7 @@
 use super::stream_times::StreamTimes;
 use super::stream_work::StreamWork;
 use super::work_guard::{SequenceGuard, millis};
-use super::{Disposition, Operation};
+use super::{Disposition, Operation, Origin};
 
 /// Time of a remote prefill call beyond the prefill itself, in ms: the fixed part of an engine's
 /// time to first token and a network round trip.
@@ -325,7 +325,7 @@
         Disposition::WrongEndpoint => Some(Failure::WrongEndpoint),
         Disposition::NotRun => Some(Failure::NotRun),
         Disposition::Accepted if !is_success => Some(Failure::Failed),
-        Disposition::Accepted if !info.is_signed => Some(Failure::Unknown),
+        Disposition::Accepted if info.origin != Origin::Signed => Some(Failure::Unknown),
         Disposition::Accepted => None,
     }
 }
--- a/lib/src/gateway/plain.rs
+++ b/lib/src/gateway/plain.rs
@@ -18,7 +18,7 @@
 use super::stream_times::StreamTimes;
 use super::stream_work::StreamWork;
 use super::work_guard::CallGuard;
-use super::{Disposition, Operation, ResponseInfo};
+use super::{Disposition, Operation, Origin, ResponseInfo};
 
 /// Maximum size of a response that is not a stream, in bytes. Responses are a few KB long; those that
 /// are held at once are bounded by the memory budget.
@@ -188,7 +188,7 @@
         Disposition::WrongEndpoint => Some(Failure::WrongEndpoint),
         Disposition::NotRun => Some(Failure::NotRun),
         Disposition::Accepted if head.status.is_server_error() => Some(Failure::Failed),
-        Disposition::Accepted if head.status.is_success() && !info.is_signed => {
+        Disposition::Accepted if head.status.is_success() && info.origin != Origin::Signed => {
             Some(Failure::Unknown)
         }
         Disposition::Accepted => None,
