--- /dev/null
+++ b/review/standins-3/slow_reader.rs
@@ -0,0 +1,144 @@
+//! Clients that read their answers slowly: pauses of 2.5 s, well within their deadlines.
+#[path = "common.rs"]
+mod common;
+
+use common::*;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Length of a long answer. A client that does not read takes less than that into its buffer.
+const ANSWER_BYTES: usize = 256 << 10;
+/// Time for which a client reads nothing.
+const PAUSE: Duration = Duration::from_millis(2_500);
+const DEADLINE_MS: u64 = 10_000;
+const CLIENTS: usize = 6;
+
+/// How the second request of a kept connection ended.
+#[derive(Clone, Debug)]
+enum End {
+    Whole,
+    Cut { bytes: usize, why: String, after_ms: u128 },
+    Refused(u16),
+}
+
+/// Sends a short request and then a long one on one connection; returns how the long one ended.
+fn run_client(daemon: SocketAddr, name: &str, pause: Duration, record: &Record) -> Result<End, String> {
+    let stream = TcpStream::connect(daemon).map_err(|error| error.to_string())?;
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(DEADLINE_MS)));
+    let mut writer = stream.try_clone().map_err(|error| error.to_string())?;
+    let mut reader = BufReader::new(stream);
+    let head = |path: &str, id: &str| {
+        format!(
+            "POST /{path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\n\
+             X-Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: 2\r\n\r\nhi"
+        )
+    };
+    let first = format!("{name}a");
+    writer.write_all(head("order/short", &first).as_bytes()).map_err(|error| error.to_string())?;
+    let (status, _, _) = read_response(&mut reader)?;
+    record.line(&format!("client: request {first} answered {status}"));
+    if status != 200 {
+        return Err(format!("the short request got {status}"));
+    }
+    let second = format!("{name}b");
+    let sent_at = Instant::now();
+    writer.write_all(head("order/long", &second).as_bytes()).map_err(|error| error.to_string())?;
+    record.line(&format!("client: request {second} sent on the same connection"));
+    // The head and the first bytes are read at once.
+    let mut bytes = vec![0; 1024];
+    let mut got = reader.read(&mut bytes).map_err(|error| error.to_string())?;
+    let start = String::from_utf8_lossy(&bytes[..got]).into_owned();
+    let status: u16 = start.split_whitespace().nth(1).and_then(|it| it.parse().ok()).unwrap_or(0);
+    let head_end = start.find("\r\n\r\n").map_or(0, |at| at + 4);
+    if status != 200 {
+        record.line(&format!("client: request {second} answered {status}"));
+        return Ok(End::Refused(status));
+    }
+    record.line(&format!("client: request {second}: head with status 200 read; reads nothing for {pause:?}"));
+    thread::sleep(pause);
+    let wanted = head_end + ANSWER_BYTES;
+    let mut buffer = vec![0; 64 << 10];
+    while got < wanted {
+        match reader.read(&mut buffer) {
+            Ok(0) => {
+                return Ok(End::Cut { bytes: got, why: "end of the connection".into(), after_ms: sent_at.elapsed().as_millis() });
+            }
+            Ok(length) => got += length,
+            Err(error) => {
+                return Ok(End::Cut { bytes: got, why: error.to_string(), after_ms: sent_at.elapsed().as_millis() });
+            }
+        }
+    }
+    record.line(&format!("client: request {second} answered whole after {} ms", sent_at.elapsed().as_millis()));
+    Ok(End::Whole)
+}
+
+/// Lets several clients send at once; returns how many answers were cut.
+fn run_clients(daemon: SocketAddr, label: &str, pause: Duration, record: &Record) -> Result<usize, String> {
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let (record, name) = (record.clone(), format!("{label}{number}"));
+            thread::spawn(move || (name.clone(), run_client(daemon, &name, pause, &record)))
+        })
+        .collect();
+    let mut cut = 0;
+    for client in clients {
+        let (name, end) = client.join().map_err(|_panic| "a client failed".to_owned())?;
+        let end = end?;
+        if let End::Cut { bytes, why, after_ms } = &end {
+            cut += 1;
+            record.line(&format!("client: request {name}b CUT after {after_ms} ms and {bytes} bytes: {why}"));
+        } else if let End::Refused(status) = end {
+            return Err(format!("request {name}b was answered {status}"));
+        }
+    }
+    Ok(cut)
+}
+
+fn run() -> Result<bool, String> {
+    let (folder, trouble) = arguments();
+    let record = Record::create(&folder);
+    record.line(&format!("TROUBLE={}", u8::from(trouble)));
+    let runs = Arc::new(Mutex::new(Vec::new()));
+    let (worker_runs, worker_record) = (Arc::clone(&runs), record.clone());
+    let worker = serve(move |request| {
+        let id = request.header("x-request-id").to_owned();
+        worker_record.line(&format!("worker: runs {id} {}", request.path));
+        worker_runs.lock().unwrap().push(id.clone());
+        let body = if request.path.ends_with("long") { vec![b'x'; ANSWER_BYTES] } else { vec![b'x'; 800] };
+        let headers = [("X-Request-Id", id.as_str()), ("X-Response-Seal", "seal"), ("Keep-Alive", "timeout=5")];
+        Some(response("200 OK", &headers, &body))
+    });
+    let store = Store::start(&record);
+    let routes = [Route { name: "order", kind: "unsafe", service: "desk", timeout_ms: DEADLINE_MS }];
+    store.write("op/config", &configuration(1, &routes, &["desk"]));
+    store.write("servers/i-1", &registration("desk", worker, "ready"));
+    let daemon = Daemon::start("front-a-1", store.address, &record)?;
+    thread::sleep(Duration::from_secs(4));
+    let pause = if trouble { PAUSE } else { Duration::ZERO };
+    let at_any_time = run_clients(daemon.callers, "t", pause, &record)?;
+    record.line("SIGHUP to the daemon (its settings are the same)");
+    daemon.signal("HUP");
+    thread::sleep(Duration::from_millis(200));
+    let around_planned_work = run_clients(daemon.callers, "h", pause, &record)?;
+    record.line(&format!(
+        "cut without an answer at any time: {at_any_time} of {CLIENTS} (rule: more than 3); after the SIGHUP: \
+         {around_planned_work} of {CLIENTS} (rule: any)"
+    ));
+    record.line(&format!("runs at the worker: {}", runs.lock().unwrap().len()));
+    Ok(at_any_time > 3 || around_planned_work > 0)
+}
+
+fn main() {
+    std::process::exit(match run() {
+        Ok(true) => BROKEN,
+        Ok(false) => HELD,
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            CANNOT_RUN
+        }
+    });
+}
