--- a/review/standins-3/common.rs
+++ b/review/standins-3/common.rs
@@ -355,6 +355,8 @@
     next_lease: u64,
     silent_until: Option<Instant>,
     renewals: u64,
+    /// Prefix of which the next watch that has changes gets no answer.
+    lost_watch: Option<String>,
     /// Calls that arrived while the store was silent.
     unanswered: Vec<String>,
 }
@@ -416,6 +418,11 @@
         self.shared.1.notify_all();
     }
 
+    /// The next answer to a watch of this prefix that has changes is lost.
+    pub fn lose_next_answer(&self, prefix: &str) {
+        self.shared.0.lock().unwrap().lost_watch = Some(prefix.to_owned());
+    }
+
     /// Returns the number of renewals that were answered.
     pub fn renewals(&self) -> u64 {
         self.shared.0.lock().unwrap().renewals
@@ -540,6 +547,11 @@
                     })
                     .collect();
                 let now = Instant::now();
+                if !events.is_empty() && state.lost_watch.as_ref() == Some(&prefix) {
+                    state.lost_watch = None;
+                    record.line(&format!("store: the answer to a watch of {prefix} is lost"));
+                    return None;
+                }
                 if !events.is_empty() || now >= until {
                     let body = format!(
                         "{{\"events\":[{}],\"storeRevision\":{}}}",
--- a/review/standins-3/silent_store.rs
+++ b/review/standins-3/silent_store.rs
@@ -1,4 +1,5 @@
-//! A store that answers nothing for 0.3 s, right after a change of the configuration.
+//! A store that answers nothing for 0.3 s, right after a change of the configuration. With `LOST=1` it is
+//! never silent, and loses one answer: that to the daemon's watch of the configuration.
 #[path = "common.rs"]
 mod common;
 
@@ -50,7 +51,12 @@
     }
     thread::sleep(Duration::from_millis(200));
     let second = configuration(2, "desk-old", 1_400);
-    if trouble {
+    let loses_answer = std::env::var("LOST").is_ok_and(|value| value == "1");
+    if trouble && loses_answer {
+        store.lose_next_answer("op/config");
+        store.write("op/config", &second);
+        record.line("operator: version 2 acknowledged; the answer to the daemon's watch is lost");
+    } else if trouble {
         store.write_before_silence("op/config", &second, SILENCE);
         record.line(&format!("operator: version 2 acknowledged; the store is silent for {SILENCE:?}"));
     } else {
