--- a/review/standins-3/slow_reader.rs
+++ b/review/standins-3/slow_reader.rs
@@ -1,6 +1,6 @@
-//! Clients that read their answers slowly: they pause once, and stay well within their deadlines.
-//! Arguments: the folder of the case, the length of an answer in bytes, the pause in ms, the number of
-//! clients.
+//! Clients that read their answers slowly, and stay well within their deadlines: they pause once, or read
+//! at a steady pace. Arguments: the folder of the case, the length of an answer in bytes, the pause in ms,
+//! the number of clients, the bytes that a client reads a second (0: as they come).
 #[path = "common.rs"]
 mod common;
 
@@ -12,6 +12,8 @@
 use std::time::{Duration, Instant};
 
 const DEADLINE_MS: u64 = 10_000;
+/// Interval between two reads of a client that reads at a steady pace.
+const PACE_INTERVAL: Duration = Duration::from_millis(100);
 
 #[derive(Clone, Copy)]
 struct Load {
@@ -20,6 +22,8 @@
     /// Time for which a client reads nothing.
     pause: Duration,
     clients: usize,
+    /// Bytes that a client reads each `PACE_INTERVAL`; 0 without a limit.
+    pace: usize,
 }
 
 /// How the second request of a kept connection ended.
@@ -63,11 +67,14 @@
         record.line(&format!("client: request {second} answered {status}"));
         return Ok(End::Refused(status));
     }
-    record.line(&format!("client: request {second}: head with status 200 read; reads nothing for {:?}", load.pause));
+    record.line(&format!("client: request {second}: head with status 200 read; pause {:?}, then {} bytes each {PACE_INTERVAL:?} (0: all)", load.pause, load.pace));
     thread::sleep(load.pause);
     let wanted = head_end + load.answer_bytes;
-    let mut buffer = vec![0; 64 << 10];
+    let mut buffer = vec![0; if load.pace == 0 { 64 << 10 } else { load.pace }];
     while got < wanted {
+        if load.pace > 0 {
+            thread::sleep(PACE_INTERVAL);
+        }
         match reader.read(&mut buffer) {
             Ok(0) => {
                 return Ok(End::Cut { bytes: got, why: "end of the connection".into(), after_ms: sent_at.elapsed().as_millis() });
@@ -114,6 +121,7 @@
         answer_bytes: number(2)?,
         pause: Duration::from_millis(if trouble { number(3)? as u64 } else { 0 }),
         clients: number(4)?,
+        pace: if trouble { number(5)? / 10 } else { 0 },
     };
     let record = Record::create(&folder);
     record.line(&format!("TROUBLE={}", u8::from(trouble)));
