gateway: the watch loop apart from what its handlers do

The loop that lists and watches a prefix imported the handlers that use it. The handlers' trait now has a file of its own, and the tasks stand beside their handlers, so that the loop depends on none of them. No change of behaviour.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -64,6 +64,7 @@
 mod supervisor;
 mod tenant_statistics;
 mod unreadable_datagrams;
+mod watch_handler;
 mod work_guard;
 
 pub use caller_limits::CallerLimits;
--- a/lib/src/gateway/catalog_handler.rs
+++ b/lib/src/gateway/catalog_handler.rs
@@ -4,9 +4,19 @@
 use ragwortgrade_policy::Instant;
 
 use super::shared::Shared;
-use super::store_watcher::{Read, WatchHandler};
+use super::store_watcher::list_and_watch;
+use super::watch_handler::{Read, WatchHandler};
 use super::{Item, Update};
 
+/// Watches the operators' configuration until the task is aborted.
+pub(super) async fn watch_catalog(shared: Rc<Shared>) {
+    let key = shared.options.documents.catalog_key();
+    let handler = CatalogHandler {
+        shared: Rc::clone(&shared),
+    };
+    list_and_watch(&shared, key, &handler).await;
+}
+
 /// Applies versions of the operators' configuration.
 pub(super) struct CatalogHandler {
     pub(super) shared: Rc<Shared>,
--- a/lib/src/gateway/endpoint_handler.rs
+++ b/lib/src/gateway/endpoint_handler.rs
@@ -1,3 +1,4 @@
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures::FutureExt as _;
@@ -9,9 +10,44 @@
 use ragwortgrade_schema::Name;
 
 use super::shared::Shared;
-use super::store_watcher::{Read, WatchHandler};
+use super::store_watcher::list_and_watch;
+use super::watch_handler::{Read, WatchHandler};
 use super::{Item, Update};
 
+/// Interval at which registrations are checked against the times that they have.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Watches the endpoints' registrations until the task is aborted.
+pub(super) async fn watch_endpoints(shared: Rc<Shared>) {
+    let prefix = shared.options.documents.endpoints_prefix();
+    let handler = EndpointHandler { shared: &shared };
+    list_and_watch(&shared, prefix, &handler).await;
+}
+
+/// Removes endpoints whose registration expired during a store outage and was not renewed after it,
+/// and takes those into use again that a restored store still lists.
+pub(super) async fn check_registrations(shared: Rc<Shared>) {
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        let now = shared.now();
+        let expired = shared.registry.borrow_mut().expire(now);
+        for id in expired {
+            log::info!(
+                endpoint:% = id;
+                "registration expired during a store outage and was not renewed"
+            );
+        }
+        let confirmed = shared.registry.borrow_mut().confirm(now);
+        for id in confirmed {
+            log::info!(endpoint:% = id; "endpoint is still registered in the restored store; used");
+        }
+        let expired_reports = shared.registry.borrow_mut().expire_reports(now);
+        for id in expired_reports {
+            log::info!(endpoint:% = id; "report that the endpoint leaves has expired; used");
+        }
+    }
+}
+
 /// Changes the known endpoints when registrations change.
 pub(super) struct EndpointHandler<'a> {
     pub(super) shared: &'a Shared,
--- a/lib/src/gateway/handle.rs
+++ b/lib/src/gateway/handle.rs
@@ -20,8 +20,8 @@
 use super::scaling_task::ScalingTask;
 use super::shared::Shared;
 use super::{
-    Options, duties, load_exchange, local_response, peers, registration, server, store_watcher,
-    supervisor,
+    Options, catalog_handler, duties, endpoint_handler, load_exchange, local_response, peers,
+    registration, server, supervisor,
 };
 use crate::observe::{Metrics, Registry};
 
@@ -189,13 +189,13 @@
         supervisor::spawn(shared, name, move || task(Rc::clone(&task_state)));
     };
     spawn("catalog", |it| {
-        store_watcher::watch_catalog(it).boxed_local()
+        catalog_handler::watch_catalog(it).boxed_local()
     });
     spawn("endpoints", |it| {
-        store_watcher::watch_endpoints(it).boxed_local()
+        endpoint_handler::watch_endpoints(it).boxed_local()
     });
     spawn("registrations", |it| {
-        store_watcher::check_registrations(it).boxed_local()
+        endpoint_handler::check_registrations(it).boxed_local()
     });
     spawn("checks", |it| run_periodic_checks(it).boxed_local());
     spawn("peers", |it| peers::watch_peers(it).boxed_local());
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -13,7 +13,8 @@
 
 use super::load_update::LoadUpdate;
 use super::shared::Shared;
-use super::store_watcher::{Read, WatchHandler, list_and_watch};
+use super::store_watcher::list_and_watch;
+use super::watch_handler::{Read, WatchHandler};
 use super::{Item, Update};
 
 /// Prefix of the keys of daemons' registrations.
--- a/lib/src/gateway/shared_reads.rs
+++ b/lib/src/gateway/shared_reads.rs
@@ -11,7 +11,7 @@
 
 use super::Update;
 use super::shared::Shared;
-use super::store_watcher::{Read, WATCH_TIMEOUT};
+use super::watch_handler::{Read, WATCH_TIMEOUT};
 
 /// Number of read intervals after which changes are learned late: a daemon that reads for itself
 /// takes up to 1.2 of them.
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -1,99 +1,20 @@
 use std::cell::Cell;
-use std::rc::Rc;
 use std::time::Duration;
 
-use futures::FutureExt as _;
-use futures::future::{self, LocalBoxFuture};
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::{ReadRetry, RegistrationFeed};
 use ragwortgrade_schema::Name;
 
-use super::catalog_handler::CatalogHandler;
-use super::endpoint_handler::EndpointHandler;
 use super::shared::Shared;
-use super::{Item, Page, StoreError, Update, Updates};
+use super::watch_handler::{Read, WatchHandler};
+use super::{Item, Page, StoreError, Updates};
 
-/// Maximum wait of one watch, which costs one call however long it waits.
-pub(super) const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 /// Delay after a response that shows a restored store, so that one whose replicas name different
 /// eras is not called without a pause.
 const RESTORE_DELAY: Duration = Duration::from_millis(100);
 /// Delay after a failed call during a store outage, of which the end is detected by the calls that
 /// keep this daemon registered.
 const OUTAGE_RETRY_DELAY: Duration = Duration::from_secs(4);
-/// Interval at which registrations are checked against the times that they have.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Callbacks for the items below a watched prefix.
-pub(super) trait WatchHandler {
-    /// Handles a complete list of the items, which has all changes up to the revision.
-    fn on_list(&self, items: Vec<Item>, read: Read);
-    /// Handles the changes after a revision.
-    fn on_updates(&self, updates: Vec<Update>, after: u64, read: Read);
-    /// Returns how long to wait until the next read if the last one ended at `read_end`.
-    fn pause(&self, read_end: Instant) -> Duration;
-    /// Waits until the pause before the next read may have become shorter.
-    fn wait_for_shorter_pause(&self) -> LocalBoxFuture<'_, ()> {
-        future::pending().boxed_local()
-    }
-    /// Returns the revision after which to read if the last read ended with `revision`.
-    fn resume_after(&self, revision: u64) -> u64 {
-        revision
-    }
-    /// Returns how long a read may wait for changes.
-    fn watch_timeout(&self) -> Duration {
-        WATCH_TIMEOUT
-    }
-}
-
-/// How far a read of the store goes.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Read {
-    /// Revision up to which it has all changes.
-    pub(super) revision: u64,
-    /// When the store had no later changes.
-    pub(super) at: Instant,
-}
-
-/// Watches the operators' configuration until the task is aborted.
-pub(super) async fn watch_catalog(shared: Rc<Shared>) {
-    let key = shared.options.documents.catalog_key();
-    let handler = CatalogHandler {
-        shared: Rc::clone(&shared),
-    };
-    list_and_watch(&shared, key, &handler).await;
-}
-
-/// Watches the endpoints' registrations until the task is aborted.
-pub(super) async fn watch_endpoints(shared: Rc<Shared>) {
-    let prefix = shared.options.documents.endpoints_prefix();
-    let handler = EndpointHandler { shared: &shared };
-    list_and_watch(&shared, prefix, &handler).await;
-}
-
-/// Removes endpoints whose registration expired during a store outage and was not renewed after it,
-/// and takes those into use again that a restored store still lists.
-pub(super) async fn check_registrations(shared: Rc<Shared>) {
-    loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
-        let now = shared.now();
-        let expired = shared.registry.borrow_mut().expire(now);
-        for id in expired {
-            log::info!(
-                endpoint:% = id;
-                "registration expired during a store outage and was not renewed"
-            );
-        }
-        let confirmed = shared.registry.borrow_mut().confirm(now);
-        for id in confirmed {
-            log::info!(endpoint:% = id; "endpoint is still registered in the restored store; used");
-        }
-        let expired_reports = shared.registry.borrow_mut().expire_reports(now);
-        for id in expired_reports {
-            log::info!(endpoint:% = id; "report that the endpoint leaves has expired; used");
-        }
-    }
-}
 
 /// Lists the items below `prefix`, then watches them until the task is aborted, with the pauses of
 /// the handler between calls. They are listed again when the store no longer has the changes since
