gateway: registrations that a daemon reads for itself are never 20 s old

What callers saw: requests went to a worker that had left for up to 20 s, although the store answered all other calls of the daemon.

Cause: a daemon of a fleet of up to 17 others lets its watch of the registrations wait for 20 s. A watch that was sent in a short silence of the store, or whose response was lost, looks like one without changes until then. Only a renewal that fails ends it sooner, and none fails in a silence between two renewals. The watch of the daemons' own registrations is the same.

Change: after each pause such a watch waits for 0.35 of the read interval, so that pause, wait and timeout together stay below the time within which a leaving worker must get no more requests. A daemon also reads again 1 s after a listing: daemons that start together then know each other early, and those of a large fleet read for themselves for 1 s instead of 4 s.

--- a/lib/src/gateway/shared_reads.rs
+++ b/lib/src/gateway/shared_reads.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use ragwortgrade_policy::Instant;
@@ -11,11 +11,14 @@
 
 use super::Update;
 use super::shared::Shared;
-use super::watch_handler::{Read, WATCH_TIMEOUT};
+use super::watch_handler::Read;
 
 /// Number of read intervals after which changes are learned late: a daemon that reads for itself
 /// takes up to 1.2 of them.
 const LATE_INTERVALS: f64 = 1.25;
+/// Pause of a daemon that reads for itself after a listing. Daemons that start together list only
+/// some of the others, and know all of them after the next read.
+const LISTING_PAUSE: Duration = Duration::from_secs(1);
 /// Maximum size of the changed registrations in one batch for other daemons, which read larger ones
 /// themselves.
 const BATCH_BYTES_MAX: usize = 6 * 1024;
@@ -29,6 +32,8 @@
     /// Time between reads of a daemon that reads for itself only.
     interval: Duration,
     feed: RefCell<RegistrationFeed>,
+    /// Whether changes were read since the last listing.
+    has_read_changes: Cell<bool>,
     /// Wakes the task that reads, as the next read has become due earlier.
     missed: Notify,
 }
@@ -39,12 +44,14 @@
             source,
             interval,
             feed: RefCell::default(),
+            has_read_changes: Cell::new(false),
             missed: Notify::new(),
         }
     }
 
     /// Records a complete listing. Returns whether it may replace what is known.
     pub(super) fn record_listing(&self, shared: &Shared, read: Read) -> bool {
+        self.has_read_changes.set(false);
         let known_until = self.feed.borrow().known_until();
         let era = shared.store_era_named();
         let is_newest = self.feed.borrow_mut().listed(era, read.revision, read.at);
@@ -68,6 +75,7 @@
         after: u64,
         read: Read,
     ) -> Vec<RegistrationChange> {
+        self.has_read_changes.set(true);
         let batch = RegistrationBatch {
             source: self.source,
             era: shared.store_era_named(),
@@ -144,8 +152,10 @@
             let (name, rank) = (&shared.options.name, rank(shared));
             let feed = self.feed.borrow();
             feed.next_read(name, rank, self.interval, read_end)
-        } else {
+        } else if self.has_read_changes.get() {
             read_end + self.interval
+        } else {
+            read_end + self.interval.min(LISTING_PAUSE)
         };
         next_read.since(shared.now())
     }
@@ -188,7 +198,7 @@
         if is_shared(shared) {
             RegistrationFeed::read_wait(rank(shared), self.interval)
         } else {
-            WATCH_TIMEOUT
+            RegistrationFeed::own_read_wait(self.interval)
         }
     }
 
@@ -209,7 +219,7 @@
 }
 
 /// Returns the rank of this daemon among those that read.
-fn rank(shared: &Shared) -> usize {
+pub(super) fn rank(shared: &Shared) -> usize {
     let peers = shared.peers.borrow();
     RegistrationFeed::rank(&shared.options.name, peers.directory.names())
 }
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -48,6 +48,8 @@
     refused_prefix: Option<String>,
     /// Prefix whose watches get no response.
     unanswered_prefix: Option<String>,
+    /// Prefix of the watch whose next response with changes is lost.
+    lost_prefix: Option<String>,
     /// Number of the next renewals of leases that get no response.
     lost_renewals: usize,
     /// Number of times that the waiting watches were cut.
@@ -182,6 +184,11 @@
         self.shared.lock().lost_renewals += 1;
     }
 
+    /// Loses the next response to a watch of this prefix that has changes; its connection stays open.
+    pub fn lose_changes(&self, prefix: &str) {
+        self.shared.lock().lost_prefix = Some(prefix.to_owned());
+    }
+
     /// Closes the connections of the watches that are waiting, without responses.
     pub fn cut_watches(&self) {
         self.shared.lock().cuts += 1;
@@ -277,8 +284,8 @@
         let (status, body) = match path {
             "/api/kv-range" => self.range(query),
             "/api/kv-watch" => match self.watch(query) {
-                Some(response) => response,
-                None => return Response::Close,
+                Ok(response) => response,
+                Err(fault) => return fault,
             },
             "/api/kv-txn" => self.transaction(&request.body),
             "/api/kv-key" => match parameter(query, "key") {
@@ -316,10 +323,10 @@
         (200, page)
     }
 
-    /// Returns the response to a watch; `None` if it is cut.
-    fn watch(&self, query: &str) -> Option<(u16, Value)> {
+    /// Returns the response to a watch, or what happens if it is cut or its response is lost.
+    fn watch(&self, query: &str) -> Result<(u16, Value), Response> {
         let Some(prefix) = parameter(query, "prefix") else {
-            return Some((400, json!({})));
+            return Ok((400, json!({})));
         };
         let number = |name| parameter(query, name)?.parse().ok();
         let after = number("after").unwrap_or_default();
@@ -327,22 +334,26 @@
         let end = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.lock();
         if state.refused_prefix.as_deref() == Some(&prefix) {
-            return Some((503, json!({})));
+            return Ok((503, json!({})));
         }
         let cuts = state.cuts;
         loop {
             if after < state.compacted_revision || after > state.data.revision() {
-                return Some((410, json!({})));
+                return Ok((410, json!({})));
             }
             let events = state.data.events(&prefix, after);
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let revision = state.data.revision();
                 let response = json!({ "events": events, "storeRevision": revision });
-                return Some((200, response));
+                if !events.is_empty() && state.lost_prefix.as_deref() == Some(&prefix) {
+                    state.lost_prefix = None;
+                    return Err(Response::NoResponse);
+                }
+                return Ok((200, response));
             }
             if state.cuts != cuts {
-                return None;
+                return Err(Response::Close);
             }
             let waited = self.changed.wait_timeout(state, left);
             state = waited.unwrap_or_else(PoisonError::into_inner).0;
