gateway: the configuration is never 20 s old

Cause: each daemon lets its watch of the configuration wait for 20 s, and nothing limits the age of what it knows meanwhile. A watch without a response looks like one without changes; a renewal that fails ends it, but a silence between two renewals, one a second, lets none fail.

Change: the first daemon by rank watches for 0.3 of the time within which a change must be in force (`configuration_bound_ms`), and tells the others after each response which version was the newest and when. The others watch for 20 s as before. One of them replaces its watch by a read when it has heard of a newer version that the watch has not delivered, and when nothing has confirmed its version for 0.6 to 0.9 of the bound, by rank. So no daemon depends on another one, and a single one reads for itself. During an outage nothing is replaced; its end renews all watches.

Why it works: a response that is lost can now stay unnoticed only until the next confirmation, and the daemon that confirms never waits longer than its short watch and its timeout. It does not matter why the response is missing.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -10,6 +10,7 @@
 mod caller_connection;
 mod caller_limits;
 mod catalog_handler;
+mod catalog_reads;
 mod client;
 mod configuration;
 mod connection;
--- a/lib/src/gateway/catalog_handler.rs
+++ b/lib/src/gateway/catalog_handler.rs
@@ -1,28 +1,47 @@
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::FutureExt as _;
+use futures::future::{self, LocalBoxFuture};
 use ragwortgrade_policy::Instant;
+use ragwortgrade_policy::gateway::epidemic::Statement;
 
 use super::shared::Shared;
 use super::store_watcher::list_and_watch;
-use super::watch_handler::{Read, WatchHandler};
+use super::watch_handler::{Read, WATCH_TIMEOUT, WatchHandler};
 use super::{Item, Update};
 
 /// Watches the operators' configuration until the task is aborted.
 pub(super) async fn watch_catalog(shared: Rc<Shared>) {
     let key = shared.options.documents.catalog_key();
     let handler = CatalogHandler {
-        shared: Rc::clone(&shared),
+        shared: &shared,
+        is_readable: Cell::new(true),
     };
     list_and_watch(&shared, key, &handler).await;
 }
 
 /// Applies versions of the operators' configuration.
-pub(super) struct CatalogHandler {
-    pub(super) shared: Rc<Shared>,
+struct CatalogHandler<'a> {
+    shared: &'a Shared,
+    /// Whether the last version could be parsed. Other daemons may be able to parse it.
+    is_readable: Cell<bool>,
 }
 
-impl CatalogHandler {
+impl CatalogHandler<'_> {
+    /// Tells other daemons that no version was newer at `read_at` than that of this daemon.
+    fn publish(&self, read_at: Instant) {
+        let shared = self.shared;
+        let Some(version) = shared.configuration.version() else {
+            return;
+        };
+        let statement = Statement::Catalog { version, read_at };
+        let now = shared.now();
+        shared.broadcast.borrow_mut().publish(statement, now);
+        shared.notify_news();
+    }
+
     fn apply_item(&self, item: &Item) {
         let documents = &self.shared.options.documents;
         if *item.key != *documents.catalog_key() {
@@ -37,6 +56,7 @@
         let catalog = match parsed {
             Ok(catalog) => catalog,
             Err(error) => {
+                self.is_readable.set(false);
                 log::error!(
                     revision = item.revision, error:% = error;
                     "configuration cannot be parsed; ignored"
@@ -44,7 +64,8 @@
                 return;
             }
         };
-        let shared = &self.shared;
+        self.is_readable.set(true);
+        let shared = self.shared;
         let configuration = &shared.configuration;
         if configuration.apply(catalog, item.revision, &shared.metrics, shared.now()) {
             if let Some(catalog) = shared.catalog() {
@@ -56,14 +77,18 @@
     }
 }
 
-impl WatchHandler for CatalogHandler {
-    fn on_list(&self, items: Vec<Item>, _read: Read) {
+impl WatchHandler for CatalogHandler<'_> {
+    fn on_list(&self, items: Vec<Item>, read: Read) {
         for item in &items {
             self.apply_item(item);
         }
+        self.shared
+            .configuration
+            .reads
+            .record_read(self.shared, read.at);
     }
 
-    fn on_updates(&self, updates: Vec<Update>, _after: u64, _read: Read) {
+    fn on_updates(&self, updates: Vec<Update>, _after: u64, read: Read) {
         for update in updates {
             match update {
                 Update::Written(item) => self.apply_item(&item),
@@ -72,9 +97,31 @@
                 }
             }
         }
+        let reads = &self.shared.configuration.reads;
+        reads.record_read(self.shared, read.at);
+        if read.wait < WATCH_TIMEOUT && self.is_readable.get() {
+            self.publish(read.at);
+        }
     }
 
     fn pause(&self, _read_end: Instant) -> Duration {
         Duration::ZERO
     }
+
+    fn on_interruption(&self) {
+        let now = self.shared.now();
+        self.shared.configuration.reads.store_restored(now);
+    }
+
+    fn watch_timeout(&self) -> Duration {
+        self.shared.configuration.reads.watch_timeout(self.shared)
+    }
+
+    fn wait_until_replaced(&self, wait: Duration) -> LocalBoxFuture<'_, ()> {
+        if wait < WATCH_TIMEOUT {
+            return future::pending().boxed_local();
+        }
+        let reads = &self.shared.configuration.reads;
+        reads.wait_until_due(self.shared).boxed_local()
+    }
 }
--- a/lib/src/gateway/configuration.rs
+++ b/lib/src/gateway/configuration.rs
@@ -1,24 +1,42 @@
 use std::cell::{Ref, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::{Catalog, KeyChanges, KeyNews, Limits, Tenants};
 use ragwortgrade_schema::Name;
 
+use super::catalog_reads::CatalogReads;
 use crate::observe::Metrics;
 
 /// The operators' configuration in force, and later changes of keys that other daemons have read.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Configuration {
     catalog: RefCell<Option<Rc<Catalog>>>,
     key_news: RefCell<KeyNews>,
+    pub(super) reads: CatalogReads,
 }
 
 impl Configuration {
+    /// Returns the state before the first configuration; a change may be unknown for `bound`.
+    pub(super) fn new(bound: Duration) -> Self {
+        Self {
+            catalog: RefCell::default(),
+            key_news: RefCell::default(),
+            reads: CatalogReads::new(bound),
+        }
+    }
+
     pub(super) fn catalog(&self) -> Option<Rc<Catalog>> {
         self.catalog.borrow().clone()
     }
 
+    /// Returns the version in force.
+    pub(super) fn version(&self) -> Option<u64> {
+        let catalog = self.catalog.borrow();
+        catalog.as_ref().map(|catalog| catalog.version())
+    }
+
     /// Returns the configured limits on callers' requests; defaults before the first configuration.
     pub(super) fn limits(&self) -> Limits {
         let catalog = self.catalog.borrow();
@@ -88,7 +106,7 @@
         metrics: &Metrics,
         now: Instant,
     ) {
-        let held = self.catalog().map(|catalog| catalog.version());
+        let held = self.version();
         let (version, count) = (changes.version, changes.changes.len());
         let mut key_news = self.key_news.borrow_mut();
         let is_news = key_news.merge(changes, now);
--- a/lib/src/gateway/news_exchange.rs
+++ b/lib/src/gateway/news_exchange.rs
@@ -213,9 +213,15 @@
         let message = message.into_message(now);
         if let Message::Statements(mut statements) = message {
             if !self.shared.peers.borrow().is_registered(source) {
-                // Only a registered daemon may change which endpoints and keys are in use.
-                statements
-                    .retain(|it| !matches!(it, Statement::Registrations(_) | Statement::Keys(_)));
+                // Only a registered daemon may change which endpoints, keys and versions are in use.
+                statements.retain(|it| {
+                    !matches!(
+                        it,
+                        Statement::Registrations(_)
+                            | Statement::Keys(_)
+                            | Statement::Catalog { .. }
+                    )
+                });
             }
             let accepted = self.shared.broadcast.borrow_mut().receive(statements, now);
             self.merge(accepted, &daemon);
@@ -260,6 +266,10 @@
                     let configuration = &shared.configuration;
                     configuration.merge_key_changes(changes, reported_by, metrics, now);
                 }
+                Statement::Catalog { version, read_at } => {
+                    let reads = &shared.configuration.reads;
+                    reads.record_news(shared, version, read_at, reported_by);
+                }
                 Statement::StoreAnswered { at } => shared.observe_store_answer(at, reported_by),
                 Statement::Rate { daemon, report, .. } => {
                     // A daemon's own number of requests does not come from others.
--- a/lib/src/gateway/news_message.rs
+++ b/lib/src/gateway/news_message.rs
@@ -91,6 +91,10 @@
         age_ms: u32,
         keys: Vec<Key>,
     },
+    Catalog {
+        version: u64,
+        age_ms: u32,
+    },
 }
 
 /// Change of one key, of which only the SHA-256 digest is sent.
@@ -228,6 +232,10 @@
                 is_vouched: batch.is_vouched,
             },
             Statement::StoreAnswered { at } => Self::StoreAnswered { age_ms: age_ms(at) },
+            Statement::Catalog { version, read_at } => Self::Catalog {
+                version,
+                age_ms: age_ms(read_at),
+            },
             Statement::Keys(changes) => Self::Keys {
                 version: changes.version,
                 after: changes.after,
@@ -304,6 +312,10 @@
                 changes: changes.into_iter().map(RegistrationChange::from).collect(),
             }),
             Self::StoreAnswered { age_ms } => Statement::StoreAnswered { at: at(age_ms) },
+            Self::Catalog { version, age_ms } => Statement::Catalog {
+                version,
+                read_at: at(age_ms),
+            },
             Self::Keys {
                 version,
                 after,
--- a/lib/src/gateway/options.rs
+++ b/lib/src/gateway/options.rs
@@ -30,6 +30,8 @@
     pub retries_min: u32,
     /// Time limit of a drain.
     pub drain_timeout: Duration,
+    /// Maximum time for which a change of the configuration may be unknown.
+    pub configuration_bound: Duration,
     /// Interval between reads of registrations, so that changes are read in batches.
     pub registration_read_interval: Duration,
     /// Time after which a read of the store that has got no response is repeated.
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -19,6 +19,8 @@
 const BODY_IDLE_MS_DEFAULT: f64 = 3_000.0;
 /// Time for a whole body; the largest one (4 MiB) takes 3.4 s on the slowest link (10 Mbit/s).
 const BODY_TIMEOUT_MS_DEFAULT: f64 = 10_000.0;
+/// Default, minimum and maximum time until a change of the configuration is in force.
+const CONFIGURATION_BOUND_MS: (f64, f64, f64) = (2_000.0, 500.0, 60_000.0);
 /// Time for which a caller reads nothing; callers read events as they arrive.
 const UNREAD_TIMEOUT_MS_DEFAULT: f64 = 10_000.0;
 
@@ -43,6 +45,8 @@
     pub retry_ratio: f64,
     /// Maximum time for which an endpoint may still get requests after it has started to drain.
     pub leaving_bound: Duration,
+    /// Maximum time after which a change of the configuration must be in force.
+    pub configuration_bound: Duration,
     /// Time limit of a drain.
     pub drain_timeout: Duration,
     /// Maximum number of open files of the process; callers' connections may use half of them, if the
@@ -127,6 +131,7 @@
         let store_address = self.parsed("store_address", "an address such as 10.0.0.1:83");
         let retry_ratio = self.bounded("retry_ratio", 0.0, 1.0);
         let leaving_bound = self.bounded("leaving_bound_ms", 100.0, 60_000.0);
+        let configuration_bound = self.defaulted("configuration_bound_ms", CONFIGURATION_BOUND_MS);
         let drain_timeout = self.bounded("stop_timeout_seconds", 1.0, 600.0);
         let open_files_max = self.parsed("open_files_max", "a whole number");
         let caller_limits = self.caller_limits();
@@ -143,6 +148,7 @@
             store_address: store_address?,
             retry_ratio: retry_ratio?,
             leaving_bound: Duration::from_secs_f64(leaving_bound? / 1e3),
+            configuration_bound: Duration::from_secs_f64(configuration_bound / 1e3),
             drain_timeout: Duration::from_secs_f64(drain_timeout?),
             open_files_max: open_files_max?,
             caller_limits: caller_limits?,
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -88,7 +88,7 @@
         let seed = xxh3_64_with_seed(options.name.as_bytes(), clock.unix_ms());
         Rc::new(Self {
             clock,
-            configuration: Configuration::default(),
+            configuration: Configuration::new(options.configuration_bound),
             tenants: TenantStatistics::default(),
             fair_shares: RefCell::default(),
             registry: RefCell::default(),
--- a/lib/src/gateway/store_watcher.rs
+++ b/lib/src/gateway/store_watcher.rs
@@ -30,12 +30,18 @@
         let sent_at = Cell::new(shared.now());
         let call = async {
             match revision {
-                None => list(shared, prefix, handler).await,
+                None => Some(list(shared, prefix, handler).await),
                 Some(revision) => {
                     wait_for_next_read(handler, read_end).await;
                     sent_at.set(shared.now());
                     let after = handler.resume_after(revision);
-                    watch(shared, prefix, after, timeout, handler).await
+                    let wait = handler.watch_timeout();
+                    let watch = watch(shared, prefix, after, wait, timeout, handler);
+                    tokio::select! {
+                        biased;
+                        result = watch => Some(result),
+                        () = handler.wait_until_replaced(wait) => None,
+                    }
                 }
             }
         };
@@ -46,6 +52,7 @@
             () = shared.wait_for_interruption(interruptions) => {
                 interruptions = shared.store_interruptions();
                 retry.reset();
+                handler.on_interruption();
                 if shared.store_restores() != restores || shared.may_miss_restores() {
                     restores = shared.store_restores();
                     revision = None;
@@ -54,6 +61,9 @@
             }
             result = call => result,
         };
+        let Some(result) = result else {
+            continue;
+        };
         match result {
             Ok(new_revision) => {
                 if retry.failures() > 0 {
@@ -146,6 +156,7 @@
     let read = Read {
         revision,
         at: started_at,
+        wait: Duration::ZERO,
     };
     handler.on_list(items, read);
     Ok(revision)
@@ -163,18 +174,19 @@
     shared: &Shared,
     prefix: &str,
     revision: u64,
+    wait: Duration,
     timeout: Duration,
     handler: &dyn WatchHandler,
 ) -> Result<u64, StoreError> {
     let store = &shared.options.store;
     let sent_at = shared.now();
-    let wait = handler.watch_timeout();
     let call = store.watch(prefix, revision, wait, timeout);
     let after = revision;
     let Updates { updates, revision } = shared.call_store(call).await?;
     let read = Read {
         revision,
         at: RegistrationFeed::read_at(sent_at, wait, shared.now()),
+        wait,
     };
     handler.on_updates(updates, after, read);
     Ok(revision)
--- a/lib/src/gateway/watch_handler.rs
+++ b/lib/src/gateway/watch_handler.rs
@@ -25,10 +25,16 @@
     fn resume_after(&self, revision: u64) -> u64 {
         revision
     }
+    /// Handles the end of a store outage, or a restore of the store from an older copy.
+    fn on_interruption(&self) {}
     /// Returns how long a read may wait for changes.
     fn watch_timeout(&self) -> Duration {
         WATCH_TIMEOUT
     }
+    /// Waits until a read that may wait for changes for `wait` is to be replaced by another one.
+    fn wait_until_replaced(&self, _wait: Duration) -> LocalBoxFuture<'_, ()> {
+        future::pending().boxed_local()
+    }
 }
 
 /// How far a read of the store goes.
@@ -38,4 +44,6 @@
     pub(super) revision: u64,
     /// When the store had no later changes.
     pub(super) at: Instant,
+    /// Time for which it could wait for changes.
+    pub(super) wait: Duration,
 }
--- a/policy/src/gateway/epidemic/broadcast.rs
+++ b/policy/src/gateway/epidemic/broadcast.rs
@@ -89,10 +89,10 @@
             (&mut self.own, FIRST_RECIPIENTS)
         };
         let mut bytes = 0;
-        let are_keys = queue.front().is_some_and(Statement::is_keys);
+        let group = queue.front().map(Statement::message_group);
         let fitting = queue.iter().take(STATEMENTS_MAX).take_while(|statement| {
             bytes += statement.registration_bytes();
-            bytes <= REGISTRATION_BYTES_MAX && statement.is_keys() == are_keys
+            bytes <= REGISTRATION_BYTES_MAX && Some(statement.message_group()) == group
         });
         // A single statement is sent whatever its size.
         let count = fitting.count().max(1).min(queue.len());
@@ -187,12 +187,11 @@
     }
 }
 
-/// Returns messages that tell these statements. Those about keys have messages of their own, as
-/// daemons of earlier builds cannot read them.
+/// Returns messages that tell these statements.
 fn tell(statements: &[&Statement]) -> Vec<Message> {
     let statements = &statements[..statements.len().min(ANSWER_MAX)];
-    let same_kind = statements.chunk_by(|left, right| left.is_keys() == right.is_keys());
-    let chunks = same_kind.flat_map(|statements| statements.chunks(STATEMENTS_MAX));
+    let groups = statements.chunk_by(|left, right| left.message_group() == right.message_group());
+    let chunks = groups.flat_map(|statements| statements.chunks(STATEMENTS_MAX));
     let messages = chunks.map(|chunk| {
         let statements = chunk.iter().map(|it| (*it).clone());
         Message::Statements(statements.collect())
--- a/policy/src/gateway/epidemic/statement.rs
+++ b/policy/src/gateway/epidemic/statement.rs
@@ -45,6 +45,13 @@
         /// When the call was sent.
         at: Instant,
     },
+    /// Newest version of the configuration.
+    Catalog {
+        /// The version.
+        version: u64,
+        /// When there was no newer one.
+        read_at: Instant,
+    },
     /// Changes of keys that a version of the configuration made.
     Keys(KeyChanges),
 }
@@ -81,13 +88,19 @@
             Self::Rate { report, .. } => report.named_at,
             Self::Departure(report) => report.said_at,
             Self::Registrations(batch) => batch.read_at,
+            Self::Catalog { read_at, .. } => *read_at,
             Self::Keys(changes) => changes.applied_at,
         }
     }
 
-    /// Returns whether the statement is about keys.
-    pub(super) const fn is_keys(&self) -> bool {
-        matches!(self, Self::Keys(_))
+    /// Returns the group of statements that may share a message with this one. Each kind that daemons
+    /// of earlier builds cannot read has messages of its own.
+    pub(super) const fn message_group(&self) -> u8 {
+        match self {
+            Self::Catalog { .. } => 2,
+            Self::Keys(_) => 1,
+            _ => 0,
+        }
     }
 
     /// Returns the size of the registrations in this statement, in bytes; other statements are small.
@@ -123,6 +136,7 @@
                 hash(6, "", &[source, era, batch.after, batch.revision])
             }
             Self::StoreAnswered { .. } => hash(7, "", &[]),
+            Self::Catalog { version, .. } => hash(9, "", &[*version]),
             Self::Keys(changes) => {
                 let part = u64::from(changes.part);
                 hash(8, "", &[changes.version, changes.after, part])
@@ -152,7 +166,9 @@
                 self.at() > told.at + RENEWAL_TIME
             }
             // That nothing has changed is told again after each read.
-            Self::Registrations(_) => self.at() > told.at + READ_RENEWAL_TIME,
+            Self::Registrations(_) | Self::Catalog { .. } => {
+                self.at() > told.at + READ_RENEWAL_TIME
+            }
         }
     }
 
