gateway: registrations are watched without a pause while nothing changes

A watch that ends without changes was followed by the pause of the read interval, so that a change was learned up to 1.1 s late; with watches of 20 s there was rarely such a pause.

Change: only a read with changes, or a listing, is followed by a pause, and a read without a pause waits for that much longer. The calls and the bound stay the same. The rule is a type of its own in policy (OwnReads).

--- a/lib/src/gateway/shared_reads.rs
+++ b/lib/src/gateway/shared_reads.rs
@@ -1,11 +1,11 @@
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::time::Duration;
 
 use ragwortgrade_policy::Instant;
 use ragwortgrade_policy::gateway::epidemic::Statement;
 use ragwortgrade_policy::gateway::{
-    ChangesRequest, RegistrationBatch, RegistrationChange, RegistrationContent, RegistrationFeed,
-    RegistrationSource,
+    ChangesRequest, OwnReads, RegistrationBatch, RegistrationChange, RegistrationContent,
+    RegistrationFeed, RegistrationSource,
 };
 use tokio::sync::Notify;
 
@@ -16,9 +16,6 @@
 /// Number of read intervals after which changes are learned late: a daemon that reads for itself
 /// takes up to 1.2 of them.
 const LATE_INTERVALS: f64 = 1.25;
-/// Pause of a daemon that reads for itself after a listing. Daemons that start together list only
-/// some of the others, and know all of them after the next read.
-const LISTING_PAUSE: Duration = Duration::from_secs(1);
 /// Maximum size of the changed registrations in one batch for other daemons, which read larger ones
 /// themselves.
 const BATCH_BYTES_MAX: usize = 6 * 1024;
@@ -32,8 +29,8 @@
     /// Time between reads of a daemon that reads for itself only.
     interval: Duration,
     feed: RefCell<RegistrationFeed>,
-    /// Whether changes were read since the last listing.
-    has_read_changes: Cell<bool>,
+    /// Reads while the fleet is small.
+    own_reads: RefCell<OwnReads>,
     /// Wakes the task that reads, as the next read has become due earlier.
     missed: Notify,
 }
@@ -44,14 +41,14 @@
             source,
             interval,
             feed: RefCell::default(),
-            has_read_changes: Cell::new(false),
+            own_reads: RefCell::new(OwnReads::new(interval)),
             missed: Notify::new(),
         }
     }
 
     /// Records a complete listing. Returns whether it may replace what is known.
     pub(super) fn record_listing(&self, shared: &Shared, read: Read) -> bool {
-        self.has_read_changes.set(false);
+        self.own_reads.borrow_mut().record_listing();
         let known_until = self.feed.borrow().known_until();
         let era = shared.store_era_named();
         let is_newest = self.feed.borrow_mut().listed(era, read.revision, read.at);
@@ -75,7 +72,8 @@
         after: u64,
         read: Read,
     ) -> Vec<RegistrationChange> {
-        self.has_read_changes.set(true);
+        let has_changes = !updates.is_empty();
+        self.own_reads.borrow_mut().record_read(has_changes);
         let batch = RegistrationBatch {
             source: self.source,
             era: shared.store_era_named(),
@@ -152,10 +150,8 @@
             let (name, rank) = (&shared.options.name, rank(shared));
             let feed = self.feed.borrow();
             feed.next_read(name, rank, self.interval, read_end)
-        } else if self.has_read_changes.get() {
-            read_end + self.interval
         } else {
-            read_end + self.interval.min(LISTING_PAUSE)
+            read_end + self.own_reads.borrow().pause()
         };
         next_read.since(shared.now())
     }
@@ -198,7 +194,7 @@
         if is_shared(shared) {
             RegistrationFeed::read_wait(rank(shared), self.interval)
         } else {
-            RegistrationFeed::own_read_wait(self.interval)
+            self.own_reads.borrow().wait()
         }
     }
 
--- a/policy/src/gateway/registration_feed.rs
+++ b/policy/src/gateway/registration_feed.rs
@@ -18,9 +18,6 @@
 const READ_WAIT: Duration = Duration::from_millis(1);
 /// Minimum time between two reads of these daemons, as a fraction of the read interval.
 const READ_PAUSE_FRACTION: f64 = 0.4;
-/// Time for which a daemon that reads for itself lets the source wait, as a fraction of its read
-/// interval.
-const OWN_WATCH_FRACTION: f64 = 0.35;
 /// Number of daemons that read one after the other if those before them have handed on nothing,
 /// and the time between two of them: several times that in which a batch reaches all daemons.
 const READERS: usize = 10;
@@ -240,14 +237,6 @@
         }
     }
 
-    /// Returns the time for which a daemon that reads for itself lets the source wait for changes
-    /// after each pause of `interval`. It is short, as a read that gets no response looks like one
-    /// without changes until then.
-    #[must_use]
-    pub fn own_read_wait(interval: Duration) -> Duration {
-        interval.mul_f64(OWN_WATCH_FRACTION)
-    }
-
     /// Returns up to when a read that was sent at `sent_at`, let the source wait for changes and is
     /// answered now shows all changes.
     ///
