gateway: callers that read slowly get their whole response

Cause: TCP_USER_TIMEOUT of 1.5 s, meant for hosts that are gone, also ends a connection whose peer is alive and announces a window of zero.

Change: from the first byte of a response until the caller's next request the option has the value of `unread_timeout_ms`. MonitoredStream has a file of its own.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -35,6 +35,7 @@
 mod local_response;
 mod memory;
 mod memory_account;
+mod monitored_stream;
 mod news_exchange;
 mod news_message;
 mod options;
--- a/lib/src/gateway/caller_connection.rs
+++ b/lib/src/gateway/caller_connection.rs
@@ -1,14 +1,11 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::IpAddr;
-use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll};
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use ragwortgrade_policy::gateway::{ConnectionChoice, Limits};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 use super::Options;
@@ -77,7 +74,7 @@
     }
 
     /// Records whether the caller takes what is sent to it.
-    fn record_write(&self, result: &Poll<io::Result<usize>>) {
+    pub(super) fn record_write(&self, result: &Poll<io::Result<usize>>) {
         match result {
             Poll::Pending if self.unread_since.get().is_none() => {
                 self.unread_since.set(Some(Instant::now()));
@@ -87,11 +84,14 @@
         }
     }
 
-    /// Records that bytes arrived; on an idle connection they start the head of a request.
-    fn record_read(&self) {
-        if self.requests_in_flight.get() == 0 && self.head_started_at.get().is_none() {
+    /// Records that bytes arrived; on an idle connection they start the head of a request. Returns
+    /// whether they do.
+    pub(super) fn record_read(&self) -> bool {
+        let starts_head = self.is_idle();
+        if starts_head {
             self.head_started_at.set(Some(Instant::now()));
         }
+        starts_head
     }
 }
 
@@ -194,62 +194,3 @@
         }
     }
 }
-
-/// TCP stream that records on its connection when the first bytes of a head arrive.
-#[derive(Debug)]
-pub(super) struct MonitoredStream {
-    pub(super) stream: TcpStream,
-    pub(super) caller: Rc<CallerConnection>,
-}
-
-impl AsyncRead for MonitoredStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        let before = buf.filled().len();
-        let result = Pin::new(&mut this.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            this.caller.record_read();
-        }
-        result
-    }
-}
-
-impl AsyncWrite for MonitoredStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let this = self.get_mut();
-        let result = Pin::new(&mut this.stream).poll_write(cx, buf);
-        this.caller.record_write(&result);
-        result
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let this = self.get_mut();
-        let result = Pin::new(&mut this.stream).poll_write_vectored(cx, bufs);
-        this.caller.record_write(&result);
-        result
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -11,7 +11,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::caller_connection::{CallerConnection, MonitoredStream};
+use super::caller_connection::CallerConnection;
+use super::monitored_stream::MonitoredStream;
 use super::request_handler;
 use super::response_body::ResponseBody;
 use super::shared::Shared;
@@ -62,10 +63,9 @@
             Ok::<_, Infallible>(response.map(|body| body.with_guard(guard)))
         }
     });
-    let io = TokioIo::new(MonitoredStream {
-        stream,
-        caller: Rc::clone(&caller),
-    });
+    let unread_timeout = shared.options.caller_limits.unread_timeout;
+    let stream = MonitoredStream::new(stream, Rc::clone(&caller), unread_timeout);
+    let io = TokioIo::new(stream);
     let connection = http1::Builder::new()
         .title_case_headers(true)
         .max_buf_size(shared.configuration.limits().header_bytes + READ_AHEAD_BYTES)
--- a/lib/src/gateway/socket.rs
+++ b/lib/src/gateway/socket.rs
@@ -7,7 +7,7 @@
 
 /// Time after which unacknowledged data closes a connection. It is well below the few seconds that
 /// operators allow a VM to recover, counted from the end of a network failure.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(super) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time before the first keepalive probe and between probes; the socket options are whole seconds,
 /// so 1 s is the minimum.
 const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
@@ -32,11 +32,17 @@
 /// Enables detection of unresponsive remote hosts, and disables Nagle's algorithm.
 pub(super) fn configure_stream(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
+    set_unacknowledged_timeout(stream, UNACKNOWLEDGED_TIMEOUT)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_TIME)
         .with_interval(KEEPALIVE_TIME)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&probes)
 }
+
+/// Sets the time after which data that the remote host has not acknowledged close the connection. It
+/// also limits how long a host that is alive may leave its receive buffer full.
+pub(super) fn set_unacknowledged_timeout(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(Some(timeout))
+}
